--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+# Two words build it: `make all`. The rest: demo, check, bench, soak, lint.
+BUILD = build
+SCENARIO ?= all
+SEED ?= 1
+STEPS ?= 20000
+
+.PHONY: all deps demo check bench soak lint format clean
+
+all: deps
+	@test -f $(BUILD)/build.ninja || meson setup $(BUILD) >/dev/null
+	@ninja -C $(BUILD) --quiet
+	@ln -sf packages/cuminquay packages/cuminquayctl $(BUILD)/
+
+deps:
+	@sh .ci/deps
+
+demo: all
+	@bash tests/demo.sh $(BUILD)
+
+clean:
+	rm -rf $(BUILD) $(BUILD)-asan
--- /dev/null
+++ b/packages/base/counters.c
@@ -0,0 +1,64 @@
+#include "counters.h"
+
+static const char *const names[CQ_N_COUNT] = {
+    [CQ_N_REQUESTS] = "requests_total",
+    [CQ_N_ADMITTED] = "requests_admitted_total",
+    [CQ_N_REFUSED] = "requests_refused_total",
+    [CQ_N_DONE] = "requests_done_total",
+    [CQ_N_FAILED] = "requests_failed_total",
+    [CQ_N_CANCELLED] = "requests_cancelled_total",
+    [CQ_N_EXPIRED] = "requests_expired_total",
+    [CQ_N_ATTEMPTS] = "attempts_total",
+    [CQ_N_RETRIES] = "retries_total",
+    [CQ_N_RETRY_DENIED] = "retries_denied_total",
+    [CQ_N_RESUMED] = "resumed_total",
+    [CQ_N_LATE_DROPPED] = "late_answers_dropped_total",
+    [CQ_N_CLAIMS] = "claims_total",
+    [CQ_N_CLAIMS_LOST] = "claims_lost_total",
+    [CQ_N_CLAIMS_EXPIRED] = "claims_expired_total",
+    [CQ_N_GROUPS] = "groups_total",
+    [CQ_N_GROUP_BACKOFFS] = "group_backoffs_total",
+    [CQ_N_RELEASES] = "reservations_released_total",
+    [CQ_N_STRAYS] = "stray_reservations_total",
+    [CQ_N_SILENT] = "silent_connections_total",
+    [CQ_N_PROBES] = "probes_total",
+    [CQ_N_CONFIG_APPLIED] = "config_applied_total",
+    [CQ_N_CONFIG_IGNORED] = "config_ignored_total",
+    [CQ_N_LOG_OUTAGES] = "log_outages_total",
+    [CQ_N_LOG_BACKWARD] = "log_backward_total",
+    [CQ_N_PEER_FRAMES_IN] = "peer_frames_in_total",
+    [CQ_N_PEER_BYTES_IN] = "peer_bytes_in_total",
+    [CQ_N_PEER_FRAMES_OUT] = "peer_frames_out_total",
+    [CQ_N_PEER_BYTES_OUT] = "peer_bytes_out_total",
+    [CQ_N_FRAME_TOO_LONG] = "peer_frames_too_long_total",
+    [CQ_N_FRAME_STALLED] = "peer_frames_stalled_total",
+    [CQ_N_FRAME_BAD] = "peer_frames_bad_total",
+    [CQ_N_PEER_REJECTED] = "peers_rejected_total",
+    [CQ_N_BAD_REQUESTS] = "bad_requests_total",
+    [CQ_N_BODY_TOO_LONG] = "bodies_too_long_total",
+    [CQ_N_CONTROL_BYTES] = "control_bytes_total",
+    [CQ_N_INVARIANT_BROKEN] = "invariants_broken_total",
+};
+
+void
+cq_counters_add(cq_counters_t *counters, cq_counter_t which, guint64 n)
+{
+    g_assert(which < CQ_N_COUNT);
+    counters->value[which] += n;
+}
+
+const char *
+cq_counters_name(cq_counter_t which)
+{
+    g_assert(which < CQ_N_COUNT);
+    return names[which];
+}
+
+void
+cq_counters_render(const cq_counters_t *counters, GString *out)
+{
+    for (int i = 0; i < CQ_N_COUNT; i++) {
+        g_string_append_printf(out, "cuminquay_%s %" G_GUINT64_FORMAT "\n",
+                               names[i], counters->value[i]);
+    }
+}
--- /dev/null
+++ b/packages/base/counters.h
@@ -0,0 +1,74 @@
+/**
+ * DOC: counters
+ *
+ * The counters of one process, rendered as metrics text.
+ */
+#ifndef CQ_COUNTERS_H
+#define CQ_COUNTERS_H
+
+#include <glib.h>
+
+G_BEGIN_DECLS
+
+/** enum cq_counter_t - one name a counter; the text names are in counters.c */
+typedef enum {
+    CQ_N_REQUESTS,
+    CQ_N_ADMITTED,
+    CQ_N_REFUSED,
+    CQ_N_DONE,
+    CQ_N_FAILED,
+    CQ_N_CANCELLED,
+    CQ_N_EXPIRED,
+    CQ_N_ATTEMPTS,
+    CQ_N_RETRIES,
+    CQ_N_RETRY_DENIED,
+    CQ_N_RESUMED,
+    CQ_N_LATE_DROPPED,
+    CQ_N_CLAIMS,
+    CQ_N_CLAIMS_LOST,
+    CQ_N_CLAIMS_EXPIRED,
+    CQ_N_GROUPS,
+    CQ_N_GROUP_BACKOFFS,
+    CQ_N_RELEASES,
+    CQ_N_STRAYS,
+    CQ_N_SILENT,
+    CQ_N_PROBES,
+    CQ_N_CONFIG_APPLIED,
+    CQ_N_CONFIG_IGNORED,
+    CQ_N_LOG_OUTAGES,
+    CQ_N_LOG_BACKWARD,
+    CQ_N_PEER_FRAMES_IN,
+    CQ_N_PEER_BYTES_IN,
+    CQ_N_PEER_FRAMES_OUT,
+    CQ_N_PEER_BYTES_OUT,
+    CQ_N_FRAME_TOO_LONG,
+    CQ_N_FRAME_STALLED,
+    CQ_N_FRAME_BAD,
+    CQ_N_PEER_REJECTED,
+    CQ_N_BAD_REQUESTS,
+    CQ_N_BODY_TOO_LONG,
+    CQ_N_CONTROL_BYTES,
+    CQ_N_INVARIANT_BROKEN,
+    CQ_N_COUNT,
+} cq_counter_t;
+
+/**
+ * struct cq_counters_t - the values
+ * @value: one value a counter; they only grow
+ */
+typedef struct {
+    guint64 value[CQ_N_COUNT];
+} cq_counters_t;
+
+/** cq_counters_add() - add @n to counter @which */
+void cq_counters_add(cq_counters_t *counters, cq_counter_t which, guint64 n);
+
+/** cq_counters_name() - Return: the metric name of counter @which */
+const char *cq_counters_name(cq_counter_t which);
+
+/** cq_counters_render() - append one `name value` line a counter to @out */
+void cq_counters_render(const cq_counters_t *counters, GString *out);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/packages/base/limits.h
@@ -0,0 +1,102 @@
+/**
+ * DOC: limits
+ *
+ * Every hard limit and default of the product. Names end in their unit.
+ */
+#ifndef CQ_LIMITS_H
+#define CQ_LIMITS_H
+
+#include <glib.h>
+
+#define CQ_MS_US G_GINT64_CONSTANT(1000)
+#define CQ_SECOND_US G_GINT64_CONSTANT(1000000)
+
+/* Names and tables. */
+#define CQ_NAME_BYTES 64
+#define CQ_ADDR_BYTES 64
+#define CQ_TEAMS_MAX 1024
+#define CQ_MODELS_MAX 64
+#define CQ_CALLS_MAX 64
+#define CQ_SERVICES_MAX 64
+#define CQ_UPSTREAMS_MAX 8192
+#define CQ_PEERS_MAX 512
+#define CQ_REQUESTS_MAX 65536
+#define CQ_GROUP_MAX 8
+#define CQ_PREFIX_LEVELS 6
+#define CQ_TOKEN_HASH_BYTES 32
+
+/* What a caller may send. */
+#define CQ_BODY_BYTES_MAX (16 * 1024 * 1024)
+#define CQ_SERVICE_BYTES_MAX (128 * 1024)
+#define CQ_HEADER_BYTES_MAX (64 * 1024)
+#define CQ_KEY_BYTES_MAX 256
+#define CQ_TIMEOUT_MAX_MS (60 * 60 * 1000)
+#define CQ_BYTES_PER_TOKEN 4
+#define CQ_PREFIX_BLOCK_BYTES 4096
+#define CQ_BUFFER_BYTES_MAX (256 * 1024)
+
+/* Frames between our processes. */
+#define CQ_FRAME_BYTES_MAX (256 * 1024)
+#define CQ_FRAME_STALL_US (5 * CQ_SECOND_US)
+#define CQ_PEER_KEY_BYTES_MIN 16
+#define CQ_SUMMARY_BYTES_PER_S 2048
+#define CQ_PEERS_NEAR_MAX 8
+#define CQ_SUMMARY_PERIOD_US (50 * CQ_MS_US)
+#define CQ_SUMMARY_ENTRY_BYTES 32
+#define CQ_SUMMARY_HEAD_BYTES 32
+
+/* Periods. */
+#define CQ_TICK_US (10 * CQ_MS_US)
+#define CQ_HEARTBEAT_US (500 * CQ_MS_US)
+#define CQ_OFFER_US (2 * CQ_SECOND_US)
+#define CQ_PEER_FRESH_US (2 * CQ_SECOND_US)
+#define CQ_WINDOW_US CQ_SECOND_US
+#define CQ_SWEEP_US (2 * CQ_SECOND_US)
+#define CQ_LEAVING_NEWS_US (60 * CQ_SECOND_US)
+#define CQ_OWNER_GONE_US (10 * CQ_SECOND_US)
+#define CQ_LIST_POLL_US CQ_SECOND_US
+#define CQ_LOAD_POLL_US CQ_SECOND_US
+#define CQ_LOG_WAIT_MS 1000
+#define CQ_LOG_RETRY_US (200 * CQ_MS_US)
+
+/* Requests. */
+#define CQ_CLAIM_WAIT_US (3 * CQ_SECOND_US)
+#define CQ_CLAIM_KEEP_US (3600 * CQ_SECOND_US)
+#define CQ_CONNECT_US (2 * CQ_SECOND_US)
+#define CQ_SILENT_US (4 * CQ_SECOND_US)
+#define CQ_PROBE_US (2 * CQ_SECOND_US)
+#define CQ_SUSPECT_US (5 * CQ_SECOND_US)
+#define CQ_RETRY_BURST 8
+#define CQ_RETRY_AFTER_MIN_US (200 * CQ_MS_US)
+#define CQ_RETRY_AFTER_MAX_US (600 * CQ_SECOND_US)
+#define CQ_OUTPUT_TOKENS_GUESS 300
+
+/* Engines, where a service file does not say otherwise. */
+#define CQ_PREFILL_TOKENS_PER_S 60000
+#define CQ_DECODE_STEP_US (37 * CQ_MS_US)
+#define CQ_STREAMS_TARGET 8
+#define CQ_STREAMS_MAX 12
+#define CQ_KV_TOKENS 400000
+#define CQ_RESERVATION_US (30 * CQ_SECOND_US)
+#define CQ_RESERVE_WAIT_US (2 * CQ_SECOND_US)
+
+/* Placement. */
+#define CQ_SAMPLES 8
+#define CQ_SCAN_MAX 24
+#define CQ_SUBSET_MAX 32
+#define CQ_CLASS_SHORT_TOKENS 4096
+#define CQ_CLASS_MIDDLE_TOKENS 32768
+#define CQ_CLASS_LONG_TOKENS 100000
+#define CQ_PREFIX_BELIEFS_MAX 512
+
+/* Time line. */
+#define CQ_RING_EVENTS 8192
+#define CQ_EVENT_TEXT_BYTES 160
+
+/* Operator commands. */
+#define CQ_EXIT_DONE 0
+#define CQ_EXIT_REFUSED 1
+#define CQ_EXIT_USAGE 2
+#define CQ_EXIT_UNREACHABLE 3
+
+#endif
--- /dev/null
+++ b/packages/config/service.c
@@ -0,0 +1,252 @@
+#include "config/service.h"
+
+#include <string.h>
+
+#include "config/schema.h"
+
+#define OFFSET(member) offsetof(cq_rules_t, member)
+#define SIZE(member) sizeof(((cq_rules_t *)NULL)->member)
+#define TEAM_OFFSET(member) offsetof(cq_team_rule_t, member)
+#define CALL_OFFSET(member) offsetof(cq_call_rule_t, member)
+#define WEIGHT_MAX 1000
+#define QUEUE_MAX 100000
+#define PREFILL_MAX 10000000
+#define KV_MAX 100000000
+
+static const char *const kinds[] = {"model", "plain", NULL};
+static const char *const auths[] = {"token", "none", NULL};
+
+static const cq_field_t service_fields[] = {
+    {"service", "name", CQ_FIELD_NAME, OFFSET(name), SIZE(name), 0, 0, TRUE,
+     NULL},
+    {"service", "kind", CQ_FIELD_CHOICE, OFFSET(kind), 0, 0, 0, TRUE, kinds},
+    {"service", "auth", CQ_FIELD_CHOICE, OFFSET(auth), 0, 0, 0, FALSE, auths},
+    {"requests", "idempotent", CQ_FIELD_BOOLEAN, OFFSET(idempotent), 0, 0, 0,
+     FALSE, NULL},
+    {"requests", "timeout_ms", CQ_FIELD_INTEGER, OFFSET(timeout_ms), 0, 1,
+     CQ_TIMEOUT_MAX_MS, FALSE, NULL},
+    {"requests", "timeout_max_ms", CQ_FIELD_INTEGER, OFFSET(timeout_max_ms), 0,
+     1, CQ_TIMEOUT_MAX_MS, FALSE, NULL},
+    {"requests", "queue_max", CQ_FIELD_INTEGER, OFFSET(queue_max), 0, 0,
+     QUEUE_MAX, FALSE, NULL},
+    {"requests", "retry_percent", CQ_FIELD_INTEGER, OFFSET(retry_percent), 0,
+     0, 100, FALSE, NULL},
+    {"requests", "attempts_max", CQ_FIELD_INTEGER, OFFSET(attempts_max), 0, 1,
+     10, FALSE, NULL},
+    {"requests", "first_token_weight", CQ_FIELD_INTEGER,
+     OFFSET(first_token_weight), 0, 0, 100, FALSE, NULL},
+    {"engines", "prefill_tokens_per_s", CQ_FIELD_INTEGER,
+     OFFSET(prefill_tokens_per_s), 0, 1, PREFILL_MAX, FALSE, NULL},
+    {"engines", "kv_tokens", CQ_FIELD_INTEGER, OFFSET(kv_tokens), 0, 1000,
+     KV_MAX, FALSE, NULL},
+    {"engines", "streams_max", CQ_FIELD_INTEGER, OFFSET(streams_max), 0, 1,
+     4096, FALSE, NULL},
+    {"engines", "group_max", CQ_FIELD_INTEGER, OFFSET(group_max), 0, 1,
+     CQ_GROUP_MAX, FALSE, NULL},
+    {"engines", "resume", CQ_FIELD_BOOLEAN, OFFSET(resume), 0, 0, 0, FALSE,
+     NULL},
+    {"engines", "fencing", CQ_FIELD_BOOLEAN, OFFSET(fencing), 0, 0, 0, FALSE,
+     NULL},
+};
+
+static const cq_field_t team_fields[] = {
+    {"team", "name", CQ_FIELD_NAME, TEAM_OFFSET(name), CQ_NAME_BYTES, 0, 0,
+     TRUE, NULL},
+    {"team", "token_sha256", CQ_FIELD_SHA256, TEAM_OFFSET(token_sha256),
+     CQ_TOKEN_HASH_BYTES * 2 + 1, 0, 0, FALSE, NULL},
+    {"team", "weight", CQ_FIELD_INTEGER, TEAM_OFFSET(weight), 0, 1, WEIGHT_MAX,
+     FALSE, NULL},
+};
+
+static const cq_field_t call_fields[] = {
+    {"call", "method", CQ_FIELD_TEXT, CALL_OFFSET(method), CQ_NAME_BYTES, 0, 0,
+     TRUE, NULL},
+    {"call", "path", CQ_FIELD_TEXT, CALL_OFFSET(path), CQ_NAME_BYTES, 0, 0,
+     TRUE, NULL},
+    {"call", "idempotent", CQ_FIELD_BOOLEAN, CALL_OFFSET(idempotent), 0, 0, 0,
+     TRUE, NULL},
+};
+
+static const cq_field_t model_fields[] = {
+    {"model", "name", CQ_FIELD_NAME, 0, CQ_NAME_BYTES, 0, 0, TRUE, NULL},
+};
+
+typedef struct {
+    const char *section;
+    const cq_field_t *fields;
+    guint len;
+    guint max;
+} part_t;
+
+static const part_t parts[] = {
+    {"team", team_fields, G_N_ELEMENTS(team_fields), CQ_TEAMS_MAX},
+    {"call", call_fields, G_N_ELEMENTS(call_fields), CQ_CALLS_MAX},
+    {"model", model_fields, G_N_ELEMENTS(model_fields), CQ_MODELS_MAX},
+};
+
+static const part_t *
+part_of(const char *section)
+{
+    for (guint i = 0; i < G_N_ELEMENTS(parts); i++) {
+        if (strcmp(parts[i].section, section) == 0) {
+            return &parts[i];
+        }
+    }
+    return NULL;
+}
+
+static void *
+row_of(cq_rules_t *rules, const cq_toml_item_t *item)
+{
+    if (strcmp(item->section, "team") == 0) {
+        return &g_array_index(rules->teams, cq_team_rule_t, item->table);
+    }
+    if (strcmp(item->section, "call") == 0) {
+        return &g_array_index(rules->calls, cq_call_rule_t, item->table);
+    }
+    return g_ptr_array_index(rules->models, item->table);
+}
+
+static gboolean
+size_parts(cq_rules_t *rules, const GArray *items, const char *file,
+           cq_error_t *error)
+{
+    for (guint i = 0; i < G_N_ELEMENTS(parts); i++) {
+        guint count = cq_schema_tables(items, parts[i].section);
+        if (count > parts[i].max) {
+            return cq_error_set(error, CQ_ERROR_LIMIT,
+                                "%s:1: [[%s]]: found %u; write at most %u",
+                                file, parts[i].section, count, parts[i].max);
+        }
+    }
+    g_array_set_size(rules->teams, cq_schema_tables(items, "team"));
+    g_array_set_size(rules->calls, cq_schema_tables(items, "call"));
+    for (guint i = 0; i < rules->teams->len; i++) {
+        g_array_index(rules->teams, cq_team_rule_t, i).weight = 1;
+    }
+    guint models = cq_schema_tables(items, "model");
+    for (guint i = 0; i < models; i++) {
+        g_ptr_array_add(rules->models, g_malloc0(CQ_NAME_BYTES));
+    }
+    return TRUE;
+}
+
+static gboolean
+take_item(cq_rules_t *rules, const cq_toml_item_t *item, const char *file,
+          cq_error_t *error)
+{
+    const part_t *part = part_of(item->section);
+    const cq_field_t *fields = part ? part->fields : service_fields;
+    guint len = part ? part->len : G_N_ELEMENTS(service_fields);
+    void *base = part ? row_of(rules, item) : rules;
+    const cq_field_t *field = cq_schema_find(fields, len, item, file, error);
+    return field != NULL && cq_schema_store(field, item, file, base, error);
+}
+
+static gboolean
+check_required(const cq_rules_t *rules, const GArray *items, const char *file,
+               cq_error_t *error)
+{
+    (void)rules;
+    if (!cq_schema_required(service_fields, G_N_ELEMENTS(service_fields),
+                            items, "service", 0, file, error)) {
+        return FALSE;
+    }
+    for (guint i = 0; i < G_N_ELEMENTS(parts); i++) {
+        guint count = cq_schema_tables(items, parts[i].section);
+        for (guint table = 0; table < count; table++) {
+            if (!cq_schema_required(parts[i].fields, parts[i].len, items,
+                                    parts[i].section, table, file, error)) {
+                return FALSE;
+            }
+        }
+    }
+    return TRUE;
+}
+
+static gboolean
+check_teams(const cq_rules_t *rules, const char *file, cq_error_t *error)
+{
+    if (rules->teams->len == 0) {
+        return cq_error_set(error, CQ_ERROR_KEY,
+                            "%s:1: [[team]]: missing; add at least one", file);
+    }
+    for (guint i = 0; i < rules->teams->len; i++) {
+        const cq_team_rule_t *team =
+            &g_array_index(rules->teams, cq_team_rule_t, i);
+        if (cq_rules_team(rules, team->name) != (int)i) {
+            return cq_error_set(error, CQ_ERROR_VALUE,
+                                "%s:1: team.name: duplicate %s; list each "
+                                "team once",
+                                file, team->name);
+        }
+        gboolean token = team->token_sha256[0] != '\0';
+        if (rules->auth == CQ_AUTH_TOKEN && !token) {
+            return cq_error_set(error, CQ_ERROR_KEY,
+                                "%s:1: team.token_sha256: missing for %s; "
+                                "add it, or write auth = \"none\"",
+                                file, team->name);
+        }
+    }
+    return TRUE;
+}
+
+static gboolean
+check_whole(const cq_rules_t *rules, const char *file, cq_error_t *error)
+{
+    if (!check_teams(rules, file, error)) {
+        return FALSE;
+    }
+    gboolean model = rules->kind == CQ_SERVICE_MODEL;
+    if (model && rules->models->len == 0) {
+        return cq_error_set(error, CQ_ERROR_KEY,
+                            "%s:1: [[model]]: missing; add at least one",
+                            file);
+    }
+    if (!model && rules->models->len > 0) {
+        return cq_error_set(error, CQ_ERROR_KEY,
+                            "%s:1: [[model]]: a plain service has none; "
+                            "remove it, or write kind = \"model\"",
+                            file);
+    }
+    if (rules->timeout_ms > rules->timeout_max_ms) {
+        return cq_error_set(error, CQ_ERROR_VALUE,
+                            "%s:1: requests.timeout_ms: found %"
+                            G_GINT64_FORMAT "; write at most "
+                            "timeout_max_ms (%" G_GINT64_FORMAT ")",
+                            file, rules->timeout_ms, rules->timeout_max_ms);
+    }
+    return TRUE;
+}
+
+static gboolean
+fill(cq_rules_t *rules, const GArray *items, const char *file,
+     cq_error_t *error)
+{
+    if (!size_parts(rules, items, file, error)) {
+        return FALSE;
+    }
+    for (guint i = 0; i < items->len; i++) {
+        const cq_toml_item_t *item = &g_array_index(items, cq_toml_item_t, i);
+        if (!take_item(rules, item, file, error)) {
+            return FALSE;
+        }
+    }
+    return check_required(rules, items, file, error) &&
+           check_whole(rules, file, error);
+}
+
+cq_rules_t *
+cq_service_parse(const char *text, const char *file, cq_error_t *error)
+{
+    cq_rules_t *rules = cq_rules_new();
+    GArray *items = g_array_new(FALSE, TRUE, sizeof(cq_toml_item_t));
+    gboolean good = cq_toml_parse(text, file, items, error);
+    good = good && fill(rules, items, file, error);
+    g_array_unref(items);
+    if (!good) {
+        cq_rules_unref(rules);
+        return NULL;
+    }
+    return rules;
+}
--- /dev/null
+++ b/packages/config/settings.c
@@ -0,0 +1,163 @@
+#include "config/settings.h"
+
+#include <string.h>
+
+#include "config/schema.h"
+
+#define OFFSET(member) offsetof(cq_settings_t, member)
+#define SIZE(member) sizeof(((cq_settings_t *)NULL)->member)
+#define NOTICE_MS 2000
+#define LIMIT_MS 60000
+
+static const char *const levels[] = {"debug", "info", "warn", "error", NULL};
+
+static const cq_field_t fields[] = {
+    {"host", "name", CQ_FIELD_NAME, OFFSET(host), SIZE(host), 0, 0, TRUE,
+     NULL},
+    {"host", "zone", CQ_FIELD_NAME, OFFSET(zone), SIZE(zone), 0, 0, TRUE,
+     NULL},
+    {"host", "seed", CQ_FIELD_INTEGER, OFFSET(seed), 0, 0, G_MAXINT32, FALSE,
+     NULL},
+    {"listen", "callers", CQ_FIELD_ADDRESS, OFFSET(callers), SIZE(callers), 0,
+     0, TRUE, NULL},
+    {"listen", "operators", CQ_FIELD_ADDRESS, OFFSET(operators),
+     SIZE(operators), 0, 0, TRUE, NULL},
+    {"listen", "peers", CQ_FIELD_ADDRESS, OFFSET(peers), SIZE(peers), 0, 0,
+     TRUE, NULL},
+    {"peers", "seeds", CQ_FIELD_ADDRESS, OFFSET(seeds), CQ_ADDR_BYTES, 0, 0,
+     FALSE, NULL},
+    {"peers", "key", CQ_FIELD_TEXT, OFFSET(peer_key), SIZE(peer_key), 0, 0,
+     FALSE, NULL},
+    {"platform", "log", CQ_FIELD_ADDRESS, OFFSET(log), SIZE(log), 0, 0, TRUE,
+     NULL},
+    {"platform", "hosts", CQ_FIELD_ADDRESS, OFFSET(hosts), SIZE(hosts), 0, 0,
+     TRUE, NULL},
+    {"drain", "notice_ms", CQ_FIELD_INTEGER, OFFSET(notice_ms), 0, 0,
+     CQ_TIMEOUT_MAX_MS, FALSE, NULL},
+    {"drain", "limit_ms", CQ_FIELD_INTEGER, OFFSET(limit_ms), 0, 1,
+     CQ_TIMEOUT_MAX_MS, FALSE, NULL},
+    {"log", "level", CQ_FIELD_CHOICE, OFFSET(log_level), 0, 0, 0, FALSE,
+     levels},
+};
+
+static gboolean
+add_seed(cq_settings_t *settings, const cq_field_t *field,
+         const cq_toml_item_t *item, const char *file, cq_error_t *error)
+{
+    if (settings->seeds_len == CQ_SEEDS_MAX) {
+        return cq_error_set(error, CQ_ERROR_LIMIT,
+                            "%s:%u: peers.seeds: more than %d; list fewer",
+                            file, item->line, CQ_SEEDS_MAX);
+    }
+    char *to = settings->seeds[settings->seeds_len];
+    cq_field_t one = *field;
+    one.offset = 0;
+    if (!cq_schema_store(&one, item, file, to, error)) {
+        return FALSE;
+    }
+    for (guint i = 0; i < settings->seeds_len; i++) {
+        if (strcmp(settings->seeds[i], to) == 0) {
+            return cq_error_set(error, CQ_ERROR_VALUE,
+                                "%s:%u: peers.seeds: duplicate host %s; "
+                                "list each peer once",
+                                file, item->line, to);
+        }
+    }
+    settings->seeds_len++;
+    return TRUE;
+}
+
+static gboolean
+take_item(cq_settings_t *settings, const cq_toml_item_t *item,
+          const char *file, cq_error_t *error)
+{
+    const cq_field_t *field =
+        cq_schema_find(fields, G_N_ELEMENTS(fields), item, file, error);
+    if (field == NULL) {
+        return FALSE;
+    }
+    if (field->offset == OFFSET(seeds)) {
+        return add_seed(settings, field, item, file, error);
+    }
+    return cq_schema_store(field, item, file, settings, error);
+}
+
+static gboolean
+check_whole(const cq_settings_t *settings, const char *file, cq_error_t *error)
+{
+    const char *const addresses[] = {settings->callers, settings->operators,
+                                     settings->peers};
+    for (guint i = 1; i < G_N_ELEMENTS(addresses); i++) {
+        for (guint k = 0; k < i; k++) {
+            if (strcmp(addresses[i], addresses[k]) == 0) {
+                return cq_error_set(error, CQ_ERROR_VALUE,
+                                    "%s:1: listen: duplicate address %s; "
+                                    "give each listener its own port",
+                                    file, addresses[i]);
+            }
+        }
+    }
+    gsize key_len = strlen(settings->peer_key);
+    if (key_len > 0 && key_len < CQ_PEER_KEY_BYTES_MIN) {
+        return cq_error_set(error, CQ_ERROR_VALUE,
+                            "%s:1: peers.key: has %zu bytes; write at least "
+                            "%d",
+                            file, key_len, CQ_PEER_KEY_BYTES_MIN);
+    }
+    if (key_len == 0 && !g_str_has_prefix(settings->peers, "127.")) {
+        return cq_error_set(error, CQ_ERROR_KEY,
+                            "%s:1: peers.key: missing; without it "
+                            "listen.peers must be a 127.x address, found %s",
+                            file, settings->peers);
+    }
+    if (settings->limit_ms < settings->notice_ms) {
+        return cq_error_set(error, CQ_ERROR_VALUE,
+                            "%s:1: drain.limit_ms: found %" G_GINT64_FORMAT
+                            "; write at least notice_ms (%" G_GINT64_FORMAT
+                            ")",
+                            file, settings->limit_ms, settings->notice_ms);
+    }
+    return TRUE;
+}
+
+static gboolean
+parse_items(const GArray *items, const char *file, cq_settings_t *settings,
+            cq_error_t *error)
+{
+    for (guint i = 0; i < items->len; i++) {
+        const cq_toml_item_t *item = &g_array_index(items, cq_toml_item_t, i);
+        if (!take_item(settings, item, file, error)) {
+            return FALSE;
+        }
+    }
+    static const char *const sections[] = {"host", "listen", "platform"};
+    for (guint i = 0; i < G_N_ELEMENTS(sections); i++) {
+        if (!cq_schema_required(fields, G_N_ELEMENTS(fields), items,
+                                sections[i], 0, file, error)) {
+            return FALSE;
+        }
+    }
+    return check_whole(settings, file, error);
+}
+
+gboolean
+cq_settings_parse(const char *text, const char *file, cq_settings_t *settings,
+                  cq_error_t *error)
+{
+    *settings = (cq_settings_t){
+        .notice_ms = NOTICE_MS,
+        .limit_ms = LIMIT_MS,
+        .log_level = 1,
+    };
+    GArray *items = g_array_new(FALSE, TRUE, sizeof(cq_toml_item_t));
+    gboolean good = cq_toml_parse(text, file, items, error);
+    good = good && parse_items(items, file, settings, error);
+    g_array_unref(items);
+    return good;
+}
+
+const char *
+cq_settings_level(int level)
+{
+    return levels[level];
+}
--- /dev/null
+++ b/packages/core/answer.c
@@ -0,0 +1,120 @@
+#include "core/answer.h"
+
+#include "core/claim.h"
+#include "core/flow.h"
+#include "core/group.h"
+#include "core/place.h"
+#include "core/send.h"
+#include "core/table.h"
+
+#define SPREAD_US (4 * CQ_SECOND_US)
+
+cq_ran_t
+cq_answer_ran(const cq_request_t *request)
+{
+    if (request->forwarded > 0) {
+        return CQ_RAN_YES;
+    }
+    return request->sends > 0 ? CQ_RAN_UNKNOWN : CQ_RAN_NO;
+}
+
+static gint64
+spread_us(cq_core_t *core, gint64 least_us)
+{
+    return least_us + g_rand_int_range(core->rand, 0, (gint32)SPREAD_US);
+}
+
+static gint64
+come_back_us(cq_core_t *core, cq_request_t *request, cq_outcome_t outcome)
+{
+    switch (outcome) {
+    case CQ_OUT_OVERLOADED:
+        return cq_flow_come_back_us(core, request->service, request->class,
+                                    request->cost);
+    case CQ_OUT_NO_UPSTREAM:
+    case CQ_OUT_NO_LOG:
+        return spread_us(core, CQ_SECOND_US);
+    case CQ_OUT_IN_PROGRESS:
+        return CQ_SECOND_US;
+    case CQ_OUT_DRAINING:
+        return CQ_RETRY_AFTER_MIN_US;
+    case CQ_OUT_DONE:
+    case CQ_OUT_UNKNOWN_NAME:
+    case CQ_OUT_TOO_LONG:
+    case CQ_OUT_ALREADY_RAN:
+    case CQ_OUT_EXPIRED:
+    case CQ_OUT_BROKEN:
+    case CQ_OUT_HUNG_UP:
+    case CQ_OUT_COUNT:
+        break;
+    }
+    return 0;
+}
+
+static cq_counter_t
+counter_of(cq_outcome_t outcome)
+{
+    switch (outcome) {
+    case CQ_OUT_DONE:
+        return CQ_N_DONE;
+    case CQ_OUT_EXPIRED:
+        return CQ_N_EXPIRED;
+    case CQ_OUT_BROKEN:
+        return CQ_N_FAILED;
+    case CQ_OUT_HUNG_UP:
+        return CQ_N_CANCELLED;
+    default:
+        return CQ_N_REFUSED;
+    }
+}
+
+static void
+end(cq_core_t *core, cq_request_t *request, const cq_ac_answer_t *answer)
+{
+    cq_flow_drop(request);
+    cq_place_unmark(core, request);
+    cq_send_abandon(core, request);
+    cq_group_release(core, request);
+    cq_claim_settle(core, request, answer);
+    cq_counters_add(&core->counters, counter_of(answer->outcome), 1);
+    cq_table_note(core, request, "answer",
+                  "code=%s ran=%s status=%d retry_after_ms=%" G_GINT64_FORMAT,
+                  cq_outcome_code(answer->outcome), cq_ran_text(answer->ran),
+                  answer->status, answer->retry_after_us / CQ_MS_US);
+    cq_action_t action = {.kind = CQ_AC_ANSWER, .answer = *answer};
+    cq_actions_add(core->actions, &action);
+    cq_table_drop_request(core, request);
+    core->placeable = TRUE;
+}
+
+void
+cq_answer_give(cq_core_t *core, cq_request_t *request, cq_outcome_t outcome)
+{
+    cq_ac_answer_t answer = {
+        .request = request->id,
+        .outcome = outcome,
+        .ran = cq_answer_ran(request),
+        .status = cq_outcome_status(outcome),
+    };
+    /* The key's earlier request may have run, so "no" would mislead. */
+    if (outcome == CQ_OUT_IN_PROGRESS) {
+        answer.ran = CQ_RAN_UNKNOWN;
+    }
+    if (outcome == CQ_OUT_ALREADY_RAN) {
+        answer.ran = CQ_RAN_YES;
+    }
+    answer.retry_after_us = come_back_us(core, request, outcome);
+    end(core, request, &answer);
+}
+
+void
+cq_answer_done(cq_core_t *core, cq_request_t *request, int status)
+{
+    cq_ac_answer_t answer = {
+        .request = request->id,
+        .outcome = CQ_OUT_DONE,
+        .ran = CQ_RAN_YES,
+        .status = status,
+    };
+    end(core, request, &answer);
+}
--- /dev/null
+++ b/packages/core/claim.c
@@ -0,0 +1,170 @@
+#include "core/claim.h"
+
+#include "core/answer.h"
+#include "core/flow.h"
+#include "core/table.h"
+
+static cq_claim_entry_t *
+entry_of(const cq_core_t *core, const cq_key_t *key)
+{
+    return g_hash_table_lookup(core->claims, key);
+}
+
+static void
+append(cq_core_t *core, const cq_request_t *request, cq_verdict_t verdict,
+       int status)
+{
+    cq_action_t action = {
+        .kind = CQ_AC_CLAIM,
+        .claim = {.key = request->key,
+                  .request = request->id,
+                  .verdict = verdict,
+                  .status = status},
+    };
+    cq_actions_add(core->actions, &action);
+}
+
+gboolean
+cq_claim_needed(const cq_request_t *request)
+{
+    gboolean keyed = request->key.hi != 0 || request->key.lo != 0;
+    return keyed && !request->repeatable;
+}
+
+/* Answers @request when another one holds or has run its key. */
+static gboolean
+taken(cq_core_t *core, cq_request_t *request)
+{
+    const cq_claim_entry_t *entry = entry_of(core, &request->key);
+    if (entry == NULL || entry->claim.request == request->id) {
+        return FALSE;
+    }
+    switch (entry->claim.verdict) {
+    case CQ_CLAIM_FREE:
+        return FALSE;
+    case CQ_CLAIM_TAKE:
+        cq_counters_add(&core->counters, CQ_N_CLAIMS_LOST, 1);
+        cq_answer_give(core, request, CQ_OUT_IN_PROGRESS);
+        return TRUE;
+    case CQ_CLAIM_RAN:
+        cq_counters_add(&core->counters, CQ_N_CLAIMS_LOST, 1);
+        cq_answer_give(core, request, CQ_OUT_ALREADY_RAN);
+        return TRUE;
+    }
+    return FALSE;
+}
+
+void
+cq_claim_begin(cq_core_t *core, cq_request_t *request)
+{
+    if (!core->log_up) {
+        cq_answer_give(core, request, CQ_OUT_NO_LOG);
+        return;
+    }
+    if (taken(core, request)) {
+        return;
+    }
+    request->phase = CQ_PHASE_CLAIMING;
+    request->phase_us = core->now_us;
+    request->claimed = TRUE;
+    cq_counters_add(&core->counters, CQ_N_CLAIMS, 1);
+    cq_table_note(core, request, "claim", "key=%08" G_GINT64_MODIFIER "x",
+                  request->key.hi >> 32);
+    append(core, request, CQ_CLAIM_TAKE, 0);
+}
+
+static void
+store(cq_core_t *core, const cq_claim_t *claim)
+{
+    cq_claim_entry_t *entry = g_new0(cq_claim_entry_t, 1);
+    entry->claim = *claim;
+    entry->seen_us = core->now_us;
+    g_hash_table_replace(core->claims, &entry->claim.key, entry);
+}
+
+/* A TAKE counts when the key is free and this request has not given it back
+ * before: an append whose answer was lost may stand in the log twice. */
+static void
+fold_take(cq_core_t *core, const cq_claim_t *claim)
+{
+    const cq_claim_entry_t *entry = entry_of(core, &claim->key);
+    if (entry == NULL) {
+        store(core, claim);
+        return;
+    }
+    gboolean free = entry->claim.verdict == CQ_CLAIM_FREE;
+    if (free && entry->claim.request != claim->request) {
+        store(core, claim);
+    }
+}
+
+static void
+fold_result(cq_core_t *core, const cq_claim_t *claim)
+{
+    const cq_claim_entry_t *entry = entry_of(core, &claim->key);
+    if (entry == NULL || entry->claim.request == claim->request) {
+        store(core, claim);
+    }
+}
+
+void
+cq_claim_fold(cq_core_t *core, const cq_claim_t *claim)
+{
+    switch (claim->verdict) {
+    case CQ_CLAIM_TAKE:
+        fold_take(core, claim);
+        break;
+    case CQ_CLAIM_FREE:
+    case CQ_CLAIM_RAN:
+        fold_result(core, claim);
+        break;
+    }
+    cq_request_t *request = cq_table_request(core, claim->request);
+    if (request == NULL || request->phase != CQ_PHASE_CLAIMING) {
+        return;
+    }
+    if (!taken(core, request)) {
+        cq_flow_push(core, request, FALSE);
+    }
+}
+
+void
+cq_claim_settle(cq_core_t *core, const cq_request_t *request,
+                const cq_ac_answer_t *answer)
+{
+    if (!request->claimed) {
+        return;
+    }
+    const cq_claim_entry_t *entry = entry_of(core, &request->key);
+    if (entry != NULL && entry->claim.request != request->id &&
+        entry->claim.verdict != CQ_CLAIM_FREE) {
+        return;
+    }
+    switch (answer->ran) {
+    case CQ_RAN_NO:
+        append(core, request, CQ_CLAIM_FREE, 0);
+        break;
+    case CQ_RAN_YES:
+        append(core, request, CQ_CLAIM_RAN, answer->status);
+        break;
+    case CQ_RAN_UNKNOWN:
+        break;
+    }
+}
+
+static gboolean
+too_old(gpointer key, gpointer value, gpointer data)
+{
+    (void)key;
+    const cq_core_t *core = data;
+    const cq_claim_entry_t *entry = value;
+    return core->now_us - entry->seen_us > CQ_CLAIM_KEEP_US;
+}
+
+void
+cq_claim_sweep(cq_core_t *core)
+{
+    guint dropped =
+        g_hash_table_foreach_remove(core->claims, too_old, core);
+    cq_counters_add(&core->counters, CQ_N_CLAIMS_EXPIRED, dropped);
+}
--- /dev/null
+++ b/packages/core/core.h
@@ -0,0 +1,133 @@
+/**
+ * DOC: core
+ *
+ * Every decision of the serving process, behind one door. The core is
+ * deterministic: the same options and the same events give the same actions.
+ * It has no socket, clock, thread or environment.
+ */
+#ifndef CQ_CORE_H
+#define CQ_CORE_H
+
+#include "base/counters.h"
+#include "base/ring.h"
+#include "core/action.h"
+#include "core/event.h"
+
+G_BEGIN_DECLS
+
+typedef struct cq_core cq_core_t;
+
+/** enum cq_policy_t - how an upstream is chosen */
+typedef enum {
+    CQ_POLICY_COST,           /* the product's policy */
+    CQ_POLICY_ROUND_ROBIN,    /* baseline of the bench */
+    CQ_POLICY_LEAST_REQUESTS, /* baseline of the bench */
+} cq_policy_t;
+
+/**
+ * struct cq_core_options_t - how to build a core
+ * @host: this host's name
+ * @zone: this host's availability zone
+ * @incarnation: differs at every start of the process
+ * @seed: of the one random number generator
+ * @policy: how upstreams are chosen
+ */
+typedef struct {
+    const char *host;
+    const char *zone;
+    guint64 incarnation;
+    guint32 seed;
+    cq_policy_t policy;
+} cq_core_options_t;
+
+/**
+ * struct cq_upstream_view_t - an upstream as the adapters need it
+ * @name: its name
+ * @addr: `ip:port`
+ * @zone: availability zone
+ * @service: its service
+ * @leaving: whether it gets no new work
+ */
+typedef struct {
+    const char *name;
+    const char *addr;
+    const char *zone;
+    const char *service;
+    gboolean leaving;
+} cq_upstream_view_t;
+
+/**
+ * struct cq_core_stats_t - sizes of the core's tables
+ * @requests: requests without a final answer
+ * @queued: those of them that wait for an upstream
+ * @reserved: reservations of engine memory without a release
+ * @upstreams: upstreams known
+ * @peers: peers heard lately
+ * @services: services with rules
+ */
+typedef struct {
+    guint requests;
+    guint queued;
+    guint reserved;
+    guint upstreams;
+    guint peers;
+    guint services;
+} cq_core_stats_t;
+
+/** cq_core_new() - Return: a core without rules, upstreams or peers */
+cq_core_t *cq_core_new(const cq_core_options_t *options);
+
+/** cq_core_free() - free @core */
+void cq_core_free(cq_core_t *core);
+
+/**
+ * cq_core_step() - take one event and run the systems
+ * @core: the core
+ * @now_us: monotonic time in microseconds; never less than before
+ * @event: the event
+ * @actions: what to do is appended here
+ */
+void cq_core_step(cq_core_t *core, gint64 now_us, const cq_event_t *event,
+                  cq_actions_t *actions);
+
+/** cq_core_rules() - Return: rules of @service in force, or NULL; borrowed */
+cq_rules_t *cq_core_rules(const cq_core_t *core, const char *service);
+
+/** cq_core_model_service() - Return: the service that has @model, or NULL */
+const char *cq_core_model_service(const cq_core_t *core, const char *model);
+
+/** cq_core_upstream() - Return: whether upstream @id is known; fills @view */
+gboolean cq_core_upstream(const cq_core_t *core, guint64 id,
+                          cq_upstream_view_t *view);
+
+/**
+ * cq_core_watched() - the engines whose load this process should ask for
+ * @core: the core
+ * @ids: gets at most @max ids
+ * @max: room in @ids
+ *
+ * Return: number of ids.
+ */
+guint cq_core_watched(const cq_core_t *core, guint64 *ids, guint max);
+
+/** cq_core_counters() - Return: the core's counters, also for adapters */
+cq_counters_t *cq_core_counters(cq_core_t *core);
+
+/** cq_core_ring() - Return: the core's time line, also for adapters */
+cq_ring_t *cq_core_ring(cq_core_t *core);
+
+/** cq_core_stats() - Return: sizes of the core's tables */
+cq_core_stats_t cq_core_stats(const cq_core_t *core);
+
+/**
+ * cq_core_check() - test every invariant
+ * @core: the core
+ * @now_us: the time of the last step
+ *
+ * Return: NULL, or the text of the first broken invariant.
+ */
+const char *cq_core_check(const cq_core_t *core, gint64 now_us);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/packages/core/event.h
@@ -0,0 +1,276 @@
+/**
+ * DOC: event
+ *
+ * What enters the core: one tagged union. Pointers in an event are borrowed
+ * for the one step. All times are in microseconds of the caller's clock.
+ */
+#ifndef CQ_EVENT_H
+#define CQ_EVENT_H
+
+#include <glib.h>
+
+#include "base/claim.h"
+#include "base/ident.h"
+#include "base/limits.h"
+#include "base/rules.h"
+
+G_BEGIN_DECLS
+
+/** enum cq_event_kind_t - which member of the union is set */
+typedef enum {
+    CQ_EV_TICK,
+    CQ_EV_REQUEST,
+    CQ_EV_HANGUP,
+    CQ_EV_SENT,
+    CQ_EV_TOKENS,
+    CQ_EV_DONE,
+    CQ_EV_FAILED,
+    CQ_EV_RESERVED,
+    CQ_EV_PROBED,
+    CQ_EV_LOAD,
+    CQ_EV_CACHE,
+    CQ_EV_HOSTS,
+    CQ_EV_SUMMARY,
+    CQ_EV_RULES,
+    CQ_EV_CLAIM,
+    CQ_EV_LOG,
+    CQ_EV_DRAIN,
+} cq_event_kind_t;
+
+/**
+ * struct cq_prefix_t - one prefix of a prompt
+ * @hash: hash of the prefix's text
+ * @tokens: its length in tokens
+ */
+typedef struct {
+    guint64 hash;
+    gint64 tokens;
+} cq_prefix_t;
+
+/**
+ * struct cq_ev_request_t - a caller's request
+ * @id: its id, unique for good
+ * @service: service name
+ * @team: team name
+ * @model: model name, or "" for a plain service
+ * @key: idempotency key; all 0: none
+ * @repeatable: whether the service's rules let it run more than once
+ * @prompt_tokens: length of the prompt in tokens
+ * @output_tokens: largest answer in tokens, or 0 when unknown
+ * @timeout_us: the caller's limit, or 0 for the service's default
+ * @prefixes: ascending prefixes of the prompt
+ * @prefixes_len: number of @prefixes
+ */
+typedef struct {
+    guint64 id;
+    const char *service;
+    const char *team;
+    const char *model;
+    cq_key_t key;
+    gboolean repeatable;
+    gint64 prompt_tokens;
+    gint64 output_tokens;
+    gint64 timeout_us;
+    cq_prefix_t prefixes[CQ_PREFIX_LEVELS];
+    guint prefixes_len;
+} cq_ev_request_t;
+
+/** enum cq_failure_t - how an attempt ended without an answer */
+typedef enum {
+    CQ_FAIL_CONNECT, /* no byte left for the upstream */
+    CQ_FAIL_REFUSED, /* the upstream says that it did not run */
+    CQ_FAIL_LEAVING, /* the same, because the upstream is leaving */
+    CQ_FAIL_BROKEN,  /* the connection ended; it may have run */
+} cq_failure_t;
+
+/** enum cq_probe_t - what an upstream says of an attempt */
+typedef enum {
+    CQ_PROBE_SILENT,  /* no answer on a fresh connection */
+    CQ_PROBE_ALIVE,   /* answers, but keeps no record of single attempts */
+    CQ_PROBE_UNKNOWN, /* answers, and does not have the attempt */
+    CQ_PROBE_RUNNING, /* has the attempt */
+} cq_probe_t;
+
+/**
+ * struct cq_ev_attempt_t - news of one attempt
+ * @request: the request
+ * @attempt: the attempt's number
+ * @tokens: TOKENS: new tokens; PROBED: tokens the upstream has sent
+ * @status: DONE: HTTP status
+ * @failure: FAILED: how
+ * @probe: PROBED: what the upstream says
+ */
+typedef struct {
+    guint64 request;
+    guint32 attempt;
+    gint64 tokens;
+    int status;
+    cq_failure_t failure;
+    cq_probe_t probe;
+} cq_ev_attempt_t;
+
+/**
+ * struct cq_ev_reserved_t - an engine's answer to a reservation
+ * @request: the holder
+ * @upstream: the engine's id
+ * @granted: whether the memory is held
+ */
+typedef struct {
+    guint64 request;
+    guint64 upstream;
+    gboolean granted;
+} cq_ev_reserved_t;
+
+/**
+ * struct cq_holding_t - memory an engine says that it holds
+ * @request: the holder
+ * @tokens: how much
+ */
+typedef struct {
+    guint64 request;
+    gint64 tokens;
+} cq_holding_t;
+
+/**
+ * struct cq_ev_load_t - an engine's load report
+ * @upstream: the engine's id
+ * @at_us: when the engine made it
+ * @streams: running and waiting requests
+ * @prefill_tokens: prompt tokens not yet computed
+ * @kv_tokens: memory in use
+ * @holdings: reservations
+ * @holdings_len: number of @holdings
+ */
+typedef struct {
+    guint64 upstream;
+    gint64 at_us;
+    gint64 streams;
+    gint64 prefill_tokens;
+    gint64 kv_tokens;
+    const cq_holding_t *holdings;
+    guint holdings_len;
+} cq_ev_load_t;
+
+/**
+ * struct cq_ev_cache_t - an engine's cache event
+ * @upstream: the engine's id
+ * @prefix: the prefix's hash
+ * @present: TRUE: now cached; FALSE: evicted
+ */
+typedef struct {
+    guint64 upstream;
+    guint64 prefix;
+    gboolean present;
+} cq_ev_cache_t;
+
+/**
+ * struct cq_listed_t - one row of the platform's host list
+ * @name: the host
+ * @addr: `ip:port`
+ * @zone: availability zone
+ * @service: service of an upstream; "" for an entry host
+ * @incarnation: counts restarts
+ * @leaving: whether it is leaving
+ */
+typedef struct {
+    char name[CQ_NAME_BYTES];
+    char addr[CQ_ADDR_BYTES];
+    char zone[CQ_NAME_BYTES];
+    char service[CQ_NAME_BYTES];
+    guint64 incarnation;
+    gboolean leaving;
+} cq_listed_t;
+
+/**
+ * struct cq_ev_hosts_t - the whole host list
+ * @rows: its rows
+ * @len: number of @rows
+ */
+typedef struct {
+    const cq_listed_t *rows;
+    guint len;
+} cq_ev_hosts_t;
+
+/**
+ * struct cq_share_t - what one process has placed on one engine
+ * @upstream: the engine's id
+ * @placed_us: prefill time ever placed, one sum a length class and the
+ *   classes below it; only grows
+ * @streams: its running requests there
+ * @kv_tokens: memory its requests hold there
+ */
+typedef struct {
+    guint64 upstream;
+    gint64 placed_us[4];
+    gint64 streams;
+    gint64 kv_tokens;
+} cq_share_t;
+
+/**
+ * struct cq_leaving_t - an upstream known to leave
+ * @upstream: its id
+ * @incarnation: the leaving incarnation
+ */
+typedef struct {
+    guint64 upstream;
+    guint64 incarnation;
+} cq_leaving_t;
+
+/**
+ * struct cq_summary_t - what a process tells its peers
+ * @host: sender's host id
+ * @incarnation: sender's incarnation
+ * @draining: whether the sender is shutting down
+ * @shares: the engines whose entries changed
+ * @shares_len: number of @shares
+ * @leaving: upstreams known to leave
+ * @leaving_len: number of @leaving
+ */
+typedef struct {
+    guint32 host;
+    guint64 incarnation;
+    gboolean draining;
+    cq_share_t shares[CQ_SUBSET_MAX];
+    guint shares_len;
+    cq_leaving_t leaving[8];
+    guint leaving_len;
+} cq_summary_t;
+
+/**
+ * struct cq_ev_drain_t - a planned stop
+ * @notice_us: how long new requests are still taken
+ * @limit_us: when every remaining request is answered
+ */
+typedef struct {
+    gint64 notice_us;
+    gint64 limit_us;
+} cq_ev_drain_t;
+
+/**
+ * struct cq_event_t - one event
+ * @kind: which member is set; SENT, TOKENS, DONE, FAILED, PROBED and HANGUP
+ *   use @attempt; TICK uses none
+ * @summary: borrowed, for SUMMARY
+ * @rules: borrowed, for RULES
+ * @log_up: LOG: whether the log answers
+ */
+typedef struct {
+    cq_event_kind_t kind;
+    union {
+        cq_ev_request_t request;
+        cq_ev_attempt_t attempt;
+        cq_ev_reserved_t reserved;
+        cq_ev_load_t load;
+        cq_ev_cache_t cache;
+        cq_ev_hosts_t hosts;
+        const cq_summary_t *summary;
+        cq_rules_t *rules;
+        cq_claim_t claim;
+        gboolean log_up;
+        cq_ev_drain_t drain;
+    };
+} cq_event_t;
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/packages/core/group.c
@@ -0,0 +1,112 @@
+#include "core/group.h"
+
+#include "core/flow.h"
+#include "core/load.h"
+#include "core/place.h"
+#include "core/send.h"
+#include "core/table.h"
+
+#define BACK_OFF_US (100 * CQ_MS_US)
+#define BACK_OFFS_MAX 5
+#define EXPIRY_MARGIN_US (2 * CQ_SECOND_US)
+
+static gint64
+part_of(const cq_request_t *request)
+{
+    return cq_place_need(request) / request->group_len + 1;
+}
+
+static void
+memory_action(cq_core_t *core, const cq_request_t *request,
+              cq_action_kind_t kind, const cq_upstream_t *upstream)
+{
+    gint64 left_us = request->deadline_us - core->now_us;
+    cq_action_t action = {
+        .kind = kind,
+        .memory = {.request = request->id,
+                   .upstream = upstream->id,
+                   .tokens = part_of(request),
+                   .expiry_us = left_us + EXPIRY_MARGIN_US},
+    };
+    cq_actions_add(core->actions, &action);
+}
+
+void
+cq_group_begin(cq_core_t *core, cq_request_t *request)
+{
+    g_assert(request->group_len > 1);
+    request->phase = CQ_PHASE_RESERVING;
+    request->phase_us = core->now_us;
+    request->granted = 0;
+    cq_counters_add(&core->counters, CQ_N_GROUPS, 1);
+    cq_table_note(core, request, "reserve", "engines=%u tokens_each=%"
+                  G_GINT64_FORMAT, request->group_len, part_of(request));
+    for (guint i = 0; i < request->group_len; i++) {
+        request->group_granted[i] = FALSE;
+        cq_load_hold(request->group[i], part_of(request));
+        memory_action(core, request, CQ_AC_RESERVE, request->group[i]);
+        core->reserved++;
+    }
+}
+
+void
+cq_group_release(cq_core_t *core, cq_request_t *request)
+{
+    for (guint i = 0; i < request->group_len; i++) {
+        cq_load_hold(request->group[i], -part_of(request));
+        memory_action(core, request, CQ_AC_RELEASE, request->group[i]);
+        cq_counters_add(&core->counters, CQ_N_RELEASES, 1);
+        g_assert(core->reserved > 0);
+        core->reserved--;
+    }
+    request->group_len = 0;
+    request->granted = 0;
+}
+
+void
+cq_group_back_off(cq_core_t *core, cq_request_t *request)
+{
+    cq_group_release(core, request);
+    cq_counters_add(&core->counters, CQ_N_GROUP_BACKOFFS, 1);
+    request->backoffs++;
+    guint doublings = MIN(request->backoffs, BACK_OFFS_MAX);
+    gint64 most_us = BACK_OFF_US << doublings;
+    gint64 pause_us = g_rand_int_range(core->rand, 0, (gint32)most_us);
+    request->ready_us = core->now_us + pause_us;
+    cq_table_note(core, request, "back_off", "pause_ms=%" G_GINT64_FORMAT,
+                  pause_us / CQ_MS_US);
+    cq_flow_push(core, request, TRUE);
+}
+
+static int
+member_index(const cq_request_t *request, guint64 upstream)
+{
+    for (guint i = 0; i < request->group_len; i++) {
+        if (request->group[i]->id == upstream) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+void
+cq_group_event(cq_core_t *core, const cq_ev_reserved_t *event)
+{
+    cq_request_t *request = cq_table_request(core, event->request);
+    if (request == NULL || request->phase != CQ_PHASE_RESERVING) {
+        return;
+    }
+    int index = member_index(request, event->upstream);
+    if (index < 0 || request->group_granted[index]) {
+        return;
+    }
+    if (!event->granted) {
+        cq_group_back_off(core, request);
+        return;
+    }
+    request->group_granted[index] = TRUE;
+    request->granted++;
+    if (request->granted == request->group_len) {
+        cq_send_start(core, request, request->group[0]);
+    }
+}
--- /dev/null
+++ b/packages/core/intake.c
@@ -0,0 +1,204 @@
+#include "core/intake.h"
+
+#include <string.h>
+
+#include "core/answer.h"
+#include "core/claim.h"
+#include "core/flow.h"
+#include "core/load.h"
+#include "core/place.h"
+#include "core/table.h"
+
+#define PLAIN_COST 0.05
+#define FEASIBLE_PERCENT 80
+
+static cq_class_t
+class_of(gint64 prompt_tokens)
+{
+    if (prompt_tokens <= CQ_CLASS_SHORT_TOKENS) {
+        return CQ_CLASS_SHORT;
+    }
+    if (prompt_tokens <= CQ_CLASS_MIDDLE_TOKENS) {
+        return CQ_CLASS_MIDDLE;
+    }
+    if (prompt_tokens <= CQ_CLASS_LONG_TOKENS) {
+        return CQ_CLASS_LONG;
+    }
+    return CQ_CLASS_GIANT;
+}
+
+static gint64
+alone_us(const cq_request_t *request)
+{
+    const cq_service_t *service = request->service;
+    if (service->rules->kind == CQ_SERVICE_PLAIN) {
+        return 0;
+    }
+    gint64 size = cq_place_group_size(request);
+    gint64 prefill = cq_load_prefill_us(service, request->prompt_tokens);
+    return prefill / size + request->output_tokens * CQ_DECODE_STEP_US;
+}
+
+static double
+cost_of(const cq_request_t *request)
+{
+    const cq_service_t *service = request->service;
+    if (service->rules->kind == CQ_SERVICE_PLAIN) {
+        return PLAIN_COST;
+    }
+    gint64 prefill = cq_load_prefill_us(service, request->prompt_tokens);
+    gint64 decode = request->output_tokens * CQ_DECODE_STEP_US;
+    gint64 us = prefill + decode / CQ_STREAMS_TARGET;
+    return (double)us / (double)CQ_SECOND_US;
+}
+
+static gint64
+timeout_us(const cq_rules_t *rules, const cq_ev_request_t *event)
+{
+    gint64 asked_us = event->timeout_us;
+    if (asked_us <= 0) {
+        asked_us = rules->timeout_ms * CQ_MS_US;
+    }
+    return MIN(asked_us, rules->timeout_max_ms * CQ_MS_US);
+}
+
+static cq_request_t *
+make(cq_core_t *core, const cq_ev_request_t *event)
+{
+    cq_request_t *request = cq_table_add_request(core, event->id);
+    request->arrived_us = core->now_us;
+    request->phase_us = core->now_us;
+    request->key = event->key;
+    request->repeatable = event->repeatable;
+    request->prompt_tokens = MAX(event->prompt_tokens, 1);
+    request->output_tokens = event->output_tokens;
+    if (request->output_tokens <= 0) {
+        request->output_tokens = CQ_OUTPUT_TOKENS_GUESS;
+    }
+    request->class = class_of(request->prompt_tokens);
+    request->prefixes_len = event->prefixes_len;
+    memcpy(request->prefixes, event->prefixes, sizeof request->prefixes);
+    return request;
+}
+
+/* Fills what depends on the service; FALSE when a name is unknown. */
+static gboolean
+bind_service(cq_core_t *core, cq_request_t *request,
+             const cq_ev_request_t *event)
+{
+    cq_service_t *service = cq_table_service(core, event->service);
+    if (service == NULL || service->rules == NULL) {
+        return FALSE;
+    }
+    const cq_rules_t *rules = service->rules;
+    request->team = cq_rules_team(rules, event->team);
+    if (request->team < 0) {
+        return FALSE;
+    }
+    gboolean model = rules->kind == CQ_SERVICE_MODEL;
+    if (model && !cq_rules_serves(rules, event->model)) {
+        return FALSE;
+    }
+    if (!model) {
+        request->class = CQ_CLASS_SHORT;
+    }
+    request->service = service;
+    request->deadline_us = core->now_us + timeout_us(rules, event);
+    request->cost = cost_of(request);
+    return TRUE;
+}
+
+static gboolean
+in_time(const cq_core_t *core, const cq_request_t *request)
+{
+    const cq_service_t *service = request->service;
+    gint64 wait_us = 0;
+    if (service->lanes[request->class].count > 0) {
+        wait_us = cq_flow_wait_us(core, service, request->class);
+    }
+    gint64 left_us = request->deadline_us - core->now_us;
+    gint64 needed_us = wait_us + alone_us(request);
+    return needed_us <= left_us * FEASIBLE_PERCENT / 100;
+}
+
+static guint
+waiting(const cq_service_t *service)
+{
+    guint count = 0;
+    for (int i = 0; i < CQ_CLASSES; i++) {
+        count += service->lanes[i].count;
+    }
+    return count;
+}
+
+/* Return: CQ_OUT_DONE when the request may enter. */
+static cq_outcome_t
+admission(const cq_core_t *core, const cq_request_t *request)
+{
+    const cq_service_t *service = request->service;
+    if (core->draining && core->now_us >= core->drain_notice_us) {
+        return CQ_OUT_DRAINING;
+    }
+    if (cq_place_group_size(request) > service->rules->group_max) {
+        return CQ_OUT_TOO_LONG;
+    }
+    if (service->nearby->len + service->remote->len == 0) {
+        return CQ_OUT_NO_UPSTREAM;
+    }
+    if (core->policy != CQ_POLICY_COST) {
+        return CQ_OUT_DONE;
+    }
+    if (waiting(service) >= service->rules->queue_max) {
+        return CQ_OUT_OVERLOADED;
+    }
+    return in_time(core, request) ? CQ_OUT_DONE : CQ_OUT_OVERLOADED;
+}
+
+static void
+count_demand(const cq_request_t *request)
+{
+    cq_service_t *service = request->service;
+    if (service->rules->kind == CQ_SERVICE_PLAIN) {
+        return;
+    }
+    gint64 need = cq_place_need(request);
+    double seconds = (double)alone_us(request) / (double)CQ_SECOND_US;
+    service->demand[request->class] += (double)need * seconds;
+}
+
+static void
+earn_retries(cq_service_t *service)
+{
+    double earned = (double)service->rules->retry_percent / 100.0;
+    double tokens = service->retry_tokens + earned;
+    service->retry_tokens = MIN(tokens, CQ_RETRY_BURST);
+}
+
+void
+cq_intake_request(cq_core_t *core, const cq_ev_request_t *event)
+{
+    g_assert(cq_table_request(core, event->id) == NULL);
+    cq_counters_add(&core->counters, CQ_N_REQUESTS, 1);
+    cq_request_t *request = make(core, event);
+    cq_table_note(core, request, "request",
+                  "service=%s team=%s tokens=%" G_GINT64_FORMAT,
+                  event->service, event->team, request->prompt_tokens);
+    if (!bind_service(core, request, event)) {
+        cq_answer_give(core, request, CQ_OUT_UNKNOWN_NAME);
+        return;
+    }
+    count_demand(request);
+    cq_place_refresh(core, request->service);
+    cq_outcome_t outcome = admission(core, request);
+    if (outcome != CQ_OUT_DONE) {
+        cq_answer_give(core, request, outcome);
+        return;
+    }
+    cq_counters_add(&core->counters, CQ_N_ADMITTED, 1);
+    earn_retries(request->service);
+    if (cq_claim_needed(request)) {
+        cq_claim_begin(core, request);
+        return;
+    }
+    cq_flow_push(core, request, FALSE);
+}
--- /dev/null
+++ b/packages/core/member.c
@@ -0,0 +1,166 @@
+#include "core/member.h"
+
+#include "core/table.h"
+
+void
+cq_member_leaving(cq_core_t *core, cq_upstream_t *upstream,
+                  guint64 incarnation)
+{
+    if (upstream->leaving || incarnation < upstream->incarnation) {
+        return;
+    }
+    upstream->incarnation = incarnation;
+    upstream->leaving = TRUE;
+    upstream->leaving_us = core->now_us;
+    upstream->service->stale = TRUE;
+    cq_ring_add(&core->ring, core->now_us, 0, 0, "leaving", "upstream=%s",
+                upstream->name);
+}
+
+static void
+take_row(cq_core_t *core, cq_upstream_t *upstream, const cq_listed_t *row)
+{
+    if (!upstream->listed) {
+        upstream->service->stale = TRUE;
+    }
+    upstream->listed = TRUE;
+    if (row->incarnation < upstream->incarnation) {
+        return;
+    }
+    if (row->incarnation > upstream->incarnation) {
+        upstream->incarnation = row->incarnation;
+        upstream->leaving = FALSE;
+        upstream->suspect_until_us = 0;
+        upstream->service->stale = TRUE;
+        g_hash_table_remove_all(upstream->beliefs);
+    }
+    g_strlcpy(upstream->addr, row->addr, sizeof upstream->addr);
+    g_strlcpy(upstream->zone, row->zone, sizeof upstream->zone);
+    if (row->leaving) {
+        cq_member_leaving(core, upstream, row->incarnation);
+    }
+}
+
+static void
+add_row(cq_core_t *core, const cq_listed_t *row)
+{
+    if (g_hash_table_size(core->upstream_by_id) >= CQ_UPSTREAMS_MAX) {
+        return;
+    }
+    cq_service_t *service = cq_table_need_service(core, row->service);
+    cq_upstream_t *upstream =
+        cq_table_add_upstream(core, service, row->name);
+    upstream->incarnation = row->incarnation;
+    take_row(core, upstream, row);
+    cq_ring_add(&core->ring, core->now_us, 0, 0, "upstream",
+                "name=%s service=%s zone=%s", row->name, row->service,
+                row->zone);
+}
+
+static void
+take_entry_host(cq_core_t *core, const cq_listed_t *row)
+{
+    guint32 host = cq_ident_host(row->name);
+    if (!row->leaving && host != core->host) {
+        g_hash_table_add(core->entry_hosts, GUINT_TO_POINTER(host));
+    }
+}
+
+static void
+unlist_all(cq_core_t *core)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, core->upstream_by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        ((cq_upstream_t *)value)->listed = FALSE;
+    }
+}
+
+static void
+mark_unlisted_stale(cq_core_t *core, GHashTable *before)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, before);
+    while (g_hash_table_iter_next(&iter, &value, NULL)) {
+        cq_upstream_t *upstream = value;
+        if (!upstream->listed) {
+            upstream->service->stale = TRUE;
+            cq_ring_add(&core->ring, core->now_us, 0, 0, "unlisted",
+                        "upstream=%s", upstream->name);
+        }
+    }
+}
+
+static GHashTable *
+listed_now(cq_core_t *core)
+{
+    GHashTable *set = g_hash_table_new(g_direct_hash, g_direct_equal);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, core->upstream_by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (((cq_upstream_t *)value)->listed) {
+            g_hash_table_add(set, value);
+        }
+    }
+    return set;
+}
+
+void
+cq_member_list(cq_core_t *core, const cq_ev_hosts_t *list)
+{
+    /* An empty list is a fault of the platform, not a fleet without hosts. */
+    if (list->len == 0) {
+        return;
+    }
+    core->hosts_us = core->now_us;
+    GHashTable *before = listed_now(core);
+    unlist_all(core);
+    g_hash_table_remove_all(core->entry_hosts);
+    for (guint i = 0; i < list->len; i++) {
+        const cq_listed_t *row = &list->rows[i];
+        if (row->service[0] == '\0') {
+            take_entry_host(core, row);
+            continue;
+        }
+        guint64 id = cq_ident_hash(row->name);
+        cq_upstream_t *upstream = cq_table_upstream(core, id);
+        if (upstream == NULL) {
+            add_row(core, row);
+            continue;
+        }
+        gboolean was_listed = g_hash_table_contains(before, upstream);
+        upstream->listed = was_listed;
+        take_row(core, upstream, row);
+    }
+    mark_unlisted_stale(core, before);
+    g_hash_table_unref(before);
+}
+
+static gboolean
+unused(const cq_upstream_t *upstream)
+{
+    return !upstream->listed && upstream->own_streams == 0 &&
+           upstream->own_kv_tokens == 0 && upstream->peer_streams == 0 &&
+           upstream->peer_kv_tokens == 0;
+}
+
+void
+cq_member_sweep(cq_core_t *core)
+{
+    GPtrArray *drop = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, core->upstream_by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (unused(value)) {
+            g_ptr_array_add(drop, value);
+        }
+    }
+    for (guint i = 0; i < drop->len; i++) {
+        cq_table_drop_upstream(core, g_ptr_array_index(drop, i));
+    }
+    g_ptr_array_unref(drop);
+}
--- /dev/null
+++ b/packages/core/place.c
@@ -0,0 +1,492 @@
+#include "core/place.h"
+
+#include "core/load.h"
+#include "core/table.h"
+
+#define REMOTE_US (20 * CQ_MS_US)
+#define SHARED_US (250 * CQ_MS_US)
+#define BUSY_US (17 * CQ_MS_US)
+#define HOME_PERCENT 10
+#define CROWD_US (40 * CQ_MS_US)
+#define SHARE_MARGIN 1.3
+#define SHARE_MAX 0.6
+#define GROUP_FILL_PERCENT 50
+#define HEADROOM_PERCENT 4
+#define EARMARK_AFTER_US (2 * CQ_SECOND_US)
+#define EARMARK_US (8 * CQ_SECOND_US)
+
+static const gint64 wait_max_us[CQ_CLASSES] = {
+    [CQ_CLASS_SHORT] = 300 * CQ_MS_US,
+    [CQ_CLASS_MIDDLE] = 700 * CQ_MS_US,
+    [CQ_CLASS_LONG] = CQ_SECOND_US,
+    [CQ_CLASS_GIANT] = 6 * CQ_SECOND_US,
+};
+
+guint64
+cq_place_mix(guint64 value)
+{
+    value ^= value >> 30;
+    value *= G_GUINT64_CONSTANT(0xbf58476d1ce4e5b9);
+    value ^= value >> 27;
+    value *= G_GUINT64_CONSTANT(0x94d049bb133111eb);
+    return value ^ (value >> 31);
+}
+
+static gint
+by_host_rank(gconstpointer a, gconstpointer b, gpointer data)
+{
+    guint64 host = *(guint32 *)data;
+    const cq_upstream_t *x = *(cq_upstream_t *const *)a;
+    const cq_upstream_t *y = *(cq_upstream_t *const *)b;
+    guint64 p = cq_place_mix(x->id ^ cq_place_mix(host));
+    guint64 q = cq_place_mix(y->id ^ cq_place_mix(host));
+    return p < q ? -1 : p > q;
+}
+
+static gint
+by_rank(gconstpointer a, gconstpointer b)
+{
+    const cq_upstream_t *x = *(cq_upstream_t *const *)a;
+    const cq_upstream_t *y = *(cq_upstream_t *const *)b;
+    guint64 p = cq_place_mix(x->id);
+    guint64 q = cq_place_mix(y->id);
+    return p < q ? -1 : p > q;
+}
+
+/* Keeps the subset that this host watches; every host ranks differently, and
+ * the kept ones are then put into the order that all hosts share. */
+static void
+keep_subset(cq_core_t *core, GPtrArray *all)
+{
+    if (all->len > CQ_SUBSET_MAX) {
+        g_ptr_array_sort_with_data(all, by_host_rank, &core->host);
+        g_ptr_array_set_size(all, CQ_SUBSET_MAX);
+    }
+    g_ptr_array_sort(all, by_rank);
+    for (guint i = 0; i < all->len; i++) {
+        cq_upstream_t *upstream = g_ptr_array_index(all, i);
+        upstream->slot = (int)i;
+    }
+}
+
+/* Giant prompts get the share of engines that their part of the demand
+ * takes, so that it widens and narrows with the load. */
+static guint
+shared_len(const cq_service_t *service)
+{
+    double giant = service->demand[CQ_CLASS_GIANT];
+    if (service->rules != NULL && service->rules->first_token_weight < 50) {
+        giant += service->demand[CQ_CLASS_LONG];
+    }
+    double all = 0;
+    for (int i = 0; i < CQ_CLASSES; i++) {
+        all += service->demand[i];
+    }
+    if (giant <= 0) {
+        return 0;
+    }
+    double share = MIN(giant / all * SHARE_MARGIN, SHARE_MAX);
+    guint len = (guint)(share * service->nearby->len + 0.999);
+    return MIN(len, service->nearby->len);
+}
+
+void
+cq_place_refresh(cq_core_t *core, cq_service_t *service)
+{
+    if (service->stale) {
+        service->stale = FALSE;
+        g_ptr_array_set_size(service->nearby, 0);
+        g_ptr_array_set_size(service->remote, 0);
+        cq_list_t *link = service->upstreams.next;
+        for (; link != &service->upstreams; link = link->next) {
+            cq_upstream_t *upstream = CQ_ENTRY(link, cq_upstream_t, link);
+            upstream->slot = -1;
+            if (upstream->leaving || !upstream->listed) {
+                continue;
+            }
+            gboolean near = g_str_equal(upstream->zone, core->zone);
+            g_ptr_array_add(near ? service->nearby : service->remote,
+                            upstream);
+        }
+        keep_subset(core, service->nearby);
+        keep_subset(core, service->remote);
+        core->placeable = TRUE;
+    }
+    service->shared_len = shared_len(service);
+}
+
+gboolean
+cq_place_usable(const cq_core_t *core, const cq_upstream_t *upstream)
+{
+    if (upstream->leaving || !upstream->listed) {
+        return FALSE;
+    }
+    return upstream->suspect_until_us <= core->now_us;
+}
+
+static gboolean
+any_usable(const cq_core_t *core, const GPtrArray *upstreams)
+{
+    for (guint i = 0; i < upstreams->len; i++) {
+        if (cq_place_usable(core, g_ptr_array_index(upstreams, i))) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+gboolean
+cq_place_any(const cq_core_t *core, const cq_service_t *service)
+{
+    return any_usable(core, service->nearby) ||
+           any_usable(core, service->remote);
+}
+
+gint64
+cq_place_need(const cq_request_t *request)
+{
+    return request->prompt_tokens + request->output_tokens;
+}
+
+static gboolean
+fits(const cq_core_t *core, const cq_request_t *request,
+     const cq_upstream_t *upstream, gint64 need)
+{
+    const cq_rules_t *rules = request->service->rules;
+    if (!cq_place_usable(core, upstream)) {
+        return FALSE;
+    }
+    if (upstream->id == request->last_failed) {
+        return FALSE;
+    }
+    if (cq_load_streams(core, upstream) >= rules->streams_max) {
+        return FALSE;
+    }
+    if (rules->kind == CQ_SERVICE_PLAIN) {
+        return TRUE;
+    }
+    gint64 used = cq_load_kv(core, upstream);
+    if (request->earmark == upstream) {
+        used -= need;
+    }
+    gint64 room = rules->kv_tokens - used;
+    if (request->class >= CQ_CLASS_LONG) {
+        room -= rules->kv_tokens * HEADROOM_PERCENT / 100;
+    }
+    return need <= room;
+}
+
+/* Whether requests of this class keep to the shared engines. */
+static gboolean
+confined(const cq_request_t *request)
+{
+    if (request->class == CQ_CLASS_GIANT) {
+        return TRUE;
+    }
+    const cq_rules_t *rules = request->service->rules;
+    return request->class == CQ_CLASS_LONG && rules->first_token_weight < 50;
+}
+
+static guint
+shared_part(const cq_service_t *service, const GPtrArray *upstreams)
+{
+    if (service->nearby->len == 0 || upstreams == service->nearby) {
+        return service->shared_len;
+    }
+    guint scaled = service->shared_len * upstreams->len;
+    guint len = (scaled + service->nearby->len - 1) / service->nearby->len;
+    return MIN(len, upstreams->len);
+}
+
+static gboolean
+is_shared(const cq_service_t *service, const cq_upstream_t *upstream)
+{
+    guint slot = (guint)upstream->slot;
+    const GPtrArray *in = service->remote;
+    if (slot < service->nearby->len &&
+        g_ptr_array_index(service->nearby, slot) == upstream) {
+        in = service->nearby;
+    }
+    return slot < shared_part(service, in);
+}
+
+static cq_upstream_t *
+home_of(const GPtrArray *upstreams, guint64 prefix)
+{
+    cq_upstream_t *best = NULL;
+    guint64 best_rank = 0;
+    for (guint i = 0; i < upstreams->len; i++) {
+        cq_upstream_t *upstream = g_ptr_array_index(upstreams, i);
+        guint64 rank = cq_place_mix(upstream->id ^ prefix);
+        if (best == NULL || rank > best_rank) {
+            best = upstream;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+/**
+ * struct choice_t - the best candidate so far
+ */
+typedef struct {
+    cq_upstream_t *home;
+    cq_upstream_t *best;
+    gint64 best_us;
+} choice_t;
+
+/* Expected time to the first token, plus what placing it there costs other
+ * requests, each by the service's weight. */
+static gint64
+score_us(const cq_core_t *core, const cq_request_t *request,
+         const cq_upstream_t *upstream, const cq_upstream_t *home)
+{
+    const cq_service_t *service = request->service;
+    gint64 streams = cq_load_streams(core, upstream);
+    gint64 cached = cq_load_cached(upstream, request);
+    gint64 own_us =
+        cq_load_prefill_us(service, request->prompt_tokens - cached);
+    gint64 first_us = cq_load_wait_us(upstream, request->class, core->now_us);
+    first_us += own_us + cq_load_step_us(streams + 1);
+    if (cq_load_wait_us(upstream, CQ_CLASS_GIANT, core->now_us) > 0) {
+        first_us += BUSY_US;
+    }
+    if (!g_str_equal(upstream->zone, core->zone)) {
+        first_us += REMOTE_US;
+    }
+    if (upstream == home) {
+        first_us -= own_us * HOME_PERCENT / 100;
+    }
+    gint64 others_us = own_us;
+    if (streams >= CQ_STREAMS_TARGET) {
+        others_us += (streams - CQ_STREAMS_TARGET + 1) * CROWD_US;
+    }
+    if (!confined(request) && is_shared(service, upstream)) {
+        others_us += SHARED_US;
+    }
+    gint64 weight = service->rules->first_token_weight;
+    return (first_us * (weight + 50) + others_us * (150 - weight)) / 100;
+}
+
+static void
+consider(const cq_core_t *core, cq_request_t *request, choice_t *choice,
+         cq_upstream_t *upstream)
+{
+    if (!fits(core, request, upstream, cq_place_need(request))) {
+        return;
+    }
+    gint64 wait_us = cq_load_wait_us(upstream, request->class, core->now_us);
+    if (wait_us > wait_max_us[request->class]) {
+        return;
+    }
+    gint64 us = score_us(core, request, upstream, choice->home);
+    if (choice->best == NULL || us < choice->best_us) {
+        choice->best = upstream;
+        choice->best_us = us;
+    }
+}
+
+/* Looks at a few candidates in random order, so that hosts with equal
+ * knowledge choose differently; at all of them while none is acceptable. */
+static void
+sample(cq_core_t *core, cq_request_t *request, choice_t *choice,
+       const GPtrArray *upstreams, guint samples)
+{
+    guint len = upstreams->len;
+    if (confined(request)) {
+        len = MAX(shared_part(request->service, upstreams), 1);
+        len = MIN(len, upstreams->len);
+        samples = len;
+    }
+    if (len == 0) {
+        return;
+    }
+    guint start = (guint)g_rand_int_range(core->rand, 0, (gint32)len);
+    for (guint i = 0; i < len; i++) {
+        if (i >= samples && choice->best != NULL) {
+            return;
+        }
+        guint at = (start + i) % len;
+        consider(core, request, choice, g_ptr_array_index(upstreams, at));
+    }
+}
+
+static cq_upstream_t *
+choose_by_cost(cq_core_t *core, cq_request_t *request)
+{
+    cq_service_t *service = request->service;
+    choice_t choice = {0};
+    if (request->earmark != NULL) {
+        consider(core, request, &choice, request->earmark);
+        return choice.best;
+    }
+    if (request->prefixes_len > 0 && !confined(request)) {
+        choice.home = home_of(service->nearby, request->prefixes[0].hash);
+        if (choice.home != NULL) {
+            consider(core, request, &choice, choice.home);
+        }
+    }
+    sample(core, request, &choice, service->nearby, CQ_SAMPLES);
+    sample(core, request, &choice, service->remote, CQ_SAMPLES / 2);
+    return choice.best;
+}
+
+static cq_upstream_t *
+choose_in_turn(cq_core_t *core, cq_request_t *request)
+{
+    cq_service_t *service = request->service;
+    guint near = service->nearby->len;
+    guint len = near + service->remote->len;
+    for (guint i = 0; i < len; i++) {
+        guint at = service->turn++ % len;
+        cq_upstream_t *upstream =
+            at < near ? g_ptr_array_index(service->nearby, at)
+                      : g_ptr_array_index(service->remote, at - near);
+        if (cq_place_usable(core, upstream)) {
+            return upstream;
+        }
+    }
+    return NULL;
+}
+
+static cq_upstream_t *
+choose_least(cq_core_t *core, cq_request_t *request)
+{
+    cq_upstream_t *best = NULL;
+    cq_service_t *service = request->service;
+    guint len = service->nearby->len + service->remote->len;
+    for (guint i = 0; i < len; i++) {
+        cq_upstream_t *upstream = choose_in_turn(core, request);
+        if (upstream == NULL) {
+            return NULL;
+        }
+        if (best == NULL || upstream->own_streams < best->own_streams) {
+            best = upstream;
+        }
+    }
+    service->turn++;
+    return best;
+}
+
+/* Holds an engine free for a long request that found no room for a while,
+ * so that shorter ones do not take every bit of memory that gets free. */
+static void
+mark(cq_core_t *core, cq_request_t *request)
+{
+    cq_upstream_t *best = NULL;
+    const cq_service_t *service = request->service;
+    gint64 need = cq_place_need(request);
+    if (need > service->rules->kv_tokens) {
+        return;
+    }
+    guint len = service->nearby->len;
+    if (confined(request)) {
+        len = MAX(service->shared_len, 1);
+        len = MIN(len, service->nearby->len);
+    }
+    for (guint i = 0; i < len; i++) {
+        cq_upstream_t *upstream = g_ptr_array_index(service->nearby, i);
+        if (!cq_place_usable(core, upstream)) {
+            continue;
+        }
+        gint64 kv = cq_load_kv(core, upstream);
+        if (best == NULL || kv < cq_load_kv(core, best)) {
+            best = upstream;
+        }
+    }
+    gint64 limit = service->rules->kv_tokens;
+    if (best == NULL || cq_load_kv(core, best) >= limit) {
+        return;
+    }
+    request->earmark = best;
+    request->earmark_until_us = core->now_us + EARMARK_US;
+    cq_load_hold(best, need);
+    cq_table_note(core, request, "earmark", "upstream=%s", best->name);
+}
+
+void
+cq_place_unmark(cq_core_t *core, cq_request_t *request)
+{
+    if (request->earmark == NULL) {
+        return;
+    }
+    cq_load_hold(request->earmark, -cq_place_need(request));
+    request->earmark = NULL;
+    core->placeable = TRUE;
+}
+
+cq_upstream_t *
+cq_place_choose(cq_core_t *core, cq_request_t *request)
+{
+    switch (core->policy) {
+    case CQ_POLICY_ROUND_ROBIN:
+        return choose_in_turn(core, request);
+    case CQ_POLICY_LEAST_REQUESTS:
+        return choose_least(core, request);
+    case CQ_POLICY_COST:
+        break;
+    }
+    gboolean old = request->earmark_until_us <= core->now_us;
+    if (request->earmark != NULL &&
+        (old || !cq_place_usable(core, request->earmark))) {
+        cq_place_unmark(core, request);
+    }
+    cq_upstream_t *upstream = choose_by_cost(core, request);
+    gint64 waited_us = core->now_us - request->phase_us;
+    if (upstream == NULL && request->earmark == NULL &&
+        request->class >= CQ_CLASS_LONG && waited_us > EARMARK_AFTER_US) {
+        mark(core, request);
+    }
+    return upstream;
+}
+
+guint
+cq_place_group_size(const cq_request_t *request)
+{
+    const cq_rules_t *rules = request->service->rules;
+    gint64 need = cq_place_need(request);
+    if (rules->kind == CQ_SERVICE_PLAIN) {
+        return 1;
+    }
+    gint64 whole = rules->kv_tokens * (100 - HEADROOM_PERCENT) / 100;
+    if (need <= whole) {
+        return 1;
+    }
+    gint64 part = rules->kv_tokens * GROUP_FILL_PERCENT / 100;
+    gint64 wanted = (need + part - 1) / part;
+    if (wanted > rules->group_max) {
+        wanted = MIN((need + whole - 1) / whole, CQ_GROUP_MAX + 1);
+        wanted = MAX(wanted, 2);
+        wanted = wanted <= rules->group_max ? rules->group_max : wanted;
+    }
+    return (guint)wanted;
+}
+
+static void
+add_members(cq_core_t *core, cq_request_t *request, const GPtrArray *from,
+            guint size, gint64 part)
+{
+    for (guint i = 0; i < from->len && request->group_len < size; i++) {
+        cq_upstream_t *upstream = g_ptr_array_index(from, i);
+        if (fits(core, request, upstream, part)) {
+            request->group[request->group_len++] = upstream;
+        }
+    }
+}
+
+gboolean
+cq_place_group(cq_core_t *core, cq_request_t *request)
+{
+    const cq_service_t *service = request->service;
+    guint size = cq_place_group_size(request);
+    gint64 part = cq_place_need(request) / size + 1;
+    g_assert(size <= CQ_GROUP_MAX);
+    request->group_len = 0;
+    add_members(core, request, service->nearby, size, part);
+    add_members(core, request, service->remote, size, part);
+    if (request->group_len < size) {
+        request->group_len = 0;
+        return FALSE;
+    }
+    return TRUE;
+}
--- /dev/null
+++ b/packages/core/send.c
@@ -0,0 +1,257 @@
+#include "core/send.h"
+
+#include "core/answer.h"
+#include "core/flow.h"
+#include "core/group.h"
+#include "core/load.h"
+#include "core/member.h"
+#include "core/place.h"
+#include "core/table.h"
+
+#define PERCENT 100.0
+
+static void
+charge(cq_core_t *core, cq_request_t *request)
+{
+    const cq_service_t *service = request->service;
+    cq_upstream_t *upstream = request->upstream;
+    if (service->rules->kind == CQ_SERVICE_PLAIN) {
+        cq_load_charge(core, request, 0, 0);
+        return;
+    }
+    guint size = MAX(request->group_len, 1);
+    gint64 cached = cq_load_cached(upstream, request);
+    gint64 left = (request->prompt_tokens - cached) / size;
+    gint64 kv = request->group_len > 0 ? 0 : cq_place_need(request);
+    cq_load_charge(core, request, cq_load_prefill_us(service, left), kv);
+    cq_load_believe(core, upstream, request);
+}
+
+static void
+add_group(const cq_request_t *request, cq_ac_send_t *send)
+{
+    for (guint i = 0; i < request->group_len; i++) {
+        send->group[i] = request->group[i]->id;
+    }
+    send->group_len = request->group_len;
+}
+
+void
+cq_send_start(cq_core_t *core, cq_request_t *request, cq_upstream_t *upstream)
+{
+    g_assert(request->upstream == NULL);
+    gint64 wait_us = cq_load_wait_us(upstream, request->class, core->now_us);
+    gint64 streams = cq_load_streams(core, upstream);
+    gint64 cached = cq_load_cached(upstream, request);
+    request->attempt++;
+    request->upstream = upstream;
+    request->phase = CQ_PHASE_RUNNING;
+    request->phase_us = core->now_us;
+    request->progress_us = core->now_us;
+    request->probed_us = 0;
+    request->unanswered = 0;
+    request->sent = FALSE;
+    charge(core, request);
+    cq_counters_add(&core->counters, CQ_N_ATTEMPTS, 1);
+    cq_table_note(core, request, "placed",
+                  "upstream=%s ahead_ms=%" G_GINT64_FORMAT
+                  " streams=%" G_GINT64_FORMAT " cached=%" G_GINT64_FORMAT
+                  " group=%u",
+                  upstream->name, wait_us / CQ_MS_US, streams, cached,
+                  request->group_len);
+    cq_action_t action = {.kind = CQ_AC_SEND};
+    action.send.request = request->id;
+    action.send.attempt = request->attempt;
+    action.send.upstream = upstream->id;
+    action.send.resume_from = request->forwarded;
+    action.send.fresh = !request->repeatable;
+    if (core->policy == CQ_POLICY_COST) {
+        action.send.priority = (int)request->class;
+    }
+    add_group(request, &action.send);
+    cq_actions_add(core->actions, &action);
+}
+
+void
+cq_send_abandon(cq_core_t *core, cq_request_t *request)
+{
+    if (request->upstream == NULL) {
+        return;
+    }
+    cq_action_t action = {
+        .kind = CQ_AC_STOP,
+        .attempt = {.request = request->id,
+                    .attempt = request->attempt,
+                    .upstream = request->upstream->id},
+    };
+    cq_actions_add(core->actions, &action);
+    cq_load_release(core, request);
+}
+
+static gboolean
+budget_allows(cq_core_t *core, cq_request_t *request)
+{
+    cq_service_t *service = request->service;
+    if (request->attempt >= service->rules->attempts_max) {
+        return FALSE;
+    }
+    if (service->retry_tokens < 1) {
+        cq_counters_add(&core->counters, CQ_N_RETRY_DENIED, 1);
+        return FALSE;
+    }
+    service->retry_tokens -= 1;
+    return TRUE;
+}
+
+/* Whether running the request again is right, budget aside. */
+static gboolean
+may_run_again(const cq_request_t *request, cq_failure_t failure)
+{
+    if (failure != CQ_FAIL_BROKEN) {
+        return request->forwarded == 0 || request->repeatable;
+    }
+    if (!request->repeatable) {
+        return FALSE;
+    }
+    return request->forwarded == 0 || request->service->rules->resume;
+}
+
+static void
+queue_again(cq_core_t *core, cq_request_t *request)
+{
+    cq_counters_add(&core->counters, CQ_N_RETRIES, 1);
+    if (request->forwarded > 0) {
+        cq_counters_add(&core->counters, CQ_N_RESUMED, 1);
+    }
+    cq_table_note(core, request, "retry", "from_token=%" G_GINT64_FORMAT,
+                  request->forwarded);
+    cq_flow_push(core, request, TRUE);
+}
+
+static cq_outcome_t
+outcome_of(const cq_request_t *request)
+{
+    if (cq_answer_ran(request) == CQ_RAN_NO) {
+        return CQ_OUT_NO_UPSTREAM;
+    }
+    return CQ_OUT_BROKEN;
+}
+
+void
+cq_send_fail(cq_core_t *core, cq_request_t *request, cq_failure_t failure)
+{
+    static const char *const names[] = {"connect", "refused", "leaving",
+                                        "broken"};
+    cq_upstream_t *upstream = request->upstream;
+    /* A connection that failed after the request left may have run. */
+    if (failure == CQ_FAIL_CONNECT && request->sent) {
+        failure = CQ_FAIL_BROKEN;
+    }
+    cq_table_note(core, request, "failed", "upstream=%s how=%s",
+                  upstream->name, names[failure]);
+    gboolean refused =
+        failure == CQ_FAIL_REFUSED || failure == CQ_FAIL_LEAVING;
+    if (refused && request->sent) {
+        request->sends--;
+    }
+    if (failure == CQ_FAIL_LEAVING) {
+        cq_member_leaving(core, upstream, upstream->incarnation);
+    }
+    if (failure == CQ_FAIL_CONNECT) {
+        upstream->suspect_until_us = core->now_us + CQ_SUSPECT_US;
+    }
+    if (failure == CQ_FAIL_BROKEN) {
+        upstream->suspect_until_us = core->now_us + CQ_SECOND_US;
+    }
+    request->last_failed = upstream->id;
+    request->sent = FALSE;
+    cq_load_release(core, request);
+    cq_group_release(core, request);
+    if (may_run_again(request, failure) && budget_allows(core, request)) {
+        queue_again(core, request);
+        return;
+    }
+    cq_answer_give(core, request, outcome_of(request));
+}
+
+static void
+on_sent(cq_core_t *core, cq_request_t *request)
+{
+    if (request->sent) {
+        return;
+    }
+    request->sent = TRUE;
+    request->sends++;
+    request->progress_us = core->now_us;
+    if (!request->repeatable && request->sends > 1) {
+        cq_counters_add(&core->counters, CQ_N_INVARIANT_BROKEN, 1);
+    }
+}
+
+static void
+on_tokens(cq_core_t *core, cq_request_t *request, gint64 tokens)
+{
+    if (request->charged_us > 0) {
+        cq_load_first_token(core, request);
+        request->charged_us = 0;
+    }
+    if (request->forwarded == 0) {
+        cq_table_note(core, request, "first_token",
+                      "after_ms=%" G_GINT64_FORMAT,
+                      (core->now_us - request->arrived_us) / CQ_MS_US);
+    }
+    on_sent(core, request);
+    request->progress_us = core->now_us;
+    request->unanswered = 0;
+    request->forwarded += tokens;
+    cq_action_t action = {
+        .kind = CQ_AC_FORWARD,
+        .attempt = {.request = request->id,
+                    .attempt = request->attempt,
+                    .upstream = request->upstream->id,
+                    .tokens = tokens},
+    };
+    cq_actions_add(core->actions, &action);
+}
+
+static void
+on_done(cq_core_t *core, cq_request_t *request, int status)
+{
+    on_sent(core, request);
+    cq_load_release(core, request);
+    cq_answer_done(core, request, status);
+}
+
+void
+cq_send_event(cq_core_t *core, const cq_event_t *event)
+{
+    const cq_ev_attempt_t *news = &event->attempt;
+    cq_request_t *request = cq_table_request(core, news->request);
+    if (event->kind == CQ_EV_HANGUP) {
+        if (request != NULL) {
+            cq_answer_give(core, request, CQ_OUT_HUNG_UP);
+        }
+        return;
+    }
+    gboolean running = request != NULL && request->upstream != NULL;
+    if (!running || request->attempt != news->attempt) {
+        cq_counters_add(&core->counters, CQ_N_LATE_DROPPED, 1);
+        return;
+    }
+    switch (event->kind) {
+    case CQ_EV_SENT:
+        on_sent(core, request);
+        break;
+    case CQ_EV_TOKENS:
+        on_tokens(core, request, news->tokens);
+        break;
+    case CQ_EV_DONE:
+        on_done(core, request, news->status);
+        break;
+    case CQ_EV_FAILED:
+        cq_send_fail(core, request, news->failure);
+        break;
+    default:
+        g_assert_not_reached();
+    }
+}
--- /dev/null
+++ b/packages/core/state.h
@@ -0,0 +1,261 @@
+/**
+ * DOC: state
+ *
+ * The core's tables. Private to the package.
+ */
+#ifndef CQ_STATE_H
+#define CQ_STATE_H
+
+#include "base/list.h"
+#include "core/core.h"
+
+#define CQ_CLASSES 4
+
+/** enum cq_class_t - length classes of prompts */
+typedef enum {
+    CQ_CLASS_SHORT,
+    CQ_CLASS_MIDDLE,
+    CQ_CLASS_LONG,
+    CQ_CLASS_GIANT,
+} cq_class_t;
+
+/** enum cq_phase_t - states of a request */
+typedef enum {
+    CQ_PHASE_CLAIMING,  /* its claim is on its way through the log */
+    CQ_PHASE_QUEUED,    /* waits for an upstream */
+    CQ_PHASE_RESERVING, /* asks several engines for memory */
+    CQ_PHASE_RUNNING,   /* an attempt is out */
+} cq_phase_t;
+
+/**
+ * struct cq_load_t - work on one engine
+ * @busy_us: per class: when prefill of this class and those below is done
+ * @placed_us: per class: sum of prefill time ever placed; only grows
+ * @streams: running requests
+ * @kv_tokens: memory held
+ */
+typedef struct {
+    gint64 busy_us[CQ_CLASSES];
+    gint64 placed_us[CQ_CLASSES];
+    gint64 streams;
+    gint64 kv_tokens;
+} cq_load_t;
+
+/**
+ * struct cq_upstream_t - an upstream
+ * @link: in its service's list
+ * @id: hash of @name
+ * @incarnation: newest incarnation seen
+ * @leaving: the newest incarnation is leaving
+ * @leaving_us: when this process heard of it
+ * @listed: the platform's list has it
+ * @suspect_until_us: gets no new work before then
+ * @slot: index within its service's candidate array, or -1
+ * @load: combined work of this process and its peers
+ * @own: this process's part of it
+ * @reported_*: the last load report
+ * @beliefs: prefix hash to the time at which it was last sent
+ * @touched: own share changed since the last summary
+ */
+typedef struct {
+    cq_list_t link;
+    guint64 id;
+    char name[CQ_NAME_BYTES];
+    char addr[CQ_ADDR_BYTES];
+    char zone[CQ_NAME_BYTES];
+    struct cq_service *service;
+    guint64 incarnation;
+    gboolean leaving;
+    gint64 leaving_us;
+    gboolean listed;
+    gint64 suspect_until_us;
+    int slot;
+    cq_load_t load;
+    gint64 own_placed_us[CQ_CLASSES];
+    gint64 own_streams;
+    gint64 own_kv_tokens;
+    gint64 peer_streams;
+    gint64 peer_kv_tokens;
+    gint64 reported_at_us;
+    gint64 reported_streams;
+    gint64 reported_prefill_tokens;
+    gint64 reported_kv_tokens;
+    GHashTable *beliefs;
+    gboolean touched;
+} cq_upstream_t;
+
+/**
+ * struct cq_flow_t - waiting requests of one team in one length class
+ * @active: in the service's list of flows that wait
+ * @requests: requests by arrival
+ * @finish: virtual finish time of the last one queued
+ * @weight: the team's share
+ */
+typedef struct {
+    cq_list_t active;
+    cq_list_t requests;
+    double finish;
+    gint64 weight;
+} cq_flow_t;
+
+/**
+ * struct cq_lane_t - waiting work of one length class
+ * @active: flows that wait
+ * @virtual_time: start tag of the last request taken
+ * @backlog: cost waiting, in engine seconds
+ * @drain: cost taken per second while work waits
+ * @taken: cost taken in the current window
+ * @waited: whether work waited throughout the current window
+ * @refused: cost refused and told to come back, not yet due
+ * @count: requests waiting
+ */
+typedef struct {
+    cq_list_t active;
+    double virtual_time;
+    double backlog;
+    double drain;
+    double taken;
+    gboolean waited;
+    double refused;
+    guint count;
+} cq_lane_t;
+
+/**
+ * struct cq_service_t - a service
+ * @rules: its rules, or NULL before the first ones arrive
+ * @upstreams: list of cq_upstream_t
+ * @nearby: array of cq_upstream_t* in this zone that this process watches
+ * @remote: array of cq_upstream_t* in other zones
+ * @shared_len: first entries of @nearby that take giant prompts
+ * @lanes: waiting work by class
+ * @flows: array of cq_flow_t*, CQ_CLASSES a team
+ * @retry_tokens: retries that the budget still allows
+ * @demand: recent cost placed, by class
+ * @step_us: time of a decode step at the target batch
+ * @turn: round robin position
+ */
+typedef struct cq_service {
+    char name[CQ_NAME_BYTES];
+    cq_rules_t *rules;
+    cq_list_t upstreams;
+    GPtrArray *nearby;
+    GPtrArray *remote;
+    guint shared_len;
+    cq_lane_t lanes[CQ_CLASSES];
+    GPtrArray *flows;
+    double retry_tokens;
+    double demand[CQ_CLASSES];
+    gboolean stale;
+    guint turn;
+} cq_service_t;
+
+/**
+ * struct cq_request_t - a request without a final answer
+ * @link: in the core's list
+ * @queue: in its flow
+ * @upstream: of the running attempt, or NULL
+ * @sent: a byte of the running attempt may have left
+ * @sends: attempts of which a byte may have left and that were not refused
+ * @forwarded: tokens that the caller has
+ * @group: engines asked for memory; @granted counts those that agreed
+ */
+typedef struct {
+    cq_list_t link;
+    cq_list_t queue;
+    guint64 id;
+    cq_service_t *service;
+    cq_flow_t *flow;
+    int team;
+    cq_class_t class;
+    cq_phase_t phase;
+    cq_key_t key;
+    gboolean claimed;
+    gboolean repeatable;
+    gint64 prompt_tokens;
+    gint64 output_tokens;
+    cq_prefix_t prefixes[CQ_PREFIX_LEVELS];
+    guint prefixes_len;
+    gint64 arrived_us;
+    gint64 deadline_us;
+    gint64 phase_us;
+    gint64 ready_us;
+    double cost;
+    double start_tag;
+    double finish_tag;
+    guint32 attempt;
+    cq_upstream_t *upstream;
+    cq_upstream_t *earmark;
+    gint64 earmark_until_us;
+    guint64 last_failed;
+    gboolean sent;
+    guint sends;
+    gint64 forwarded;
+    gint64 progress_us;
+    gint64 probed_us;
+    guint unanswered;
+    gint64 charged_kv;
+    gint64 charged_us;
+    gint64 placed_mark;
+    cq_upstream_t *group[CQ_GROUP_MAX];
+    gboolean group_granted[CQ_GROUP_MAX];
+    guint group_len;
+    guint granted;
+    guint backoffs;
+} cq_request_t;
+
+/**
+ * struct cq_peer_t - another serving process
+ * @host: its host id
+ * @shares: engine id to cq_share_t*, as last heard
+ */
+typedef struct {
+    guint32 host;
+    guint64 incarnation;
+    gint64 heard_us;
+    gboolean draining;
+    GHashTable *shares;
+} cq_peer_t;
+
+/**
+ * struct cq_claim_entry_t - what the log says of a key
+ */
+typedef struct {
+    cq_claim_t claim;
+    gint64 seen_us;
+} cq_claim_entry_t;
+
+struct cq_core {
+    char host_name[CQ_NAME_BYTES];
+    char zone[CQ_NAME_BYTES];
+    guint32 host;
+    guint64 incarnation;
+    cq_policy_t policy;
+    GRand *rand;
+    cq_counters_t counters;
+    cq_ring_t ring;
+    cq_list_t requests;
+    GHashTable *request_by_id;
+    GHashTable *upstream_by_id;
+    GHashTable *service_by_name;
+    GPtrArray *services;
+    GHashTable *peer_by_host;
+    GHashTable *entry_hosts;
+    GHashTable *claims;
+    guint reserved;
+    gboolean log_up;
+    gboolean draining;
+    gint64 drain_notice_us;
+    gint64 drain_limit_us;
+    gboolean stopped;
+    gint64 window_us;
+    gint64 summary_us;
+    gint64 sweep_us;
+    gint64 hosts_us;
+    gint64 started_us;
+    gint64 now_us;
+    gboolean placeable;
+    guint leaving_turn;
+    cq_actions_t *actions;
+};
+
+#endif
--- /dev/null
+++ b/packages/core/watch.c
@@ -0,0 +1,162 @@
+#include "core/watch.h"
+
+#include "core/answer.h"
+#include "core/group.h"
+#include "core/load.h"
+#include "core/send.h"
+#include "core/table.h"
+
+#define UNANSWERED_MAX 2
+
+static void
+stop_and_fail(cq_core_t *core, cq_request_t *request, cq_failure_t failure)
+{
+    cq_action_t action = {
+        .kind = CQ_AC_STOP,
+        .attempt = {.request = request->id,
+                    .attempt = request->attempt,
+                    .upstream = request->upstream->id},
+    };
+    cq_actions_add(core->actions, &action);
+    cq_send_fail(core, request, failure);
+}
+
+static void
+fail_silent(cq_core_t *core, cq_request_t *request, const char *why)
+{
+    cq_counters_add(&core->counters, CQ_N_SILENT, 1);
+    cq_table_note(core, request, "silent", "upstream=%s why=%s",
+                  request->upstream->name, why);
+    stop_and_fail(core, request, CQ_FAIL_BROKEN);
+}
+
+static void
+probe(cq_core_t *core, cq_request_t *request)
+{
+    request->probed_us = core->now_us;
+    cq_counters_add(&core->counters, CQ_N_PROBES, 1);
+    cq_action_t action = {
+        .kind = CQ_AC_PROBE,
+        .attempt = {.request = request->id,
+                    .attempt = request->attempt,
+                    .upstream = request->upstream->id},
+    };
+    cq_actions_add(core->actions, &action);
+}
+
+static void
+watch_running(cq_core_t *core, cq_request_t *request)
+{
+    gint64 now_us = core->now_us;
+    if (!request->sent && now_us - request->phase_us > CQ_CONNECT_US) {
+        stop_and_fail(core, request, CQ_FAIL_CONNECT);
+        return;
+    }
+    gboolean quiet = now_us - request->progress_us > CQ_SILENT_US;
+    gboolean due = now_us - request->probed_us > CQ_PROBE_US;
+    if (request->sent && quiet && due) {
+        probe(core, request);
+    }
+}
+
+/* The least time that a queued request still needs to finish. */
+static gint64
+least_us(const cq_request_t *request)
+{
+    const cq_service_t *service = request->service;
+    if (service->rules->kind == CQ_SERVICE_PLAIN) {
+        return 0;
+    }
+    gint64 left = request->output_tokens - request->forwarded;
+    return MAX(left, 0) * cq_load_step_us(1);
+}
+
+static void
+watch_queued(cq_core_t *core, cq_request_t *request)
+{
+    if (core->policy != CQ_POLICY_COST) {
+        return;
+    }
+    if (core->now_us + least_us(request) > request->deadline_us) {
+        cq_answer_give(core, request, CQ_OUT_OVERLOADED);
+    }
+}
+
+static void
+watch(cq_core_t *core, cq_request_t *request)
+{
+    if (core->now_us >= request->deadline_us) {
+        cq_answer_give(core, request, CQ_OUT_EXPIRED);
+        return;
+    }
+    gint64 phase_us = core->now_us - request->phase_us;
+    switch (request->phase) {
+    case CQ_PHASE_CLAIMING:
+        if (phase_us > CQ_CLAIM_WAIT_US) {
+            cq_answer_give(core, request, CQ_OUT_NO_LOG);
+        }
+        break;
+    case CQ_PHASE_QUEUED:
+        watch_queued(core, request);
+        break;
+    case CQ_PHASE_RESERVING:
+        if (phase_us > CQ_RESERVE_WAIT_US) {
+            cq_group_back_off(core, request);
+        }
+        break;
+    case CQ_PHASE_RUNNING:
+        watch_running(core, request);
+        break;
+    }
+}
+
+void
+cq_watch_tick(cq_core_t *core)
+{
+    cq_list_t *link = core->requests.next;
+    while (link != &core->requests) {
+        cq_list_t *next = link->next;
+        watch(core, CQ_ENTRY(link, cq_request_t, link));
+        link = next;
+    }
+}
+
+void
+cq_watch_probed(cq_core_t *core, const cq_ev_attempt_t *event)
+{
+    cq_request_t *request = cq_table_request(core, event->request);
+    gboolean running = request != NULL && request->upstream != NULL;
+    if (!running || request->attempt != event->attempt) {
+        return;
+    }
+    if (core->now_us - request->progress_us <= CQ_SILENT_US) {
+        return;
+    }
+    switch (event->probe) {
+    case CQ_PROBE_RUNNING:
+        /* The engine sent tokens that did not arrive here. */
+        if (event->tokens > request->forwarded) {
+            fail_silent(core, request, "tokens_lost");
+            return;
+        }
+        request->progress_us = core->now_us;
+        request->unanswered = 0;
+        break;
+    case CQ_PROBE_UNKNOWN:
+        fail_silent(core, request, "not_known_there");
+        break;
+    case CQ_PROBE_ALIVE:
+        /* Nothing tells a slow call from a lost one: only a call that may
+         * be repeated is moved. */
+        if (request->repeatable) {
+            fail_silent(core, request, "no_progress");
+        }
+        break;
+    case CQ_PROBE_SILENT:
+        request->unanswered++;
+        if (request->unanswered >= UNANSWERED_MAX) {
+            fail_silent(core, request, "upstream_silent");
+        }
+        break;
+    }
+}
--- /dev/null
+++ b/packages/ctl/main.c
@@ -0,0 +1,127 @@
+/* The operator's command. */
+#include <stdio.h>
+#include <string.h>
+
+#include "base/limits.h"
+#include "base/version.h"
+#include "ctl/commands.h"
+
+typedef struct {
+    const char *name;
+    int (*run)(const cq_ctl_options_t *options);
+    const char *usage;
+    const char *summary;
+} command_t;
+
+static const command_t commands[] = {
+    {"check", cq_ctl_check, "FILE...", "check service files"},
+    {"publish", cq_ctl_publish, "--log ADDRESS FILE...",
+     "put service files in force, all or none"},
+    {"config", cq_ctl_config, "--log ADDRESS show|history",
+     "print the configuration in force, or how it came about"},
+    {"status", cq_ctl_status, "--at ADDRESS...", "print state of processes"},
+    {"drain", cq_ctl_drain, "--at ADDRESS...", "begin a planned stop"},
+    {"timeline", cq_ctl_timeline, "--at ADDRESS...",
+     "print the events of all processes in order"},
+    {"explain", cq_ctl_explain, "--at ADDRESS... REQUEST-ID",
+     "tell one request's story"},
+};
+
+int
+cq_ctl_fail(const cq_error_t *error)
+{
+    fprintf(stderr, "cuminquayctl: %s\n", error->text);
+    switch (error->kind) {
+    case CQ_ERROR_UNREACHABLE:
+        return CQ_EXIT_UNREACHABLE;
+    case CQ_ERROR_REFUSED:
+        return CQ_EXIT_REFUSED;
+    default:
+        return CQ_EXIT_USAGE;
+    }
+}
+
+static const command_t *
+find_command(const char *name)
+{
+    for (guint i = 0; i < G_N_ELEMENTS(commands); i++) {
+        if (name != NULL && strcmp(commands[i].name, name) == 0) {
+            return &commands[i];
+        }
+    }
+    return NULL;
+}
+
+static char *
+list_commands(void)
+{
+    GString *text = g_string_new("Commands:\n");
+    for (guint i = 0; i < G_N_ELEMENTS(commands); i++) {
+        g_string_append_printf(text, "  %-9s %-28s %s\n", commands[i].name,
+                               commands[i].usage, commands[i].summary);
+    }
+    g_string_append(text,
+                    "\nExit codes: 0 done, 1 refused, 2 wrong use, "
+                    "3 unreachable\n");
+    return g_string_free(text, FALSE);
+}
+
+static gboolean
+parse(int *argc, char ***argv, const command_t *command,
+      cq_ctl_options_t *options, gboolean *version)
+{
+    GOptionEntry entries[] = {
+        {"log", 0, 0, G_OPTION_ARG_STRING, &options->log,
+         "Address of the platform's log", "IP:PORT"},
+        {"at", 0, 0, G_OPTION_ARG_STRING_ARRAY, &options->at,
+         "Operator address of a process; may be given again", "IP:PORT"},
+        {"json", 0, 0, G_OPTION_ARG_NONE, &options->json, "Print JSON", NULL},
+        {"version", 0, 0, G_OPTION_ARG_NONE, version, "Print the version",
+         NULL},
+        {NULL, 0, 0, 0, NULL, NULL, NULL},
+    };
+    char *title = g_strdup(command != NULL ? command->usage : "COMMAND");
+    GOptionContext *context = g_option_context_new(title);
+    g_option_context_add_main_entries(context, entries, NULL);
+    char *list = list_commands();
+    g_option_context_set_summary(context, command != NULL ? command->summary
+                                                          : list);
+    GError *error = NULL;
+    gboolean good = g_option_context_parse(context, argc, argv, &error);
+    if (!good) {
+        fprintf(stderr, "cuminquayctl: %s; see --help\n", error->message);
+        g_clear_error(&error);
+    }
+    g_option_context_free(context);
+    g_free(list);
+    g_free(title);
+    return good;
+}
+
+int
+main(int argc, char **argv)
+{
+    cq_ctl_options_t options = {0};
+    gboolean version = FALSE;
+    const command_t *command = find_command(argc > 1 ? argv[1] : NULL);
+    if (!parse(&argc, &argv, command, &options, &version)) {
+        return CQ_EXIT_USAGE;
+    }
+    if (version) {
+        printf("cuminquayctl %s\n", CQ_VERSION);
+        return CQ_EXIT_DONE;
+    }
+    command = find_command(argc > 1 ? argv[1] : NULL);
+    if (command == NULL) {
+        char *list = list_commands();
+        fprintf(stderr, "cuminquayctl: no such command; write one of these\n%s",
+                list);
+        g_free(list);
+        return CQ_EXIT_USAGE;
+    }
+    options.args = argv + 2;
+    int code = command->run(&options);
+    g_free(options.log);
+    g_strfreev(options.at);
+    return code;
+}
--- /dev/null
+++ b/packages/ctl/net.c
@@ -0,0 +1,143 @@
+#include "ctl/net.h"
+
+#include <libsoup/soup.h>
+#include <string.h>
+
+#define TIMEOUT_S 5
+
+static char *
+take_body(SoupMessage *message, GBytes *bytes, const char *addr,
+          cq_error_t *error)
+{
+    guint status = soup_message_get_status(message);
+    gsize len;
+    const char *data = g_bytes_get_data(bytes, &len);
+    char *text = g_strndup(data != NULL ? data : "", len);
+    if (status == 200) {
+        return text;
+    }
+    cq_error_set(error, CQ_ERROR_REFUSED, "%s answered %u: %s", addr, status,
+                 text);
+    g_free(text);
+    return NULL;
+}
+
+char *
+cq_net_call(const char *method, const char *addr, const char *path,
+            const char *body, cq_error_t *error)
+{
+    char *url = g_strdup_printf("http://%s%s", addr, path);
+    SoupMessage *message = soup_message_new(method, url);
+    g_free(url);
+    if (message == NULL) {
+        cq_error_set(error, CQ_ERROR_VALUE,
+                     "%s is not an address; write ip:port", addr);
+        return NULL;
+    }
+    if (body != NULL) {
+        GBytes *bytes = g_bytes_new(body, strlen(body));
+        soup_message_set_request_body_from_bytes(message, "application/json",
+                                                 bytes);
+        g_bytes_unref(bytes);
+    }
+    SoupSession *session =
+        soup_session_new_with_options("timeout", TIMEOUT_S, NULL);
+    GError *cause = NULL;
+    GBytes *bytes = soup_session_send_and_read(session, message, NULL, &cause);
+    char *text = NULL;
+    if (bytes == NULL) {
+        cq_error_set(error, CQ_ERROR_UNREACHABLE,
+                     "%s does not answer (%s); check the address and that "
+                     "the process runs",
+                     addr, cause->message);
+        g_clear_error(&cause);
+    }
+    else {
+        text = take_body(message, bytes, addr, error);
+        g_bytes_unref(bytes);
+    }
+    g_object_unref(message);
+    g_object_unref(session);
+    return text;
+}
+
+static void
+fold_record(gint64 offset, const char *data, cq_fold_t *fold,
+            cq_net_record_t heard, void *user_data)
+{
+    cq_record_t record;
+    cq_error_t ignored = {0};
+    if (!cq_record_decode(data, &record, &ignored)) {
+        return;
+    }
+    if (record.kind == CQ_RECORD_CONFIG) {
+        cq_fold_result_t result = cq_fold_config(fold, &record.config);
+        if (heard != NULL) {
+            heard(offset, &record.config, result, user_data);
+        }
+    }
+    if (record.kind == CQ_RECORD_CHECKPOINT) {
+        for (guint i = 0; i < record.checkpoint->len; i++) {
+            cq_fold_merge(fold, &g_array_index(record.checkpoint,
+                                               cq_config_entry_t, i));
+        }
+    }
+    cq_record_clear(&record);
+}
+
+/* Return: whether the page was well formed; @end gets the log's end. */
+static gboolean
+fold_page(const char *text, gint64 *from, gint64 *end, cq_fold_t *fold,
+          cq_net_record_t heard, void *data)
+{
+    JsonParser *parser = json_parser_new();
+    gboolean good = json_parser_load_from_data(parser, text, -1, NULL);
+    JsonNode *root = good ? json_parser_get_root(parser) : NULL;
+    good = root != NULL && JSON_NODE_HOLDS_OBJECT(root);
+    if (good) {
+        JsonObject *page = json_node_get_object(root);
+        *end = json_object_get_int_member_with_default(page, "end", 0);
+        gint64 first =
+            json_object_get_int_member_with_default(page, "first", 0);
+        *from = MAX(*from, first);
+        JsonArray *records = NULL;
+        if (json_object_has_member(page, "records")) {
+            records = json_object_get_array_member(page, "records");
+        }
+        guint len = records != NULL ? json_array_get_length(records) : 0;
+        for (guint i = 0; i < len; i++) {
+            JsonObject *row = json_array_get_object_element(records, i);
+            gint64 offset = json_object_get_int_member(row, "offset");
+            fold_record(offset, json_object_get_string_member(row, "data"),
+                        fold, heard, data);
+            *from = offset + 1;
+        }
+    }
+    g_object_unref(parser);
+    return good;
+}
+
+gboolean
+cq_net_fold(const char *addr, gint64 *from, cq_fold_t *fold,
+            cq_net_record_t heard, void *data, cq_error_t *error)
+{
+    gint64 end = 0;
+    do {
+        char path[128];
+        g_snprintf(path, sizeof path,
+                   "/read?from=%" G_GINT64_FORMAT "&wait_ms=0", *from);
+        char *text = cq_net_call("GET", addr, path, NULL, error);
+        if (text == NULL) {
+            return FALSE;
+        }
+        gboolean good = fold_page(text, from, &end, fold, heard, data);
+        g_free(text);
+        if (!good) {
+            return cq_error_set(error, CQ_ERROR_SYNTAX,
+                                "%s answers something that is no log page; "
+                                "check --log",
+                                addr);
+        }
+    } while (*from < end);
+    return TRUE;
+}
--- /dev/null
+++ b/packages/ctl/show.c
@@ -0,0 +1,226 @@
+/* The commands status, drain, timeline and explain. */
+#include <stdio.h>
+#include <string.h>
+
+#include "base/limits.h"
+#include "ctl/commands.h"
+#include "ctl/net.h"
+
+typedef struct {
+    gint64 wall_us;
+    gint64 logical;
+    char *host;
+    char *request;
+    gint64 attempt;
+    char *kind;
+    char *fields;
+} event_t;
+
+static gboolean
+need_at(const cq_ctl_options_t *options, const char *command)
+{
+    if (options->at != NULL && options->at[0] != NULL) {
+        return TRUE;
+    }
+    fprintf(stderr,
+            "cuminquayctl: %s: give --at ADDRESS for each process, its "
+            "operator port\n",
+            command);
+    return FALSE;
+}
+
+/* Calls every process; the first fault is the exit code, the others go on. */
+static int
+call_each(const cq_ctl_options_t *options, const char *method,
+          const char *path)
+{
+    int code = CQ_EXIT_DONE;
+    for (guint i = 0; options->at[i] != NULL; i++) {
+        cq_error_t error = {0};
+        char *text =
+            cq_net_call(method, options->at[i], path, NULL, &error);
+        if (text == NULL) {
+            int failed = cq_ctl_fail(&error);
+            code = code == CQ_EXIT_DONE ? failed : code;
+            continue;
+        }
+        printf("%s%s", text, g_str_has_suffix(text, "\n") ? "" : "\n");
+        g_free(text);
+    }
+    return code;
+}
+
+static void
+print_status(JsonObject *object)
+{
+    printf("host=%s zone=%s draining=%s",
+           json_object_get_string_member(object, "host"),
+           json_object_get_string_member(object, "zone"),
+           json_object_get_boolean_member(object, "draining") ? "yes" : "no");
+    static const char *const numbers[] = {"requests_open", "requests_queued",
+                                          "reservations_open", "upstreams",
+                                          "peers_heard", "services"};
+    for (guint i = 0; i < G_N_ELEMENTS(numbers); i++) {
+        printf(" %s=%" G_GINT64_FORMAT, numbers[i],
+               json_object_get_int_member(object, numbers[i]));
+    }
+    printf("\n");
+}
+
+int
+cq_ctl_status(const cq_ctl_options_t *options)
+{
+    if (!need_at(options, "status")) {
+        return CQ_EXIT_USAGE;
+    }
+    if (options->json) {
+        return call_each(options, "GET", "/status");
+    }
+    int code = CQ_EXIT_DONE;
+    for (guint i = 0; options->at[i] != NULL; i++) {
+        cq_error_t error = {0};
+        char *text =
+            cq_net_call("GET", options->at[i], "/status", NULL, &error);
+        if (text == NULL) {
+            int failed = cq_ctl_fail(&error);
+            code = code == CQ_EXIT_DONE ? failed : code;
+            continue;
+        }
+        JsonNode *root = json_from_string(text, NULL);
+        if (root != NULL && JSON_NODE_HOLDS_OBJECT(root)) {
+            print_status(json_node_get_object(root));
+        }
+        g_clear_pointer(&root, json_node_unref);
+        g_free(text);
+    }
+    return code;
+}
+
+int
+cq_ctl_drain(const cq_ctl_options_t *options)
+{
+    if (!need_at(options, "drain")) {
+        return CQ_EXIT_USAGE;
+    }
+    return call_each(options, "POST", "/drain");
+}
+
+static void
+free_event(gpointer data)
+{
+    event_t *event = data;
+    g_free(event->host);
+    g_free(event->request);
+    g_free(event->kind);
+    g_free(event->fields);
+    g_free(event);
+}
+
+static void
+add_events(GPtrArray *events, const char *text)
+{
+    JsonNode *root = json_from_string(text, NULL);
+    if (root == NULL || !JSON_NODE_HOLDS_ARRAY(root)) {
+        g_clear_pointer(&root, json_node_unref);
+        return;
+    }
+    JsonArray *rows = json_node_get_array(root);
+    for (guint i = 0; i < json_array_get_length(rows); i++) {
+        JsonObject *row = json_array_get_object_element(rows, i);
+        event_t *event = g_new0(event_t, 1);
+        event->wall_us = json_object_get_int_member(row, "wall_us");
+        event->logical = json_object_get_int_member(row, "logical");
+        event->attempt = json_object_get_int_member(row, "attempt");
+        event->host =
+            g_strdup(json_object_get_string_member(row, "host"));
+        event->request =
+            g_strdup(json_object_get_string_member(row, "request"));
+        event->kind =
+            g_strdup(json_object_get_string_member(row, "kind"));
+        event->fields =
+            g_strdup(json_object_get_string_member(row, "fields"));
+        g_ptr_array_add(events, event);
+    }
+    json_node_unref(root);
+}
+
+static gint
+in_order(gconstpointer a, gconstpointer b)
+{
+    const event_t *x = *(event_t *const *)a;
+    const event_t *y = *(event_t *const *)b;
+    if (x->wall_us != y->wall_us) {
+        return x->wall_us < y->wall_us ? -1 : 1;
+    }
+    if (x->logical != y->logical) {
+        return x->logical < y->logical ? -1 : 1;
+    }
+    return strcmp(x->host, y->host);
+}
+
+static void
+print_event(const event_t *event, gint64 start_us)
+{
+    double seconds = (double)(event->wall_us - start_us) / 1e6;
+    printf("%10.6f %-10s %s/%" G_GINT64_FORMAT " %-12s %s\n", seconds,
+           event->host, event->request, event->attempt, event->kind,
+           event->fields);
+}
+
+static int
+print_events(const cq_ctl_options_t *options, const char *path)
+{
+    GPtrArray *events = g_ptr_array_new_with_free_func(free_event);
+    int code = CQ_EXIT_DONE;
+    for (guint i = 0; options->at[i] != NULL; i++) {
+        cq_error_t error = {0};
+        char *text = cq_net_call("GET", options->at[i], path, NULL, &error);
+        if (text == NULL) {
+            int failed = cq_ctl_fail(&error);
+            code = code == CQ_EXIT_DONE ? failed : code;
+            continue;
+        }
+        add_events(events, text);
+        g_free(text);
+    }
+    g_ptr_array_sort(events, in_order);
+    for (guint i = 0; i < events->len; i++) {
+        const event_t *first = g_ptr_array_index(events, 0);
+        print_event(g_ptr_array_index(events, i), first->wall_us);
+    }
+    g_ptr_array_unref(events);
+    return code;
+}
+
+int
+cq_ctl_timeline(const cq_ctl_options_t *options)
+{
+    if (!need_at(options, "timeline")) {
+        return CQ_EXIT_USAGE;
+    }
+    if (options->json) {
+        return call_each(options, "GET", "/timeline");
+    }
+    return print_events(options, "/timeline");
+}
+
+int
+cq_ctl_explain(const cq_ctl_options_t *options)
+{
+    const char *id = options->args[0];
+    if (id == NULL || !need_at(options, "explain")) {
+        fprintf(stderr, "cuminquayctl: explain: give --at ADDRESS and the "
+                        "X-Request-Id of the answer\n");
+        return CQ_EXIT_USAGE;
+    }
+    guint64 number;
+    if (!g_ascii_string_to_unsigned(id, 16, 1, G_MAXUINT64, &number, NULL)) {
+        fprintf(stderr, "cuminquayctl: explain: found %s; write the 16 "
+                        "hexadecimal digits of X-Request-Id\n", id);
+        return CQ_EXIT_USAGE;
+    }
+    char path[64];
+    g_snprintf(path, sizeof path, "/timeline?request=%016" G_GINT64_MODIFIER
+               "x", number);
+    return print_events(options, path);
+}
--- /dev/null
+++ b/packages/router/caller.c
@@ -0,0 +1,414 @@
+#include "router/caller.h"
+
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+#define EVENT_PREFIX "data: "
+#define LAST_EVENT "[DONE]"
+
+struct cq_caller {
+    guint refs;
+    cq_caller_options_t options;
+    char *method;
+    char *path;
+    char *content_type;
+    char *key;
+    SoupServerMessage *message;
+    GSource *hangup;
+    gboolean started;
+    gboolean answered;
+    gboolean gone;
+    gboolean slow;
+    gsize unwritten;
+    GString *text;
+    cq_caller_heard_t finished;
+};
+
+static void
+unref(cq_caller_t *caller)
+{
+    if (--caller->refs > 0) {
+        return;
+    }
+    g_clear_pointer(&caller->options.body, g_bytes_unref);
+    g_string_free(caller->text, TRUE);
+    g_free(caller->method);
+    g_free(caller->path);
+    g_free(caller->content_type);
+    g_free(caller->key);
+    g_free(caller);
+}
+
+static void
+stop_watching(cq_caller_t *caller)
+{
+    if (caller->hangup != NULL) {
+        g_source_destroy(caller->hangup);
+        g_source_unref(caller->hangup);
+        caller->hangup = NULL;
+    }
+}
+
+static void
+lost(cq_caller_t *caller)
+{
+    if (caller->gone || caller->answered) {
+        return;
+    }
+    caller->gone = TRUE;
+    caller->refs++;
+    caller->options.gone(caller, caller->options.data);
+    unref(caller);
+}
+
+/* libsoup reads nothing while a message is paused, so the end of the
+ * caller's connection is looked for here. */
+static gboolean
+on_readable(GSocket *socket, GIOCondition condition, gpointer data)
+{
+    (void)condition;
+    cq_caller_t *caller = data;
+    char byte;
+    GInputVector vector = {&byte, 1};
+    gint flags = G_SOCKET_MSG_PEEK;
+    gssize got = g_socket_receive_message(socket, NULL, &vector, 1, NULL,
+                                          NULL, &flags, NULL, NULL);
+    stop_watching(caller);
+    if (got <= 0) {
+        lost(caller);
+    }
+    return G_SOURCE_REMOVE;
+}
+
+static void
+watch(cq_caller_t *caller)
+{
+    GSocket *socket = soup_server_message_get_socket(caller->message);
+    if (socket == NULL) {
+        return;
+    }
+    caller->hangup = g_socket_create_source(
+        socket, G_IO_IN | G_IO_HUP | G_IO_ERR, NULL);
+    g_source_set_callback(caller->hangup, G_SOURCE_FUNC(on_readable), caller,
+                          NULL);
+    g_source_attach(caller->hangup, NULL);
+}
+
+static void
+on_finished(SoupServerMessage *message, gpointer data)
+{
+    cq_caller_t *caller = data;
+    stop_watching(caller);
+    lost(caller);
+    if (caller->finished != NULL) {
+        caller->finished(caller, caller->options.data);
+        caller->finished = NULL;
+    }
+    g_signal_handlers_disconnect_by_data(message, caller);
+    caller->message = NULL;
+    unref(caller);
+}
+
+static void
+on_wrote(SoupServerMessage *message, guint len, gpointer data)
+{
+    (void)message;
+    cq_caller_t *caller = data;
+    caller->unwritten -= MIN(caller->unwritten, len);
+    if (caller->slow && caller->unwritten < CQ_BUFFER_BYTES_MAX / 2) {
+        caller->slow = FALSE;
+        if (!caller->answered) {
+            caller->options.drained(caller, caller->options.data);
+        }
+    }
+}
+
+cq_caller_t *
+cq_caller_new(SoupServerMessage *message, const cq_caller_options_t *options)
+{
+    cq_caller_t *caller = g_new0(cq_caller_t, 1);
+    caller->refs = 2;
+    caller->options = *options;
+    caller->method = g_strdup(options->method);
+    caller->path = g_strdup(options->path);
+    caller->content_type = g_strdup(options->content_type);
+    caller->key = g_strdup(options->key);
+    caller->options.body = g_bytes_ref(options->body);
+    caller->message = message;
+    caller->text = g_string_new("");
+    char id[32];
+    g_snprintf(id, sizeof id, "%016" G_GINT64_MODIFIER "x", options->id);
+    SoupMessageHeaders *headers =
+        soup_server_message_get_response_headers(message);
+    soup_message_headers_replace(headers, "X-Request-Id", id);
+    g_signal_connect(message, "finished", G_CALLBACK(on_finished), caller);
+    g_signal_connect(message, "wrote-body-data", G_CALLBACK(on_wrote),
+                     caller);
+    soup_server_message_pause(message);
+    watch(caller);
+    return caller;
+}
+
+void
+cq_caller_unref(cq_caller_t *caller)
+{
+    unref(caller);
+}
+
+guint64
+cq_caller_id(const cq_caller_t *caller)
+{
+    return caller->options.id;
+}
+
+gpointer
+cq_caller_key(cq_caller_t *caller)
+{
+    return &caller->options.id;
+}
+
+void
+cq_caller_target(const cq_caller_t *caller, cq_call_target_t *target)
+{
+    target->method = caller->method;
+    target->path = caller->path;
+    target->content_type = caller->content_type;
+    target->key = caller->key;
+    target->body = caller->options.body;
+    target->model = caller->options.model;
+}
+
+/* Adds the text of one stream event to a whole answer. */
+static void
+collect_event(cq_caller_t *caller, const char *json)
+{
+    JsonParser *parser = json_parser_new();
+    if (json_parser_load_from_data(parser, json, -1, NULL)) {
+        JsonNode *root = json_parser_get_root(parser);
+        JsonNode *found = NULL;
+        if (root != NULL && JSON_NODE_HOLDS_OBJECT(root)) {
+            found = json_path_query(caller->options.chat
+                                        ? "$.choices[0].delta.content"
+                                        : "$.choices[0].text",
+                                    root, NULL);
+        }
+        if (found != NULL) {
+            JsonArray *matches = json_node_get_array(found);
+            if (json_array_get_length(matches) > 0) {
+                const char *text = json_array_get_string_element(matches, 0);
+                g_string_append(caller->text, text != NULL ? text : "");
+            }
+            json_node_unref(found);
+        }
+    }
+    g_object_unref(parser);
+}
+
+static void
+collect(cq_caller_t *caller, GBytes *bytes)
+{
+    gsize len;
+    const char *data = g_bytes_get_data(bytes, &len);
+    char *copy = g_strndup(data, len);
+    char **events = g_strsplit(copy, "\n\n", -1);
+    for (guint i = 0; events[i] != NULL; i++) {
+        const char *event = events[i];
+        if (!g_str_has_prefix(event, EVENT_PREFIX)) {
+            continue;
+        }
+        const char *json = event + strlen(EVENT_PREFIX);
+        if (strcmp(json, LAST_EVENT) != 0) {
+            collect_event(caller, json);
+        }
+    }
+    g_strfreev(events);
+    g_free(copy);
+}
+
+static void
+start_stream(cq_caller_t *caller)
+{
+    caller->started = TRUE;
+    SoupMessageHeaders *headers =
+        soup_server_message_get_response_headers(caller->message);
+    soup_message_headers_set_encoding(headers, SOUP_ENCODING_CHUNKED);
+    soup_message_headers_replace(headers, "Content-Type",
+                                 "text/event-stream");
+    soup_server_message_set_status(caller->message, 200, NULL);
+    SoupMessageBody *body =
+        soup_server_message_get_response_body(caller->message);
+    soup_message_body_set_accumulate(body, FALSE);
+}
+
+static void
+append(cq_caller_t *caller, GBytes *bytes)
+{
+    SoupMessageBody *body =
+        soup_server_message_get_response_body(caller->message);
+    caller->unwritten += g_bytes_get_size(bytes);
+    soup_message_body_append_bytes(body, bytes);
+    soup_server_message_unpause(caller->message);
+}
+
+gboolean
+cq_caller_write(cq_caller_t *caller, GBytes *bytes)
+{
+    if (caller->message == NULL || g_bytes_get_size(bytes) == 0) {
+        return FALSE;
+    }
+    if (!caller->options.stream) {
+        collect(caller, bytes);
+        return FALSE;
+    }
+    if (!caller->started) {
+        start_stream(caller);
+    }
+    append(caller, bytes);
+    caller->slow = caller->unwritten > CQ_BUFFER_BYTES_MAX;
+    return caller->slow;
+}
+
+static char *
+error_json(const char *code, cq_ran_t ran, gint64 retry_after_us,
+           const char *remedy)
+{
+    JsonBuilder *builder = json_builder_new();
+    json_builder_begin_object(builder);
+    json_builder_set_member_name(builder, "code");
+    json_builder_add_string_value(builder, code);
+    json_builder_set_member_name(builder, "ran");
+    json_builder_add_string_value(builder, cq_ran_text(ran));
+    json_builder_set_member_name(builder, "retry_after_ms");
+    json_builder_add_int_value(builder, retry_after_us / CQ_MS_US);
+    json_builder_set_member_name(builder, "remedy");
+    json_builder_add_string_value(builder, remedy);
+    json_builder_end_object(builder);
+    JsonNode *root = json_builder_get_root(builder);
+    char *text = json_to_string(root, FALSE);
+    json_node_unref(root);
+    g_object_unref(builder);
+    return text;
+}
+
+void
+cq_caller_error(SoupServerMessage *message, int status, const char *code,
+                cq_ran_t ran, gint64 retry_after_us, const char *remedy)
+{
+    char *text = error_json(code, ran, retry_after_us, remedy);
+    if (retry_after_us > 0) {
+        gint64 up_us = retry_after_us + CQ_SECOND_US - 1;
+        char seconds[32];
+        g_snprintf(seconds, sizeof seconds, "%" G_GINT64_FORMAT,
+                   up_us / CQ_SECOND_US);
+        SoupMessageHeaders *headers =
+            soup_server_message_get_response_headers(message);
+        soup_message_headers_replace(headers, "Retry-After", seconds);
+    }
+    soup_server_message_set_status(message, (guint)status, NULL);
+    soup_server_message_set_response(message, "application/json",
+                                     SOUP_MEMORY_TAKE, text, strlen(text));
+}
+
+/* A stream that has begun can't change its status: the error is its last
+ * event, and the end mark is missing. */
+static void
+end_stream(cq_caller_t *caller, const cq_ac_answer_t *answer)
+{
+    if (answer->outcome != CQ_OUT_DONE) {
+        char *json = error_json(cq_outcome_code(answer->outcome), answer->ran,
+                                answer->retry_after_us,
+                                cq_outcome_remedy(answer->outcome));
+        char *event = g_strdup_printf("event: error\ndata: %s\n\n", json);
+        GBytes *bytes = g_bytes_new_take(event, strlen(event));
+        append(caller, bytes);
+        g_bytes_unref(bytes);
+        g_free(json);
+    }
+    SoupMessageBody *body =
+        soup_server_message_get_response_body(caller->message);
+    soup_message_body_complete(body);
+}
+
+static void
+whole_model_answer(cq_caller_t *caller)
+{
+    JsonBuilder *builder = json_builder_new();
+    json_builder_begin_object(builder);
+    json_builder_set_member_name(builder, "object");
+    json_builder_add_string_value(builder, caller->options.chat
+                                               ? "chat.completion"
+                                               : "text_completion");
+    json_builder_set_member_name(builder, "choices");
+    json_builder_begin_array(builder);
+    json_builder_begin_object(builder);
+    json_builder_set_member_name(builder, "index");
+    json_builder_add_int_value(builder, 0);
+    if (caller->options.chat) {
+        json_builder_set_member_name(builder, "message");
+        json_builder_begin_object(builder);
+        json_builder_set_member_name(builder, "role");
+        json_builder_add_string_value(builder, "assistant");
+        json_builder_set_member_name(builder, "content");
+        json_builder_add_string_value(builder, caller->text->str);
+        json_builder_end_object(builder);
+    }
+    else {
+        json_builder_set_member_name(builder, "text");
+        json_builder_add_string_value(builder, caller->text->str);
+    }
+    json_builder_end_object(builder);
+    json_builder_end_array(builder);
+    json_builder_end_object(builder);
+    JsonNode *root = json_builder_get_root(builder);
+    char *text = json_to_string(root, FALSE);
+    soup_server_message_set_status(caller->message, 200, NULL);
+    soup_server_message_set_response(caller->message, "application/json",
+                                     SOUP_MEMORY_TAKE, text, strlen(text));
+    json_node_unref(root);
+    g_object_unref(builder);
+}
+
+static void
+plain_answer(cq_caller_t *caller, const cq_call_result_t *result)
+{
+    gsize len;
+    const char *data = g_bytes_get_data(result->body, &len);
+    soup_server_message_set_status(caller->message, (guint)result->status,
+                                   NULL);
+    if (len == 0) {
+        return;
+    }
+    const char *type = result->content_type;
+    soup_server_message_set_response(
+        caller->message, type != NULL ? type : "application/octet-stream",
+        SOUP_MEMORY_COPY, data, len);
+}
+
+void
+cq_caller_answer(cq_caller_t *caller, const cq_ac_answer_t *answer,
+                 const cq_call_result_t *result, cq_caller_heard_t finished)
+{
+    caller->answered = TRUE;
+    stop_watching(caller);
+    if (caller->message == NULL) {
+        finished(caller, caller->options.data);
+        return;
+    }
+    caller->finished = finished;
+    if (caller->started) {
+        end_stream(caller, answer);
+    }
+    else if (answer->outcome != CQ_OUT_DONE) {
+        cq_caller_error(caller->message, answer->status,
+                        cq_outcome_code(answer->outcome), answer->ran,
+                        answer->retry_after_us,
+                        cq_outcome_remedy(answer->outcome));
+    }
+    else if (result != NULL) {
+        plain_answer(caller, result);
+    }
+    else {
+        whole_model_answer(caller);
+    }
+    soup_server_message_unpause(caller->message);
+}
--- /dev/null
+++ b/packages/router/calls.c
@@ -0,0 +1,488 @@
+#include "router/calls.h"
+
+#include <string.h>
+
+#include "router/http.h"
+
+#define READ_BYTES (16 * 1024)
+#define CONTROL_TIMEOUT_MS 2000
+#define EVENT_PREFIX "data: "
+#define EVENT_END "\n\n"
+#define LAST_EVENT "data: [DONE]"
+
+struct cq_calls {
+    cq_app_t *app;
+    SoupSession *session;
+    GHashTable *by_request;
+};
+
+/* One attempt. It lives until its last callback has run. */
+typedef struct {
+    cq_calls_t *calls;
+    guint64 request;
+    guint32 attempt;
+    gboolean model;
+    gboolean ended;
+    gboolean sent;
+    gboolean held;
+    gboolean reading;
+    gboolean complete;
+    SoupMessage *message;
+    GCancellable *cancellable;
+    GInputStream *stream;
+    GByteArray *received;
+    GByteArray *pending;
+    GBytes *body;
+    guint refs;
+} call_t;
+
+static void read_more(call_t *call);
+
+static void
+call_unref(call_t *call)
+{
+    if (--call->refs > 0) {
+        return;
+    }
+    g_clear_object(&call->stream);
+    g_clear_object(&call->message);
+    g_clear_object(&call->cancellable);
+    g_clear_pointer(&call->body, g_bytes_unref);
+    g_byte_array_unref(call->received);
+    g_byte_array_unref(call->pending);
+    g_free(call);
+}
+
+static call_t *
+find(cq_calls_t *calls, guint64 request)
+{
+    return g_hash_table_lookup(calls->by_request, &request);
+}
+
+static void
+end(call_t *call)
+{
+    if (call->ended) {
+        return;
+    }
+    call->ended = TRUE;
+    g_cancellable_cancel(call->cancellable);
+}
+
+static void
+free_call(gpointer data)
+{
+    end(data);
+    call_unref(data);
+}
+
+static void
+post(call_t *call, cq_event_t *event)
+{
+    if (call->ended) {
+        return;
+    }
+    event->attempt.request = call->request;
+    event->attempt.attempt = call->attempt;
+    cq_app_post(call->calls->app, event);
+}
+
+static void
+post_failed(call_t *call, cq_failure_t failure)
+{
+    cq_event_t event = {.kind = CQ_EV_FAILED};
+    event.attempt.failure = failure;
+    post(call, &event);
+    end(call);
+}
+
+static void
+post_done(call_t *call)
+{
+    cq_event_t event = {.kind = CQ_EV_DONE};
+    event.attempt.status = (int)soup_message_get_status(call->message);
+    post(call, &event);
+    end(call);
+}
+
+/* From here on the upstream may see bytes of the request. */
+static void
+on_starting(SoupMessage *message, gpointer data)
+{
+    (void)message;
+    call_t *call = data;
+    call->sent = TRUE;
+    cq_event_t event = {.kind = CQ_EV_SENT};
+    post(call, &event);
+}
+
+/* Moves whole stream events from received to pending. Return: tokens. */
+static gint64
+split_events(call_t *call)
+{
+    gint64 tokens = 0;
+    gsize used = 0;
+    const char *data = (const char *)call->received->data;
+    gsize len = call->received->len;
+    for (;;) {
+        const char *at = data + used;
+        const char *stop =
+            g_strstr_len(at, (gssize)(len - used), EVENT_END);
+        if (stop == NULL) {
+            break;
+        }
+        if (strncmp(at, LAST_EVENT, strlen(LAST_EVENT)) == 0) {
+            call->complete = TRUE;
+        }
+        else if (strncmp(at, EVENT_PREFIX, strlen(EVENT_PREFIX)) == 0) {
+            tokens++;
+        }
+        used = (gsize)(stop - data) + strlen(EVENT_END);
+    }
+    g_byte_array_append(call->pending, call->received->data, (guint)used);
+    if (used > 0) {
+        g_byte_array_remove_range(call->received, 0, (guint)used);
+    }
+    return tokens;
+}
+
+static void
+on_model_bytes(call_t *call)
+{
+    gint64 tokens = split_events(call);
+    if (tokens > 0 || call->pending->len > 0) {
+        cq_event_t event = {.kind = CQ_EV_TOKENS};
+        event.attempt.tokens = tokens;
+        post(call, &event);
+    }
+    if (call->complete) {
+        post_done(call);
+    }
+}
+
+static void
+on_end_of_stream(call_t *call)
+{
+    if (call->model && soup_message_get_status(call->message) == 200) {
+        post_failed(call, CQ_FAIL_BROKEN);
+        return;
+    }
+    call->body = g_bytes_new(call->received->data, call->received->len);
+    post_done(call);
+}
+
+static void
+on_read(GObject *source, GAsyncResult *result, gpointer data)
+{
+    call_t *call = data;
+    GInputStream *stream = G_INPUT_STREAM(source);
+    GBytes *bytes = g_input_stream_read_bytes_finish(stream, result, NULL);
+    call->reading = FALSE;
+    if (bytes == NULL) {
+        post_failed(call, CQ_FAIL_BROKEN);
+    }
+    else if (g_bytes_get_size(bytes) == 0) {
+        on_end_of_stream(call);
+    }
+    else {
+        gsize len;
+        const void *at = g_bytes_get_data(bytes, &len);
+        g_byte_array_append(call->received, at, (guint)len);
+        gboolean model = call->model;
+        if (model && soup_message_get_status(call->message) == 200) {
+            on_model_bytes(call);
+        }
+        else if (call->received->len > CQ_BODY_BYTES_MAX) {
+            cq_app_count(call->calls->app, CQ_N_BODY_TOO_LONG, 1);
+            post_failed(call, CQ_FAIL_BROKEN);
+        }
+    }
+    g_clear_pointer(&bytes, g_bytes_unref);
+    read_more(call);
+    call_unref(call);
+}
+
+static void
+read_more(call_t *call)
+{
+    if (call->ended || call->held || call->reading) {
+        return;
+    }
+    call->reading = TRUE;
+    call->refs++;
+    g_input_stream_read_bytes_async(call->stream, READ_BYTES,
+                                    G_PRIORITY_DEFAULT, call->cancellable,
+                                    on_read, call);
+}
+
+static gboolean
+header_set(call_t *call, const char *name)
+{
+    SoupMessageHeaders *headers =
+        soup_message_get_response_headers(call->message);
+    return soup_message_headers_get_one(headers, name) != NULL;
+}
+
+static void
+on_head(GObject *source, GAsyncResult *result, gpointer data)
+{
+    call_t *call = data;
+    SoupSession *session = SOUP_SESSION(source);
+    call->stream = soup_session_send_finish(session, result, NULL);
+    if (call->stream == NULL) {
+        post_failed(call, call->sent ? CQ_FAIL_BROKEN : CQ_FAIL_CONNECT);
+    }
+    else if (header_set(call, "X-Leaving")) {
+        post_failed(call, CQ_FAIL_LEAVING);
+    }
+    else if (header_set(call, "X-Not-Run")) {
+        post_failed(call, CQ_FAIL_REFUSED);
+    }
+    else {
+        read_more(call);
+    }
+    call_unref(call);
+}
+
+static void
+set_header(SoupMessage *message, const char *name, const char *format, ...)
+    G_GNUC_PRINTF(3, 4);
+
+static void
+set_header(SoupMessage *message, const char *name, const char *format, ...)
+{
+    char value[CQ_GROUP_MAX * (CQ_NAME_BYTES + 1)];
+    va_list args;
+    va_start(args, format);
+    g_vsnprintf(value, sizeof value, format, args);
+    va_end(args);
+    SoupMessageHeaders *headers = soup_message_get_request_headers(message);
+    soup_message_headers_replace(headers, name, value);
+}
+
+static void
+set_group(cq_calls_t *calls, SoupMessage *message, const cq_ac_send_t *send)
+{
+    if (send->group_len == 0) {
+        return;
+    }
+    GString *names = g_string_new("");
+    for (guint i = 0; i < send->group_len; i++) {
+        cq_upstream_view_t view;
+        if (cq_core_upstream(cq_app_core(calls->app), send->group[i], &view)) {
+            g_string_append_printf(names, "%s%s", i > 0 ? "," : "",
+                                   view.name);
+        }
+    }
+    set_header(message, "X-Group", "%s", names->str);
+    g_string_free(names, TRUE);
+}
+
+static SoupMessage *
+make_message(cq_calls_t *calls, const cq_ac_send_t *send,
+             const cq_upstream_view_t *upstream,
+             const cq_call_target_t *target)
+{
+    char *url = g_strdup_printf("http://%s%s", upstream->addr, target->path);
+    SoupMessage *message = soup_message_new(target->method, url);
+    g_free(url);
+    if (message == NULL) {
+        return NULL;
+    }
+    /* libsoup repeats some calls by itself on a reused connection; on a new
+     * one it never does, so that every repeat is the core's decision. */
+    soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION |
+                                        SOUP_MESSAGE_NO_REDIRECT);
+    if (target->body != NULL && g_bytes_get_size(target->body) > 0) {
+        const char *type = target->content_type;
+        soup_message_set_request_body_from_bytes(
+            message, type != NULL ? type : "application/octet-stream",
+            target->body);
+    }
+    set_header(message, "X-Request-Id", "%016" G_GINT64_MODIFIER "x",
+               send->request);
+    set_header(message, "X-Attempt", "%u", send->attempt);
+    if (target->key != NULL) {
+        set_header(message, "Idempotency-Key", "%s", target->key);
+    }
+    if (target->model) {
+        set_header(message, "X-Priority", "%d", send->priority);
+        set_header(message, "X-Resume-From", "%" G_GINT64_FORMAT,
+                   send->resume_from);
+        set_group(calls, message, send);
+    }
+    return message;
+}
+
+cq_calls_t *
+cq_calls_new(cq_app_t *app)
+{
+    cq_calls_t *calls = g_new0(cq_calls_t, 1);
+    calls->app = app;
+    calls->session = cq_http_session();
+    calls->by_request = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                              NULL, free_call);
+    return calls;
+}
+
+void
+cq_calls_free(cq_calls_t *calls)
+{
+    g_hash_table_unref(calls->by_request);
+    g_object_unref(calls->session);
+    g_free(calls);
+}
+
+void
+cq_calls_send(cq_calls_t *calls, const cq_ac_send_t *send,
+              const cq_upstream_view_t *upstream,
+              const cq_call_target_t *target)
+{
+    call_t *call = g_new0(call_t, 1);
+    call->calls = calls;
+    call->request = send->request;
+    call->attempt = send->attempt;
+    call->model = target->model;
+    call->refs = 1;
+    call->cancellable = g_cancellable_new();
+    call->received = g_byte_array_new();
+    call->pending = g_byte_array_new();
+    g_hash_table_replace(calls->by_request, &call->request, call);
+    call->message = make_message(calls, send, upstream, target);
+    if (call->message == NULL) {
+        post_failed(call, CQ_FAIL_CONNECT);
+        return;
+    }
+    g_signal_connect(call->message, "starting", G_CALLBACK(on_starting),
+                     call);
+    call->refs++;
+    soup_session_send_async(calls->session, call->message, G_PRIORITY_DEFAULT,
+                            call->cancellable, on_head, call);
+}
+
+void
+cq_calls_stop(cq_calls_t *calls, const cq_ac_attempt_t *attempt,
+              const cq_upstream_view_t *upstream)
+{
+    call_t *call = find(calls, attempt->request);
+    if (call == NULL || call->attempt != attempt->attempt) {
+        return;
+    }
+    gboolean tell = call->model && call->sent && !call->complete;
+    end(call);
+    if (!tell || upstream == NULL) {
+        return;
+    }
+    char *url = g_strdup_printf("http://%s/cancel", upstream->addr);
+    char *text =
+        g_strdup_printf("{\"request_id\":\"%016" G_GINT64_MODIFIER "x\","
+                        "\"attempt\":%u}",
+                        attempt->request, attempt->attempt);
+    GBytes *body = g_bytes_new_take(text, strlen(text));
+    cq_http_call(calls->session, "POST", url, body, CONTROL_TIMEOUT_MS, NULL,
+                 NULL);
+    g_bytes_unref(body);
+    g_free(url);
+}
+
+typedef struct {
+    cq_app_t *app;
+    cq_ac_attempt_t attempt;
+    gboolean model;
+} probe_t;
+
+static void
+on_probed(int status, GBytes *body, void *data)
+{
+    probe_t *probe = data;
+    cq_event_t event = {.kind = CQ_EV_PROBED};
+    event.attempt.request = probe->attempt.request;
+    event.attempt.attempt = probe->attempt.attempt;
+    event.attempt.probe = CQ_PROBE_SILENT;
+    if (status != 0) {
+        event.attempt.probe = CQ_PROBE_ALIVE;
+    }
+    if (probe->model && status == 404) {
+        event.attempt.probe = CQ_PROBE_UNKNOWN;
+    }
+    if (probe->model && status == 200) {
+        gsize len;
+        const char *text = g_bytes_get_data(body, &len);
+        char *copy = g_strndup(text, len);
+        event.attempt.probe = CQ_PROBE_RUNNING;
+        event.attempt.tokens = g_ascii_strtoll(copy, NULL, 10);
+        g_free(copy);
+    }
+    cq_app_post(probe->app, &event);
+    g_free(probe);
+}
+
+void
+cq_calls_probe(cq_calls_t *calls, const cq_ac_attempt_t *attempt,
+               const cq_upstream_view_t *upstream, gboolean model)
+{
+    probe_t *probe = g_new0(probe_t, 1);
+    probe->app = calls->app;
+    probe->attempt = *attempt;
+    probe->model = model;
+    char *url;
+    if (model) {
+        url = g_strdup_printf("http://%s/requests/%016" G_GINT64_MODIFIER
+                              "x-%u",
+                              upstream->addr, attempt->request,
+                              attempt->attempt);
+    }
+    else {
+        url = g_strdup_printf("http://%s/healthz", upstream->addr);
+    }
+    cq_http_call(calls->session, "GET", url, NULL, CONTROL_TIMEOUT_MS,
+                 on_probed, probe);
+    g_free(url);
+}
+
+GBytes *
+cq_calls_take(cq_calls_t *calls, guint64 request)
+{
+    call_t *call = find(calls, request);
+    if (call == NULL) {
+        return g_bytes_new(NULL, 0);
+    }
+    GBytes *bytes = g_bytes_new(call->pending->data, call->pending->len);
+    g_byte_array_set_size(call->pending, 0);
+    return bytes;
+}
+
+gboolean
+cq_calls_result(cq_calls_t *calls, guint64 request, cq_call_result_t *result)
+{
+    call_t *call = find(calls, request);
+    if (call == NULL || call->body == NULL) {
+        return FALSE;
+    }
+    SoupMessageHeaders *headers =
+        soup_message_get_response_headers(call->message);
+    result->status = (int)soup_message_get_status(call->message);
+    result->content_type =
+        soup_message_headers_get_one(headers, "Content-Type");
+    result->body = call->body;
+    return TRUE;
+}
+
+void
+cq_calls_drop(cq_calls_t *calls, guint64 request)
+{
+    g_hash_table_remove(calls->by_request, &request);
+}
+
+void
+cq_calls_hold(cq_calls_t *calls, guint64 request, gboolean hold)
+{
+    call_t *call = find(calls, request);
+    if (call == NULL || call->held == hold) {
+        return;
+    }
+    call->held = hold;
+    if (!hold && call->stream != NULL) {
+        read_more(call);
+    }
+}
--- /dev/null
+++ b/packages/router/calls.h
@@ -0,0 +1,80 @@
+/**
+ * DOC: calls
+ *
+ * Attempts at upstreams: the core's SEND, STOP and PROBE as HTTP calls, and
+ * what comes back as events.
+ */
+#ifndef CQ_CALLS_H
+#define CQ_CALLS_H
+
+#include "router/app.h"
+
+G_BEGIN_DECLS
+
+typedef struct cq_calls cq_calls_t;
+
+/**
+ * struct cq_call_target_t - the caller's request as it goes on
+ * @method: HTTP method
+ * @path: path and query at the upstream
+ * @content_type: of the body, or NULL
+ * @key: the caller's Idempotency-Key, or NULL
+ * @body: the body
+ * @model: whether the upstream is a model engine
+ */
+typedef struct {
+    const char *method;
+    const char *path;
+    const char *content_type;
+    const char *key;
+    GBytes *body;
+    gboolean model;
+} cq_call_target_t;
+
+/**
+ * struct cq_call_result_t - a plain service's whole answer
+ * @status: HTTP status
+ * @content_type: its type, or NULL; borrowed
+ * @body: its body; borrowed
+ */
+typedef struct {
+    int status;
+    const char *content_type;
+    GBytes *body;
+} cq_call_result_t;
+
+/** cq_calls_new() - Return: a table without calls */
+cq_calls_t *cq_calls_new(cq_app_t *app);
+
+/** cq_calls_free() - cancel every call and free the table */
+void cq_calls_free(cq_calls_t *calls);
+
+/** cq_calls_send() - start an attempt at @upstream */
+void cq_calls_send(cq_calls_t *calls, const cq_ac_send_t *send,
+                   const cq_upstream_view_t *upstream,
+                   const cq_call_target_t *target);
+
+/** cq_calls_stop() - end an attempt from our side */
+void cq_calls_stop(cq_calls_t *calls, const cq_ac_attempt_t *attempt,
+                   const cq_upstream_view_t *upstream);
+
+/** cq_calls_probe() - ask @upstream about an attempt on a new connection */
+void cq_calls_probe(cq_calls_t *calls, const cq_ac_attempt_t *attempt,
+                    const cq_upstream_view_t *upstream, gboolean model);
+
+/** cq_calls_take() - Return: the bytes behind the last TOKENS event */
+GBytes *cq_calls_take(cq_calls_t *calls, guint64 request);
+
+/** cq_calls_result() - Return: whether @request has a whole answer */
+gboolean cq_calls_result(cq_calls_t *calls, guint64 request,
+                         cq_call_result_t *result);
+
+/** cq_calls_drop() - forget the calls of @request */
+void cq_calls_drop(cq_calls_t *calls, guint64 request);
+
+/** cq_calls_hold() - stop or go on reading for @request */
+void cq_calls_hold(cq_calls_t *calls, guint64 request, gboolean hold);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/packages/router/front.c
@@ -0,0 +1,402 @@
+#include "router/front.h"
+
+#include <string.h>
+
+#include "router/caller.h"
+#include "router/prompt.h"
+
+#define BEARER "Bearer "
+#define PLAIN_PREFIX "/s/"
+
+struct cq_front {
+    cq_app_t *app;
+    SoupServer *server;
+    GHashTable *callers;
+    guint unfinished;
+};
+
+static cq_caller_t *
+find(cq_front_t *front, guint64 id)
+{
+    return g_hash_table_lookup(front->callers, &id);
+}
+
+static void
+refuse(cq_front_t *front, SoupServerMessage *message, int status,
+       const char *code, const char *remedy)
+{
+    cq_app_count(front->app, CQ_N_BAD_REQUESTS, 1);
+    cq_caller_error(message, status, code, CQ_RAN_NO, 0, remedy);
+}
+
+static void
+on_gone(cq_caller_t *caller, void *data)
+{
+    cq_front_t *front = data;
+    cq_event_t event = {.kind = CQ_EV_HANGUP};
+    event.attempt.request = cq_caller_id(caller);
+    cq_app_post(front->app, &event);
+}
+
+static void
+on_drained(cq_caller_t *caller, void *data)
+{
+    cq_front_t *front = data;
+    cq_app_t *app = front->app;
+    cq_app_resume(app, cq_caller_id(caller));
+}
+
+static const char *
+header(SoupServerMessage *message, const char *name)
+{
+    return soup_message_headers_get_one(
+        soup_server_message_get_request_headers(message), name);
+}
+
+/* Return: the team that the caller has shown, or NULL. */
+static const char *
+team_of(const cq_rules_t *rules, SoupServerMessage *message)
+{
+    int team = -1;
+    if (rules->auth == CQ_AUTH_NONE) {
+        const char *name = header(message, "X-Team");
+        team = name != NULL ? cq_rules_team(rules, name) : -1;
+    }
+    else {
+        const char *text = header(message, "Authorization");
+        if (text != NULL && g_str_has_prefix(text, BEARER)) {
+            team = cq_rules_token_team(rules, text + strlen(BEARER));
+        }
+    }
+    if (team < 0) {
+        return NULL;
+    }
+    return g_array_index(rules->teams, cq_team_rule_t, (guint)team).name;
+}
+
+/* Fills what every request has; FALSE when it was refused. */
+static gboolean
+fill_common(cq_front_t *front, SoupServerMessage *message,
+            const char *service, cq_ev_request_t *request)
+{
+    const cq_rules_t *rules =
+        cq_core_rules(cq_app_core(front->app), service);
+    if (rules == NULL) {
+        refuse(front, message, 404, "unknown_service",
+               "name a service that has been published");
+        return FALSE;
+    }
+    request->service = service;
+    request->team = team_of(rules, message);
+    if (request->team == NULL) {
+        refuse(front, message, 401, "unknown_team",
+               "send the bearer token of a team that the service file lists");
+        return FALSE;
+    }
+    const char *timeout = header(message, "X-Request-Timeout-Ms");
+    if (timeout != NULL) {
+        guint64 ms;
+        if (!g_ascii_string_to_unsigned(timeout, 10, 1, CQ_TIMEOUT_MAX_MS,
+                                        &ms, NULL)) {
+            refuse(front, message, 400, "bad_timeout",
+                   "write X-Request-Timeout-Ms as an integer from 1 to "
+                   "3600000");
+            return FALSE;
+        }
+        request->timeout_us = (gint64)ms * CQ_MS_US;
+    }
+    const char *key = header(message, "Idempotency-Key");
+    if (key != NULL && (key[0] == '\0' || strlen(key) > CQ_KEY_BYTES_MAX)) {
+        refuse(front, message, 400, "bad_key",
+               "write an Idempotency-Key of 1 to 256 bytes");
+        return FALSE;
+    }
+    if (key != NULL) {
+        request->key = cq_ident_key(service, request->team, key);
+    }
+    return TRUE;
+}
+
+static void
+admit(cq_front_t *front, SoupServerMessage *message,
+      cq_caller_options_t *options, cq_ev_request_t *request)
+{
+    request->id = cq_app_request_id(front->app);
+    options->id = request->id;
+    options->key = header(message, "Idempotency-Key");
+    options->gone = on_gone;
+    options->drained = on_drained;
+    options->data = front;
+    cq_caller_t *caller = cq_caller_new(message, options);
+    g_hash_table_replace(front->callers, cq_caller_key(caller), caller);
+    cq_event_t event = {.kind = CQ_EV_REQUEST, .request = *request};
+    cq_app_post(front->app, &event);
+}
+
+static GBytes *
+body_of(SoupServerMessage *message)
+{
+    SoupMessageBody *body = soup_server_message_get_request_body(message);
+    return soup_message_body_flatten(body);
+}
+
+static void
+serve_model(cq_front_t *front, SoupServerMessage *message, const char *path)
+{
+    if (soup_server_message_get_method(message) != SOUP_METHOD_POST) {
+        refuse(front, message, 405, "bad_method", "use POST");
+        return;
+    }
+    GBytes *body = body_of(message);
+    cq_prompt_t prompt;
+    cq_error_t error = {0};
+    gboolean chat = strcmp(path, "/v1/chat/completions") == 0;
+    if (!cq_prompt_read(body, chat, &prompt, &error)) {
+        refuse(front, message, 400, "invalid_body", error.text);
+        g_bytes_unref(body);
+        return;
+    }
+    const char *service =
+        cq_core_model_service(cq_app_core(front->app), prompt.model);
+    if (service == NULL) {
+        refuse(front, message, 404, "unknown_model",
+               "name a model that a published service lists");
+        g_bytes_unref(body);
+        return;
+    }
+    cq_ev_request_t request = {
+        .model = prompt.model,
+        .prompt_tokens = prompt.tokens,
+        .output_tokens = prompt.output_tokens,
+        .prefixes_len = prompt.prefixes_len,
+    };
+    memcpy(request.prefixes, prompt.prefixes, sizeof request.prefixes);
+    if (fill_common(front, message, service, &request)) {
+        cq_rules_t *rules = cq_core_rules(cq_app_core(front->app), service);
+        request.repeatable = rules->idempotent;
+        cq_caller_options_t options = {
+            .model = TRUE,
+            .stream = prompt.stream,
+            .chat = prompt.chat,
+            .method = "POST",
+            .path = path,
+            .content_type = "application/json",
+            .body = cq_prompt_for_engine(body),
+        };
+        admit(front, message, &options, &request);
+        g_bytes_unref(options.body);
+    }
+    g_bytes_unref(body);
+}
+
+static void
+serve_plain(cq_front_t *front, SoupServerMessage *message, const char *path)
+{
+    const char *name = path + strlen(PLAIN_PREFIX);
+    const char *slash = strchr(name, '/');
+    gsize len = slash != NULL ? (gsize)(slash - name) : strlen(name);
+    const char *rest = slash != NULL ? slash : "/";
+    char *service = g_strndup(name, len);
+    cq_ev_request_t request = {.model = "", .prompt_tokens = 1};
+    if (fill_common(front, message, service, &request)) {
+        const cq_rules_t *rules =
+            cq_core_rules(cq_app_core(front->app), service);
+        const char *method = soup_server_message_get_method(message);
+        request.repeatable = cq_rules_repeatable(rules, method, rest);
+        const char *query = g_uri_get_query(
+            soup_server_message_get_uri(message));
+        char *full = query != NULL
+                         ? g_strdup_printf("%s?%s", rest, query)
+                         : g_strdup(rest);
+        GBytes *body = body_of(message);
+        cq_caller_options_t options = {
+            .method = method,
+            .path = full,
+            .content_type = header(message, "Content-Type"),
+            .body = body,
+        };
+        if (rules->kind != CQ_SERVICE_PLAIN) {
+            refuse(front, message, 404, "model_service",
+                   "send model calls to /v1/completions");
+        }
+        else {
+            admit(front, message, &options, &request);
+        }
+        g_bytes_unref(body);
+        g_free(full);
+    }
+    g_free(service);
+}
+
+static void
+on_request(SoupServer *server, SoupServerMessage *message, const char *path,
+           GHashTable *query, gpointer data)
+{
+    (void)server;
+    (void)query;
+    cq_front_t *front = data;
+    if (soup_server_message_get_status(message) != 0) {
+        return;
+    }
+    if (strcmp(path, "/v1/completions") == 0 ||
+        strcmp(path, "/v1/chat/completions") == 0) {
+        serve_model(front, message, path);
+        return;
+    }
+    if (g_str_has_prefix(path, PLAIN_PREFIX)) {
+        serve_plain(front, message, path);
+        return;
+    }
+    refuse(front, message, 404, "unknown_path",
+           "use /v1/completions, /v1/chat/completions or /s/SERVICE/PATH");
+}
+
+static void
+too_long(cq_front_t *front, SoupServerMessage *message)
+{
+    SoupMessageBody *body = soup_server_message_get_request_body(message);
+    soup_message_body_set_accumulate(body, FALSE);
+    if (soup_server_message_get_status(message) != 0) {
+        return;
+    }
+    cq_app_count(front->app, CQ_N_BODY_TOO_LONG, 1);
+    cq_caller_error(message, 413, "body_too_long", CQ_RAN_NO, 0,
+                    "send at most 16 MiB");
+    SoupMessageHeaders *headers =
+        soup_server_message_get_response_headers(message);
+    soup_message_headers_replace(headers, "Connection", "close");
+}
+
+static void
+on_chunk(SoupServerMessage *message, GBytes *chunk, gpointer data)
+{
+    (void)chunk;
+    SoupMessageBody *body = soup_server_message_get_request_body(message);
+    if (body->length > CQ_BODY_BYTES_MAX) {
+        too_long(data, message);
+    }
+}
+
+static void
+on_early(SoupServer *server, SoupServerMessage *message, const char *path,
+         GHashTable *query, gpointer data)
+{
+    (void)server;
+    (void)path;
+    (void)query;
+    SoupMessageHeaders *headers =
+        soup_server_message_get_request_headers(message);
+    if (soup_message_headers_get_content_length(headers) >
+        CQ_BODY_BYTES_MAX) {
+        too_long(data, message);
+        return;
+    }
+    g_signal_connect(message, "got-chunk", G_CALLBACK(on_chunk), data);
+}
+
+static void
+free_caller(gpointer data)
+{
+    cq_caller_unref(data);
+}
+
+cq_front_t *
+cq_front_new(cq_app_t *app)
+{
+    cq_front_t *front = g_new0(cq_front_t, 1);
+    front->app = app;
+    front->server = soup_server_new("server-header", "cuminquay", NULL);
+    front->callers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+                                           free_caller);
+    soup_server_add_early_handler(front->server, NULL, on_early, front, NULL);
+    soup_server_add_handler(front->server, NULL, on_request, front, NULL);
+    return front;
+}
+
+GSocketAddress *
+cq_front_parse_addr(const char *addr)
+{
+    GSocketConnectable *parsed = g_network_address_parse(addr, 0, NULL);
+    if (parsed == NULL) {
+        return NULL;
+    }
+    GNetworkAddress *network = G_NETWORK_ADDRESS(parsed);
+    GSocketAddress *address = g_inet_socket_address_new_from_string(
+        g_network_address_get_hostname(network),
+        g_network_address_get_port(network));
+    g_object_unref(parsed);
+    return address;
+}
+
+gboolean
+cq_front_listen(cq_front_t *front, const char *addr, cq_error_t *error)
+{
+    GSocketAddress *address = cq_front_parse_addr(addr);
+    GError *cause = NULL;
+    gboolean good =
+        address != NULL &&
+        soup_server_listen(front->server, address, 0, &cause);
+    if (!good) {
+        cq_error_set(error, CQ_ERROR_UNREACHABLE,
+                     "listen.callers: %s is not free (%s); write another "
+                     "address or stop the process that has it",
+                     addr, cause != NULL ? cause->message : "not an address");
+    }
+    g_clear_error(&cause);
+    g_clear_object(&address);
+    return good;
+}
+
+void
+cq_front_free(cq_front_t *front)
+{
+    soup_server_disconnect(front->server);
+    g_hash_table_unref(front->callers);
+    g_object_unref(front->server);
+    g_free(front);
+}
+
+gboolean
+cq_front_target(cq_front_t *front, guint64 id, cq_call_target_t *target)
+{
+    cq_caller_t *caller = find(front, id);
+    if (caller == NULL) {
+        return FALSE;
+    }
+    cq_caller_target(caller, target);
+    return TRUE;
+}
+
+gboolean
+cq_front_write(cq_front_t *front, guint64 id, GBytes *bytes)
+{
+    cq_caller_t *caller = find(front, id);
+    return caller != NULL && cq_caller_write(caller, bytes);
+}
+
+static void
+on_finished(cq_caller_t *caller, void *data)
+{
+    (void)caller;
+    cq_front_t *front = data;
+    front->unfinished--;
+}
+
+void
+cq_front_answer(cq_front_t *front, const cq_ac_answer_t *answer,
+                const cq_call_result_t *result)
+{
+    cq_caller_t *caller = find(front, answer->request);
+    if (caller == NULL) {
+        return;
+    }
+    front->unfinished++;
+    cq_caller_answer(caller, answer, result, on_finished);
+    g_hash_table_remove(front->callers, &answer->request);
+}
+
+guint
+cq_front_open(const cq_front_t *front)
+{
+    return g_hash_table_size(front->callers) + front->unfinished;
+}
--- /dev/null
+++ b/packages/router/link.c
@@ -0,0 +1,339 @@
+#include "router/link.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+
+#include "wire/frame.h"
+
+#define READ_BYTES 16384
+#define CHALLENGE_BYTES 32
+#define MAC_BYTES 32
+#define UNSENT_BYTES_MAX (4 * CQ_FRAME_BYTES_MAX)
+#define QUIET_US (3 * CQ_OFFER_US)
+
+struct cq_link {
+    cq_link_options_t options;
+    GCancellable *cancellable;
+    cq_frame_reader_t reader;
+    guint8 challenge[CHALLENGE_BYTES];
+    gboolean helloed;
+    gboolean proved;
+    gboolean closed;
+    gboolean writing;
+    GQueue unsent;
+    gsize unsent_bytes;
+    gint64 heard_us;
+    guint refs;
+};
+
+static void write_next(cq_link_t *link);
+static void read_next(cq_link_t *link);
+
+static void
+unref(cq_link_t *link)
+{
+    if (--link->refs > 0) {
+        return;
+    }
+    g_queue_clear_full(&link->unsent, (GDestroyNotify)g_bytes_unref);
+    cq_frame_clear(&link->reader);
+    g_object_unref(link->cancellable);
+    g_object_unref(link->options.connection);
+    g_free(link);
+}
+
+void
+cq_link_close(cq_link_t *link)
+{
+    if (link->closed) {
+        return;
+    }
+    link->closed = TRUE;
+    g_cancellable_cancel(link->cancellable);
+    g_socket_close(g_socket_connection_get_socket(link->options.connection),
+                   NULL);
+    link->options.closed(link, link->options.data);
+    unref(link);
+}
+
+static void
+reject(cq_link_t *link, cq_counter_t counter)
+{
+    cq_app_count(link->options.app, counter, 1);
+    cq_link_close(link);
+}
+
+static void
+on_written(GObject *source, GAsyncResult *result, gpointer data)
+{
+    cq_link_t *link = data;
+    gboolean good = g_output_stream_write_all_finish(G_OUTPUT_STREAM(source),
+                                                     result, NULL, NULL);
+    link->writing = FALSE;
+    GBytes *bytes = g_queue_pop_head(&link->unsent);
+    link->unsent_bytes -= g_bytes_get_size(bytes);
+    g_bytes_unref(bytes);
+    if (!good) {
+        cq_link_close(link);
+    }
+    write_next(link);
+    unref(link);
+}
+
+static void
+write_next(cq_link_t *link)
+{
+    if (link->closed || link->writing || g_queue_is_empty(&link->unsent)) {
+        return;
+    }
+    link->writing = TRUE;
+    link->refs++;
+    gsize len;
+    const void *bytes =
+        g_bytes_get_data(g_queue_peek_head(&link->unsent), &len);
+    GOutputStream *out = g_io_stream_get_output_stream(
+        G_IO_STREAM(link->options.connection));
+    g_output_stream_write_all_async(out, bytes, len, G_PRIORITY_DEFAULT,
+                                    link->cancellable, on_written, link);
+}
+
+static void
+queue(cq_link_t *link, GBytes *frame)
+{
+    gsize len = g_bytes_get_size(frame);
+    if (link->closed || link->unsent_bytes + len > UNSENT_BYTES_MAX) {
+        return;
+    }
+    cq_app_count(link->options.app, CQ_N_PEER_FRAMES_OUT, 1);
+    cq_app_count(link->options.app, CQ_N_PEER_BYTES_OUT, len);
+    cq_app_count(link->options.app, CQ_N_CONTROL_BYTES, len);
+    link->unsent_bytes += len;
+    g_queue_push_tail(&link->unsent, g_bytes_ref(frame));
+    write_next(link);
+}
+
+static void
+queue_frame(cq_link_t *link, const Cq__Frame *frame)
+{
+    GBytes *bytes = cq_codec_pack(frame);
+    queue(link, bytes);
+    g_bytes_unref(bytes);
+}
+
+/* The role in the MAC keeps a proof from being played back to its maker. */
+static void
+make_mac(const cq_link_t *link, gboolean dialler, const guint8 *challenge,
+         guint8 mac[MAC_BYTES])
+{
+    const char *key = cq_app_settings(link->options.app)->peer_key;
+    const char *role = dialler ? "dialler" : "listener";
+    GHmac *hmac =
+        g_hmac_new(G_CHECKSUM_SHA256, (const guchar *)key, strlen(key));
+    g_hmac_update(hmac, (const guchar *)role, (gssize)strlen(role));
+    g_hmac_update(hmac, challenge, CHALLENGE_BYTES);
+    gsize len = MAC_BYTES;
+    g_hmac_get_digest(hmac, mac, &len);
+    g_hmac_unref(hmac);
+}
+
+static void
+take_hello(cq_link_t *link, const Cq__Hello *hello)
+{
+    if (link->helloed || hello->challenge.len != CHALLENGE_BYTES) {
+        reject(link, CQ_N_FRAME_BAD);
+        return;
+    }
+    link->helloed = TRUE;
+    guint8 mac[MAC_BYTES];
+    make_mac(link, link->options.dialled, hello->challenge.data, mac);
+    Cq__Proof proof = CQ__PROOF__INIT;
+    proof.mac.data = mac;
+    proof.mac.len = sizeof mac;
+    Cq__Frame frame = CQ__FRAME__INIT;
+    frame.kind_case = CQ__FRAME__KIND_PROOF;
+    frame.proof = &proof;
+    queue_frame(link, &frame);
+}
+
+static gboolean
+same_mac(const guint8 *a, const guint8 *b)
+{
+    guint8 difference = 0;
+    for (int i = 0; i < MAC_BYTES; i++) {
+        difference |= a[i] ^ b[i];
+    }
+    return difference == 0;
+}
+
+static void
+take_proof(cq_link_t *link, const Cq__Proof *proof)
+{
+    guint8 mac[MAC_BYTES];
+    make_mac(link, !link->options.dialled, link->challenge, mac);
+    if (proof->mac.len != MAC_BYTES || !same_mac(mac, proof->mac.data)) {
+        reject(link, CQ_N_PEER_REJECTED);
+        return;
+    }
+    link->proved = TRUE;
+}
+
+static void
+take_frame(cq_link_t *link, const Cq__Frame *frame)
+{
+    switch (frame->kind_case) {
+    case CQ__FRAME__KIND_HELLO:
+        take_hello(link, frame->hello);
+        return;
+    case CQ__FRAME__KIND_PROOF:
+        take_proof(link, frame->proof);
+        return;
+    default:
+        break;
+    }
+    if (!link->proved) {
+        reject(link, CQ_N_PEER_REJECTED);
+        return;
+    }
+    link->options.heard(link, frame, link->options.data);
+}
+
+static void
+take_payload(cq_link_t *link, GBytes *payload)
+{
+    gsize len;
+    const guint8 *data = g_bytes_get_data(payload, &len);
+    Cq__Frame *frame = cq__frame__unpack(NULL, len, data);
+    cq_app_count(link->options.app, CQ_N_PEER_FRAMES_IN, 1);
+    cq_app_count(link->options.app, CQ_N_PEER_BYTES_IN, len);
+    cq_app_count(link->options.app, CQ_N_CONTROL_BYTES, len);
+    if (frame == NULL) {
+        reject(link, CQ_N_FRAME_BAD);
+        return;
+    }
+    take_frame(link, frame);
+    cq__frame__free_unpacked(frame, NULL);
+}
+
+static void
+take_frames(cq_link_t *link)
+{
+    while (!link->closed) {
+        GBytes *payload = NULL;
+        switch (cq_frame_next(&link->reader, &payload)) {
+        case CQ_FRAME_NONE:
+            return;
+        case CQ_FRAME_TOO_LONG:
+            reject(link, CQ_N_FRAME_TOO_LONG);
+            return;
+        case CQ_FRAME_READY:
+            take_payload(link, payload);
+            g_bytes_unref(payload);
+            break;
+        }
+    }
+}
+
+static void
+on_read(GObject *source, GAsyncResult *result, gpointer data)
+{
+    cq_link_t *link = data;
+    GBytes *bytes = g_input_stream_read_bytes_finish(G_INPUT_STREAM(source),
+                                                     result, NULL);
+    if (bytes == NULL || g_bytes_get_size(bytes) == 0) {
+        cq_link_close(link);
+    }
+    else {
+        gsize len;
+        const void *at = g_bytes_get_data(bytes, &len);
+        link->heard_us = cq_app_now_us(link->options.app);
+        cq_frame_push(&link->reader, at, len);
+        take_frames(link);
+        read_next(link);
+    }
+    g_clear_pointer(&bytes, g_bytes_unref);
+    unref(link);
+}
+
+static void
+read_next(cq_link_t *link)
+{
+    if (link->closed) {
+        return;
+    }
+    link->refs++;
+    GInputStream *in = g_io_stream_get_input_stream(
+        G_IO_STREAM(link->options.connection));
+    g_input_stream_read_bytes_async(in, READ_BYTES, G_PRIORITY_DEFAULT,
+                                    link->cancellable, on_read, link);
+}
+
+static void
+send_hello(cq_link_t *link)
+{
+    for (guint i = 0; i < CHALLENGE_BYTES; i++) {
+        link->challenge[i] = (guint8)g_random_int();
+    }
+    Cq__Hello hello = CQ__HELLO__INIT;
+    hello.host = (char *)cq_app_settings(link->options.app)->host;
+    hello.challenge.data = link->challenge;
+    hello.challenge.len = CHALLENGE_BYTES;
+    Cq__Frame frame = CQ__FRAME__INIT;
+    frame.kind_case = CQ__FRAME__KIND_HELLO;
+    frame.hello = &hello;
+    queue_frame(link, &frame);
+}
+
+cq_link_t *
+cq_link_new(const cq_link_options_t *options)
+{
+    cq_link_t *link = g_new0(cq_link_t, 1);
+    link->options = *options;
+    g_object_ref(options->connection);
+    link->cancellable = g_cancellable_new();
+    link->refs = 1;
+    link->heard_us = cq_app_now_us(options->app);
+    cq_frame_init(&link->reader);
+    g_queue_init(&link->unsent);
+    g_socket_set_option(
+        g_socket_connection_get_socket(options->connection), IPPROTO_TCP,
+        TCP_NODELAY, 1, NULL);
+    send_hello(link);
+    read_next(link);
+    return link;
+}
+
+void
+cq_link_send(cq_link_t *link, GBytes *frame)
+{
+    if (link->proved) {
+        queue(link, frame);
+    }
+}
+
+gboolean
+cq_link_proved(const cq_link_t *link)
+{
+    return link->proved;
+}
+
+gboolean
+cq_link_dialled(const cq_link_t *link)
+{
+    return link->options.dialled;
+}
+
+void
+cq_link_check(cq_link_t *link, gint64 now_us)
+{
+    gint64 silent_us = now_us - link->heard_us;
+    gboolean partial = cq_frame_partial(&link->reader) || !link->proved;
+    if (partial && silent_us > CQ_FRAME_STALL_US) {
+        reject(link, CQ_N_FRAME_STALLED);
+        return;
+    }
+    /* Both sides send heartbeats, so a quiet connection is a lost one. */
+    if (silent_us > QUIET_US) {
+        reject(link, CQ_N_SILENT);
+    }
+}
--- /dev/null
+++ b/packages/router/links.c
@@ -0,0 +1,406 @@
+#include "router/links.h"
+
+#include <string.h>
+
+#include "router/front.h"
+#include "router/link.h"
+
+#define REDIAL_MS 500
+#define CHECK_MS 500
+#define LINKS_MAX 256
+
+struct cq_links {
+    cq_app_t *app;
+    GSocketService *service;
+    GHashTable *targets;
+    GPtrArray *open;
+    GCancellable *cancellable;
+    guint timer;
+    guint refs;
+    gint64 offered_us;
+    gboolean stopped;
+};
+
+/* A peer to keep a connection to. */
+typedef struct {
+    cq_links_t *links;
+    char addr[CQ_ADDR_BYTES];
+    cq_link_t *link;
+    gboolean dialling;
+} target_t;
+
+static void
+unref(cq_links_t *links)
+{
+    if (--links->refs > 0) {
+        return;
+    }
+    g_hash_table_unref(links->targets);
+    g_ptr_array_unref(links->open);
+    g_object_unref(links->cancellable);
+    g_free(links);
+}
+
+static gboolean
+want_entry(const cq_links_t *links, const Cq__Version *offered)
+{
+    const cq_config_entry_t *held =
+        cq_fold_get(cq_app_fold(links->app), offered->service);
+    if (held == NULL || offered->version > held->version) {
+        return TRUE;
+    }
+    return offered->version == held->version &&
+           strcmp(offered->hash, held->hash) > 0;
+}
+
+static void
+take_offer(cq_links_t *links, cq_link_t *link, const Cq__Offer *offer)
+{
+    char **names = g_new0(char *, offer->n_versions + 1);
+    Cq__Want want = CQ__WANT__INIT;
+    for (gsize i = 0; i < offer->n_versions; i++) {
+        if (want_entry(links, offer->versions[i])) {
+            names[want.n_services++] = offer->versions[i]->service;
+        }
+    }
+    if (want.n_services > 0) {
+        want.services = names;
+        Cq__Frame frame = CQ__FRAME__INIT;
+        frame.kind_case = CQ__FRAME__KIND_WANT;
+        frame.want = &want;
+        GBytes *bytes = cq_codec_pack(&frame);
+        cq_link_send(link, bytes);
+        g_bytes_unref(bytes);
+    }
+    g_free(names);
+}
+
+static void
+take_want(cq_links_t *links, cq_link_t *link, const Cq__Want *want)
+{
+    for (gsize i = 0; i < want->n_services; i++) {
+        const cq_config_entry_t *held =
+            cq_fold_get(cq_app_fold(links->app), want->services[i]);
+        if (held != NULL) {
+            GBytes *bytes = cq_codec_entry(held);
+            cq_link_send(link, bytes);
+            g_bytes_unref(bytes);
+        }
+    }
+}
+
+static void
+take_entry(cq_links_t *links, const Cq__Entry *message)
+{
+    cq_config_entry_t entry;
+    if (!cq_codec_read_entry(message, &entry)) {
+        cq_app_count(links->app, CQ_N_FRAME_BAD, 1);
+        return;
+    }
+    cq_fold_merge(cq_app_fold(links->app), &entry);
+    g_free(entry.body);
+}
+
+static void
+take_summary(cq_links_t *links, const Cq__Summary *message)
+{
+    cq_summary_t summary;
+    if (!cq_codec_read_summary(message, &summary)) {
+        cq_app_count(links->app, CQ_N_FRAME_BAD, 1);
+        return;
+    }
+    cq_hlc_t clock = {message->clock_us, message->clock_logical};
+    cq_ring_observe(cq_core_ring(cq_app_core(links->app)), clock);
+    cq_event_t event = {.kind = CQ_EV_SUMMARY, .summary = &summary};
+    cq_app_post(links->app, &event);
+}
+
+static void
+on_frame(cq_link_t *link, const Cq__Frame *frame, void *data)
+{
+    cq_links_t *links = data;
+    switch (frame->kind_case) {
+    case CQ__FRAME__KIND_SUMMARY:
+        take_summary(links, frame->summary);
+        break;
+    case CQ__FRAME__KIND_OFFER:
+        take_offer(links, link, frame->offer);
+        break;
+    case CQ__FRAME__KIND_WANT:
+        take_want(links, link, frame->want);
+        break;
+    case CQ__FRAME__KIND_ENTRY:
+        take_entry(links, frame->entry);
+        break;
+    default:
+        cq_app_count(links->app, CQ_N_FRAME_BAD, 1);
+        break;
+    }
+}
+
+static void
+forget_link(cq_links_t *links, const cq_link_t *link)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, links->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        target_t *target = value;
+        if (target->link == link) {
+            target->link = NULL;
+        }
+    }
+}
+
+static void
+on_closed(cq_link_t *link, void *data)
+{
+    cq_links_t *links = data;
+    forget_link(links, link);
+    g_ptr_array_remove_fast(links->open, link);
+    unref(links);
+}
+
+static cq_link_t *
+add_link(cq_links_t *links, GSocketConnection *connection, gboolean dialled)
+{
+    cq_link_options_t options = {
+        .app = links->app,
+        .connection = connection,
+        .dialled = dialled,
+        .heard = on_frame,
+        .closed = on_closed,
+        .data = links,
+    };
+    links->refs++;
+    cq_link_t *link = cq_link_new(&options);
+    g_ptr_array_add(links->open, link);
+    return link;
+}
+
+static gboolean
+from_loopback(GSocketConnection *connection)
+{
+    GSocketAddress *address =
+        g_socket_connection_get_remote_address(connection, NULL);
+    gboolean loopback = FALSE;
+    if (address != NULL && G_IS_INET_SOCKET_ADDRESS(address)) {
+        loopback = g_inet_address_get_is_loopback(
+            g_inet_socket_address_get_address(
+                G_INET_SOCKET_ADDRESS(address)));
+    }
+    g_clear_object(&address);
+    return loopback;
+}
+
+static gboolean
+on_incoming(GSocketService *service, GSocketConnection *connection,
+            GObject *source, gpointer data)
+{
+    (void)service;
+    (void)source;
+    cq_links_t *links = data;
+    gboolean keyed = cq_app_settings(links->app)->peer_key[0] != '\0';
+    gboolean full = links->open->len >= LINKS_MAX;
+    if (full || (!keyed && !from_loopback(connection))) {
+        cq_app_count(links->app, CQ_N_PEER_REJECTED, 1);
+        return TRUE;
+    }
+    add_link(links, connection, FALSE);
+    return TRUE;
+}
+
+typedef struct {
+    cq_links_t *links;
+    char addr[CQ_ADDR_BYTES];
+} dial_t;
+
+static void
+on_connected(GObject *source, GAsyncResult *result, gpointer data)
+{
+    dial_t *dial = data;
+    cq_links_t *links = dial->links;
+    GSocketConnection *connection = g_socket_client_connect_finish(
+        G_SOCKET_CLIENT(source), result, NULL);
+    target_t *target = g_hash_table_lookup(links->targets, dial->addr);
+    if (target != NULL) {
+        target->dialling = FALSE;
+    }
+    if (connection != NULL && target != NULL && !links->stopped) {
+        target->link = add_link(links, connection, TRUE);
+    }
+    g_clear_object(&connection);
+    g_free(dial);
+    unref(links);
+}
+
+static void
+dial(cq_links_t *links, target_t *target)
+{
+    GSocketAddress *address = cq_front_parse_addr(target->addr);
+    if (address == NULL) {
+        return;
+    }
+    GSocketClient *client = g_socket_client_new();
+    dial_t *dial = g_new0(dial_t, 1);
+    dial->links = links;
+    g_strlcpy(dial->addr, target->addr, sizeof dial->addr);
+    target->dialling = TRUE;
+    links->refs++;
+    g_socket_client_connect_async(client, G_SOCKET_CONNECTABLE(address),
+                                  links->cancellable, on_connected, dial);
+    g_object_unref(client);
+    g_object_unref(address);
+}
+
+static void
+check_open(cq_links_t *links)
+{
+    gint64 now_us = cq_app_now_us(links->app);
+    for (guint i = links->open->len; i > 0; i--) {
+        cq_link_check(g_ptr_array_index(links->open, i - 1), now_us);
+    }
+}
+
+static gboolean
+on_timer(gpointer data)
+{
+    cq_links_t *links = data;
+    check_open(links);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, links->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        target_t *target = value;
+        if (target->link == NULL && !target->dialling) {
+            dial(links, target);
+        }
+    }
+    if (cq_app_now_us(links->app) - links->offered_us >= CQ_OFFER_US) {
+        cq_links_offer(links);
+    }
+    return G_SOURCE_CONTINUE;
+}
+
+cq_links_t *
+cq_links_new(cq_app_t *app)
+{
+    cq_links_t *links = g_new0(cq_links_t, 1);
+    links->app = app;
+    links->refs = 1;
+    links->targets =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    links->open = g_ptr_array_new();
+    links->cancellable = g_cancellable_new();
+    links->timer = g_timeout_add(CHECK_MS, on_timer, links);
+    return links;
+}
+
+gboolean
+cq_links_listen(cq_links_t *links, const char *addr, cq_error_t *error)
+{
+    GSocketAddress *address = cq_front_parse_addr(addr);
+    GError *cause = NULL;
+    links->service = g_socket_service_new();
+    gboolean good =
+        address != NULL &&
+        g_socket_listener_add_address(G_SOCKET_LISTENER(links->service),
+                                      address, G_SOCKET_TYPE_STREAM,
+                                      G_SOCKET_PROTOCOL_TCP, NULL, NULL,
+                                      &cause);
+    if (!good) {
+        cq_error_set(error, CQ_ERROR_UNREACHABLE,
+                     "listen.peers: %s is not free (%s); write another "
+                     "address or stop the process that has it",
+                     addr, cause != NULL ? cause->message : "not an address");
+    }
+    g_clear_error(&cause);
+    g_clear_object(&address);
+    g_signal_connect(links->service, "incoming", G_CALLBACK(on_incoming),
+                     links);
+    return good;
+}
+
+void
+cq_links_free(cq_links_t *links)
+{
+    links->stopped = TRUE;
+    g_source_remove(links->timer);
+    g_cancellable_cancel(links->cancellable);
+    if (links->service != NULL) {
+        g_socket_service_stop(links->service);
+        g_socket_listener_close(G_SOCKET_LISTENER(links->service));
+        g_object_unref(links->service);
+    }
+    while (links->open->len > 0) {
+        cq_link_close(g_ptr_array_index(links->open, 0));
+    }
+    unref(links);
+}
+
+void
+cq_links_dial(cq_links_t *links, const char *addr)
+{
+    const cq_settings_t *settings = cq_app_settings(links->app);
+    if (strcmp(addr, settings->peers) == 0 ||
+        g_hash_table_contains(links->targets, addr) ||
+        g_hash_table_size(links->targets) >= LINKS_MAX) {
+        return;
+    }
+    target_t *target = g_new0(target_t, 1);
+    target->links = links;
+    g_strlcpy(target->addr, addr, sizeof target->addr);
+    g_hash_table_insert(links->targets, target->addr, target);
+}
+
+static void
+broadcast(cq_links_t *links, GBytes *frame, gboolean dialled_only)
+{
+    for (guint i = 0; i < links->open->len; i++) {
+        cq_link_t *link = g_ptr_array_index(links->open, i);
+        if (cq_link_dialled(link) || !dialled_only) {
+            cq_link_send(link, frame);
+        }
+    }
+}
+
+void
+cq_links_summary(cq_links_t *links, const cq_summary_t *summary)
+{
+    cq_hlc_t clock = cq_core_ring(cq_app_core(links->app))->clock;
+    GBytes *frame = cq_codec_summary(summary, clock);
+    /* A pair of processes with a connection each way hears it once. */
+    broadcast(links, frame, TRUE);
+    g_bytes_unref(frame);
+}
+
+void
+cq_links_offer(cq_links_t *links)
+{
+    cq_record_t state = cq_fold_checkpoint(cq_app_fold(links->app));
+    guint len = state.checkpoint->len;
+    Cq__Version *versions = g_new0(Cq__Version, len + 1);
+    Cq__Version **at = g_new0(Cq__Version *, len + 1);
+    for (guint i = 0; i < len; i++) {
+        cq_config_entry_t *entry =
+            &g_array_index(state.checkpoint, cq_config_entry_t, i);
+        cq__version__init(&versions[i]);
+        versions[i].service = entry->service;
+        versions[i].version = entry->version;
+        versions[i].hash = entry->hash;
+        at[i] = &versions[i];
+    }
+    Cq__Offer offer = CQ__OFFER__INIT;
+    offer.n_versions = len;
+    offer.versions = at;
+    Cq__Frame frame = CQ__FRAME__INIT;
+    frame.kind_case = CQ__FRAME__KIND_OFFER;
+    frame.offer = &offer;
+    GBytes *bytes = cq_codec_pack(&frame);
+    broadcast(links, bytes, FALSE);
+    links->offered_us = cq_app_now_us(links->app);
+    g_bytes_unref(bytes);
+    g_free(at);
+    g_free(versions);
+    cq_record_clear(&state);
+}
--- /dev/null
+++ b/packages/router/plat.c
@@ -0,0 +1,422 @@
+#include "router/plat.h"
+
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+#include "router/http.h"
+
+#define CALL_TIMEOUT_MS 2000
+#define READ_TIMEOUT_MS (CQ_LOG_WAIT_MS + 2000)
+#define BATCH_MAX 256
+#define PENDING_MAX 65536
+#define CHECKPOINT_SPREAD_US (2 * CQ_SECOND_US)
+#define CHECKPOINT_RECORDS_MIN 64
+
+struct cq_plat {
+    cq_app_t *app;
+    SoupSession *session;
+    GQueue pending;
+    guint in_flight;
+    gboolean stopped;
+    gint64 next;
+    gint64 anchor;
+    gint64 checkpoint_due_us;
+    guint calls;
+    GRand *rand;
+};
+
+static void read_log(cq_plat_t *plat);
+static void flush(cq_plat_t *plat);
+
+static char *
+url_of(const cq_plat_t *plat, const char *path)
+{
+    const cq_settings_t *settings = cq_app_settings(plat->app);
+    return g_strdup_printf("http://%s%s", settings->log, path);
+}
+
+static void
+free_if_idle(cq_plat_t *plat)
+{
+    if (!plat->stopped || plat->calls > 0) {
+        return;
+    }
+    g_queue_clear_full(&plat->pending, g_free);
+    g_object_unref(plat->session);
+    g_rand_free(plat->rand);
+    g_free(plat);
+}
+
+/* Return: whether the follower still runs after the end of a call. */
+static gboolean
+call_ended(cq_plat_t *plat)
+{
+    plat->calls--;
+    if (plat->stopped) {
+        free_if_idle(plat);
+        return FALSE;
+    }
+    return TRUE;
+}
+
+static void
+post_log(cq_plat_t *plat, gboolean up)
+{
+    cq_event_t event = {.kind = CQ_EV_LOG, .log_up = up};
+    cq_app_post(plat->app, &event);
+}
+
+static void
+take_record(cq_plat_t *plat, gint64 offset, const char *data)
+{
+    cq_record_t record;
+    cq_error_t error = {0};
+    if (!cq_record_decode(data, &record, &error)) {
+        cq_app_count(plat->app, CQ_N_CONFIG_IGNORED, 1);
+        return;
+    }
+    cq_fold_t *fold = cq_app_fold(plat->app);
+    switch (record.kind) {
+    case CQ_RECORD_CONFIG:
+        if (cq_fold_config(fold, &record.config) != CQ_FOLD_APPLIED) {
+            cq_app_count(plat->app, CQ_N_CONFIG_IGNORED, 1);
+        }
+        break;
+    case CQ_RECORD_CHECKPOINT:
+        for (guint i = 0; i < record.checkpoint->len; i++) {
+            cq_fold_merge(fold, &g_array_index(record.checkpoint,
+                                               cq_config_entry_t, i));
+        }
+        plat->anchor = offset;
+        plat->checkpoint_due_us = 0;
+        break;
+    case CQ_RECORD_CLAIM: {
+        cq_event_t event = {.kind = CQ_EV_CLAIM, .claim = record.claim};
+        cq_app_post(plat->app, &event);
+        break;
+    }
+    }
+    cq_record_clear(&record);
+}
+
+static void
+append_checkpoint(cq_plat_t *plat)
+{
+    plat->checkpoint_due_us = 0;
+    if (cq_fold_size(cq_app_fold(plat->app)) == 0) {
+        return;
+    }
+    cq_record_t record = cq_fold_checkpoint(cq_app_fold(plat->app));
+    cq_plat_append(plat, &record);
+    cq_record_clear(&record);
+}
+
+/* A checkpoint is due when the last one lies in the older half of what the
+ * log keeps; the random pause leaves it to one of the processes. */
+static void
+watch_retention(cq_plat_t *plat, gint64 first, gint64 end)
+{
+    gint64 now_us = cq_app_now_us(plat->app);
+    gboolean old = plat->anchor < first + (end - first) / 2;
+    gboolean many = end - MAX(plat->anchor, 0) > CHECKPOINT_RECORDS_MIN;
+    if (!old || !many) {
+        return;
+    }
+    if (plat->checkpoint_due_us == 0) {
+        gint64 spread = g_rand_int_range(plat->rand, 1, CHECKPOINT_SPREAD_US);
+        plat->checkpoint_due_us = now_us + spread;
+        return;
+    }
+    if (now_us >= plat->checkpoint_due_us) {
+        append_checkpoint(plat);
+        plat->anchor = end;
+    }
+}
+
+static void
+take_records(cq_plat_t *plat, JsonArray *records)
+{
+    for (guint i = 0; i < json_array_get_length(records); i++) {
+        JsonObject *row = json_array_get_object_element(records, i);
+        gint64 offset = json_object_get_int_member(row, "offset");
+        if (offset < plat->next) {
+            continue;
+        }
+        const char *data = json_object_get_string_member(row, "data");
+        take_record(plat, offset, data);
+        plat->next = offset + 1;
+    }
+}
+
+/* The log came back empty or shorter: what is held stays in force, the log
+ * gets it again, and reading goes on at the log's own offsets. */
+static void
+log_went_back(cq_plat_t *plat, gint64 first)
+{
+    cq_app_count(plat->app, CQ_N_LOG_BACKWARD, 1);
+    plat->next = first;
+    plat->anchor = first;
+    append_checkpoint(plat);
+}
+
+static gboolean
+take_page(cq_plat_t *plat, GBytes *body)
+{
+    gsize len;
+    const char *text = g_bytes_get_data(body, &len);
+    JsonParser *parser = json_parser_new();
+    gboolean good =
+        json_parser_load_from_data(parser, text, (gssize)len, NULL);
+    JsonNode *root = good ? json_parser_get_root(parser) : NULL;
+    good = root != NULL && JSON_NODE_HOLDS_OBJECT(root);
+    if (good) {
+        JsonObject *page = json_node_get_object(root);
+        gint64 first = json_object_get_int_member_with_default(page, "first",
+                                                               0);
+        gint64 end = json_object_get_int_member_with_default(page, "end", 0);
+        if (end < plat->next) {
+            log_went_back(plat, first);
+        }
+        else if (json_object_has_member(page, "records")) {
+            take_records(plat,
+                         json_object_get_array_member(page, "records"));
+        }
+        if (plat->next >= end) {
+            post_log(plat, TRUE);
+        }
+        watch_retention(plat, first, end);
+    }
+    g_object_unref(parser);
+    return good;
+}
+
+static gboolean
+on_read_again(gpointer data)
+{
+    cq_plat_t *plat = data;
+    if (call_ended(plat)) {
+        read_log(plat);
+    }
+    return G_SOURCE_REMOVE;
+}
+
+static void
+on_page(int status, GBytes *body, void *data)
+{
+    cq_plat_t *plat = data;
+    if (!call_ended(plat)) {
+        return;
+    }
+    if (status == 200 && take_page(plat, body)) {
+        read_log(plat);
+        return;
+    }
+    post_log(plat, FALSE);
+    plat->calls++;
+    g_timeout_add(CQ_LOG_RETRY_US / CQ_MS_US, on_read_again, plat);
+}
+
+static void
+read_log(cq_plat_t *plat)
+{
+    char path[128];
+    g_snprintf(path, sizeof path, "/read?from=%" G_GINT64_FORMAT
+               "&wait_ms=%d", plat->next, CQ_LOG_WAIT_MS);
+    char *url = url_of(plat, path);
+    plat->calls++;
+    cq_http_call(plat->session, "GET", url, NULL, READ_TIMEOUT_MS, on_page,
+                 plat);
+    g_free(url);
+}
+
+static gboolean
+on_flush_again(gpointer data)
+{
+    cq_plat_t *plat = data;
+    plat->in_flight = 0;
+    if (call_ended(plat)) {
+        flush(plat);
+    }
+    return G_SOURCE_REMOVE;
+}
+
+/* Without an answer the records may stand in the log or not; they are sent
+ * again, and readers count a repeated record once. */
+static void
+on_appended(int status, GBytes *body, void *data)
+{
+    (void)body;
+    cq_plat_t *plat = data;
+    if (!call_ended(plat)) {
+        return;
+    }
+    if (status == 200) {
+        for (guint i = 0; i < plat->in_flight; i++) {
+            g_free(g_queue_pop_head(&plat->pending));
+        }
+        plat->in_flight = 0;
+        flush(plat);
+        return;
+    }
+    plat->calls++;
+    g_timeout_add(CQ_LOG_RETRY_US / CQ_MS_US, on_flush_again, plat);
+}
+
+static void
+flush(cq_plat_t *plat)
+{
+    if (plat->in_flight > 0 || g_queue_is_empty(&plat->pending)) {
+        return;
+    }
+    JsonBuilder *builder = json_builder_new();
+    json_builder_begin_object(builder);
+    json_builder_set_member_name(builder, "records");
+    json_builder_begin_array(builder);
+    GList *link = plat->pending.head;
+    for (; link != NULL && plat->in_flight < BATCH_MAX; link = link->next) {
+        json_builder_add_string_value(builder, link->data);
+        plat->in_flight++;
+    }
+    json_builder_end_array(builder);
+    json_builder_end_object(builder);
+    JsonNode *root = json_builder_get_root(builder);
+    char *text = json_to_string(root, FALSE);
+    GBytes *body = g_bytes_new_take(text, strlen(text));
+    char *url = url_of(plat, "/append");
+    plat->calls++;
+    cq_http_call(plat->session, "POST", url, body, CALL_TIMEOUT_MS,
+                 on_appended, plat);
+    g_free(url);
+    g_bytes_unref(body);
+    json_node_unref(root);
+    g_object_unref(builder);
+}
+
+static void
+copy_member(JsonObject *row, const char *key, char *to, gsize size)
+{
+    g_strlcpy(to, json_object_get_string_member_with_default(row, key, ""),
+              size);
+}
+
+static void
+take_hosts(cq_plat_t *plat, JsonArray *rows)
+{
+    GArray *list = g_array_new(FALSE, TRUE, sizeof(cq_listed_t));
+    for (guint i = 0; i < json_array_get_length(rows); i++) {
+        JsonObject *row = json_array_get_object_element(rows, i);
+        cq_listed_t listed = {0};
+        copy_member(row, "name", listed.name, sizeof listed.name);
+        copy_member(row, "addr", listed.addr, sizeof listed.addr);
+        copy_member(row, "zone", listed.zone, sizeof listed.zone);
+        copy_member(row, "service", listed.service, sizeof listed.service);
+        listed.incarnation =
+            (guint64)json_object_get_int_member_with_default(row,
+                                                             "incarnation", 0);
+        listed.leaving =
+            json_object_get_boolean_member_with_default(row, "leaving", FALSE);
+        g_array_append_val(list, listed);
+    }
+    cq_event_t event = {.kind = CQ_EV_HOSTS};
+    event.hosts.rows = (cq_listed_t *)(void *)list->data;
+    event.hosts.len = list->len;
+    cq_app_post(plat->app, &event);
+    cq_app_peer_rows(plat->app, event.hosts.rows, event.hosts.len);
+    g_array_unref(list);
+}
+
+static gboolean
+on_hosts_again(gpointer data);
+
+static void
+on_hosts(int status, GBytes *body, void *data)
+{
+    cq_plat_t *plat = data;
+    if (!call_ended(plat)) {
+        return;
+    }
+    if (status == 200) {
+        gsize len;
+        const char *text = g_bytes_get_data(body, &len);
+        JsonParser *parser = json_parser_new();
+        JsonNode *root = NULL;
+        if (json_parser_load_from_data(parser, text, (gssize)len, NULL)) {
+            root = json_parser_get_root(parser);
+        }
+        if (root != NULL && JSON_NODE_HOLDS_OBJECT(root)) {
+            JsonObject *object = json_node_get_object(root);
+            if (json_object_has_member(object, "hosts")) {
+                take_hosts(plat,
+                           json_object_get_array_member(object, "hosts"));
+            }
+        }
+        g_object_unref(parser);
+    }
+    plat->calls++;
+    g_timeout_add(CQ_LIST_POLL_US / CQ_MS_US, on_hosts_again, plat);
+}
+
+static void
+read_hosts(cq_plat_t *plat)
+{
+    const cq_settings_t *settings = cq_app_settings(plat->app);
+    char *url = g_strdup_printf("http://%s/hosts", settings->hosts);
+    plat->calls++;
+    cq_http_call(plat->session, "GET", url, NULL, CALL_TIMEOUT_MS, on_hosts,
+                 plat);
+    g_free(url);
+}
+
+static gboolean
+on_hosts_again(gpointer data)
+{
+    cq_plat_t *plat = data;
+    if (call_ended(plat)) {
+        read_hosts(plat);
+    }
+    return G_SOURCE_REMOVE;
+}
+
+cq_plat_t *
+cq_plat_new(cq_app_t *app)
+{
+    cq_plat_t *plat = g_new0(cq_plat_t, 1);
+    plat->app = app;
+    plat->session = cq_http_session();
+    plat->rand = g_rand_new();
+    plat->anchor = -1;
+    g_queue_init(&plat->pending);
+    read_log(plat);
+    read_hosts(plat);
+    return plat;
+}
+
+void
+cq_plat_free(cq_plat_t *plat)
+{
+    plat->stopped = TRUE;
+    soup_session_abort(plat->session);
+    free_if_idle(plat);
+}
+
+void
+cq_plat_append(cq_plat_t *plat, const cq_record_t *record)
+{
+    if (g_queue_get_length(&plat->pending) >= PENDING_MAX) {
+        return;
+    }
+    g_queue_push_tail(&plat->pending, cq_record_encode(record));
+    flush(plat);
+}
+
+guint
+cq_plat_pending(const cq_plat_t *plat)
+{
+    return g_queue_get_length((GQueue *)&plat->pending);
+}
+
+gint64
+cq_plat_offset(const cq_plat_t *plat)
+{
+    return plat->next;
+}
--- /dev/null
+++ b/packages/router/prompt.c
@@ -0,0 +1,166 @@
+#include "router/prompt.h"
+
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+#define LEVEL_FACTOR 4
+#define OUTPUT_TOKENS_MAX 1000000
+#define STREAM_MEMBER ",\"stream\":true}"
+
+static void
+add_prefixes(cq_prompt_t *prompt, const char *text, gsize len)
+{
+    gsize bytes = CQ_PREFIX_BLOCK_BYTES;
+    while (prompt->prefixes_len < CQ_PREFIX_LEVELS && bytes <= len) {
+        char *part = g_strndup(text, bytes);
+        cq_prefix_t *prefix = &prompt->prefixes[prompt->prefixes_len++];
+        prefix->hash = cq_ident_hash(part);
+        prefix->tokens = (gint64)bytes / CQ_BYTES_PER_TOKEN;
+        g_free(part);
+        bytes *= LEVEL_FACTOR;
+    }
+}
+
+static void
+measure(cq_prompt_t *prompt, const char *text)
+{
+    gsize len = strlen(text);
+    prompt->tokens = (gint64)(len / CQ_BYTES_PER_TOKEN) + 1;
+    add_prefixes(prompt, text, len);
+}
+
+static const char *
+text_member(JsonObject *object, const char *key)
+{
+    JsonNode *node = json_object_get_member(object, key);
+    if (node == NULL || json_node_get_value_type(node) != G_TYPE_STRING) {
+        return NULL;
+    }
+    return json_node_get_string(node);
+}
+
+static gboolean
+read_chat(JsonObject *object, cq_prompt_t *prompt, cq_error_t *error)
+{
+    JsonNode *node = json_object_get_member(object, "messages");
+    if (node == NULL || !JSON_NODE_HOLDS_ARRAY(node)) {
+        return cq_error_set(error, CQ_ERROR_KEY,
+                            "messages: missing; write an array of objects "
+                            "with role and content");
+    }
+    JsonArray *array = json_node_get_array(node);
+    GString *text = g_string_new("");
+    for (guint i = 0; i < json_array_get_length(array); i++) {
+        JsonNode *element = json_array_get_element(array, i);
+        const char *content = NULL;
+        if (JSON_NODE_HOLDS_OBJECT(element)) {
+            content = text_member(json_node_get_object(element), "content");
+        }
+        if (content == NULL) {
+            g_string_free(text, TRUE);
+            return cq_error_set(error, CQ_ERROR_VALUE,
+                                "messages[%u].content: missing; write a "
+                                "string",
+                                i);
+        }
+        g_string_append(text, content);
+    }
+    measure(prompt, text->str);
+    g_string_free(text, TRUE);
+    return TRUE;
+}
+
+static gboolean
+read_plain(JsonObject *object, cq_prompt_t *prompt, cq_error_t *error)
+{
+    const char *text = text_member(object, "prompt");
+    if (text == NULL) {
+        return cq_error_set(error, CQ_ERROR_KEY,
+                            "prompt: missing; write a string");
+    }
+    measure(prompt, text);
+    return TRUE;
+}
+
+static gboolean
+read_output(JsonObject *object, cq_prompt_t *prompt, cq_error_t *error)
+{
+    JsonNode *node = json_object_get_member(object, "max_tokens");
+    if (node == NULL) {
+        return TRUE;
+    }
+    gint64 tokens = 0;
+    if (json_node_get_value_type(node) == G_TYPE_INT64) {
+        tokens = json_node_get_int(node);
+    }
+    if (tokens < 1 || tokens > OUTPUT_TOKENS_MAX) {
+        return cq_error_set(error, CQ_ERROR_VALUE,
+                            "max_tokens: write an integer from 1 to %d",
+                            OUTPUT_TOKENS_MAX);
+    }
+    prompt->output_tokens = tokens;
+    return TRUE;
+}
+
+static gboolean
+read_object(JsonObject *object, cq_prompt_t *prompt, cq_error_t *error)
+{
+    const char *model = text_member(object, "model");
+    if (model == NULL) {
+        return cq_error_set(error, CQ_ERROR_KEY,
+                            "model: missing; write a string");
+    }
+    g_strlcpy(prompt->model, model, sizeof prompt->model);
+    JsonNode *stream = json_object_get_member(object, "stream");
+    if (stream != NULL &&
+        json_node_get_value_type(stream) == G_TYPE_BOOLEAN) {
+        prompt->stream = json_node_get_boolean(stream);
+    }
+    if (!read_output(object, prompt, error)) {
+        return FALSE;
+    }
+    if (prompt->chat) {
+        return read_chat(object, prompt, error);
+    }
+    return read_plain(object, prompt, error);
+}
+
+gboolean
+cq_prompt_read(GBytes *body, gboolean chat, cq_prompt_t *prompt,
+               cq_error_t *error)
+{
+    *prompt = (cq_prompt_t){.chat = chat};
+    gsize len;
+    const char *text = g_bytes_get_data(body, &len);
+    JsonParser *parser = json_parser_new();
+    gboolean good = text != NULL &&
+                    json_parser_load_from_data(parser, text, (gssize)len,
+                                               NULL);
+    JsonNode *root = good ? json_parser_get_root(parser) : NULL;
+    if (root == NULL || !JSON_NODE_HOLDS_OBJECT(root)) {
+        good = cq_error_set(error, CQ_ERROR_SYNTAX,
+                            "the body is not a JSON object; write one");
+    }
+    else {
+        good = read_object(json_node_get_object(root), prompt, error);
+    }
+    g_object_unref(parser);
+    return good;
+}
+
+/* The last of two equal members counts, so the member is appended and the
+ * long prompt is not written out again. */
+GBytes *
+cq_prompt_for_engine(GBytes *body)
+{
+    gsize len;
+    const char *text = g_bytes_get_data(body, &len);
+    while (len > 0 && text[len - 1] != '}') {
+        len--;
+    }
+    GByteArray *out = g_byte_array_sized_new((guint)len + 32);
+    g_byte_array_append(out, (const guint8 *)text, (guint)len - 1);
+    g_byte_array_append(out, (const guint8 *)STREAM_MEMBER,
+                        strlen(STREAM_MEMBER));
+    return g_byte_array_free_to_bytes(out);
+}
--- /dev/null
+++ b/packages/wire/codec.c
@@ -0,0 +1,140 @@
+#include "wire/codec.h"
+
+#include <string.h>
+
+#include "wire/frame.h"
+
+GBytes *
+cq_codec_pack(const Cq__Frame *frame)
+{
+    gsize len = cq__frame__get_packed_size(frame);
+    guint8 *bytes = g_malloc(len);
+    cq__frame__pack(frame, bytes);
+    GBytes *wrapped = cq_frame_wrap(bytes, len);
+    g_free(bytes);
+    return wrapped;
+}
+
+static void
+fill_share(Cq__Share *to, cq_share_t *share)
+{
+    cq__share__init(to);
+    to->upstream = share->upstream;
+    to->n_placed_us = G_N_ELEMENTS(share->placed_us);
+    to->placed_us = (uint64_t *)share->placed_us;
+    to->streams = (guint32)share->streams;
+    to->kv_tokens = (guint64)share->kv_tokens;
+}
+
+GBytes *
+cq_codec_summary(const cq_summary_t *summary, cq_hlc_t clock)
+{
+    cq_summary_t copy = *summary;
+    Cq__Share shares[CQ_SUBSET_MAX];
+    Cq__Share *share_at[CQ_SUBSET_MAX];
+    Cq__Leaving leaving[G_N_ELEMENTS(copy.leaving)];
+    Cq__Leaving *leaving_at[G_N_ELEMENTS(copy.leaving)];
+    for (guint i = 0; i < copy.shares_len; i++) {
+        fill_share(&shares[i], &copy.shares[i]);
+        share_at[i] = &shares[i];
+    }
+    for (guint i = 0; i < copy.leaving_len; i++) {
+        cq__leaving__init(&leaving[i]);
+        leaving[i].upstream = copy.leaving[i].upstream;
+        leaving[i].incarnation = copy.leaving[i].incarnation;
+        leaving_at[i] = &leaving[i];
+    }
+    Cq__Summary message = CQ__SUMMARY__INIT;
+    message.host = copy.host;
+    message.incarnation = copy.incarnation;
+    message.draining = copy.draining;
+    message.n_shares = copy.shares_len;
+    message.shares = share_at;
+    message.n_leaving = copy.leaving_len;
+    message.leaving = leaving_at;
+    message.clock_us = clock.wall_us;
+    message.clock_logical = clock.logical;
+    Cq__Frame frame = CQ__FRAME__INIT;
+    frame.kind_case = CQ__FRAME__KIND_SUMMARY;
+    frame.summary = &message;
+    return cq_codec_pack(&frame);
+}
+
+GBytes *
+cq_codec_entry(const cq_config_entry_t *entry)
+{
+    Cq__Entry message = CQ__ENTRY__INIT;
+    message.service = (char *)entry->service;
+    message.replaces = entry->base;
+    message.version = entry->version;
+    message.hash = (char *)entry->hash;
+    message.id = (char *)entry->id;
+    message.body = entry->body;
+    Cq__Frame frame = CQ__FRAME__INIT;
+    frame.kind_case = CQ__FRAME__KIND_ENTRY;
+    frame.entry = &message;
+    return cq_codec_pack(&frame);
+}
+
+static gboolean
+read_share(const Cq__Share *from, cq_share_t *share)
+{
+    if (from->n_placed_us != G_N_ELEMENTS(share->placed_us)) {
+        return FALSE;
+    }
+    share->upstream = from->upstream;
+    share->streams = from->streams;
+    share->kv_tokens = (gint64)from->kv_tokens;
+    memcpy(share->placed_us, from->placed_us, sizeof share->placed_us);
+    return share->kv_tokens >= 0;
+}
+
+gboolean
+cq_codec_read_summary(const Cq__Summary *from, cq_summary_t *summary)
+{
+    *summary = (cq_summary_t){
+        .host = from->host,
+        .incarnation = from->incarnation,
+        .draining = from->draining,
+    };
+    if (from->n_shares > G_N_ELEMENTS(summary->shares) ||
+        from->n_leaving > G_N_ELEMENTS(summary->leaving)) {
+        return FALSE;
+    }
+    for (gsize i = 0; i < from->n_shares; i++) {
+        if (!read_share(from->shares[i], &summary->shares[i])) {
+            return FALSE;
+        }
+    }
+    for (gsize i = 0; i < from->n_leaving; i++) {
+        summary->leaving[i].upstream = from->leaving[i]->upstream;
+        summary->leaving[i].incarnation = from->leaving[i]->incarnation;
+    }
+    summary->shares_len = (guint)from->n_shares;
+    summary->leaving_len = (guint)from->n_leaving;
+    return TRUE;
+}
+
+gboolean
+cq_codec_read_entry(const Cq__Entry *from, cq_config_entry_t *entry)
+{
+    *entry = (cq_config_entry_t){
+        .base = from->replaces,
+        .version = from->version,
+    };
+    gsize service =
+        g_strlcpy(entry->service, from->service, sizeof entry->service);
+    gsize hash = g_strlcpy(entry->hash, from->hash, sizeof entry->hash);
+    gsize id = g_strlcpy(entry->id, from->id, sizeof entry->id);
+    if (service >= sizeof entry->service || hash >= sizeof entry->hash ||
+        id >= sizeof entry->id) {
+        return FALSE;
+    }
+    char right[sizeof entry->hash];
+    cq_record_hash(from->body, right);
+    if (strcmp(right, entry->hash) != 0) {
+        return FALSE;
+    }
+    entry->body = g_strdup(from->body);
+    return TRUE;
+}
