--- /dev/null
+++ b/tests/standin/plain.c
@@ -0,0 +1,135 @@
+/* A plain service that counts how often each key ran. */
+#include <string.h>
+
+#include "standin.h"
+
+static GHashTable *runs_by_key;
+static int total;
+
+static void
+count_run(SoupServerMessage *message)
+{
+    const char *key = soup_message_headers_get_one(
+        soup_server_message_get_request_headers(message), "Idempotency-Key");
+    total++;
+    if (key != NULL) {
+        int runs = GPOINTER_TO_INT(g_hash_table_lookup(runs_by_key, key));
+        g_hash_table_replace(runs_by_key, g_strdup(key),
+                             GINT_TO_POINTER(runs + 1));
+    }
+}
+
+typedef struct {
+    SoupServerMessage *message;
+    guint timer;
+} waiting_t;
+
+static void
+on_gone(SoupServerMessage *message, gpointer data)
+{
+    (void)message;
+    waiting_t *waiting = data;
+    if (waiting->timer != 0) {
+        g_source_remove(waiting->timer);
+    }
+    g_free(waiting);
+}
+
+static gboolean
+on_late(gpointer data)
+{
+    waiting_t *waiting = data;
+    waiting->timer = 0;
+    standin_reply(waiting->message, 200, g_strdup("{\"ok\":true}"));
+    soup_server_message_unpause(waiting->message);
+    return G_SOURCE_REMOVE;
+}
+
+static void
+refuse(SoupServerMessage *message, const char *mark)
+{
+    SoupMessageHeaders *headers =
+        soup_server_message_get_response_headers(message);
+    soup_message_headers_replace(headers, mark, "1");
+    standin_reply(message, 503, g_strdup("{}"));
+}
+
+static void
+on_call(SoupServer *server, SoupServerMessage *message, const char *path,
+        GHashTable *query, gpointer data)
+{
+    (void)server;
+    (void)path;
+    (void)query;
+    (void)data;
+    if (standin_fault("leaving") > 0) {
+        refuse(message, "X-Leaving");
+        return;
+    }
+    if (standin_fault_take("refuse_next")) {
+        refuse(message, "X-Not-Run");
+        return;
+    }
+    count_run(message);
+    if (standin_fault_take("close_next")) {
+        standin_close(message);
+        return;
+    }
+    if (standin_fault("slow_ms") > 0) {
+        waiting_t *waiting = g_new0(waiting_t, 1);
+        waiting->message = message;
+        waiting->timer =
+            g_timeout_add((guint)standin_fault("slow_ms"), on_late, waiting);
+        g_signal_connect(message, "finished", G_CALLBACK(on_gone), waiting);
+        soup_server_message_pause(message);
+        return;
+    }
+    standin_reply(message, 200, g_strdup("{\"ok\":true}"));
+}
+
+static void
+on_counters(SoupServer *server, SoupServerMessage *message, const char *path,
+            GHashTable *query, gpointer data)
+{
+    (void)server;
+    (void)path;
+    (void)query;
+    (void)data;
+    GString *text = g_string_new("");
+    g_string_append_printf(text, "{\"total\":%d,\"by_key\":{", total);
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+    const char *comma = "";
+    int most = 0;
+    g_hash_table_iter_init(&iter, runs_by_key);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        int runs = GPOINTER_TO_INT(value);
+        most = MAX(most, runs);
+        g_string_append_printf(text, "%s\"%s\":%d", comma, (char *)key, runs);
+        comma = ",";
+    }
+    g_string_append_printf(text, "},\"most\":%d}", most);
+    standin_reply(message, 200, g_string_free(text, FALSE));
+}
+
+static void
+on_health(SoupServer *server, SoupServerMessage *message, const char *path,
+          GHashTable *query, gpointer data)
+{
+    (void)server;
+    (void)path;
+    (void)query;
+    (void)data;
+    standin_reply(message, 200, g_strdup("{}"));
+}
+
+void
+standin_plain(SoupServer *server, const standin_options_t *options)
+{
+    (void)options;
+    runs_by_key = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    soup_server_add_handler(server, NULL, on_call, NULL, NULL);
+    soup_server_add_handler(server, "/healthz", on_health, NULL, NULL);
+    soup_server_add_handler(server, "/counters", on_counters, NULL, NULL);
+}
--- /dev/null
+++ b/tests/standin/plat.c
@@ -0,0 +1,224 @@
+/* The platform: an append-only log with offsets, and a host list. */
+#include <string.h>
+
+#include "standin.h"
+
+#define PAGE_RECORDS 1000
+#define POLL_MS 10
+
+static GPtrArray *records; /* the newest ones */
+static gint64 first;       /* offset of records[0] */
+static int retain;
+static int reads;
+static int appends;
+static char *hosts;
+
+static gint64
+end(void)
+{
+    return first + records->len;
+}
+
+static char *
+page(gint64 from)
+{
+    JsonBuilder *builder = json_builder_new();
+    json_builder_begin_object(builder);
+    json_builder_set_member_name(builder, "first");
+    json_builder_add_int_value(builder, first);
+    json_builder_set_member_name(builder, "end");
+    json_builder_add_int_value(builder, end());
+    json_builder_set_member_name(builder, "records");
+    json_builder_begin_array(builder);
+    gint64 start = MAX(from, first);
+    for (gint64 i = start; i < MIN(end(), start + PAGE_RECORDS); i++) {
+        json_builder_begin_object(builder);
+        json_builder_set_member_name(builder, "offset");
+        json_builder_add_int_value(builder, i);
+        json_builder_set_member_name(builder, "data");
+        json_builder_add_string_value(builder, records->pdata[i - first]);
+        json_builder_end_object(builder);
+    }
+    json_builder_end_array(builder);
+    json_builder_end_object(builder);
+    JsonNode *root = json_builder_get_root(builder);
+    char *text = json_to_string(root, FALSE);
+    json_node_unref(root);
+    g_object_unref(builder);
+    return text;
+}
+
+static gint64
+number(GHashTable *query, const char *name)
+{
+    const char *text =
+        query != NULL ? g_hash_table_lookup(query, name) : NULL;
+    return text != NULL ? g_ascii_strtoll(text, NULL, 10) : 0;
+}
+
+typedef struct {
+    SoupServerMessage *message;
+    gint64 from;
+    gint64 until_us;
+    guint timer;
+} reader_t;
+
+static void
+on_reader_gone(SoupServerMessage *message, gpointer data)
+{
+    (void)message;
+    reader_t *reader = data;
+    if (reader->timer != 0) {
+        g_source_remove(reader->timer);
+    }
+    g_free(reader);
+}
+
+static gboolean
+on_poll(gpointer data)
+{
+    reader_t *reader = data;
+    gboolean late = g_get_monotonic_time() >= reader->until_us;
+    if (!late && reader->from >= end() && reader->from >= first) {
+        return G_SOURCE_CONTINUE;
+    }
+    reader->timer = 0;
+    standin_reply(reader->message, 200, page(reader->from));
+    soup_server_message_unpause(reader->message);
+    return G_SOURCE_REMOVE;
+}
+
+static void
+on_read(SoupServer *server, SoupServerMessage *message, const char *path,
+        GHashTable *query, gpointer data)
+{
+    (void)server;
+    (void)path;
+    (void)data;
+    reads++;
+    if (standin_fault("down") > 0) {
+        standin_reply(message, 503, g_strdup("{}"));
+        return;
+    }
+    gint64 from = number(query, "from");
+    gint64 wait_ms = number(query, "wait_ms");
+    if (from < end() || wait_ms == 0 || from > end()) {
+        standin_reply(message, 200, page(from));
+        return;
+    }
+    reader_t *reader = g_new0(reader_t, 1);
+    reader->message = message;
+    reader->from = from;
+    reader->until_us = g_get_monotonic_time() + wait_ms * 1000;
+    reader->timer = g_timeout_add(POLL_MS, on_poll, reader);
+    g_signal_connect(message, "finished", G_CALLBACK(on_reader_gone), reader);
+    soup_server_message_pause(message);
+}
+
+static void
+append(const char *data)
+{
+    g_ptr_array_add(records, g_strdup(data));
+    while (records->len > (guint)retain) {
+        g_ptr_array_remove_index(records, 0);
+        first++;
+    }
+}
+
+static void
+on_append(SoupServer *server, SoupServerMessage *message, const char *path,
+          GHashTable *query, gpointer data)
+{
+    (void)server;
+    (void)path;
+    (void)query;
+    (void)data;
+    appends++;
+    if (standin_fault("down") > 0) {
+        standin_reply(message, 503, g_strdup("{}"));
+        return;
+    }
+    char *text = standin_body(message);
+    JsonNode *root = json_from_string(text, NULL);
+    JsonArray *rows = json_object_get_array_member(
+        json_node_get_object(root), "records");
+    gint64 offset = end();
+    for (guint i = 0; i < json_array_get_length(rows); i++) {
+        append(json_array_get_string_element(rows, i));
+    }
+    json_node_unref(root);
+    g_free(text);
+    if (standin_fault_take("lose_answer")) {
+        standin_close(message);
+        return;
+    }
+    standin_reply(message, 200,
+                  g_strdup_printf("{\"offset\":%" G_GINT64_FORMAT "}",
+                                  offset));
+}
+
+static void
+on_bounds(SoupServer *server, SoupServerMessage *message, const char *path,
+          GHashTable *query, gpointer data)
+{
+    (void)server;
+    (void)path;
+    (void)query;
+    (void)data;
+    standin_reply(message, 200,
+                  g_strdup_printf("{\"first\":%" G_GINT64_FORMAT
+                                  ",\"end\":%" G_GINT64_FORMAT
+                                  ",\"reads\":%d,\"appends\":%d}",
+                                  first, end(), reads, appends));
+}
+
+/* POST /truncate?keep=N: the log loses all but its first N records. */
+static void
+on_truncate(SoupServer *server, SoupServerMessage *message, const char *path,
+            GHashTable *query, gpointer data)
+{
+    (void)server;
+    (void)path;
+    (void)data;
+    guint keep = (guint)number(query, "keep");
+    g_ptr_array_set_size(records, (gint)MIN(keep, records->len));
+    standin_reply(message, 200, g_strdup("{}"));
+}
+
+void
+standin_log(SoupServer *server, const standin_options_t *options)
+{
+    retain = options->retain;
+    records = g_ptr_array_new_with_free_func(g_free);
+    soup_server_add_handler(server, "/read", on_read, NULL, NULL);
+    soup_server_add_handler(server, "/append", on_append, NULL, NULL);
+    soup_server_add_handler(server, "/bounds", on_bounds, NULL, NULL);
+    soup_server_add_handler(server, "/truncate", on_truncate, NULL, NULL);
+}
+
+static void
+on_hosts(SoupServer *server, SoupServerMessage *message, const char *path,
+         GHashTable *query, gpointer data)
+{
+    (void)server;
+    (void)path;
+    (void)query;
+    (void)data;
+    if (standin_fault("down") > 0) {
+        standin_reply(message, 503, g_strdup("{}"));
+        return;
+    }
+    if (soup_server_message_get_method(message) == SOUP_METHOD_POST) {
+        g_free(hosts);
+        hosts = standin_body(message);
+    }
+    standin_reply(message, 200, g_strdup(hosts));
+}
+
+void
+standin_hosts(SoupServer *server, const standin_options_t *options)
+{
+    (void)options;
+    hosts = g_strdup("{\"hosts\":[]}");
+    soup_server_add_handler(server, "/hosts", on_hosts, NULL, NULL);
+}
