--- a/Makefile
+++ b/Makefile
@@ -19,3 +19,6 @@
 
 clean:
 	rm -rf $(BUILD) $(BUILD)-asan
+
+bench: all
+	@$(BUILD)/packages/cqbench $(SCENARIO) $(SEED)
