--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,6 @@
 
 bench: all
 	@$(BUILD)/packages/cqbench $(SCENARIO) $(SEED)
+
+soak: all
+	@$(BUILD)/packages/cqsoak $(SEED) $(STEPS)
--- a/packages/bench/tries.c
+++ b/packages/bench/tries.c
@@ -23,14 +23,17 @@
     return host->core != NULL && host->incarnation == try->host_incarnation;
 }
 
-/* Whether bytes of this connection still arrive at the other end. */
+/* Whether bytes of this connection still arrive at the other end. Bytes come
+ * in order, so after a loss nothing more arrives. */
 static gboolean
-connected(const cq_world_try_t *try)
+connected(cq_world_try_t *try)
 {
     const cq_sim_t *sim = try->sim;
-    return !try->silent &&
-           cq_world_reachable(sim, sim->hosts[try->host].zone,
-                              sim->upstreams[try->upstream].zone);
+    if (!cq_world_reachable(sim, sim->hosts[try->host].zone,
+                            sim->upstreams[try->upstream].zone)) {
+        try->silent = TRUE;
+    }
+    return !try->silent;
 }
 
 static void
