--- a/packages/bench/engine.h
+++ b/packages/bench/engine.h
@@ -12,6 +12,8 @@
 #include "bench/heap.h"
 #include "core/action.h"
 
+G_BEGIN_DECLS
+
 /* Prompt tokens computed at a time. */
 #define CQ_ENGINE_CHUNK_TOKENS 2048
 
@@ -117,4 +119,6 @@
 /** cq_engine_runs() - Return: head of the list of runs */
 cq_list_t *cq_engine_runs(cq_engine_t *engine);
 
+G_END_DECLS
+
 #endif
--- a/packages/bench/heap.h
+++ b/packages/bench/heap.h
@@ -9,6 +9,8 @@
 
 #include <glib.h>
 
+G_BEGIN_DECLS
+
 /** typedef cq_heap_run_t - what to do; @data is borrowed from the agenda's
  * user */
 typedef void (*cq_heap_run_t)(void *world, void *data, guint64 number);
@@ -39,4 +41,6 @@
  * @until_us */
 gboolean cq_heap_step(cq_heap_t *heap, gint64 until_us, void *world);
 
+G_END_DECLS
+
 #endif
--- a/packages/bench/sim.c
+++ b/packages/bench/sim.c
@@ -376,6 +376,7 @@
     request->model = "m";
     request->repeatable = ask->repeatable;
     request->prompt_tokens = ask->prompt_tokens;
+    request->output_tokens = ask->max_tokens;
     request->timeout_us = ask->timeout_us;
     if (ask->key != 0) {
         request->key.hi = ask->key;
--- a/packages/bench/sim.h
+++ b/packages/bench/sim.h
@@ -13,6 +13,8 @@
 #include "config/fold.h"
 #include "core/core.h"
 
+G_BEGIN_DECLS
+
 #define CQ_SIM_HOSTS_MAX 64
 #define CQ_SIM_UPSTREAMS_MAX 512
 #define CQ_SIM_ZONES_MAX 16
@@ -30,6 +32,7 @@
  * @repeatable: by the service's rules
  * @prompt_tokens: length of the prompt
  * @output_tokens: length of the answer
+ * @max_tokens: what the caller says of the answer, 0: nothing
  * @prefix: hash of its shared prefix, or 0
  * @prefix_tokens: its length
  * @timeout_us: the caller's limit
@@ -43,6 +46,7 @@
     gboolean repeatable;
     gint64 prompt_tokens;
     gint64 output_tokens;
+    gint64 max_tokens;
     guint64 prefix;
     gint64 prefix_tokens;
     gint64 timeout_us;
@@ -190,4 +194,6 @@
 /** cq_sim_arrivals() - Return: attempts that reached upstream @index */
 guint64 cq_sim_arrivals(const cq_sim_t *sim, guint index);
 
+G_END_DECLS
+
 #endif
--- a/packages/bench/slopes.c
+++ b/packages/bench/slopes.c
@@ -202,8 +202,8 @@
             share->upstream = cq_ident_hash("engine") + k;
             share->streams = 8;
             share->kv_tokens = 250000;
-            for (int class = 0; class < 4; class ++) {
-                share->placed_us[class] = 1000000000LL * (class + 1);
+            for (int klass = 0; klass < 4; klass++) {
+                share->placed_us[klass] = 1000000000LL * (klass + 1);
             }
         }
         GBytes *frame = cq_codec_summary(&summary, clock);
--- a/packages/bench/soak.h
+++ b/packages/bench/soak.h
@@ -9,6 +9,8 @@
 
 #include <glib.h>
 
+G_BEGIN_DECLS
+
 /**
  * struct cq_soak_options_t - one run
  * @seed: of everything random
@@ -45,4 +47,6 @@
 gboolean cq_soak_run(const cq_soak_options_t *options,
                      cq_soak_report_t *report);
 
+G_END_DECLS
+
 #endif
--- a/packages/bench/stats.c
+++ b/packages/bench/stats.c
@@ -4,6 +4,8 @@
 #define WARM_US (15 * CQ_SECOND_US)
 #define TARGET_S 2.0
 
+static const int percents[CQ_STATS_PERCENTS] = {50, 95, 99};
+
 static gint
 by_value(gconstpointer a, gconstpointer b)
 {
@@ -38,96 +40,79 @@
     return (double)(call->first_us - call->at_us) / 1e6;
 }
 
-GArray *
-cq_stats_first_token(const cq_work_t *work, int class, int but_team)
+static double
+whole_answer_s(const cq_work_call_t *call)
 {
-    GArray *values = g_array_new(FALSE, FALSE, sizeof(double));
-    for (guint i = 0; i < work->calls->len; i++) {
-        const cq_work_call_t *call = call_at(work, i);
-        gboolean other = class >= 0 && call->class != (guint)class;
-        gboolean left_out = (int)call->team == but_team;
-        if (call->at_us < WARM_US || other || left_out) {
-            continue;
-        }
-        double value = first_token_s(call);
-        g_array_append_val(values, value);
+    if (call->done_us < 0) {
+        return (double)call->ask.timeout_us / 1e6;
     }
-    return values;
+    return (double)(call->done_us - call->at_us) / 1e6;
 }
 
 static GArray *
-whole_answer(const cq_work_t *work, guint class)
+collect(const cq_work_t *work, int klass, int but_team,
+        double (*measure)(const cq_work_call_t *call))
 {
     GArray *values = g_array_new(FALSE, FALSE, sizeof(double));
     for (guint i = 0; i < work->calls->len; i++) {
         const cq_work_call_t *call = call_at(work, i);
-        if (call->at_us < WARM_US || call->class != class) {
-            continue;
+        gboolean other = klass >= 0 && call->klass != (guint)klass;
+        gboolean left_out = (int)call->team == but_team;
+        if (call->at_us >= WARM_US && !other && !left_out) {
+            double value = measure(call);
+            g_array_append_val(values, value);
         }
-        gint64 end_us = call->done_us < 0
-                            ? call->at_us + call->ask.timeout_us
-                            : call->done_us;
-        double value = (double)(end_us - call->at_us) / 1e6;
-        g_array_append_val(values, value);
     }
     return values;
 }
 
-static void
-line(GString *out, const char *prefix, const char *name, const char *class,
-     double value, const char *unit)
+GArray *
+cq_stats_first_token(const cq_work_t *work, int klass, int but_team)
 {
-    g_string_append_printf(out, "%s.%s%s%s %.4g %s\n", prefix, name,
-                           class != NULL ? "." : "",
-                           class != NULL ? class : "", value, unit);
+    return collect(work, klass, but_team, first_token_s);
 }
 
 static void
-print_first_token(GString *out, const char *prefix, const cq_work_t *work)
+fill_first_token(cq_figures_t *figures, const cq_work_t *work)
 {
-    static const int percents[] = {50, 95, 99};
-    for (int class = -1; class < CQ_WORK_CLASSES; class ++) {
-        GArray *values = cq_stats_first_token(work, class, -1);
-        const char *name =
-            class < 0 ? "all" : cq_work_class_name((guint) class);
-        for (guint i = 0; i < G_N_ELEMENTS(percents); i++) {
-            char metric[32];
-            g_snprintf(metric, sizeof metric, "ttft_p%d", percents[i]);
-            line(out, prefix, metric, name,
-                 cq_stats_percentile(values, percents[i]), "s");
+    for (int klass = 0; klass <= CQ_WORK_CLASSES; klass++) {
+        int wanted = klass < CQ_WORK_CLASSES ? klass : -1;
+        GArray *values = cq_stats_first_token(work, wanted, -1);
+        for (guint i = 0; i < CQ_STATS_PERCENTS; i++) {
+            figures->ttft_s[klass][i] =
+                cq_stats_percentile(values, percents[i]);
         }
         g_array_unref(values);
     }
 }
 
 typedef struct {
-    guint calls;
     guint in_target;
     guint alone_late;
     guint done;
     guint refused;
-    guint expired;
-    guint admitted_giants;
-    guint done_giants;
+    guint giants_admitted;
+    guint giants_done;
     GArray *over_limit;
 } sums_t;
 
 static void
-add_call(sums_t *sums, const cq_work_call_t *call)
+add_call(cq_figures_t *figures, sums_t *sums, const cq_work_call_t *call)
 {
     double first = first_token_s(call);
     double alone = cq_work_alone_s(call);
     double ratio = first / alone;
-    sums->calls++;
+    figures->calls++;
+    figures->expired[call->klass] += call->expired;
+    figures->refused[call->klass] += call->refused_first;
     sums->in_target += first <= TARGET_S;
     sums->alone_late += alone > TARGET_S;
     sums->done += call->done_us >= 0;
     sums->refused += call->refused_first;
-    sums->expired += call->expired;
     g_array_append_val(sums->over_limit, ratio);
-    if (call->class == CQ_WORK_CLASSES - 1) {
-        sums->admitted_giants += call->done_us >= 0 || call->expired;
-        sums->done_giants += call->done_us >= 0;
+    if (call->klass == CQ_WORK_CLASSES - 1) {
+        sums->giants_admitted += call->done_us >= 0 || call->expired;
+        sums->giants_done += call->done_us >= 0;
     }
 }
 
@@ -137,6 +122,41 @@
     return whole > 0 ? (double)part / whole : 1;
 }
 
+static void
+fill_shares(cq_figures_t *figures, const cq_work_t *work)
+{
+    sums_t sums = {0};
+    sums.over_limit = g_array_new(FALSE, FALSE, sizeof(double));
+    for (guint i = 0; i < work->calls->len; i++) {
+        if (call_at(work, i)->at_us >= WARM_US) {
+            add_call(figures, &sums, call_at(work, i));
+        }
+    }
+    figures->ttft_within_2s = share(sums.in_target, figures->calls);
+    figures->alone_misses_2s = share(sums.alone_late, figures->calls);
+    figures->finished_in_time = share(sums.done, figures->calls);
+    figures->refused_at_once = share(sums.refused, figures->calls);
+    figures->long_finished = share(sums.giants_done, sums.giants_admitted);
+    for (guint i = 0; i < G_N_ELEMENTS(figures->over_limit); i++) {
+        figures->over_limit[i] =
+            cq_stats_percentile(sums.over_limit, percents[i]);
+    }
+    g_array_unref(sums.over_limit);
+}
+
+static double
+slowdown(const cq_work_t *mixed, const cq_work_t *alone,
+         double (*measure)(const cq_work_call_t *call))
+{
+    GArray *with = collect(mixed, 0, -1, measure);
+    GArray *without = collect(alone, 0, -1, measure);
+    double base = cq_stats_percentile(without, 95);
+    double ratio = base > 0 ? cq_stats_percentile(with, 95) / base : 0;
+    g_array_unref(with);
+    g_array_unref(without);
+    return ratio;
+}
+
 static double
 come_back_peak(const cq_work_t *work)
 {
@@ -147,68 +167,88 @@
     return most;
 }
 
-static double
-slowdown(GArray *mixed, GArray *alone)
+cq_figures_t
+cq_stats_figures(const cq_work_t *work, const cq_work_t *short_alone,
+                 const cq_sim_totals_t *totals, double rate)
 {
-    double base = cq_stats_percentile(alone, 95);
-    double ratio = base > 0 ? cq_stats_percentile(mixed, 95) / base : 0;
-    g_array_unref(mixed);
-    g_array_unref(alone);
-    return ratio;
+    cq_figures_t figures = {0};
+    fill_first_token(&figures, work);
+    fill_shares(&figures, work);
+    for (guint i = 0; i < G_N_ELEMENTS(figures.gap_s); i++) {
+        figures.gap_s[i] = cq_stats_percentile(work->gaps, percents[i]);
+    }
+    figures.short_slowdown = slowdown(work, short_alone, first_token_s);
+    figures.short_finish_slowdown =
+        slowdown(work, short_alone, whole_answer_s);
+    figures.wasted_s = (double)totals->wasted_us / 1e6;
+    figures.used_s = (double)totals->used_us / 1e6;
+    figures.come_back_peak = come_back_peak(work) / rate;
+    return figures;
 }
 
 static void
-print_sums(GString *out, const char *prefix, const cq_work_t *work)
+line(GString *out, const char *prefix, const char *name, const char *klass,
+     double value, const char *unit)
 {
-    sums_t sums = {0};
-    sums.over_limit = g_array_new(FALSE, FALSE, sizeof(double));
-    for (guint i = 0; i < work->calls->len; i++) {
-        if (call_at(work, i)->at_us >= WARM_US) {
-            add_call(&sums, call_at(work, i));
+    g_string_append_printf(out, "%s.%s%s%s %.4g %s\n", prefix, name,
+                           klass != NULL ? "." : "",
+                           klass != NULL ? klass : "", value, unit);
+}
+
+static void
+print_first_token(GString *out, const char *prefix,
+                  const cq_figures_t *figures)
+{
+    for (guint klass = 0; klass <= CQ_WORK_CLASSES; klass++) {
+        const char *name =
+            klass < CQ_WORK_CLASSES ? cq_work_class_name(klass) : "all";
+        for (guint i = 0; i < CQ_STATS_PERCENTS; i++) {
+            char metric[32];
+            g_snprintf(metric, sizeof metric, "ttft_p%d", percents[i]);
+            line(out, prefix, metric, name, figures->ttft_s[klass][i], "s");
         }
     }
-    line(out, prefix, "calls", NULL, sums.calls, "requests");
-    line(out, prefix, "ttft_within_2s", NULL,
-         share(sums.in_target, sums.calls), "share");
-    line(out, prefix, "alone_misses_2s", NULL,
-         share(sums.alone_late, sums.calls), "share");
-    line(out, prefix, "finished_in_time", NULL, share(sums.done, sums.calls),
-         "share");
-    line(out, prefix, "refused_at_once", NULL,
-         share(sums.refused, sums.calls), "share");
-    line(out, prefix, "admitted_missed_deadline", NULL, sums.expired,
-         "requests");
-    line(out, prefix, "long_finished", NULL,
-         share(sums.done_giants, sums.admitted_giants), "share");
-    line(out, prefix, "ratio_to_limit_p50", NULL,
-         cq_stats_percentile(sums.over_limit, 50), "ratio");
-    line(out, prefix, "ratio_to_limit_p95", NULL,
-         cq_stats_percentile(sums.over_limit, 95), "ratio");
-    g_array_unref(sums.over_limit);
+}
+
+static void
+print_by_class(GString *out, const char *prefix, const cq_figures_t *figures)
+{
+    for (guint i = 0; i < CQ_WORK_CLASSES; i++) {
+        const char *name = cq_work_class_name(i);
+        line(out, prefix, "admitted_missed_deadline", name,
+             figures->expired[i], "requests");
+        line(out, prefix, "refused_first", name, figures->refused[i],
+             "requests");
+    }
 }
 
 void
-cq_stats_print(GString *out, const char *prefix, cq_work_t *work,
-               cq_work_t *short_alone, const cq_sim_totals_t *totals,
-               double rate)
-{
-    print_first_token(out, prefix, work);
-    print_sums(out, prefix, work);
-    line(out, prefix, "itl_p50", NULL, cq_stats_percentile(work->gaps, 50),
-         "s");
-    line(out, prefix, "itl_p95", NULL, cq_stats_percentile(work->gaps, 95),
-         "s");
-    line(out, prefix, "short_slowdown_p95", NULL,
-         slowdown(cq_stats_first_token(work, 0, -1),
-                  cq_stats_first_token(short_alone, 0, -1)),
+cq_stats_print(GString *out, const char *prefix, const cq_figures_t *figures)
+{
+    print_first_token(out, prefix, figures);
+    line(out, prefix, "calls", NULL, figures->calls, "requests");
+    line(out, prefix, "ttft_within_2s", NULL, figures->ttft_within_2s,
+         "share");
+    line(out, prefix, "alone_misses_2s", NULL, figures->alone_misses_2s,
+         "share");
+    line(out, prefix, "finished_in_time", NULL, figures->finished_in_time,
+         "share");
+    line(out, prefix, "refused_at_once", NULL, figures->refused_at_once,
+         "share");
+    print_by_class(out, prefix, figures);
+    line(out, prefix, "long_finished", NULL, figures->long_finished, "share");
+    line(out, prefix, "ratio_to_limit_p50", NULL, figures->over_limit[0],
          "ratio");
-    line(out, prefix, "short_finish_slowdown_p95", NULL,
-         slowdown(whole_answer(work, 0), whole_answer(short_alone, 0)),
+    line(out, prefix, "ratio_to_limit_p95", NULL, figures->over_limit[1],
          "ratio");
-    line(out, prefix, "wasted", NULL, (double)totals->wasted_us / 1e6,
-         "engine_s");
-    line(out, prefix, "used", NULL, (double)totals->used_us / 1e6,
-         "engine_s");
-    line(out, prefix, "come_back_peak", NULL, come_back_peak(work) / rate,
+    line(out, prefix, "itl_p50", NULL, figures->gap_s[0], "s");
+    line(out, prefix, "itl_p95", NULL, figures->gap_s[1], "s");
+    line(out, prefix, "short_slowdown_p95", NULL, figures->short_slowdown,
+         "ratio");
+    line(out, prefix, "short_finish_slowdown_p95", NULL,
+         figures->short_finish_slowdown, "ratio");
+    line(out, prefix, "wasted", NULL, figures->wasted_s, "engine_s");
+    line(out, prefix, "used", NULL, figures->used_s, "engine_s");
+    line(out, prefix, "come_back_peak", NULL, figures->come_back_peak,
          "ratio");
 }
--- a/packages/bench/work.c
+++ b/packages/bench/work.c
@@ -23,9 +23,9 @@
                                           0.06, 0.05, 0.04, 0.04, 0.03};
 
 const char *
-cq_work_class_name(guint class)
+cq_work_class_name(guint klass)
 {
-    return class_names[class];
+    return class_names[klass];
 }
 
 static guint
@@ -111,7 +111,7 @@
         call->ask.prefix =
             (call->team + 1) * 1000003ULL + rank + (giant ? 500 : 0);
     }
-    call->class = class_of(call->ask.prompt_tokens);
+    call->klass = class_of(call->ask.prompt_tokens);
 }
 
 static void
@@ -127,10 +127,10 @@
     call.ask.team = team_names[call.team];
     call.ask.repeatable = TRUE;
     call.ask.output_tokens = g_rand_int_range(work->rand, 100, 501);
-    call.ask.timeout_us = timeouts_s[call.class] * CQ_SECOND_US;
+    call.ask.timeout_us = timeouts_s[call.klass] * CQ_SECOND_US;
     call.ask.host = (guint)g_rand_int_range(work->rand, 0,
                                             (gint32)options->hosts);
-    if (!options->short_only || call.class == 0) {
+    if (!options->short_only || call.klass == 0) {
         call.ask.tag = work->calls->len;
         g_array_append_val(work->calls, call);
     }
--- a/packages/bench/work.h
+++ b/packages/bench/work.h
@@ -10,13 +10,15 @@
 
 #include "bench/sim.h"
 
+G_BEGIN_DECLS
+
 #define CQ_WORK_CLASSES 4
 
 /**
  * struct cq_work_call_t - one caller's wish and what became of it
  * @at_us: when it first asks
  * @ask: what it asks
- * @class: length class, 0 the shortest
+ * @klass: length class, 0 the shortest
  * @team: index of its team
  * @woken: part of the wake
  * @tries: times it asked
@@ -29,7 +31,7 @@
 typedef struct {
     gint64 at_us;
     cq_sim_ask_t ask;
-    guint class;
+    guint klass;
     guint team;
     gboolean woken;
     guint tries;
@@ -93,11 +95,13 @@
 /** cq_work_start() - put every arrival on the agenda */
 void cq_work_start(cq_work_t *work, cq_sim_t *sim);
 
-/** cq_work_class_name() - Return: name of length class @class */
-const char *cq_work_class_name(guint class);
+/** cq_work_class_name() - Return: name of length class @klass */
+const char *cq_work_class_name(guint klass);
 
 /** cq_work_alone_s() - Return: first token of @call alone on idle engines
  * with its prefix cached, in seconds */
 double cq_work_alone_s(const cq_work_call_t *call);
 
+G_END_DECLS
+
 #endif
--- a/packages/bench/world.h
+++ b/packages/bench/world.h
@@ -8,6 +8,8 @@
 
 #include "bench/sim.h"
 
+G_BEGIN_DECLS
+
 #define CQ_WORLD_HOP_US 500
 #define CQ_WORLD_APPEND_US (3 * CQ_MS_US)
 #define CQ_WORLD_READ_US (20 * CQ_MS_US)
@@ -177,4 +179,6 @@
 /** cq_world_start_reader() - @host begins to read the log */
 void cq_world_start_reader(cq_sim_t *sim, cq_world_host_t *host);
 
+G_END_DECLS
+
 #endif
--- a/packages/config/schema.c
+++ b/packages/config/schema.c
@@ -191,20 +191,20 @@
             continue;
         }
         gboolean found = FALSE;
-        guint line = 1;
+        guint line = 0;
         for (guint k = 0; k < items->len; k++) {
             const cq_toml_item_t *item =
                 &g_array_index(items, cq_toml_item_t, k);
             if (strcmp(item->section, section) != 0 || item->table != table) {
                 continue;
             }
-            line = item->line;
+            line = line == 0 ? item->line : line;
             found = found || strcmp(item->key, fields[i].key) == 0;
         }
         if (!found) {
             return cq_error_set(error, CQ_ERROR_KEY,
                                 "%s:%u: %s.%s: missing; add %s = ... to [%s]",
-                                file, line, section, fields[i].key,
+                                file, MAX(line, 1), section, fields[i].key,
                                 fields[i].key, section);
         }
     }
--- a/packages/core/answer.c
+++ b/packages/core/answer.c
@@ -29,7 +29,7 @@
 {
     switch (outcome) {
     case CQ_OUT_OVERLOADED:
-        return cq_flow_come_back_us(core, request->service, request->class,
+        return cq_flow_come_back_us(core, request->service, request->klass,
                                     request->cost);
     case CQ_OUT_NO_UPSTREAM:
     case CQ_OUT_NO_LOG:
--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -85,9 +85,9 @@
         if (service->stale) {
             cq_place_refresh(core, service);
         }
-        for (int class = 0; class < CQ_CLASSES; class ++) {
-            if (service->lanes[class].count > 0) {
-                place_lane(core, &service->lanes[class], misses_max[class]);
+        for (int klass = 0; klass < CQ_CLASSES; klass++) {
+            if (service->lanes[klass].count > 0) {
+                place_lane(core, &service->lanes[klass], misses_max[klass]);
             }
         }
     }
@@ -395,8 +395,8 @@
     for (guint i = 0; i < core->services->len; i++) {
         const cq_service_t *service = g_ptr_array_index(core->services, i);
         stats.services += service->rules != NULL;
-        for (int class = 0; class < CQ_CLASSES; class ++) {
-            stats.queued += service->lanes[class].count;
+        for (int klass = 0; klass < CQ_CLASSES; klass++) {
+            stats.queued += service->lanes[klass].count;
         }
     }
     return stats;
--- a/packages/core/flow.c
+++ b/packages/core/flow.c
@@ -8,7 +8,7 @@
 static cq_flow_t *
 flow_of(cq_service_t *service, const cq_request_t *request)
 {
-    guint index = (guint)request->team * CQ_CLASSES + (guint)request->class;
+    guint index = (guint)request->team * CQ_CLASSES + (guint)request->klass;
     while (service->flows->len <= index) {
         g_ptr_array_add(service->flows, NULL);
     }
@@ -31,7 +31,7 @@
 static cq_lane_t *
 lane_of(const cq_request_t *request)
 {
-    return &request->service->lanes[request->class];
+    return &request->service->lanes[request->klass];
 }
 
 void
@@ -119,15 +119,15 @@
 
 static double
 lane_drain(const cq_core_t *core, const cq_service_t *service,
-           cq_class_t class, double *ahead)
+           cq_class_t klass, double *ahead)
 {
-    const cq_lane_t *lane = &service->lanes[class];
+    const cq_lane_t *lane = &service->lanes[klass];
     if (lane->drain > 0) {
         *ahead = lane->backlog;
         return MAX(lane->drain, DRAIN_MIN);
     }
     *ahead = 0;
-    for (cq_class_t i = CQ_CLASS_SHORT; i <= class; i++) {
+    for (cq_class_t i = CQ_CLASS_SHORT; i <= klass; i++) {
         *ahead += service->lanes[i].backlog;
     }
     return capacity(core, service);
@@ -135,20 +135,20 @@
 
 gint64
 cq_flow_wait_us(const cq_core_t *core, const cq_service_t *service,
-                cq_class_t class)
+                cq_class_t klass)
 {
     double ahead;
-    double drain = lane_drain(core, service, class, &ahead);
+    double drain = lane_drain(core, service, klass, &ahead);
     return (gint64)(ahead / drain * (double)CQ_SECOND_US);
 }
 
 gint64
-cq_flow_come_back_us(cq_core_t *core, cq_service_t *service, cq_class_t class,
+cq_flow_come_back_us(cq_core_t *core, cq_service_t *service, cq_class_t klass,
                      double cost)
 {
-    cq_lane_t *lane = &service->lanes[class];
+    cq_lane_t *lane = &service->lanes[klass];
     double ahead;
-    double drain = lane_drain(core, service, class, &ahead);
+    double drain = lane_drain(core, service, klass, &ahead);
     lane->refused += cost;
     double first = ahead / drain;
     double last = (ahead + 2 * lane->refused) / drain;
--- a/packages/core/group.c
+++ b/packages/core/group.c
@@ -55,6 +55,7 @@
     for (guint i = 0; i < request->group_len; i++) {
         cq_load_hold(request->group[i], -part_of(request));
         memory_action(core, request, CQ_AC_RELEASE, request->group[i]);
+        request->group[i]->released_us = core->now_us;
         cq_counters_add(&core->counters, CQ_N_RELEASES, 1);
         g_assert(core->reserved > 0);
         core->reserved--;
--- a/packages/core/intake.c
+++ b/packages/core/intake.c
@@ -39,6 +39,17 @@
     return prefill / size + request->output_tokens * CQ_DECODE_STEP_US;
 }
 
+/* A guess of the answer's length alone is no reason to refuse. */
+static gint64
+least_us(const cq_request_t *request)
+{
+    gint64 us = alone_us(request);
+    if (!request->output_known) {
+        us -= request->output_tokens * CQ_DECODE_STEP_US;
+    }
+    return MAX(us, 0);
+}
+
 static double
 cost_of(const cq_request_t *request)
 {
@@ -72,10 +83,11 @@
     request->repeatable = event->repeatable;
     request->prompt_tokens = MAX(event->prompt_tokens, 1);
     request->output_tokens = event->output_tokens;
-    if (request->output_tokens <= 0) {
+    request->output_known = event->output_tokens > 0;
+    if (!request->output_known) {
         request->output_tokens = CQ_OUTPUT_TOKENS_GUESS;
     }
-    request->class = class_of(request->prompt_tokens);
+    request->klass = class_of(request->prompt_tokens);
     request->prefixes_len = event->prefixes_len;
     memcpy(request->prefixes, event->prefixes, sizeof request->prefixes);
     return request;
@@ -100,7 +112,7 @@
         return FALSE;
     }
     if (!model) {
-        request->class = CQ_CLASS_SHORT;
+        request->klass = CQ_CLASS_SHORT;
     }
     request->service = service;
     request->deadline_us = core->now_us + timeout_us(rules, event);
@@ -113,11 +125,12 @@
 {
     const cq_service_t *service = request->service;
     gint64 wait_us = 0;
-    if (service->lanes[request->class].count > 0) {
-        wait_us = cq_flow_wait_us(core, service, request->class);
+    if (service->lanes[request->klass].count > 0) {
+        wait_us = cq_flow_wait_us(core, service, request->klass);
     }
     gint64 left_us = request->deadline_us - core->now_us;
-    gint64 needed_us = wait_us + alone_us(request);
+    gint64 run_us = wait_us > 0 ? alone_us(request) : least_us(request);
+    gint64 needed_us = wait_us + run_us;
     return needed_us <= left_us * FEASIBLE_PERCENT / 100;
 }
 
@@ -163,7 +176,7 @@
     }
     gint64 need = cq_place_need(request);
     double seconds = (double)alone_us(request) / (double)CQ_SECOND_US;
-    service->demand[request->class] += (double)need * seconds;
+    service->demand[request->klass] += (double)need * seconds;
 }
 
 static void
--- a/packages/core/load.c
+++ b/packages/core/load.c
@@ -36,9 +36,9 @@
 }
 
 gint64
-cq_load_wait_us(const cq_upstream_t *upstream, cq_class_t class, gint64 now_us)
+cq_load_wait_us(const cq_upstream_t *upstream, cq_class_t klass, gint64 now_us)
 {
-    return MAX(upstream->load.busy_us[class] - now_us, 0);
+    return MAX(upstream->load.busy_us[klass] - now_us, 0);
 }
 
 gint64
@@ -62,10 +62,10 @@
 }
 
 static void
-add_prefill(cq_load_t *load, cq_class_t class, gint64 us, gint64 now_us)
+add_prefill(cq_load_t *load, cq_class_t klass, gint64 us, gint64 now_us)
 {
-    load->busy_us[class] = MAX(load->busy_us[class], now_us) + us;
-    load->placed_us[class] += us;
+    load->busy_us[klass] = MAX(load->busy_us[klass], now_us) + us;
+    load->placed_us[klass] += us;
 }
 
 void
@@ -81,13 +81,13 @@
                gint64 kv)
 {
     cq_upstream_t *upstream = request->upstream;
-    for (int class = (int)request->class; class < CQ_CLASSES; class ++) {
-        add_prefill(&upstream->load, class, prefill_us, core->now_us);
-        upstream->own_placed_us[class] += prefill_us;
+    for (int klass = (int)request->klass; klass < CQ_CLASSES; klass++) {
+        add_prefill(&upstream->load, klass, prefill_us, core->now_us);
+        upstream->own_placed_us[klass] += prefill_us;
     }
     request->charged_us = prefill_us;
     request->charged_kv = kv;
-    request->placed_mark = upstream->load.placed_us[request->class];
+    request->placed_mark = upstream->load.placed_us[request->klass];
     upstream->own_streams++;
     cq_load_hold(upstream, kv);
 }
@@ -96,10 +96,10 @@
 cq_load_first_token(cq_core_t *core, cq_request_t *request)
 {
     cq_load_t *load = &request->upstream->load;
-    cq_class_t class = request->class;
-    gint64 after_us = load->placed_us[class] - request->placed_mark;
+    cq_class_t klass = request->klass;
+    gint64 after_us = load->placed_us[klass] - request->placed_mark;
     gint64 busy_us = core->now_us + after_us;
-    load->busy_us[class] = MIN(load->busy_us[class], busy_us);
+    load->busy_us[klass] = MIN(load->busy_us[klass], busy_us);
 }
 
 void
@@ -110,10 +110,10 @@
         return;
     }
     if (request->forwarded == 0 && request->charged_us > 0) {
-        for (int class = (int)request->class; class < CQ_CLASSES; class ++) {
-            gint64 busy_us = upstream->load.busy_us[class];
+        for (int klass = (int)request->klass; klass < CQ_CLASSES; klass++) {
+            gint64 busy_us = upstream->load.busy_us[klass];
             gint64 less_us = busy_us - request->charged_us;
-            upstream->load.busy_us[class] = MAX(less_us, core->now_us);
+            upstream->load.busy_us[klass] = MAX(less_us, core->now_us);
         }
     }
     upstream->own_streams--;
@@ -160,10 +160,10 @@
     }
     upstream->peer_streams += share->streams - before->streams;
     upstream->peer_kv_tokens += share->kv_tokens - before->kv_tokens;
-    for (int class = 0; class < CQ_CLASSES; class ++) {
-        gint64 more_us = share->placed_us[class] - before->placed_us[class];
+    for (int klass = 0; klass < CQ_CLASSES; klass++) {
+        gint64 more_us = share->placed_us[klass] - before->placed_us[klass];
         if (more_us > 0) {
-            add_prefill(&upstream->load, class, more_us, core->now_us);
+            add_prefill(&upstream->load, klass, more_us, core->now_us);
         }
     }
 }
--- a/packages/core/load.h
+++ b/packages/core/load.h
@@ -18,9 +18,9 @@
 /** cq_load_prefill_us() - Return: time to compute @tokens on one engine */
 gint64 cq_load_prefill_us(const cq_service_t *service, gint64 tokens);
 
-/** cq_load_wait_us() - Return: prefill work ahead of a new request of @class
+/** cq_load_wait_us() - Return: prefill work ahead of a new request of @klass
  */
-gint64 cq_load_wait_us(const cq_upstream_t *upstream, cq_class_t class,
+gint64 cq_load_wait_us(const cq_upstream_t *upstream, cq_class_t klass,
                        gint64 now_us);
 
 /** cq_load_streams() - Return: streams believed to be on @upstream */
--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -148,6 +148,13 @@
     return request->prompt_tokens + request->output_tokens;
 }
 
+/* Long requests leave a little of each engine to short ones. */
+static gint64
+usable_kv(const cq_rules_t *rules)
+{
+    return rules->kv_tokens * (100 - HEADROOM_PERCENT) / 100;
+}
+
 static gboolean
 fits(const cq_core_t *core, const cq_request_t *request,
      const cq_upstream_t *upstream, gint64 need)
@@ -169,22 +176,19 @@
     if (request->earmark == upstream) {
         used -= need;
     }
-    gint64 room = rules->kv_tokens - used;
-    if (request->class >= CQ_CLASS_LONG) {
-        room -= rules->kv_tokens * HEADROOM_PERCENT / 100;
-    }
-    return need <= room;
+    gboolean longer = request->klass >= CQ_CLASS_LONG;
+    return need <= (longer ? usable_kv(rules) : rules->kv_tokens) - used;
 }
 
 /* Whether requests of this class keep to the shared engines. */
 static gboolean
 confined(const cq_request_t *request)
 {
-    if (request->class == CQ_CLASS_GIANT) {
+    if (request->klass == CQ_CLASS_GIANT) {
         return TRUE;
     }
     const cq_rules_t *rules = request->service->rules;
-    return request->class == CQ_CLASS_LONG && rules->first_token_weight < 50;
+    return request->klass == CQ_CLASS_LONG && rules->first_token_weight < 50;
 }
 
 static guint
@@ -246,7 +250,7 @@
     gint64 cached = cq_load_cached(upstream, request);
     gint64 own_us =
         cq_load_prefill_us(service, request->prompt_tokens - cached);
-    gint64 first_us = cq_load_wait_us(upstream, request->class, core->now_us);
+    gint64 first_us = cq_load_wait_us(upstream, request->klass, core->now_us);
     first_us += own_us + cq_load_step_us(streams + 1);
     if (cq_load_wait_us(upstream, CQ_CLASS_GIANT, core->now_us) > 0) {
         first_us += BUSY_US;
@@ -275,8 +279,8 @@
     if (!fits(core, request, upstream, cq_place_need(request))) {
         return;
     }
-    gint64 wait_us = cq_load_wait_us(upstream, request->class, core->now_us);
-    if (wait_us > wait_max_us[request->class]) {
+    gint64 wait_us = cq_load_wait_us(upstream, request->klass, core->now_us);
+    if (wait_us > wait_max_us[request->klass]) {
         return;
     }
     gint64 us = score_us(core, request, upstream, choice->home);
@@ -434,7 +438,7 @@
     cq_upstream_t *upstream = choose_by_cost(core, request);
     gint64 waited_us = core->now_us - request->phase_us;
     if (upstream == NULL && request->earmark == NULL &&
-        request->class >= CQ_CLASS_LONG && waited_us > EARMARK_AFTER_US) {
+        request->klass >= CQ_CLASS_LONG && waited_us > EARMARK_AFTER_US) {
         mark(core, request);
     }
     return upstream;
@@ -444,22 +448,11 @@
 cq_place_group_size(const cq_request_t *request)
 {
     const cq_rules_t *rules = request->service->rules;
-    gint64 need = cq_place_need(request);
     if (rules->kind == CQ_SERVICE_PLAIN) {
         return 1;
     }
-    gint64 whole = rules->kv_tokens * (100 - HEADROOM_PERCENT) / 100;
-    if (need <= whole) {
-        return 1;
-    }
-    gint64 part = rules->kv_tokens * GROUP_FILL_PERCENT / 100;
-    gint64 wanted = (need + part - 1) / part;
-    if (wanted > rules->group_max) {
-        wanted = MIN((need + whole - 1) / whole, CQ_GROUP_MAX + 1);
-        wanted = MAX(wanted, 2);
-        wanted = wanted <= rules->group_max ? rules->group_max : wanted;
-    }
-    return (guint)wanted;
+    gint64 whole = usable_kv(rules);
+    return (guint)((cq_place_need(request) + whole - 1) / whole);
 }
 
 static void
@@ -474,13 +467,11 @@
     }
 }
 
-gboolean
-cq_place_group(cq_core_t *core, cq_request_t *request)
+static gboolean
+try_group(cq_core_t *core, cq_request_t *request, guint size)
 {
     const cq_service_t *service = request->service;
-    guint size = cq_place_group_size(request);
     gint64 part = cq_place_need(request) / size + 1;
-    g_assert(size <= CQ_GROUP_MAX);
     request->group_len = 0;
     add_members(core, request, service->nearby, size, part);
     add_members(core, request, service->remote, size, part);
@@ -490,3 +481,22 @@
     }
     return TRUE;
 }
+
+/* More engines than needed each find their part of the memory sooner, and
+ * compute the prompt faster. */
+gboolean
+cq_place_group(cq_core_t *core, cq_request_t *request)
+{
+    const cq_rules_t *rules = request->service->rules;
+    guint least = cq_place_group_size(request);
+    gint64 part = rules->kv_tokens * GROUP_FILL_PERCENT / 100;
+    guint most = (guint)((cq_place_need(request) + part - 1) / part);
+    most = MIN(most, (guint)rules->group_max);
+    g_assert(most <= CQ_GROUP_MAX);
+    for (guint size = most; size >= least; size--) {
+        if (try_group(core, request, size)) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
--- a/packages/core/place.h
+++ b/packages/core/place.h
@@ -35,8 +35,8 @@
  * request->group; FALSE when too few have room */
 gboolean cq_place_group(cq_core_t *core, cq_request_t *request);
 
-/** cq_place_group_size() - Return: engines that @request needs, 1 when one
- * is enough */
+/** cq_place_group_size() - Return: least number of engines that can hold
+ * @request */
 guint cq_place_group_size(const cq_request_t *request);
 
 /** cq_place_unmark() - give up the engine held free for @request */
--- a/packages/core/repair.c
+++ b/packages/core/repair.c
@@ -2,6 +2,9 @@
 
 #include "core/table.h"
 
+/* A release is on its way for at most so long. */
+#define SETTLE_US (100 * CQ_MS_US)
+
 /* A request of this host that is not open owns nothing, whichever incarnation
  * made it; releasing twice does no harm. One of another host is judged by
  * whether that host still speaks or is listed. */
@@ -25,9 +28,22 @@
     return age_us > CQ_OWNER_GONE_US;
 }
 
+/* A report from before our own last release there tells old news. */
+static gboolean
+outdated(const cq_core_t *core, const cq_ev_load_t *report)
+{
+    const cq_upstream_t *upstream =
+        cq_table_upstream(core, report->upstream);
+    return upstream == NULL ||
+           report->at_us < upstream->released_us + SETTLE_US;
+}
+
 void
 cq_repair_holdings(cq_core_t *core, const cq_ev_load_t *report)
 {
+    if (outdated(core, report)) {
+        return;
+    }
     for (guint i = 0; i < report->holdings_len; i++) {
         const cq_holding_t *holding = &report->holdings[i];
         if (!stray(core, holding)) {
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -54,6 +54,7 @@
  * @load: combined work of this process and its peers
  * @own: this process's part of it
  * @reported_*: the last load report
+ * @released_us: when this process last released memory there
  * @beliefs: prefix hash to the time at which it was last sent
  * @touched: own share changed since the last summary
  */
@@ -80,6 +81,7 @@
     gint64 reported_streams;
     gint64 reported_prefill_tokens;
     gint64 reported_kv_tokens;
+    gint64 released_us;
     GHashTable *beliefs;
     gboolean touched;
 } cq_upstream_t;
@@ -153,6 +155,7 @@
  * struct cq_request_t - a request without a final answer
  * @link: in the core's list
  * @queue: in its flow
+ * @output_tokens: longest answer, guessed unless @output_known
  * @upstream: of the running attempt, or NULL
  * @sent: a byte of the running attempt may have left
  * @sends: attempts of which a byte may have left and that were not refused
@@ -166,13 +169,14 @@
     cq_service_t *service;
     cq_flow_t *flow;
     int team;
-    cq_class_t class;
+    cq_class_t klass;
     cq_phase_t phase;
     cq_key_t key;
     gboolean claimed;
     gboolean repeatable;
     gint64 prompt_tokens;
     gint64 output_tokens;
+    gboolean output_known;
     cq_prefix_t prefixes[CQ_PREFIX_LEVELS];
     guint prefixes_len;
     gint64 arrived_us;
--- a/packages/core/watch.c
+++ b/packages/core/watch.c
@@ -64,7 +64,8 @@
 least_us(const cq_request_t *request)
 {
     const cq_service_t *service = request->service;
-    if (service->rules->kind == CQ_SERVICE_PLAIN) {
+    gboolean plain = service->rules->kind == CQ_SERVICE_PLAIN;
+    if (plain || !request->output_known) {
         return 0;
     }
     gint64 left = request->output_tokens - request->forwarded;
--- /dev/null
+++ b/tests/unit/config_test.cc
@@ -0,0 +1,241 @@
+// Settings, service files, log records and the fold.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "config/fold.h"
+#include "config/service.h"
+#include "config/settings.h"
+
+namespace {
+
+const char kSettings[] = "[host]\nname = \"a\"\nzone = \"z\"\n"
+                         "[listen]\ncallers = \"127.0.0.1:1\"\n"
+                         "operators = \"127.0.0.1:2\"\n"
+                         "peers = \"127.0.0.1:3\"\n"
+                         "[platform]\nlog = \"127.0.0.1:4\"\n"
+                         "hosts = \"127.0.0.1:5\"\n";
+
+const char kService[] = "[service]\nname = \"s\"\nkind = \"plain\"\n"
+                        "auth = \"none\"\n[[team]]\nname = \"t\"\n";
+
+std::string
+settings_error(const std::string &text)
+{
+    cq_settings_t settings;
+    cq_error_t error = {};
+    bool good = cq_settings_parse(text.c_str(), "f.toml", &settings, &error);
+    return good ? "" : error.text;
+}
+
+std::string
+service_error(const std::string &text)
+{
+    cq_error_t error = {};
+    cq_rules_t *rules = cq_service_parse(text.c_str(), "f.toml", &error);
+    if (rules != nullptr) {
+        cq_rules_unref(rules);
+        return "";
+    }
+    return error.text;
+}
+
+std::string
+with(std::string text, const std::string &from, const std::string &to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+TEST(Settings, AcceptsARightFile)
+{
+    EXPECT_EQ("", settings_error(kSettings));
+}
+
+TEST(Settings, NamesFileLineKeyFoundAndRemedy)
+{
+    EXPECT_EQ("f.toml:2: host.nam: unknown key, found a; write one of: name "
+              "zone seed",
+              settings_error(with(kSettings, "name", "nam")));
+    EXPECT_EQ("f.toml:3: host.zone: found 7; write a string in double quotes",
+              settings_error(with(kSettings, "\"z\"", "7")));
+    EXPECT_EQ("f.toml:5: listen.callers: found localhost:1; write an IP "
+              "number and a port, as \"127.0.0.1:8080\"",
+              settings_error(with(kSettings, "127.0.0.1:1", "localhost:1")));
+    EXPECT_EQ("f.toml:9: platform.log: missing; add log = ... to [platform]",
+              settings_error(with(kSettings, "log = \"127.0.0.1:4\"\n", "")));
+    EXPECT_EQ("f.toml:1: listen: duplicate address 127.0.0.1:1; give each "
+              "listener its own port",
+              settings_error(with(kSettings, "127.0.0.1:3", "127.0.0.1:1")));
+    EXPECT_EQ("f.toml:12: drain.limit_ms: found 0; write an integer from 1 "
+              "to 3600000",
+              settings_error(std::string(kSettings) +
+                             "[drain]\nlimit_ms = 0\n"));
+    EXPECT_EQ("f.toml:12: peers.seeds: duplicate host 127.0.0.1:9; list each "
+              "peer once",
+              settings_error(std::string(kSettings) +
+                             "[peers]\nseeds = [\"127.0.0.1:9\", "
+                             "\"127.0.0.1:9\"]\n"));
+    EXPECT_EQ("f.toml:1: peers.key: missing; without it listen.peers must be "
+              "a 127.x address, found 10.0.0.1:3",
+              settings_error(with(kSettings, "127.0.0.1:3", "10.0.0.1:3")));
+    EXPECT_NE(std::string::npos,
+              settings_error("[host\n").find("f.toml:1: not TOML"));
+}
+
+TEST(Service, NamesFileLineKeyFoundAndRemedy)
+{
+    EXPECT_EQ("", service_error(kService));
+    EXPECT_EQ("f.toml:3: service.kind: found odd; write \"model\" or "
+              "\"plain\"",
+              service_error(with(kService, "\"plain\"", "\"odd\"")));
+    EXPECT_EQ("f.toml:1: [[team]]: missing; add at least one",
+              service_error(with(kService, "[[team]]\nname = \"t\"\n", "")));
+    EXPECT_EQ("f.toml:1: team.name: duplicate t; list each team once",
+              service_error(std::string(kService) +
+                            "[[team]]\nname = \"t\"\n"));
+    EXPECT_EQ("f.toml:1: team.token_sha256: missing for t; add it, or write "
+              "auth = \"none\"",
+              service_error(with(kService, "auth = \"none\"\n", "")));
+    EXPECT_EQ("f.toml:1: [[model]]: missing; add at least one",
+              service_error(with(kService, "plain", "model")));
+    EXPECT_EQ("f.toml:8: call.idempotent: missing; add idempotent = ... to "
+              "[call]",
+              service_error(std::string(kService) +
+                            "[[call]]\nmethod = \"GET\"\npath = \"/\"\n"));
+}
+
+TEST(Service, RepeatsOnlyWhatTheFileAllows)
+{
+    std::string text = std::string(kService) +
+                       "[[call]]\nmethod = \"GET\"\npath = \"/seats\"\n"
+                       "idempotent = true\n";
+    cq_error_t error = {};
+    cq_rules_t *rules = cq_service_parse(text.c_str(), "f", &error);
+    ASSERT_NE(nullptr, rules);
+    EXPECT_TRUE(cq_rules_repeatable(rules, "GET", "/seats/1"));
+    EXPECT_FALSE(cq_rules_repeatable(rules, "POST", "/seats/1"));
+    EXPECT_FALSE(cq_rules_repeatable(rules, "GET", "/holds"));
+    cq_rules_unref(rules);
+}
+
+cq_config_entry_t
+entry(guint64 base, const char *id, const char *body)
+{
+    cq_config_entry_t made = {};
+    g_strlcpy(made.service, "s", sizeof made.service);
+    g_strlcpy(made.id, id, sizeof made.id);
+    made.base = base;
+    made.version = base + 1;
+    made.body = const_cast<char *>(body);
+    cq_record_hash(body, made.hash);
+    return made;
+}
+
+TEST(Record, ComesBackAsItWent)
+{
+    cq_record_t record = {};
+    record.kind = CQ_RECORD_CONFIG;
+    record.config = entry(4, "x", kService);
+    char *text = cq_record_encode(&record);
+    cq_record_t back;
+    cq_error_t error = {};
+    ASSERT_TRUE(cq_record_decode(text, &back, &error)) << error.text;
+    EXPECT_EQ(5u, back.config.version);
+    EXPECT_STREQ(kService, back.config.body);
+    cq_record_clear(&back);
+    g_free(text);
+}
+
+TEST(Record, KeepsEveryBitOfAnIdentifier)
+{
+    cq_record_t record = {};
+    record.kind = CQ_RECORD_CLAIM;
+    record.claim.key = {G_MAXUINT64, 1};
+    record.claim.request = G_MAXUINT64 - 2;
+    record.claim.verdict = CQ_CLAIM_RAN;
+    record.claim.status = 201;
+    char *text = cq_record_encode(&record);
+    cq_record_t back;
+    cq_error_t error = {};
+    ASSERT_TRUE(cq_record_decode(text, &back, &error)) << error.text;
+    EXPECT_EQ(record.claim.key.hi, back.claim.key.hi);
+    EXPECT_EQ(record.claim.request, back.claim.request);
+    EXPECT_EQ(CQ_CLAIM_RAN, back.claim.verdict);
+    cq_record_clear(&back);
+    g_free(text);
+}
+
+TEST(Record, RefusesWhatIsNotOne)
+{
+    static const char *const bad[] = {
+        "", "7", "[]", "{}", "{\"type\":\"odd\"}", "{\"type\":7}",
+        "{\"type\":\"config\",\"service\":\"s\",\"base\":0,\"version\":1,"
+        "\"hash\":\"00\",\"id\":\"i\",\"body\":\"b\"}",
+        "{\"type\":\"claim\",\"key_hi\":\"zz\"}",
+        "{\"type\":\"checkpoint\",\"services\":[7]}",
+    };
+    for (const char *text : bad) {
+        cq_record_t record;
+        cq_error_t error = {};
+        EXPECT_FALSE(cq_record_decode(text, &record, &error)) << text;
+        EXPECT_NE('\0', error.text[0]) << text;
+    }
+}
+
+TEST(Fold, CountsAPublicationOnlyOnItsBase)
+{
+    cq_fold_t *fold = cq_fold_new(nullptr, nullptr);
+    std::string second = std::string(kService) + "# second\n";
+    cq_config_entry_t first = entry(0, "a", kService);
+    cq_config_entry_t racer = entry(0, "b", second.c_str());
+    EXPECT_EQ(CQ_FOLD_APPLIED, cq_fold_config(fold, &first));
+    EXPECT_EQ(CQ_FOLD_LOST, cq_fold_config(fold, &racer));
+    EXPECT_EQ(CQ_FOLD_REPEATED, cq_fold_config(fold, &first));
+    EXPECT_EQ(1u, cq_fold_get(fold, "s")->version);
+    cq_config_entry_t invalid = entry(1, "c", "[service]\n");
+    EXPECT_EQ(CQ_FOLD_INVALID, cq_fold_config(fold, &invalid));
+    EXPECT_EQ(1u, cq_fold_get(fold, "s")->version);
+    cq_fold_free(fold);
+}
+
+TEST(Fold, NeverGoesBackAndSettlesEqualVersionsAlike)
+{
+    std::string other = std::string(kService) + "# other\n";
+    cq_config_entry_t a = entry(3, "a", kService);
+    cq_config_entry_t b = entry(3, "b", other.c_str());
+    cq_config_entry_t old = entry(1, "c", kService);
+    cq_fold_t *one = cq_fold_new(nullptr, nullptr);
+    cq_fold_t *two = cq_fold_new(nullptr, nullptr);
+    cq_fold_merge(one, &a);
+    cq_fold_merge(one, &b);
+    cq_fold_merge(two, &b);
+    cq_fold_merge(two, &a);
+    EXPECT_STREQ(cq_fold_get(one, "s")->hash, cq_fold_get(two, "s")->hash);
+    EXPECT_FALSE(cq_fold_merge(one, &old));
+    EXPECT_EQ(4u, cq_fold_get(one, "s")->version);
+    cq_fold_free(one);
+    cq_fold_free(two);
+}
+
+TEST(Fold, AHostThatStartsLateTakesTheCheckpoint)
+{
+    cq_fold_t *fold = cq_fold_new(nullptr, nullptr);
+    cq_config_entry_t first = entry(0, "a", kService);
+    cq_fold_config(fold, &first);
+    cq_record_t checkpoint = cq_fold_checkpoint(fold);
+    char *text = cq_record_encode(&checkpoint);
+    cq_record_t read;
+    cq_error_t error = {};
+    ASSERT_TRUE(cq_record_decode(text, &read, &error)) << error.text;
+    cq_fold_t *late = cq_fold_new(nullptr, nullptr);
+    EXPECT_TRUE(cq_fold_merge(
+        late, &g_array_index(read.checkpoint, cq_config_entry_t, 0)));
+    EXPECT_EQ(1u, cq_fold_get(late, "s")->version);
+    cq_record_clear(&read);
+    cq_record_clear(&checkpoint);
+    g_free(text);
+    cq_fold_free(late);
+    cq_fold_free(fold);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit/wire_test.cc
@@ -0,0 +1,109 @@
+// Frames and their codec.
+#include <gtest/gtest.h>
+
+#include "wire/codec.h"
+#include "wire/frame.h"
+
+namespace {
+
+TEST(Frame, ComesWholeFromAnyPieces)
+{
+    GBytes *wrapped = cq_frame_wrap("hello", 5);
+    gsize len;
+    const char *data =
+        static_cast<const char *>(g_bytes_get_data(wrapped, &len));
+    cq_frame_reader_t reader;
+    cq_frame_init(&reader);
+    GBytes *payload = nullptr;
+    for (gsize i = 0; i < len; i++) {
+        EXPECT_EQ(CQ_FRAME_NONE, cq_frame_next(&reader, &payload));
+        cq_frame_push(&reader, data + i, 1);
+    }
+    ASSERT_EQ(CQ_FRAME_READY, cq_frame_next(&reader, &payload));
+    EXPECT_EQ(5u, g_bytes_get_size(payload));
+    EXPECT_FALSE(cq_frame_partial(&reader));
+    g_bytes_unref(payload);
+    g_bytes_unref(wrapped);
+    cq_frame_clear(&reader);
+}
+
+TEST(Frame, RefusesALengthAboveTheLimit)
+{
+    cq_frame_reader_t reader;
+    cq_frame_init(&reader);
+    const guint8 head[] = {0x7f, 0xff, 0xff, 0xff};
+    cq_frame_push(&reader, head, sizeof head);
+    GBytes *payload = nullptr;
+    EXPECT_EQ(CQ_FRAME_TOO_LONG, cq_frame_next(&reader, &payload));
+    cq_frame_clear(&reader);
+}
+
+Cq__Frame *
+unpack(GBytes *wrapped)
+{
+    gsize len;
+    const guint8 *data =
+        static_cast<const guint8 *>(g_bytes_get_data(wrapped, &len));
+    return cq__frame__unpack(nullptr, len - 4, data + 4);
+}
+
+TEST(Codec, SummaryComesBackAsItWent)
+{
+    cq_summary_t summary = {};
+    summary.host = 7;
+    summary.incarnation = 9;
+    summary.shares_len = 1;
+    summary.shares[0] = {G_MAXUINT64, {1, 2, 3, 4}, 5, 6};
+    summary.leaving_len = 1;
+    summary.leaving[0] = {8, 2};
+    GBytes *wrapped = cq_codec_summary(&summary, {10, 11});
+    Cq__Frame *frame = unpack(wrapped);
+    ASSERT_NE(nullptr, frame);
+    cq_summary_t back;
+    ASSERT_TRUE(cq_codec_read_summary(frame->summary, &back));
+    EXPECT_EQ(7u, back.host);
+    EXPECT_EQ(G_MAXUINT64, back.shares[0].upstream);
+    EXPECT_EQ(4, back.shares[0].placed_us[3]);
+    EXPECT_EQ(2u, back.leaving[0].incarnation);
+    cq__frame__free_unpacked(frame, nullptr);
+    g_bytes_unref(wrapped);
+}
+
+TEST(Codec, RefusesAnEntryWhoseHashIsWrong)
+{
+    cq_config_entry_t entry = {};
+    g_strlcpy(entry.service, "s", sizeof entry.service);
+    char body[] = "body";
+    entry.body = body;
+    g_strlcpy(entry.hash, "00", sizeof entry.hash);
+    GBytes *wrapped = cq_codec_entry(&entry);
+    Cq__Frame *frame = unpack(wrapped);
+    cq_config_entry_t back;
+    EXPECT_FALSE(cq_codec_read_entry(frame->entry, &back));
+    cq__frame__free_unpacked(frame, nullptr);
+    g_bytes_unref(wrapped);
+}
+
+// Any bytes give a frame or nothing, never a crash.
+TEST(Codec, LivesThroughRandomBytes)
+{
+    GRand *rand = g_rand_new_with_seed(5);
+    for (int i = 0; i < 20000; i++) {
+        guint8 bytes[64];
+        gsize len = g_rand_int_range(rand, 0, sizeof bytes);
+        for (gsize k = 0; k < len; k++) {
+            bytes[k] = g_rand_int_range(rand, 0, 256);
+        }
+        Cq__Frame *frame = cq__frame__unpack(nullptr, len, bytes);
+        if (frame != nullptr) {
+            if (frame->kind_case == CQ__FRAME__KIND_SUMMARY) {
+                cq_summary_t summary;
+                cq_codec_read_summary(frame->summary, &summary);
+            }
+            cq__frame__free_unpacked(frame, nullptr);
+        }
+    }
+    g_rand_free(rand);
+}
+
+} // namespace
