--- a/packages/core/flow.c
+++ b/packages/core/flow.c
@@ -2,7 +2,9 @@
 
 #define DRAIN_WEIGHT 0.3
 #define DRAIN_MIN 0.02
-#define SPARE_SHARE_MIN 0.1
+#define COME_BACK_SHARE 0.6
+#define COME_BACK_SPREAD_US (3 * CQ_SECOND_US)
+#define COME_BACK_WAIT_MAX_US (20 * CQ_SECOND_US)
 #define DEMAND_KEEP 0.98
 
 static cq_flow_t *
@@ -142,18 +144,21 @@
     return (gint64)(ahead / drain * (double)CQ_SECOND_US);
 }
 
+/* Refused work is booked one after another into a part of the capacity, so
+ * that it comes back no faster than it can be served beside what arrives. */
 gint64
 cq_flow_come_back_us(cq_core_t *core, cq_service_t *service, cq_class_t klass,
                      double cost)
 {
-    cq_lane_t *lane = &service->lanes[klass];
-    double ahead;
-    double drain = lane_drain(core, service, klass, &ahead);
-    lane->refused += cost;
-    double first = ahead / drain;
-    double last = (ahead + 2 * lane->refused) / drain;
-    double at = g_rand_double_range(core->rand, first, last + 0.001);
-    gint64 at_us = (gint64)(at * (double)CQ_SECOND_US);
+    gint64 wait_us = cq_flow_wait_us(core, service, klass);
+    gint64 first_us = core->now_us + MIN(wait_us, COME_BACK_WAIT_MAX_US);
+    gint64 slot_us = MAX(service->come_back_us, first_us);
+    double rate = capacity(core, service) * COME_BACK_SHARE;
+    gint64 length_us = (gint64)(cost / rate * (double)CQ_SECOND_US);
+    service->come_back_us = slot_us + length_us;
+    gint64 spread_us =
+        g_rand_int_range(core->rand, 0, (gint32)COME_BACK_SPREAD_US);
+    gint64 at_us = slot_us + spread_us - core->now_us;
     return CLAMP(at_us, CQ_RETRY_AFTER_MIN_US, CQ_RETRY_AFTER_MAX_US);
 }
 
@@ -171,8 +176,6 @@
     else {
         lane->drain = 0;
     }
-    double spare = MAX(lane->drain, lane->taken / seconds) * seconds / 2;
-    lane->refused = MAX(lane->refused - MAX(spare, SPARE_SHARE_MIN), 0);
     lane->taken = 0;
     lane->waited = lane->count > 0;
 }
--- a/packages/core/group.c
+++ b/packages/core/group.c
@@ -43,7 +43,7 @@
                   G_GINT64_FORMAT, request->group_len, part_of(request));
     for (guint i = 0; i < request->group_len; i++) {
         request->group_granted[i] = FALSE;
-        cq_load_hold(request->group[i], part_of(request));
+        cq_load_hold(core, request->group[i], part_of(request));
         memory_action(core, request, CQ_AC_RESERVE, request->group[i]);
         core->reserved++;
     }
@@ -53,7 +53,7 @@
 cq_group_release(cq_core_t *core, cq_request_t *request)
 {
     for (guint i = 0; i < request->group_len; i++) {
-        cq_load_hold(request->group[i], -part_of(request));
+        cq_load_hold(core, request->group[i], -part_of(request));
         memory_action(core, request, CQ_AC_RELEASE, request->group[i]);
         request->group[i]->released_us = core->now_us;
         cq_counters_add(&core->counters, CQ_N_RELEASES, 1);
--- a/packages/core/intake.c
+++ b/packages/core/intake.c
@@ -34,20 +34,8 @@
     if (service->rules->kind == CQ_SERVICE_PLAIN) {
         return 0;
     }
-    gint64 size = cq_place_group_size(request);
-    gint64 prefill = cq_load_prefill_us(service, request->prompt_tokens);
-    return prefill / size + request->output_tokens * CQ_DECODE_STEP_US;
-}
-
-/* A guess of the answer's length alone is no reason to refuse. */
-static gint64
-least_us(const cq_request_t *request)
-{
-    gint64 us = alone_us(request);
-    if (!request->output_known) {
-        us -= request->output_tokens * CQ_DECODE_STEP_US;
-    }
-    return MAX(us, 0);
+    gint64 decode_us = request->output_tokens * CQ_DECODE_STEP_US;
+    return cq_load_prompt_us(request) + decode_us;
 }
 
 static double
@@ -129,7 +117,8 @@
         wait_us = cq_flow_wait_us(core, service, request->klass);
     }
     gint64 left_us = request->deadline_us - core->now_us;
-    gint64 run_us = wait_us > 0 ? alone_us(request) : least_us(request);
+    gint64 run_us = wait_us > 0 ? cq_load_run_us(request)
+                                : cq_load_least_us(request);
     gint64 needed_us = wait_us + run_us;
     return needed_us <= left_us * FEASIBLE_PERCENT / 100;
 }
--- a/packages/core/load.c
+++ b/packages/core/load.c
@@ -1,11 +1,13 @@
 #include "core/load.h"
 
+#include "core/place.h"
 #include "core/table.h"
 
 /* A decode step costs STEP_BASE of the target time plus a part that grows
  * with the batch, so that it meets the target time at the target batch. */
 #define STEP_BASE_PERCENT 60
 #define STEP_BATCH_PERCENT 40
+#define LEARN_WEIGHT 0.05
 
 gint64
 cq_load_step_us(gint64 streams)
@@ -23,6 +25,64 @@
     return MAX(tokens, 0) * CQ_SECOND_US / rate;
 }
 
+void
+cq_load_learn_output(cq_service_t *service, gint64 tokens)
+{
+    double error = (double)tokens - service->output_mean;
+    service->output_mean += LEARN_WEIGHT * error;
+    double off = ABS(error) - service->output_deviation;
+    service->output_deviation += LEARN_WEIGHT * off;
+}
+
+gint64
+cq_load_output(const cq_request_t *request)
+{
+    const cq_service_t *service = request->service;
+    double tokens = service->output_mean + 2 * service->output_deviation;
+    if (request->output_known) {
+        return MIN((gint64)tokens, request->output_tokens);
+    }
+    return (gint64)tokens;
+}
+
+gint64
+cq_load_prompt_us(const cq_request_t *request)
+{
+    gint64 size = cq_place_group_size(request);
+    return cq_load_prefill_us(request->service, request->prompt_tokens) /
+           size;
+}
+
+static gboolean
+is_plain(const cq_request_t *request)
+{
+    return request->service->rules->kind == CQ_SERVICE_PLAIN;
+}
+
+gint64
+cq_load_run_us(const cq_request_t *request)
+{
+    if (is_plain(request)) {
+        return 0;
+    }
+    gint64 step_us = cq_load_step_us(request->service->rules->streams_max);
+    gint64 tokens = MAX(cq_load_output(request) - request->forwarded, 0);
+    return cq_load_prompt_us(request) + tokens * step_us;
+}
+
+gint64
+cq_load_least_us(const cq_request_t *request)
+{
+    if (is_plain(request)) {
+        return 0;
+    }
+    gint64 tokens = 0;
+    if (request->output_known) {
+        tokens = MAX(cq_load_output(request) - request->forwarded, 0);
+    }
+    return cq_load_prompt_us(request) + tokens * cq_load_step_us(1);
+}
+
 /* Without fresh peers the ledger misses their work; the report has it. */
 static gboolean
 blind(const cq_core_t *core, const cq_upstream_t *upstream)
@@ -69,10 +129,11 @@
 }
 
 void
-cq_load_hold(cq_upstream_t *upstream, gint64 kv)
+cq_load_hold(cq_core_t *core, cq_upstream_t *upstream, gint64 kv)
 {
     upstream->own_kv_tokens += kv;
     upstream->touched = TRUE;
+    core->touched = TRUE;
     g_assert(upstream->own_kv_tokens >= 0);
 }
 
@@ -89,7 +150,7 @@
     request->charged_kv = kv;
     request->placed_mark = upstream->load.placed_us[request->klass];
     upstream->own_streams++;
-    cq_load_hold(upstream, kv);
+    cq_load_hold(core, upstream, kv);
 }
 
 void
@@ -118,7 +179,7 @@
     }
     upstream->own_streams--;
     g_assert(upstream->own_streams >= 0);
-    cq_load_hold(upstream, -request->charged_kv);
+    cq_load_hold(core, upstream, -request->charged_kv);
     request->charged_kv = 0;
     request->charged_us = 0;
     request->upstream = NULL;
--- a/packages/core/load.h
+++ b/packages/core/load.h
@@ -18,6 +18,26 @@
 /** cq_load_prefill_us() - Return: time to compute @tokens on one engine */
 gint64 cq_load_prefill_us(const cq_service_t *service, gint64 tokens);
 
+/** cq_load_learn_output() - an answer of @service had @tokens tokens */
+void cq_load_learn_output(cq_service_t *service, gint64 tokens);
+
+/** cq_load_output() - Return: tokens that the answer of @request hardly
+ * exceeds: running mean and twice the mean deviation, as TCP estimates its
+ * timeout (Jacobson, 1988) */
+gint64 cq_load_output(const cq_request_t *request);
+
+/** cq_load_prompt_us() - Return: time to compute the prompt of @request on
+ * the engines that hold it */
+gint64 cq_load_prompt_us(const cq_request_t *request);
+
+/** cq_load_run_us() - Return: time that @request hardly exceeds on busy
+ * engines */
+gint64 cq_load_run_us(const cq_request_t *request);
+
+/** cq_load_least_us() - Return: time that @request takes at the very least;
+ * an answer's length that the caller does not tell counts nothing */
+gint64 cq_load_least_us(const cq_request_t *request);
+
 /** cq_load_wait_us() - Return: prefill work ahead of a new request of @klass
  */
 gint64 cq_load_wait_us(const cq_upstream_t *upstream, cq_class_t klass,
@@ -30,7 +50,7 @@
 gint64 cq_load_kv(const cq_core_t *core, const cq_upstream_t *upstream);
 
 /** cq_load_hold() - add @kv tokens of memory to this process's share */
-void cq_load_hold(cq_upstream_t *upstream, gint64 kv);
+void cq_load_hold(cq_core_t *core, cq_upstream_t *upstream, gint64 kv);
 
 /** cq_load_charge() - enter the running attempt of @request */
 void cq_load_charge(cq_core_t *core, cq_request_t *request, gint64 prefill_us,
--- a/packages/core/peer.c
+++ b/packages/core/peer.c
@@ -19,6 +19,7 @@
 static void
 touch_all(cq_core_t *core)
 {
+    core->touched = TRUE;
     for (guint i = 0; i < core->services->len; i++) {
         cq_service_t *service = g_ptr_array_index(core->services, i);
         touch(service->nearby);
@@ -93,13 +94,17 @@
 }
 
 static void
-add_shares(cq_summary_t *summary, GPtrArray *upstreams)
+add_shares(cq_core_t *core, cq_summary_t *summary, GPtrArray *upstreams)
 {
     for (guint i = 0; i < upstreams->len; i++) {
         cq_upstream_t *upstream = g_ptr_array_index(upstreams, i);
-        if (!upstream->touched || summary->shares_len == CQ_SUBSET_MAX) {
+        if (!upstream->touched) {
             continue;
         }
+        if (summary->shares_len == CQ_SUBSET_MAX) {
+            core->touched = TRUE;
+            return;
+        }
         upstream->touched = FALSE;
         cq_share_t *share = &summary->shares[summary->shares_len++];
         share->upstream = upstream->id;
@@ -134,12 +139,26 @@
 }
 
 static gint64
-pause_us(const cq_core_t *core, const cq_summary_t *summary)
+bytes_of(const cq_core_t *core, const cq_summary_t *summary)
 {
     guint entries = summary->shares_len + summary->leaving_len;
     gint64 bytes = CQ_SUMMARY_HEAD_BYTES + entries * CQ_SUMMARY_ENTRY_BYTES;
-    gint64 peers = MAX(g_hash_table_size(core->peer_by_host), 1);
-    gint64 us = bytes * peers * CQ_SECOND_US / CQ_SUMMARY_BYTES_PER_S;
+    return bytes * MAX(g_hash_table_size(core->peer_by_host), 1);
+}
+
+/* The budget gathers while little changes, so that a burst of requests is
+ * told at once; what was overspent is waited for. */
+static gint64
+pause_us(cq_core_t *core, const cq_summary_t *summary)
+{
+    gint64 passed_us = core->now_us - core->summary_sent_us;
+    gint64 earned = passed_us * CQ_SUMMARY_BYTES_PER_S / CQ_SECOND_US;
+    core->summary_credit =
+        MIN(core->summary_credit + earned, CQ_SUMMARY_BURST_BYTES);
+    core->summary_credit -= bytes_of(core, summary);
+    core->summary_sent_us = core->now_us;
+    gint64 owed = MAX(-core->summary_credit, 0);
+    gint64 us = owed * CQ_SECOND_US / CQ_SUMMARY_BYTES_PER_S;
     return CLAMP(us, CQ_SUMMARY_PERIOD_US, CQ_HEARTBEAT_US);
 }
 
@@ -150,10 +169,11 @@
     summary->host = core->host;
     summary->incarnation = core->incarnation;
     summary->draining = core->draining;
+    core->touched = FALSE;
     for (guint i = 0; i < core->services->len; i++) {
         cq_service_t *service = g_ptr_array_index(core->services, i);
-        add_shares(summary, service->nearby);
-        add_shares(summary, service->remote);
+        add_shares(core, summary, service->nearby);
+        add_shares(core, summary, service->remote);
         add_leaving(core, summary, service);
     }
     core->summary_us = core->now_us + pause_us(core, summary);
@@ -165,7 +185,9 @@
 cq_peer_tick(cq_core_t *core)
 {
     forget_silent(core);
-    if (core->now_us >= core->summary_us) {
+    gboolean due = core->now_us >= core->summary_us;
+    gboolean quiet = core->now_us - core->summary_sent_us < CQ_HEARTBEAT_US;
+    if (due && (core->touched || !quiet)) {
         send_summary(core);
     }
 }
--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -404,7 +404,7 @@
     }
     request->earmark = best;
     request->earmark_until_us = core->now_us + EARMARK_US;
-    cq_load_hold(best, need);
+    cq_load_hold(core, best, need);
     cq_table_note(core, request, "earmark", "upstream=%s", best->name);
 }
 
@@ -414,7 +414,7 @@
     if (request->earmark == NULL) {
         return;
     }
-    cq_load_hold(request->earmark, -cq_place_need(request));
+    cq_load_hold(core, request->earmark, -cq_place_need(request));
     request->earmark = NULL;
     core->placeable = TRUE;
 }
--- a/packages/core/send.c
+++ b/packages/core/send.c
@@ -218,6 +218,9 @@
 on_done(cq_core_t *core, cq_request_t *request, int status)
 {
     on_sent(core, request);
+    if (request->forwarded > 0) {
+        cq_load_learn_output(request->service, request->forwarded);
+    }
     cq_load_release(core, request);
     cq_answer_done(core, request, status);
 }
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -108,7 +108,6 @@
  * @drain: cost taken per second while work waits
  * @taken: cost taken in the current window
  * @waited: whether work waited throughout the current window
- * @refused: cost refused and told to come back, not yet due
  * @count: requests waiting
  */
 typedef struct {
@@ -118,7 +117,6 @@
     double drain;
     double taken;
     gboolean waited;
-    double refused;
     guint count;
 } cq_lane_t;
 
@@ -132,8 +130,11 @@
  * @lanes: waiting work by class
  * @flows: array of cq_flow_t*, CQ_CLASSES a team
  * @retry_tokens: retries that the budget still allows
- * @demand: recent cost placed, by class
- * @step_us: time of a decode step at the target batch
+ * @demand: recent demand for memory over time, by class
+ * @output_mean: running mean of the tokens of an answer
+ * @output_deviation: running mean deviation from it
+ * @come_back_us: up to then refused work is told to come back
+ * @stale: the candidate arrays need rebuilding
  * @turn: round robin position
  */
 typedef struct cq_service {
@@ -147,6 +148,9 @@
     GPtrArray *flows;
     double retry_tokens;
     double demand[CQ_CLASSES];
+    gint64 come_back_us;
+    double output_mean;
+    double output_deviation;
     gboolean stale;
     guint turn;
 } cq_service_t;
@@ -253,6 +257,9 @@
     gboolean stopped;
     gint64 window_us;
     gint64 summary_us;
+    gint64 summary_sent_us;
+    gint64 summary_credit;
+    gboolean touched;
     gint64 sweep_us;
     gint64 hosts_us;
     gint64 started_us;
--- a/packages/core/watch.c
+++ b/packages/core/watch.c
@@ -7,6 +7,7 @@
 #include "core/table.h"
 
 #define UNANSWERED_MAX 2
+#define WAITED_US CQ_SECOND_US
 
 static void
 stop_and_fail(cq_core_t *core, cq_request_t *request, cq_failure_t failure)
@@ -59,26 +60,18 @@
     }
 }
 
-/* The least time that a queued request still needs to finish. */
-static gint64
-least_us(const cq_request_t *request)
-{
-    const cq_service_t *service = request->service;
-    gboolean plain = service->rules->kind == CQ_SERVICE_PLAIN;
-    if (plain || !request->output_known) {
-        return 0;
-    }
-    gint64 left = request->output_tokens - request->forwarded;
-    return MAX(left, 0) * cq_load_step_us(1);
-}
-
+/* A request that waited and can't finish any more is given up at once. One
+ * that the caller has begun to read is tried to the end. */
 static void
 watch_queued(cq_core_t *core, cq_request_t *request)
 {
-    if (core->policy != CQ_POLICY_COST) {
+    if (core->policy != CQ_POLICY_COST || request->forwarded > 0) {
         return;
     }
-    if (core->now_us + least_us(request) > request->deadline_us) {
+    gboolean waited = core->now_us - request->arrived_us > WAITED_US;
+    gint64 needed_us =
+        waited ? cq_load_run_us(request) : cq_load_least_us(request);
+    if (core->now_us + needed_us > request->deadline_us) {
         cq_answer_give(core, request, CQ_OUT_OVERLOADED);
     }
 }
