--- a/packages/core/answer.c
+++ b/packages/core/answer.c
@@ -6,6 +6,7 @@
 #include "core/place.h"
 #include "core/send.h"
 #include "core/table.h"
+#include "core/usage.h"
 
 #define SPREAD_US (4 * CQ_SECOND_US)
 
@@ -29,8 +30,7 @@
 {
     switch (outcome) {
     case CQ_OUT_OVERLOADED:
-        return cq_flow_come_back_us(core, request->service, request->klass,
-                                    request->cost);
+        return cq_flow_come_back_us(core, request);
     case CQ_OUT_NO_UPSTREAM:
     case CQ_OUT_NO_LOG:
         return spread_us(core, CQ_SECOND_US);
@@ -83,6 +83,9 @@
                   answer->status, answer->retry_after_us / CQ_MS_US);
     cq_action_t action = {.kind = CQ_AC_ANSWER, .answer = *answer};
     cq_actions_add(core->actions, &action);
+    if (request->service != NULL) {
+        cq_usage_close(request);
+    }
     cq_table_drop_request(core, request);
     core->placeable = TRUE;
 }
--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -12,6 +12,7 @@
 #include "core/repair.h"
 #include "core/send.h"
 #include "core/table.h"
+#include "core/usage.h"
 #include "core/watch.h"
 
 /* Requests of a class passed over because they do not fit anywhere. */
@@ -67,9 +68,10 @@
             return;
         }
         double tag = request->finish_tag;
+        gboolean exceeds = cq_usage_exceeds(request);
         if (!place_one(core, request)) {
             after = tag;
-            misses++;
+            misses += !exceeds;
         }
     }
 }
--- a/packages/core/flow.c
+++ b/packages/core/flow.c
@@ -58,6 +58,7 @@
     request->phase = CQ_PHASE_QUEUED;
     request->phase_us = core->now_us;
     lane->backlog += request->cost;
+    flow->backlog += request->cost;
     lane->count++;
     core->placeable = TRUE;
 }
@@ -70,8 +71,10 @@
     }
     cq_lane_t *lane = lane_of(request);
     cq_list_remove(&request->queue);
+    request->flow->backlog -= request->cost;
     if (cq_list_empty(&request->flow->requests)) {
         cq_list_remove(&request->flow->active);
+        request->flow->backlog = 0;
     }
     lane->count--;
     lane->backlog -= request->cost;
@@ -135,26 +138,43 @@
     return capacity(core, service);
 }
 
+/* Cost ahead of a new request when its team gets its share of the lane. */
+static double
+share_ahead(const cq_lane_t *lane, const cq_flow_t *own)
+{
+    double weights = (double)own->weight;
+    const cq_list_t *link = lane->active.next;
+    for (; link != &lane->active; link = link->next) {
+        const cq_flow_t *flow = CQ_ENTRY(link, cq_flow_t, active);
+        if (flow != own) {
+            weights += (double)flow->weight;
+        }
+    }
+    return own->backlog * weights / (double)own->weight;
+}
+
 gint64
-cq_flow_wait_us(const cq_core_t *core, const cq_service_t *service,
-                cq_class_t klass)
+cq_flow_wait_us(const cq_core_t *core, const cq_request_t *request)
 {
+    cq_service_t *service = request->service;
     double ahead;
-    double drain = lane_drain(core, service, klass, &ahead);
+    double drain = lane_drain(core, service, request->klass, &ahead);
+    const cq_flow_t *own = flow_of(service, request);
+    ahead = MIN(ahead, share_ahead(lane_of(request), own));
     return (gint64)(ahead / drain * (double)CQ_SECOND_US);
 }
 
 /* Refused work is booked one after another into a part of the capacity, so
  * that it comes back no faster than it can be served beside what arrives. */
 gint64
-cq_flow_come_back_us(cq_core_t *core, cq_service_t *service, cq_class_t klass,
-                     double cost)
+cq_flow_come_back_us(cq_core_t *core, const cq_request_t *request)
 {
-    gint64 wait_us = cq_flow_wait_us(core, service, klass);
+    cq_service_t *service = request->service;
+    gint64 wait_us = cq_flow_wait_us(core, request);
     gint64 first_us = core->now_us + MIN(wait_us, COME_BACK_WAIT_MAX_US);
     gint64 slot_us = MAX(service->come_back_us, first_us);
     double rate = capacity(core, service) * COME_BACK_SHARE;
-    gint64 length_us = (gint64)(cost / rate * (double)CQ_SECOND_US);
+    gint64 length_us = (gint64)(request->cost / rate * (double)CQ_SECOND_US);
     service->come_back_us = slot_us + length_us;
     gint64 spread_us =
         g_rand_int_range(core->rand, 0, (gint32)COME_BACK_SPREAD_US);
--- a/packages/core/flow.h
+++ b/packages/core/flow.h
@@ -32,15 +32,14 @@
  */
 cq_request_t *cq_flow_next(const cq_lane_t *lane, double after, gint64 now_us);
 
-/** cq_flow_wait_us() - Return: expected time in queue of a new request of
- * @klass */
-gint64 cq_flow_wait_us(const cq_core_t *core, const cq_service_t *service,
-                       cq_class_t klass);
-
-/** cq_flow_come_back_us() - Return: when a refused request of @cost should
- * come back, spread over the measured drain */
-gint64 cq_flow_come_back_us(cq_core_t *core, cq_service_t *service,
-                            cq_class_t klass, double cost);
+/** cq_flow_wait_us() - Return: expected time in queue of the new @request:
+ * behind all that waits in its class, or behind its own team at the team's
+ * share, whichever is less */
+gint64 cq_flow_wait_us(const cq_core_t *core, const cq_request_t *request);
+
+/** cq_flow_come_back_us() - Return: when the refused @request should come
+ * back */
+gint64 cq_flow_come_back_us(cq_core_t *core, const cq_request_t *request);
 
 /** cq_flow_window() - close a window of @seconds and update the drain */
 void cq_flow_window(cq_core_t *core, cq_service_t *service, double seconds);
--- a/packages/core/intake.c
+++ b/packages/core/intake.c
@@ -8,6 +8,7 @@
 #include "core/load.h"
 #include "core/place.h"
 #include "core/table.h"
+#include "core/usage.h"
 
 #define PLAIN_COST 0.05
 #define FEASIBLE_PERCENT 80
@@ -76,6 +77,7 @@
         request->output_tokens = CQ_OUTPUT_TOKENS_GUESS;
     }
     request->klass = class_of(request->prompt_tokens);
+    request->rank = request->klass;
     request->prefixes_len = event->prefixes_len;
     memcpy(request->prefixes, event->prefixes, sizeof request->prefixes);
     return request;
@@ -101,10 +103,12 @@
     }
     if (!model) {
         request->klass = CQ_CLASS_SHORT;
+        request->rank = CQ_CLASS_SHORT;
     }
     request->service = service;
     request->deadline_us = core->now_us + timeout_us(rules, event);
     request->cost = cost_of(request);
+    cq_usage_open(request);
     return TRUE;
 }
 
@@ -114,7 +118,7 @@
     const cq_service_t *service = request->service;
     gint64 wait_us = 0;
     if (service->lanes[request->klass].count > 0) {
-        wait_us = cq_flow_wait_us(core, service, request->klass);
+        wait_us = cq_flow_wait_us(core, request);
     }
     gint64 left_us = request->deadline_us - core->now_us;
     gint64 run_us = wait_us > 0 ? cq_load_run_us(request)
--- a/packages/core/load.c
+++ b/packages/core/load.c
@@ -2,6 +2,7 @@
 
 #include "core/place.h"
 #include "core/table.h"
+#include "core/usage.h"
 
 /* A decode step costs STEP_BASE of the target time plus a part that grows
  * with the batch, so that it meets the target time at the target batch. */
@@ -142,14 +143,15 @@
                gint64 kv)
 {
     cq_upstream_t *upstream = request->upstream;
-    for (int klass = (int)request->klass; klass < CQ_CLASSES; klass++) {
+    for (int klass = (int)request->rank; klass < CQ_CLASSES; klass++) {
         add_prefill(&upstream->load, klass, prefill_us, core->now_us);
         upstream->own_placed_us[klass] += prefill_us;
     }
     request->charged_us = prefill_us;
     request->charged_kv = kv;
-    request->placed_mark = upstream->load.placed_us[request->klass];
+    request->placed_mark = upstream->load.placed_us[request->rank];
     upstream->own_streams++;
+    cq_usage_start(request);
     cq_load_hold(core, upstream, kv);
 }
 
@@ -157,7 +159,7 @@
 cq_load_first_token(cq_core_t *core, cq_request_t *request)
 {
     cq_load_t *load = &request->upstream->load;
-    cq_class_t klass = request->klass;
+    cq_class_t klass = request->rank;
     gint64 after_us = load->placed_us[klass] - request->placed_mark;
     gint64 busy_us = core->now_us + after_us;
     load->busy_us[klass] = MIN(load->busy_us[klass], busy_us);
@@ -171,13 +173,14 @@
         return;
     }
     if (request->forwarded == 0 && request->charged_us > 0) {
-        for (int klass = (int)request->klass; klass < CQ_CLASSES; klass++) {
+        for (int klass = (int)request->rank; klass < CQ_CLASSES; klass++) {
             gint64 busy_us = upstream->load.busy_us[klass];
             gint64 less_us = busy_us - request->charged_us;
             upstream->load.busy_us[klass] = MAX(less_us, core->now_us);
         }
     }
     upstream->own_streams--;
+    cq_usage_stop(request);
     g_assert(upstream->own_streams >= 0);
     cq_load_hold(core, upstream, -request->charged_kv);
     request->charged_kv = 0;
--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -2,6 +2,7 @@
 
 #include "core/load.h"
 #include "core/table.h"
+#include "core/usage.h"
 
 #define REMOTE_US (20 * CQ_MS_US)
 #define SHARED_US (250 * CQ_MS_US)
@@ -12,6 +13,8 @@
 #define SHARE_MAX 0.6
 #define GROUP_FILL_PERCENT 50
 #define HEADROOM_PERCENT 4
+#define EXCESS_HEADROOM_PERCENT 30
+#define EXCESS_STREAMS 2
 #define EARMARK_AFTER_US (2 * CQ_SECOND_US)
 #define EARMARK_US (8 * CQ_SECOND_US)
 
@@ -176,8 +179,14 @@
     if (request->earmark == upstream) {
         used -= need;
     }
-    gboolean longer = request->klass >= CQ_CLASS_LONG;
-    return need <= (longer ? usable_kv(rules) : rules->kv_tokens) - used;
+    gint64 kept_percent = 0;
+    if (request->klass >= CQ_CLASS_LONG) {
+        kept_percent = HEADROOM_PERCENT;
+    }
+    if (request->rank > request->klass) {
+        kept_percent = EXCESS_HEADROOM_PERCENT;
+    }
+    return need <= rules->kv_tokens * (100 - kept_percent) / 100 - used;
 }
 
 /* Whether requests of this class keep to the shared engines. */
@@ -253,7 +262,7 @@
     gint64 cached = cq_load_cached(upstream, request);
     gint64 own_us =
         cq_load_prefill_us(service, request->prompt_tokens - cached);
-    gint64 first_us = cq_load_wait_us(upstream, request->klass, core->now_us);
+    gint64 first_us = cq_load_wait_us(upstream, request->rank, core->now_us);
     first_us += own_us + cq_load_step_us(streams + 1) * 3 / 2;
     if (cq_load_wait_us(upstream, CQ_CLASS_GIANT, core->now_us) > 0) {
         first_us += BUSY_US;
@@ -283,7 +292,7 @@
     if (!fits(core, request, upstream, need, choice->streams_max)) {
         return;
     }
-    gint64 wait_us = cq_load_wait_us(upstream, request->klass, core->now_us);
+    gint64 wait_us = cq_load_wait_us(upstream, request->rank, core->now_us);
     if (wait_us > wait_max_us[request->klass]) {
         return;
     }
@@ -340,14 +349,20 @@
 }
 
 /* Engines beyond their target batch slow every stream they have, so they
- * come only after all others. */
+ * come only after all others, and not for a team that runs more than its
+ * share already; such a team's prefill also gives way to all others. */
 static cq_upstream_t *
 choose_by_cost(cq_core_t *core, cq_request_t *request)
 {
     const cq_rules_t *rules = request->service->rules;
     gint64 target = MIN(rules->streams_target, rules->streams_max);
+    gboolean exceeds = cq_usage_exceeds(request);
+    request->rank = exceeds ? CQ_CLASS_GIANT : request->klass;
+    if (exceeds) {
+        target = MAX(target - EXCESS_STREAMS, 1);
+    }
     cq_upstream_t *upstream = choose_within(core, request, target);
-    if (upstream == NULL && rules->streams_max > target) {
+    if (upstream == NULL && rules->streams_max > target && !exceeds) {
         upstream = choose_within(core, request, rules->streams_max);
     }
     return upstream;
--- a/packages/core/send.c
+++ b/packages/core/send.c
@@ -40,7 +40,7 @@
 cq_send_start(cq_core_t *core, cq_request_t *request, cq_upstream_t *upstream)
 {
     g_assert(request->upstream == NULL);
-    gint64 wait_us = cq_load_wait_us(upstream, request->klass, core->now_us);
+    gint64 wait_us = cq_load_wait_us(upstream, request->rank, core->now_us);
     gint64 streams = cq_load_streams(core, upstream);
     gint64 cached = cq_load_cached(upstream, request);
     request->attempt++;
@@ -66,7 +66,7 @@
     action.send.resume_from = request->forwarded;
     action.send.fresh = !request->repeatable;
     if (core->policy == CQ_POLICY_COST) {
-        action.send.priority = (int)request->klass;
+        action.send.priority = (int)request->rank;
     }
     add_group(request, &action.send);
     cq_actions_add(core->actions, &action);
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -91,15 +91,27 @@
  * @active: in the service's list of flows that wait
  * @requests: requests by arrival
  * @finish: virtual finish time of the last one queued
+ * @backlog: cost waiting
  * @weight: the team's share
  */
 typedef struct {
     cq_list_t active;
     cq_list_t requests;
     double finish;
+    double backlog;
     gint64 weight;
 } cq_flow_t;
 
+/**
+ * struct cq_usage_t - what a team has running here
+ * @cost: cost of its running requests
+ * @open: its requests without an answer
+ */
+typedef struct {
+    double cost;
+    guint open;
+} cq_usage_t;
+
 /**
  * struct cq_lane_t - waiting work of one length class
  * @active: flows that wait
@@ -129,6 +141,8 @@
  * @shared_len: first entries of @nearby that take giant prompts
  * @lanes: waiting work by class
  * @flows: array of cq_flow_t*, CQ_CLASSES a team
+ * @usage: array of cq_usage_t, one a team
+ * @running: cost of all running requests
  * @retry_tokens: retries that the budget still allows
  * @demand: recent demand for memory over time, by class
  * @output_mean: running mean of the tokens of an answer
@@ -146,6 +160,8 @@
     guint shared_len;
     cq_lane_t lanes[CQ_CLASSES];
     GPtrArray *flows;
+    GArray *usage;
+    double running;
     double retry_tokens;
     double demand[CQ_CLASSES];
     gint64 come_back_us;
@@ -160,6 +176,9 @@
  * @link: in the core's list
  * @queue: in its flow
  * @output_tokens: longest answer, guessed unless @output_known
+ * @klass: its length class
+ * @rank: the class by which engines order its prefill; the last one for a
+ *   team above its share
  * @upstream: of the running attempt, or NULL
  * @sent: a byte of the running attempt may have left
  * @sends: attempts of which a byte may have left and that were not refused
@@ -174,6 +193,7 @@
     cq_flow_t *flow;
     int team;
     cq_class_t klass;
+    cq_class_t rank;
     cq_phase_t phase;
     cq_key_t key;
     gboolean claimed;
--- a/packages/core/table.c
+++ b/packages/core/table.c
@@ -41,6 +41,7 @@
     g_ptr_array_unref(service->nearby);
     g_ptr_array_unref(service->remote);
     g_ptr_array_unref(service->flows);
+    g_array_unref(service->usage);
     g_free(service);
 }
 
@@ -129,6 +130,7 @@
     service->nearby = g_ptr_array_new();
     service->remote = g_ptr_array_new();
     service->flows = g_ptr_array_new_with_free_func(g_free);
+    service->usage = g_array_new(FALSE, TRUE, sizeof(cq_usage_t));
     service->retry_tokens = CQ_RETRY_BURST;
     service->output_mean = CQ_OUTPUT_TOKENS_GUESS;
     for (int i = 0; i < CQ_CLASSES; i++) {
