--- a/packages/bench/trial.c
+++ b/packages/bench/trial.c
@@ -82,6 +82,8 @@
     {"flood", PEAK_RATE * 2 / 3, 0, FLOOD_TEAM, CQ_SECOND_US, 75, FALSE,
      NULL},
     {"weight_25", PEAK_RATE, 0, -1, CQ_SECOND_US, 25, TRUE, NULL},
+    {"weight_25_lost", PEAK_RATE, 0, -1, CQ_SECOND_US, 25, TRUE,
+     lose_engines},
 };
 
 static void
--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -14,6 +14,7 @@
 #define GROUP_FILL_PERCENT 50
 #define HEADROOM_PERCENT 4
 #define EXCESS_HEADROOM_PERCENT 30
+#define SHORT_STREAMS_PERCENT 17
 #define EXCESS_STREAMS 2
 #define EARMARK_AFTER_US (2 * CQ_SECOND_US)
 #define EARMARK_US (8 * CQ_SECOND_US)
@@ -78,9 +79,6 @@
 shared_len(const cq_service_t *service)
 {
     double giant = service->demand[CQ_CLASS_GIANT];
-    if (service->rules != NULL && service->rules->first_token_weight < 50) {
-        giant += service->demand[CQ_CLASS_LONG];
-    }
     double all = 0;
     for (int i = 0; i < CQ_CLASSES; i++) {
         all += service->demand[i];
@@ -193,11 +191,7 @@
 static gboolean
 confined(const cq_request_t *request)
 {
-    if (request->klass == CQ_CLASS_GIANT) {
-        return TRUE;
-    }
-    const cq_rules_t *rules = request->service->rules;
-    return request->klass == CQ_CLASS_LONG && rules->first_token_weight < 50;
+    return request->klass == CQ_CLASS_GIANT;
 }
 
 static guint
@@ -361,9 +355,14 @@
     if (exceeds) {
         target = MAX(target - EXCESS_STREAMS, 1);
     }
+    gint64 most = rules->streams_max;
+    if (request->klass > CQ_CLASS_SHORT) {
+        gint64 percent = SHORT_STREAMS_PERCENT;
+        most -= most * percent * (100 - rules->first_token_weight) / 10000;
+    }
     cq_upstream_t *upstream = choose_within(core, request, target);
-    if (upstream == NULL && rules->streams_max > target && !exceeds) {
-        upstream = choose_within(core, request, rules->streams_max);
+    if (upstream == NULL && most > target && !exceeds) {
+        upstream = choose_within(core, request, most);
     }
     return upstream;
 }
