--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,21 @@
 	@sh .ci/deps
 
 demo: all
-	@bash tests/demo.sh $(BUILD)
+	@bash tests/proc/demo.sh $(BUILD)
+
+check: all
+	@test -f $(BUILD)-asan/build.ninja || meson setup $(BUILD)-asan \
+	    -Db_sanitize=address,undefined -Db_lundef=false >/dev/null
+	@ninja -C $(BUILD)-asan --quiet
+	@ln -sf packages/cuminquay packages/cuminquayctl $(BUILD)-asan/
+	@bash tests/run.sh $(BUILD)-asan
+
+lint: all
+	@bash tests/lint.sh $(BUILD)
+
+format:
+	@clang-format -i $$(git ls-files 'packages/*.[ch]' 'tests/*.[ch]' \
+	    'packages/*.cc' 'tests/*.cc' | grep -v pb-c)
 
 clean:
 	rm -rf $(BUILD) $(BUILD)-asan
--- a/packages/base/counters.h
+++ b/packages/base/counters.h
@@ -61,13 +61,16 @@
 } cq_counters_t;
 
 /** cq_counters_add() - add @n to counter @which */
-void cq_counters_add(cq_counters_t *counters, cq_counter_t which, guint64 n);
+void
+cq_counters_add(cq_counters_t *counters, cq_counter_t which, guint64 n);
 
 /** cq_counters_name() - Return: the metric name of counter @which */
-const char *cq_counters_name(cq_counter_t which);
+const char *
+cq_counters_name(cq_counter_t which);
 
 /** cq_counters_render() - append one `name value` line a counter to @out */
-void cq_counters_render(const cq_counters_t *counters, GString *out);
+void
+cq_counters_render(const cq_counters_t *counters, GString *out);
 
 G_END_DECLS
 
--- a/packages/base/error.h
+++ b/packages/base/error.h
@@ -51,8 +51,9 @@
  *
  * Return: always FALSE, so that callers can return the call.
  */
-gboolean cq_error_set(cq_error_t *error, cq_error_kind_t kind,
-                      const char *format, ...) G_GNUC_PRINTF(3, 4);
+gboolean
+cq_error_set(cq_error_t *error, cq_error_kind_t kind, const char *format, ...)
+    G_GNUC_PRINTF(3, 4);
 
 G_END_DECLS
 
--- a/packages/base/ident.h
+++ b/packages/base/ident.h
@@ -23,10 +23,12 @@
 
 /** cq_ident_hash() - Return: FNV-1a 64-bit hash of @text (RFC draft
  * eastlake-fnv) */
-guint64 cq_ident_hash(const char *text);
+guint64
+cq_ident_hash(const char *text);
 
 /** cq_ident_host() - Return: the 24-bit id of host @name */
-guint32 cq_ident_host(const char *name);
+guint32
+cq_ident_host(const char *name);
 
 /**
  * cq_ident_request() - make a request id
@@ -36,17 +38,21 @@
  *
  * Return: the id, never 0.
  */
-guint64 cq_ident_request(guint32 host, guint64 incarnation, guint64 n);
+guint64
+cq_ident_request(guint32 host, guint64 incarnation, guint64 n);
 
 /** cq_ident_owner() - Return: the host id within request id @request */
-guint32 cq_ident_owner(guint64 request);
+guint32
+cq_ident_owner(guint64 request);
 
 /** cq_ident_same_process() - Return: whether @a and @b have one owner and
  * incarnation */
-gboolean cq_ident_same_process(guint64 a, guint64 b);
+gboolean
+cq_ident_same_process(guint64 a, guint64 b);
 
 /** cq_ident_key() - Return: the SHA-256 based hash of an idempotency key */
-cq_key_t cq_ident_key(const char *service, const char *team, const char *key);
+cq_key_t
+cq_ident_key(const char *service, const char *team, const char *key);
 
 G_END_DECLS
 
--- a/packages/base/ring.h
+++ b/packages/base/ring.h
@@ -55,13 +55,16 @@
 } cq_ring_t;
 
 /** cq_ring_init() - make @ring hold the newest @capacity events */
-void cq_ring_init(cq_ring_t *ring, guint64 capacity);
+void
+cq_ring_init(cq_ring_t *ring, guint64 capacity);
 
 /** cq_ring_clear() - free what @ring holds */
-void cq_ring_clear(cq_ring_t *ring);
+void
+cq_ring_clear(cq_ring_t *ring);
 
 /** cq_ring_observe() - move the clock past @seen, which a peer sent */
-void cq_ring_observe(cq_ring_t *ring, cq_hlc_t seen);
+void
+cq_ring_observe(cq_ring_t *ring, cq_hlc_t seen);
 
 /**
  * cq_ring_add() - write one event
@@ -72,15 +75,17 @@
  * @kind: a constant string
  * @format: printf format of the fields; longer text is cut
  */
-void cq_ring_add(cq_ring_t *ring, gint64 now_us, guint64 request,
-                 guint32 attempt, const char *kind, const char *format, ...)
-    G_GNUC_PRINTF(6, 7);
+void
+cq_ring_add(cq_ring_t *ring, gint64 now_us, guint64 request, guint32 attempt,
+            const char *kind, const char *format, ...) G_GNUC_PRINTF(6, 7);
 
 /** cq_ring_first() - Return: the number of the oldest event still held */
-guint64 cq_ring_first(const cq_ring_t *ring);
+guint64
+cq_ring_first(const cq_ring_t *ring);
 
 /** cq_ring_at() - Return: event number @n, which must still be held */
-const cq_ring_event_t *cq_ring_at(const cq_ring_t *ring, guint64 n);
+const cq_ring_event_t *
+cq_ring_at(const cq_ring_t *ring, guint64 n);
 
 G_END_DECLS
 
--- a/packages/base/rules.h
+++ b/packages/base/rules.h
@@ -99,26 +99,33 @@
 } cq_rules_t;
 
 /** cq_rules_new() - Return: rules with every default set */
-cq_rules_t *cq_rules_new(void);
+cq_rules_t *
+cq_rules_new(void);
 
 /** cq_rules_ref() - Return: @rules, with one reference more */
-cq_rules_t *cq_rules_ref(cq_rules_t *rules);
+cq_rules_t *
+cq_rules_ref(cq_rules_t *rules);
 
 /** cq_rules_unref() - give up one reference */
-void cq_rules_unref(cq_rules_t *rules);
+void
+cq_rules_unref(cq_rules_t *rules);
 
 /** cq_rules_team() - Return: index of team @name, or -1 */
-int cq_rules_team(const cq_rules_t *rules, const char *name);
+int
+cq_rules_team(const cq_rules_t *rules, const char *name);
 
 /** cq_rules_token_team() - Return: index of the team of @token, or -1 */
-int cq_rules_token_team(const cq_rules_t *rules, const char *token);
+int
+cq_rules_token_team(const cq_rules_t *rules, const char *token);
 
 /** cq_rules_serves() - Return: whether the service has model @name */
-gboolean cq_rules_serves(const cq_rules_t *rules, const char *name);
+gboolean
+cq_rules_serves(const cq_rules_t *rules, const char *name);
 
 /** cq_rules_repeatable() - Return: whether @method on @path may repeat */
-gboolean cq_rules_repeatable(const cq_rules_t *rules, const char *method,
-                             const char *path);
+gboolean
+cq_rules_repeatable(const cq_rules_t *rules, const char *method,
+                    const char *path);
 
 G_END_DECLS
 
--- a/packages/bench/bench.c
+++ b/packages/bench/bench.c
@@ -32,8 +32,8 @@
             scenarios[i].ours_only ? 1 : G_N_ELEMENTS(policy_names);
         for (guint p = 0; wanted(&scenarios[i], name) && p < policies; p++) {
             cq_trial_t run = {.scenario = &scenarios[i],
-                         .policy = (cq_policy_t)p,
-                         .seed = seed};
+                              .policy = (cq_policy_t)p,
+                              .seed = seed};
             g_array_append_val(runs, run);
             run.short_only = TRUE;
             g_array_append_val(runs, run);
@@ -85,8 +85,8 @@
         cq_stats_first_token(run->work, -1, run->scenario->flood_team);
     GArray *before =
         cq_stats_first_token(calm->work, -1, run->scenario->flood_team);
-    double growth = cq_stats_percentile(flooded, 95) /
-                    cq_stats_percentile(before, 95);
+    double growth =
+        cq_stats_percentile(flooded, 95) / cq_stats_percentile(before, 95);
     g_string_append_printf(out, "flood.%s.others_ttft_p95_growth %.4g ratio\n",
                            policy_names[run->policy], growth);
     g_array_unref(flooded);
@@ -100,17 +100,16 @@
     char prefix[64];
     g_snprintf(prefix, sizeof prefix, "%s.%s", run->scenario->name,
                policy_names[run->policy]);
-    cq_figures_t figures =
-        cq_stats_figures(run->work, short_alone->work, &run->totals,
-                         run->scenario->rate);
+    cq_figures_t figures = cq_stats_figures(run->work, short_alone->work,
+                                            &run->totals, run->scenario->rate);
     cq_stats_print(out, prefix, &figures);
     double attempts = (double)run->attempts / (double)MAX(run->requests, 1);
-    g_string_append_printf(out, "%s.attempts_per_request %.4g ratio\n",
-                           prefix, attempts);
+    g_string_append_printf(out, "%s.attempts_per_request %.4g ratio\n", prefix,
+                           attempts);
     g_string_append_printf(out, "%s.leaked_kv %" G_GINT64_FORMAT " tokens\n",
                            prefix, run->held);
-    g_string_append_printf(out, "%s.summary_bytes_per_peer %.4g B/s\n",
-                           prefix, cq_trial_bytes_per_host(run));
+    g_string_append_printf(out, "%s.summary_bytes_per_peer %.4g B/s\n", prefix,
+                           cq_trial_bytes_per_host(run));
     print_flood(out, runs, run);
 }
 
@@ -133,8 +132,7 @@
 main(int argc, char **argv)
 {
     const char *name = argc > 1 ? argv[1] : "all";
-    guint32 seed =
-        argc > 2 ? (guint32)g_ascii_strtoull(argv[2], NULL, 10) : 1;
+    guint32 seed = argc > 2 ? (guint32)g_ascii_strtoull(argv[2], NULL, 10) : 1;
     if (strcmp(name, "slopes") == 0) {
         cq_slopes_print();
         return 0;
--- a/packages/bench/engine.c
+++ b/packages/bench/engine.c
@@ -27,8 +27,10 @@
     guint64 epoch;
 };
 
-static void start_prefill(cq_engine_t *engine);
-static void start_decode(cq_engine_t *engine);
+static void
+start_prefill(cq_engine_t *engine);
+static void
+start_decode(cq_engine_t *engine);
 
 static gint64
 need_of(const cq_run_t *run)
@@ -203,8 +205,8 @@
     if (run != NULL) {
         gint64 tokens = MIN(run->left_tokens, CQ_ENGINE_CHUNK_TOKENS);
         run->left_tokens -= tokens;
-        run->computed_us += tokens * CQ_SECOND_US /
-                            engine->options.prefill_tokens_per_s;
+        run->computed_us +=
+            tokens * CQ_SECOND_US / engine->options.prefill_tokens_per_s;
         run->turn = ++engine->turn;
         if (run->left_tokens == 0 && run->leader != NULL) {
             shard_done(engine, run);
--- a/packages/bench/engine.h
+++ b/packages/bench/engine.h
@@ -89,35 +89,45 @@
 } cq_engine_load_t;
 
 /** cq_engine_new() - Return: an idle engine */
-cq_engine_t *cq_engine_new(const cq_engine_options_t *options);
+cq_engine_t *
+cq_engine_new(const cq_engine_options_t *options);
 
 /** cq_engine_free() - free @engine and its runs */
-void cq_engine_free(cq_engine_t *engine);
+void
+cq_engine_free(cq_engine_t *engine);
 
 /** cq_engine_add() - take a run; the engine owns it */
-void cq_engine_add(cq_engine_t *engine, cq_run_t *run);
+void
+cq_engine_add(cq_engine_t *engine, cq_run_t *run);
 
 /** cq_engine_cancel() - drop @run */
-void cq_engine_cancel(cq_engine_t *engine, cq_run_t *run);
+void
+cq_engine_cancel(cq_engine_t *engine, cq_run_t *run);
 
 /** cq_engine_reset() - lose everything, as by a crash */
-void cq_engine_reset(cq_engine_t *engine);
+void
+cq_engine_reset(cq_engine_t *engine);
 
 /** cq_engine_reserve() - hold memory; Return: whether there was room */
-gboolean cq_engine_reserve(cq_engine_t *engine, guint64 request,
-                           gint64 tokens, gint64 expires_us);
+gboolean
+cq_engine_reserve(cq_engine_t *engine, guint64 request, gint64 tokens,
+                  gint64 expires_us);
 
 /** cq_engine_release() - give up what @request holds */
-void cq_engine_release(cq_engine_t *engine, guint64 request);
+void
+cq_engine_release(cq_engine_t *engine, guint64 request);
 
 /** cq_engine_load() - Return: the state now */
-cq_engine_load_t cq_engine_load(cq_engine_t *engine);
+cq_engine_load_t
+cq_engine_load(cq_engine_t *engine);
 
 /** cq_engine_holdings() - append cq_holding_t rows to @out */
-void cq_engine_holdings(cq_engine_t *engine, GArray *out);
+void
+cq_engine_holdings(cq_engine_t *engine, GArray *out);
 
 /** cq_engine_runs() - Return: head of the list of runs */
-cq_list_t *cq_engine_runs(cq_engine_t *engine);
+cq_list_t *
+cq_engine_runs(cq_engine_t *engine);
 
 G_END_DECLS
 
--- a/packages/bench/heap.h
+++ b/packages/bench/heap.h
@@ -28,18 +28,22 @@
 } cq_heap_t;
 
 /** cq_heap_init() - make @heap empty, at time 0 */
-void cq_heap_init(cq_heap_t *heap);
+void
+cq_heap_init(cq_heap_t *heap);
 
 /** cq_heap_clear() - free what @heap holds */
-void cq_heap_clear(cq_heap_t *heap);
+void
+cq_heap_clear(cq_heap_t *heap);
 
 /** cq_heap_add() - run @run with @data and @number at @at_us */
-void cq_heap_add(cq_heap_t *heap, gint64 at_us, cq_heap_run_t run, void *data,
-                 guint64 number);
+void
+cq_heap_add(cq_heap_t *heap, gint64 at_us, cq_heap_run_t run, void *data,
+            guint64 number);
 
 /** cq_heap_step() - run the next item; FALSE when none is left before
  * @until_us */
-gboolean cq_heap_step(cq_heap_t *heap, gint64 until_us, void *world);
+gboolean
+cq_heap_step(cq_heap_t *heap, gint64 until_us, void *world);
 
 G_END_DECLS
 
--- a/packages/bench/plat.c
+++ b/packages/bench/plat.c
@@ -74,7 +74,8 @@
                 host, host->incarnation);
 }
 
-static void start_append(cq_world_host_t *host);
+static void
+start_append(cq_world_host_t *host);
 
 static void
 on_append(void *world, void *data, guint64 incarnation)
@@ -266,8 +267,8 @@
         report->load = cq_engine_load(upstream->engine);
         report->holdings = g_array_new(FALSE, FALSE, sizeof(cq_holding_t));
         cq_engine_holdings(upstream->engine, report->holdings);
-        cq_heap_add(&sim->heap, now_us + sim->options.report_lag_us,
-                    on_report, report, 0);
+        cq_heap_add(&sim->heap, now_us + sim->options.report_lag_us, on_report,
+                    report, 0);
     }
     cq_heap_add(&sim->heap, now_us + CQ_WORLD_LOAD_US, on_load, NULL, number);
 }
@@ -291,9 +292,8 @@
             }
             cq_record_t state = cq_fold_checkpoint(from->fold);
             for (guint n = 0; n < state.checkpoint->len; n++) {
-                cq_fold_merge(to->fold,
-                              &g_array_index(state.checkpoint,
-                                             cq_config_entry_t, n));
+                cq_fold_merge(to->fold, &g_array_index(state.checkpoint,
+                                                       cq_config_entry_t, n));
             }
             cq_record_clear(&state);
         }
--- a/packages/bench/scn.h
+++ b/packages/bench/scn.h
@@ -45,8 +45,9 @@
  *
  * Return: whether every expectation held.
  */
-gboolean cq_scn_run(const char *text, const char *file, GString *output,
-                    cq_error_t *error);
+gboolean
+cq_scn_run(const char *text, const char *file, GString *output,
+           cq_error_t *error);
 
 G_END_DECLS
 
--- /dev/null
+++ b/packages/bench/scnexpect.c
@@ -0,0 +1,172 @@
+/* What a scenario expects. */
+#include <string.h>
+
+#include "bench/scnstate.h"
+
+static gboolean
+expect(cq_scn_t *scn, gboolean holds, const char *format, ...)
+    G_GNUC_PRINTF(3, 4);
+
+static gboolean
+expect(cq_scn_t *scn, gboolean holds, const char *format, ...)
+{
+    char text[256];
+    va_list args;
+    va_start(args, format);
+    g_vsnprintf(text, sizeof text, format, args);
+    va_end(args);
+    g_string_append_printf(scn->output, "%8.3f %s: %s\n",
+                           (double)cq_sim_heap(scn->sim)->now_us / 1e6,
+                           holds ? "as expected" : "NOT AS EXPECTED", text);
+    if (!holds) {
+        cq_error_set(scn->error, CQ_ERROR_VALUE, "%s:%u: seen: %s", scn->file,
+                     g_scanner_cur_line(scn->scanner), text);
+    }
+    return TRUE;
+}
+
+static cq_scn_named_t *
+next_named(cq_scn_t *scn)
+{
+    char word[CQ_SCN_NAME_BYTES];
+    if (!cq_scn_word(scn, word)) {
+        return NULL;
+    }
+    for (guint i = 0; i < scn->requests->len; i++) {
+        cq_scn_named_t *named = g_ptr_array_index(scn->requests, i);
+        if (strcmp(named->name, word) == 0) {
+            return named;
+        }
+    }
+    cq_scn_fail(scn, CQ_ERROR_VALUE, "there is no such request");
+    return NULL;
+}
+
+static gboolean
+expect_request(cq_scn_t *scn)
+{
+    char code[CQ_SCN_NAME_BYTES];
+    char ran[CQ_SCN_NAME_BYTES];
+    const cq_scn_named_t *named = next_named(scn);
+    if (named == NULL || !cq_scn_skip(scn, "code") || !cq_scn_word(scn, code) ||
+        !cq_scn_skip(scn, "ran") || !cq_scn_word(scn, ran)) {
+        return FALSE;
+    }
+    const cq_ac_answer_t *answer = &named->answer;
+    const char *seen_code =
+        named->answered ? cq_outcome_code(answer->outcome) : "open";
+    const char *seen_ran = named->answered ? cq_ran_text(answer->ran) : "-";
+    gboolean whole =
+        answer->outcome != CQ_OUT_DONE || named->tokens == named->wanted;
+    gboolean same = strcmp(code, seen_code) == 0 && strcmp(ran, seen_ran) == 0;
+    return expect(scn, same && whole, "request %s code %s ran %s%s",
+                  named->name, seen_code, seen_ran,
+                  whole ? "" : ", not whole");
+}
+
+static gboolean
+expect_open(cq_scn_t *scn)
+{
+    const cq_scn_named_t *named = next_named(scn);
+    if (named == NULL) {
+        return FALSE;
+    }
+    return expect(scn, !named->answered && !named->lost, "request %s is %s",
+                  named->name, named->answered ? "answered" : "open");
+}
+
+static gboolean
+expect_runs(cq_scn_t *scn)
+{
+    guint64 key = 0;
+    guint64 runs = 0;
+    if (!cq_scn_number(scn, &key) || !cq_scn_number(scn, &runs)) {
+        return FALSE;
+    }
+    guint seen = cq_sim_runs(scn->sim, key);
+    return expect(scn, seen == runs, "key %" G_GUINT64_FORMAT " ran %u times",
+                  key, seen);
+}
+
+static gboolean
+expect_ran(cq_scn_t *scn)
+{
+    guint64 runs = 0;
+    const cq_scn_named_t *named = next_named(scn);
+    if (named == NULL || !cq_scn_number(scn, &runs)) {
+        return FALSE;
+    }
+    guint seen = cq_sim_request_runs(scn->sim, named->id);
+    return expect(scn, seen == runs, "request %s ran %u times", named->name,
+                  seen);
+}
+
+static gboolean
+expect_held(cq_scn_t *scn)
+{
+    guint64 tokens = 0;
+    if (!cq_scn_number(scn, &tokens)) {
+        return FALSE;
+    }
+    gint64 seen = cq_sim_held(scn->sim);
+    return expect(scn, seen == (gint64)tokens,
+                  "%" G_GINT64_FORMAT " tokens of memory are held", seen);
+}
+
+static gboolean
+expect_version(cq_scn_t *scn)
+{
+    guint host = 0;
+    char service[CQ_SCN_NAME_BYTES];
+    guint64 version = 0;
+    if (!cq_scn_skip(scn, "host") || !cq_scn_host(scn, &host) ||
+        !cq_scn_word(scn, service) || !cq_scn_number(scn, &version)) {
+        return FALSE;
+    }
+    cq_fold_t *fold = cq_sim_fold(scn->sim, host);
+    const cq_config_entry_t *held =
+        fold != NULL ? cq_fold_get(fold, service) : NULL;
+    guint64 seen = held != NULL ? held->version : 0;
+    return expect(scn, seen == version,
+                  "host-%u has %s version %" G_GUINT64_FORMAT " id %s", host,
+                  service, seen, held != NULL ? held->id : "-");
+}
+
+static gboolean
+expect_no(cq_scn_t *scn)
+{
+    guint index = 0;
+    if (!cq_scn_skip(scn, "more") || !cq_scn_skip(scn, "arrivals") ||
+        !cq_scn_upstream(scn, &index)) {
+        return FALSE;
+    }
+    guint64 more = cq_sim_arrivals(scn->sim, index) - scn->noted[index];
+    return expect(scn, more == 0, "%" G_GUINT64_FORMAT " more arrivals at %s",
+                  more, cq_sim_upstream_name(scn->sim, index));
+}
+
+static gboolean
+expect_stopped(cq_scn_t *scn)
+{
+    guint host = 0;
+    if (!cq_scn_skip(scn, "host") || !cq_scn_host(scn, &host)) {
+        return FALSE;
+    }
+    gboolean stopped = cq_sim_host_stopped(scn->sim, host);
+    return expect(scn, stopped, "host-%u %s", host,
+                  stopped ? "has stopped" : "runs");
+}
+
+static const cq_scn_command_t expectations[] = {
+    {"request", expect_request}, {"open", expect_open},
+    {"runs", expect_runs},       {"ran", expect_ran},
+    {"held", expect_held},       {"version", expect_version},
+    {"no", expect_no},           {"stopped", expect_stopped},
+};
+
+gboolean
+cq_scn_expect(cq_scn_t *scn)
+{
+    cq_scn_harvest(scn);
+    return cq_scn_dispatch(scn, expectations, G_N_ELEMENTS(expectations));
+}
--- a/packages/bench/sim.c
+++ b/packages/bench/sim.c
@@ -6,7 +6,6 @@
 #include "config/service.h"
 #include "wire/codec.h"
 
-
 gint64
 cq_world_now(const cq_sim_t *sim)
 {
@@ -201,8 +200,8 @@
         .host = host->name,
         .zone = zone,
         .incarnation = host->incarnation,
-        .seed = sim->options.seed * 1000 + index * 10 +
-                (guint32)host->incarnation,
+        .seed =
+            sim->options.seed * 1000 + index * 10 + (guint32)host->incarnation,
         .policy = sim->options.policy,
     };
     host->core = cq_core_new(&options);
@@ -458,8 +457,8 @@
     sim->options = *options;
     sim->rand = g_rand_new_with_seed(options->seed);
     cq_heap_init(&sim->heap);
-    sim->asks = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-                                      g_free);
+    sim->asks =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     sim->tries = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                        cq_world_try_free);
     sim->upstream_by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
--- a/packages/bench/sim.h
+++ b/packages/bench/sim.h
@@ -101,98 +101,127 @@
 } cq_sim_totals_t;
 
 /** cq_sim_new() - Return: a world at time 0 */
-cq_sim_t *cq_sim_new(const cq_sim_options_t *options);
+cq_sim_t *
+cq_sim_new(const cq_sim_options_t *options);
 
 /** cq_sim_free() - free @sim */
-void cq_sim_free(cq_sim_t *sim);
+void
+cq_sim_free(cq_sim_t *sim);
 
 /** cq_sim_heap() - Return: the agenda, for callers' own events */
-cq_heap_t *cq_sim_heap(cq_sim_t *sim);
+cq_heap_t *
+cq_sim_heap(cq_sim_t *sim);
 
 /** cq_sim_run() - let events happen until @until_us */
-void cq_sim_run(cq_sim_t *sim, gint64 until_us);
+void
+cq_sim_run(cq_sim_t *sim, gint64 until_us);
 
 /** cq_sim_ask() - send a request now; Return: its id, 0 when the host is
  * down */
-guint64 cq_sim_ask(cq_sim_t *sim, const cq_sim_ask_t *ask);
+guint64
+cq_sim_ask(cq_sim_t *sim, const cq_sim_ask_t *ask);
 
 /** cq_sim_core() - Return: the core of host @host, or NULL while it is down
  */
-cq_core_t *cq_sim_core(cq_sim_t *sim, guint host);
+cq_core_t *
+cq_sim_core(cq_sim_t *sim, guint host);
 
 /** cq_sim_fold() - Return: the configuration of host @host, or NULL */
-cq_fold_t *cq_sim_fold(cq_sim_t *sim, guint host);
+cq_fold_t *
+cq_sim_fold(cq_sim_t *sim, guint host);
 
 /** cq_sim_totals() - Return: sums so far */
-cq_sim_totals_t cq_sim_totals(const cq_sim_t *sim);
+cq_sim_totals_t
+cq_sim_totals(const cq_sim_t *sim);
 
 /** cq_sim_held() - Return: memory reserved on all engines, in tokens */
-gint64 cq_sim_held(cq_sim_t *sim);
+gint64
+cq_sim_held(cq_sim_t *sim);
 
 /** cq_sim_runs() - Return: how often the plain service ran key @key */
-guint cq_sim_runs(const cq_sim_t *sim, guint64 key);
+guint
+cq_sim_runs(const cq_sim_t *sim, guint64 key);
 
 /** cq_sim_request_runs() - Return: how often request @id ran on a plain
  * service */
-guint cq_sim_request_runs(const cq_sim_t *sim, guint64 id);
+guint
+cq_sim_request_runs(const cq_sim_t *sim, guint64 id);
 
 /** cq_sim_publish() - append a publication of @body for @service on top of
  * @base */
-void cq_sim_publish(cq_sim_t *sim, const char *service, const char *body,
-                    guint64 base, const char *id);
+void
+cq_sim_publish(cq_sim_t *sim, const char *service, const char *body,
+               guint64 base, const char *id);
 
 /** cq_sim_kill_host() - end the process on @host at once */
-void cq_sim_kill_host(cq_sim_t *sim, guint host);
+void
+cq_sim_kill_host(cq_sim_t *sim, guint host);
 
 /** cq_sim_start_host() - start a process on @host, with nothing kept */
-void cq_sim_start_host(cq_sim_t *sim, guint host);
+void
+cq_sim_start_host(cq_sim_t *sim, guint host);
 
 /** cq_sim_freeze_host() - the process on @host does nothing for @us */
-void cq_sim_freeze_host(cq_sim_t *sim, guint host, gint64 us);
+void
+cq_sim_freeze_host(cq_sim_t *sim, guint host, gint64 us);
 
 /** cq_sim_drain_host() - begin a planned stop of @host */
-void cq_sim_drain_host(cq_sim_t *sim, guint host, gint64 notice_us,
-                       gint64 limit_us);
+void
+cq_sim_drain_host(cq_sim_t *sim, guint host, gint64 notice_us,
+                  gint64 limit_us);
 
 /** cq_sim_host_stopped() - Return: whether @host has stopped by itself */
-gboolean cq_sim_host_stopped(const cq_sim_t *sim, guint host);
+gboolean
+cq_sim_host_stopped(const cq_sim_t *sim, guint host);
 
 /** cq_sim_kill_upstream() - upstream @index crashes */
-void cq_sim_kill_upstream(cq_sim_t *sim, guint index);
+void
+cq_sim_kill_upstream(cq_sim_t *sim, guint index);
 
 /** cq_sim_start_upstream() - upstream @index starts again */
-void cq_sim_start_upstream(cq_sim_t *sim, guint index);
+void
+cq_sim_start_upstream(cq_sim_t *sim, guint index);
 
 /** cq_sim_freeze_upstream() - upstream @index answers nothing new for @us */
-void cq_sim_freeze_upstream(cq_sim_t *sim, guint index, gint64 us);
+void
+cq_sim_freeze_upstream(cq_sim_t *sim, guint index, gint64 us);
 
 /** cq_sim_leave_upstream() - the list says that @index is leaving */
-void cq_sim_leave_upstream(cq_sim_t *sim, guint index);
+void
+cq_sim_leave_upstream(cq_sim_t *sim, guint index);
 
 /** cq_sim_silence() - open connections of @host to @upstream go silent for
  * good; new ones work */
-void cq_sim_silence(cq_sim_t *sim, guint host, guint upstream);
+void
+cq_sim_silence(cq_sim_t *sim, guint host, guint upstream);
 
 /** cq_sim_cut() - cut or join two zones, or a zone and CQ_SIM_PLATFORM */
-void cq_sim_cut(cq_sim_t *sim, guint a, guint b, gboolean cut);
+void
+cq_sim_cut(cq_sim_t *sim, guint a, guint b, gboolean cut);
 
 /** cq_sim_log_down() - the log answers nothing until it is up again */
-void cq_sim_log_down(cq_sim_t *sim, gboolean down);
+void
+cq_sim_log_down(cq_sim_t *sim, gboolean down);
 
 /** cq_sim_lose_appends() - the next @n appends take effect, unanswered */
-void cq_sim_lose_appends(cq_sim_t *sim, guint n);
+void
+cq_sim_lose_appends(cq_sim_t *sim, guint n);
 
 /** cq_sim_truncate_log() - the log keeps its first @keep records only */
-void cq_sim_truncate_log(cq_sim_t *sim, guint keep);
+void
+cq_sim_truncate_log(cq_sim_t *sim, guint keep);
 
 /** cq_sim_list_down() - the host list answers nothing until it is up */
-void cq_sim_list_down(cq_sim_t *sim, gboolean down);
+void
+cq_sim_list_down(cq_sim_t *sim, gboolean down);
 
 /** cq_sim_upstream_name() - Return: name of upstream @index */
-const char *cq_sim_upstream_name(const cq_sim_t *sim, guint index);
+const char *
+cq_sim_upstream_name(const cq_sim_t *sim, guint index);
 
 /** cq_sim_arrivals() - Return: attempts that reached upstream @index */
-guint64 cq_sim_arrivals(const cq_sim_t *sim, guint index);
+guint64
+cq_sim_arrivals(const cq_sim_t *sim, guint index);
 
 G_END_DECLS
 
--- a/packages/bench/slopes.h
+++ b/packages/bench/slopes.h
@@ -12,7 +12,8 @@
 
 /** cq_slopes_print() - measure and print nanoseconds a decision, bytes, and
  * control bytes a second */
-void cq_slopes_print(void);
+void
+cq_slopes_print(void);
 
 G_END_DECLS
 
--- a/packages/bench/soak.c
+++ b/packages/bench/soak.c
@@ -64,8 +64,8 @@
     return cq_sim_heap(soak->sim)->now_us;
 }
 
-static void broken(soak_t *soak, const char *format, ...)
-    G_GNUC_PRINTF(2, 3);
+static void
+broken(soak_t *soak, const char *format, ...) G_GNUC_PRINTF(2, 3);
 
 static void
 broken(soak_t *soak, const char *format, ...)
@@ -222,8 +222,8 @@
     cq_sim_kill_host(soak->sim, host);
     soak->stopping_us[host] = 0;
     soak->thawed_us[host] = 0;
-    cq_heap_add(cq_sim_heap(soak->sim), now_us(soak) + down_us,
-                on_start_host, soak, host);
+    cq_heap_add(cq_sim_heap(soak->sim), now_us(soak) + down_us, on_start_host,
+                soak, host);
 }
 
 static void
@@ -250,18 +250,11 @@
 }
 
 static void
-on_log_up(void *world, void *data, guint64 number)
+on_platform_up(void *world, void *data, guint64 number)
 {
     (void)data;
     (void)number;
     cq_sim_log_down(world, FALSE);
-}
-
-static void
-on_list_up(void *world, void *data, guint64 number)
-{
-    (void)data;
-    (void)number;
     cq_sim_list_down(world, FALSE);
 }
 
@@ -343,14 +336,13 @@
 {
     cq_sim_log_down(soak->sim, TRUE);
     cq_heap_add(cq_sim_heap(soak->sim), now_us(soak) + some_us(soak, 6),
-                on_log_up, soak, 0);
+                on_platform_up, soak, 0);
 }
 
 static void
 fault_lose_append(soak_t *soak)
 {
-    cq_sim_lose_appends(soak->sim,
-                        (guint)g_rand_int_range(soak->rand, 1, 4));
+    cq_sim_lose_appends(soak->sim, (guint)g_rand_int_range(soak->rand, 1, 4));
 }
 
 static void
@@ -358,7 +350,7 @@
 {
     cq_sim_list_down(soak->sim, TRUE);
     cq_heap_add(cq_sim_heap(soak->sim), now_us(soak) + some_us(soak, 8),
-                on_list_up, soak, 0);
+                on_platform_up, soak, 0);
 }
 
 /* Two operators race: both publish on the version that they saw. */
@@ -383,8 +375,7 @@
 fault_drain(soak_t *soak)
 {
     guint host = (guint)g_rand_int_range(soak->rand, 0, HOSTS);
-    if (cq_sim_core(soak->sim, host) != NULL &&
-        soak->stopping_us[host] == 0) {
+    if (cq_sim_core(soak->sim, host) != NULL && soak->stopping_us[host] == 0) {
         cq_sim_drain_host(soak->sim, host, CQ_SECOND_US, 50 * CQ_SECOND_US);
         soak->stopping_us[host] = now_us(soak);
     }
@@ -397,8 +388,8 @@
     if (soak->asks->len == 0) {
         return;
     }
-    guint tag = (guint)g_rand_int_range(soak->rand, 0,
-                                        (gint32)soak->asks->len);
+    guint tag =
+        (guint)g_rand_int_range(soak->rand, 0, (gint32)soak->asks->len);
     const ask_t *ask = ask_at(soak, tag);
     cq_core_t *core = cq_sim_core(soak->sim, ask->ask.host);
     gboolean thawed = soak->thawed_us[ask->ask.host] <= now_us(soak);
@@ -444,8 +435,7 @@
 {
     (void)number;
     soak_t *soak = data;
-    guint which = (guint)g_rand_int_range(soak->rand, 0,
-                                          G_N_ELEMENTS(faults));
+    guint which = (guint)g_rand_int_range(soak->rand, 0, G_N_ELEMENTS(faults));
     if (soak->options->verbose) {
         printf("%.3f %s\n", (double)now_us(soak) / 1e6, faults[which].name);
     }
@@ -527,8 +517,9 @@
                    ask->id, runs);
         }
         if (ask->answered && ask->answer.ran == CQ_RAN_NO && runs > 0) {
-            broken(soak, "request %016" G_GINT64_MODIFIER
-                         "x was told not run and ran",
+            broken(soak,
+                   "request %016" G_GINT64_MODIFIER
+                   "x was told not run and ran",
                    ask->id);
         }
         if (ask->ask.key != 0 && cq_sim_runs(soak->sim, ask->ask.key) > 1) {
@@ -543,8 +534,9 @@
 {
     check_runs(soak);
     if (cq_sim_held(soak->sim) != 0) {
-        broken(soak, "%" G_GINT64_FORMAT " tokens of memory are held for "
-                     "good",
+        broken(soak,
+               "%" G_GINT64_FORMAT " tokens of memory are held for "
+               "good",
                cq_sim_held(soak->sim));
     }
     const cq_config_entry_t *first = NULL;
--- a/packages/bench/soak.h
+++ b/packages/bench/soak.h
@@ -44,8 +44,8 @@
 } cq_soak_report_t;
 
 /** cq_soak_run() - make one run; Return: whether every promise held */
-gboolean cq_soak_run(const cq_soak_options_t *options,
-                     cq_soak_report_t *report);
+gboolean
+cq_soak_run(const cq_soak_options_t *options, cq_soak_report_t *report);
 
 G_END_DECLS
 
--- a/packages/bench/stats.h
+++ b/packages/bench/stats.h
@@ -54,21 +54,23 @@
 
 /** cq_stats_percentile() - Return: the @percent percentile of @values (array
  * of double, sorted in place), 0 when it is empty */
-double cq_stats_percentile(GArray *values, double percent);
+double
+cq_stats_percentile(GArray *values, double percent);
 
 /** cq_stats_first_token() - Return: array of seconds to the first token of
  * calls of @klass (-1: all) and not of team @but_team (-1: none) */
-GArray *cq_stats_first_token(const cq_work_t *work, int klass, int but_team);
+GArray *
+cq_stats_first_token(const cq_work_t *work, int klass, int but_team);
 
 /** cq_stats_figures() - Return: the figures of @work; @short_alone is the
  * same load without longer calls; @rate is the steady rate */
-cq_figures_t cq_stats_figures(const cq_work_t *work,
-                              const cq_work_t *short_alone,
-                              const cq_sim_totals_t *totals, double rate);
+cq_figures_t
+cq_stats_figures(const cq_work_t *work, const cq_work_t *short_alone,
+                 const cq_sim_totals_t *totals, double rate);
 
 /** cq_stats_print() - append every figure, its name behind @prefix */
-void cq_stats_print(GString *out, const char *prefix,
-                    const cq_figures_t *figures);
+void
+cq_stats_print(GString *out, const char *prefix, const cq_figures_t *figures);
 
 G_END_DECLS
 
--- a/packages/bench/trial.c
+++ b/packages/bench/trial.c
@@ -31,7 +31,6 @@
     "[[team]]\nname = \"t8\"\nweight = 4\n"
     "[[team]]\nname = \"t9\"\nweight = 3\n";
 
-
 static void
 on_kill_engines(void *world, void *data, guint64 number)
 {
@@ -79,11 +78,9 @@
     {"engines_lost", PEAK_RATE, 0, -1, CQ_SECOND_US, 75, FALSE, lose_engines},
     {"host_lost", PEAK_RATE, 0, -1, CQ_SECOND_US, 75, FALSE, lose_host},
     {"late_reports", PEAK_RATE, 0, -1, 10 * CQ_SECOND_US, 75, FALSE, NULL},
-    {"flood", PEAK_RATE * 2 / 3, 0, FLOOD_TEAM, CQ_SECOND_US, 75, FALSE,
-     NULL},
+    {"flood", PEAK_RATE * 2 / 3, 0, FLOOD_TEAM, CQ_SECOND_US, 75, FALSE, NULL},
     {"weight_25", PEAK_RATE, 0, -1, CQ_SECOND_US, 25, TRUE, NULL},
-    {"weight_25_lost", PEAK_RATE, 0, -1, CQ_SECOND_US, 25, TRUE,
-     lose_engines},
+    {"weight_25_lost", PEAK_RATE, 0, -1, CQ_SECOND_US, 25, TRUE, lose_engines},
 };
 
 static void
@@ -115,8 +112,7 @@
         .short_only = run->short_only,
     };
     run->work = cq_work_new(&load);
-    char *rules =
-        g_strdup_printf(rules_format, scenario->first_token_weight);
+    char *rules = g_strdup_printf(rules_format, scenario->first_token_weight);
     const char *const texts[] = {rules, NULL};
     cq_sim_options_t options = {
         .zones = ZONES,
--- a/packages/bench/trial.h
+++ b/packages/bench/trial.h
@@ -57,21 +57,26 @@
 } cq_trial_t;
 
 /** cq_trial_run() - make the run */
-void cq_trial_run(cq_trial_t *run);
+void
+cq_trial_run(cq_trial_t *run);
 
 /** cq_trial_clear() - free what the run kept */
-void cq_trial_clear(cq_trial_t *run);
+void
+cq_trial_clear(cq_trial_t *run);
 
 /** cq_trial_scenarios() - Return: number of scenarios; @first gets the first
  */
-guint cq_trial_scenarios(const cq_scenario_t **first);
+guint
+cq_trial_scenarios(const cq_scenario_t **first);
 
 /** cq_trial_scenario() - Return: scenario @name, or NULL */
-const cq_scenario_t *cq_trial_scenario(const char *name);
+const cq_scenario_t *
+cq_trial_scenario(const char *name);
 
 /** cq_trial_bytes_per_host() - Return: summary bytes a second that a host
  * sends to one peer */
-double cq_trial_bytes_per_host(const cq_trial_t *run);
+double
+cq_trial_bytes_per_host(const cq_trial_t *run);
 
 G_END_DECLS
 
--- a/packages/bench/tries.c
+++ b/packages/bench/tries.c
@@ -289,8 +289,7 @@
 cq_world_start_try(cq_sim_t *sim, cq_world_host_t *host,
                    const cq_ac_send_t *send)
 {
-    const cq_world_ask_t *ask =
-        g_hash_table_lookup(sim->asks, &send->request);
+    const cq_world_ask_t *ask = g_hash_table_lookup(sim->asks, &send->request);
     g_assert(ask != NULL);
     cq_world_try_t *try = g_new0(cq_world_try_t, 1);
     try->ask = ask->ask;
--- a/packages/bench/work.c
+++ b/packages/bench/work.c
@@ -128,8 +128,8 @@
     call.ask.repeatable = TRUE;
     call.ask.output_tokens = g_rand_int_range(work->rand, 100, 501);
     call.ask.timeout_us = timeouts_s[call.klass] * CQ_SECOND_US;
-    call.ask.host = (guint)g_rand_int_range(work->rand, 0,
-                                            (gint32)options->hosts);
+    call.ask.host =
+        (guint)g_rand_int_range(work->rand, 0, (gint32)options->hosts);
     if (!options->short_only || call.klass == 0) {
         call.ask.tag = work->calls->len;
         g_array_append_val(work->calls, call);
@@ -188,8 +188,8 @@
     return &g_array_index(work->calls, cq_work_call_t, (guint)tag);
 }
 
-
-static void ask(cq_work_t *work, cq_sim_t *sim, guint64 tag);
+static void
+ask(cq_work_t *work, cq_sim_t *sim, guint64 tag);
 
 static void
 on_again(void *world, void *data, guint64 tag)
@@ -315,8 +315,8 @@
 cq_work_alone_s(const cq_work_call_t *call)
 {
     gint64 need = call->ask.prompt_tokens + call->ask.output_tokens;
-    gint64 size = need > CQ_KV_TOKENS ? (need + GROUP_PART - 1) / GROUP_PART
-                                      : 1;
+    gint64 size =
+        need > CQ_KV_TOKENS ? (need + GROUP_PART - 1) / GROUP_PART : 1;
     gint64 tokens = call->ask.prompt_tokens;
     if (size == 1) {
         tokens -= call->ask.prefix_tokens;
--- a/packages/bench/work.h
+++ b/packages/bench/work.h
@@ -84,23 +84,29 @@
 } cq_work_t;
 
 /** cq_work_new() - Return: callers with every arrival drawn */
-cq_work_t *cq_work_new(const cq_work_options_t *options);
+cq_work_t *
+cq_work_new(const cq_work_options_t *options);
 
 /** cq_work_free() - free @work */
-void cq_work_free(cq_work_t *work);
+void
+cq_work_free(cq_work_t *work);
 
 /** cq_work_hook() - set the callbacks in @options */
-void cq_work_hook(cq_work_t *work, cq_sim_options_t *options);
+void
+cq_work_hook(cq_work_t *work, cq_sim_options_t *options);
 
 /** cq_work_start() - put every arrival on the agenda */
-void cq_work_start(cq_work_t *work, cq_sim_t *sim);
+void
+cq_work_start(cq_work_t *work, cq_sim_t *sim);
 
 /** cq_work_class_name() - Return: name of length class @klass */
-const char *cq_work_class_name(guint klass);
+const char *
+cq_work_class_name(guint klass);
 
 /** cq_work_alone_s() - Return: first token of @call alone on idle engines
  * with its prefix cached, in seconds */
-double cq_work_alone_s(const cq_work_call_t *call);
+double
+cq_work_alone_s(const cq_work_call_t *call);
 
 G_END_DECLS
 
--- a/packages/bench/world.h
+++ b/packages/bench/world.h
@@ -127,57 +127,71 @@
 };
 
 /** cq_world_now() - Return: virtual time in microseconds */
-gint64 cq_world_now(const cq_sim_t *sim);
+gint64
+cq_world_now(const cq_sim_t *sim);
 
 /** cq_world_post() - give @event to host @host now, or when it thaws */
-void cq_world_post(cq_sim_t *sim, guint host, const cq_event_t *event);
+void
+cq_world_post(cq_sim_t *sim, guint host, const cq_event_t *event);
 
 /** cq_world_reachable() - Return: whether zones @a and @b are joined */
-gboolean cq_world_reachable(const cq_sim_t *sim, guint a, guint b);
+gboolean
+cq_world_reachable(const cq_sim_t *sim, guint a, guint b);
 
 /** cq_world_platform() - Return: whether host @host reaches the platform */
-gboolean cq_world_platform(const cq_sim_t *sim, guint host);
+gboolean
+cq_world_platform(const cq_sim_t *sim, guint host);
 
 /** cq_world_start_try() - carry out a SEND */
-void cq_world_start_try(cq_sim_t *sim, cq_world_host_t *host,
-                        const cq_ac_send_t *send);
+void
+cq_world_start_try(cq_sim_t *sim, cq_world_host_t *host,
+                   const cq_ac_send_t *send);
 
 /** cq_world_stop_try() - carry out a STOP */
-void cq_world_stop_try(cq_sim_t *sim, const cq_ac_attempt_t *attempt);
+void
+cq_world_stop_try(cq_sim_t *sim, const cq_ac_attempt_t *attempt);
 
 /** cq_world_probe() - carry out a PROBE */
-void cq_world_probe(cq_sim_t *sim, cq_world_host_t *host,
-                    const cq_ac_attempt_t *attempt);
+void
+cq_world_probe(cq_sim_t *sim, cq_world_host_t *host,
+               const cq_ac_attempt_t *attempt);
 
 /** cq_world_memory() - carry out a RESERVE or RELEASE */
-void cq_world_memory(cq_sim_t *sim, cq_world_host_t *host,
-                     cq_action_kind_t kind, const cq_ac_memory_t *memory);
+void
+cq_world_memory(cq_sim_t *sim, cq_world_host_t *host, cq_action_kind_t kind,
+                const cq_ac_memory_t *memory);
 
 /** cq_world_try_free() - give up the table's reference to an attempt */
-void cq_world_try_free(gpointer data);
+void
+cq_world_try_free(gpointer data);
 
 /** cq_world_drop_tries() - connections of @host end with its process */
-void cq_world_drop_tries(cq_sim_t *sim, guint host);
+void
+cq_world_drop_tries(cq_sim_t *sim, guint host);
 
 /** cq_world_break_tries() - connections to @upstream end with it */
-void cq_world_break_tries(cq_sim_t *sim, guint upstream);
+void
+cq_world_break_tries(cq_sim_t *sim, guint upstream);
 
 /** cq_world_engine_options() - Return: options of upstream @upstream */
-cq_engine_options_t cq_world_engine_options(cq_sim_t *sim,
-                                            cq_world_upstream_t *upstream);
+cq_engine_options_t
+cq_world_engine_options(cq_sim_t *sim, cq_world_upstream_t *upstream);
 
 /** cq_world_append() - carry out a CLAIM */
-void cq_world_append(cq_sim_t *sim, cq_world_host_t *host,
-                     const cq_claim_t *claim);
+void
+cq_world_append(cq_sim_t *sim, cq_world_host_t *host, const cq_claim_t *claim);
 
 /** cq_world_record_free() - free a record of the log */
-void cq_world_record_free(gpointer data);
+void
+cq_world_record_free(gpointer data);
 
 /** cq_world_start_plat() - start the log, the list and the load reports */
-void cq_world_start_plat(cq_sim_t *sim);
+void
+cq_world_start_plat(cq_sim_t *sim);
 
 /** cq_world_start_reader() - @host begins to read the log */
-void cq_world_start_reader(cq_sim_t *sim, cq_world_host_t *host);
+void
+cq_world_start_reader(cq_sim_t *sim, cq_world_host_t *host);
 
 G_END_DECLS
 
--- a/packages/config/fold.h
+++ b/packages/config/fold.h
@@ -29,14 +29,16 @@
 typedef void (*cq_fold_applied_t)(cq_rules_t *rules, void *data);
 
 /** cq_fold_new() - Return: a fold without services; @applied may be NULL */
-cq_fold_t *cq_fold_new(cq_fold_applied_t applied, void *data);
+cq_fold_t *
+cq_fold_new(cq_fold_applied_t applied, void *data);
 
 /** cq_fold_free() - free @fold */
-void cq_fold_free(cq_fold_t *fold);
+void
+cq_fold_free(cq_fold_t *fold);
 
 /** cq_fold_config() - take a publication, in log order */
-cq_fold_result_t cq_fold_config(cq_fold_t *fold,
-                                const cq_config_entry_t *entry);
+cq_fold_result_t
+cq_fold_config(cq_fold_t *fold, const cq_config_entry_t *entry);
 
 /**
  * cq_fold_merge() - take one service's state from a checkpoint or a peer
@@ -48,17 +50,20 @@
  *
  * Return: whether it came into force.
  */
-gboolean cq_fold_merge(cq_fold_t *fold, const cq_config_entry_t *entry);
+gboolean
+cq_fold_merge(cq_fold_t *fold, const cq_config_entry_t *entry);
 
 /** cq_fold_get() - Return: the entry in force of @service, or NULL */
-const cq_config_entry_t *cq_fold_get(const cq_fold_t *fold,
-                                     const char *service);
+const cq_config_entry_t *
+cq_fold_get(const cq_fold_t *fold, const char *service);
 
 /** cq_fold_checkpoint() - Return: a record of all services; clear it */
-cq_record_t cq_fold_checkpoint(const cq_fold_t *fold);
+cq_record_t
+cq_fold_checkpoint(const cq_fold_t *fold);
 
 /** cq_fold_size() - Return: number of services */
-guint cq_fold_size(const cq_fold_t *fold);
+guint
+cq_fold_size(const cq_fold_t *fold);
 
 G_END_DECLS
 
--- a/packages/config/record.c
+++ b/packages/config/record.c
@@ -172,7 +172,7 @@
 get_claim(JsonObject *object, cq_claim_t *claim, cq_error_t *error)
 {
     char verdict[CQ_NAME_BYTES];
-    guint64 status;
+    guint64 status = 0;
     if (!get_id(object, "key_hi", &claim->key.hi, error) ||
         !get_id(object, "key_lo", &claim->key.lo, error) ||
         !get_id(object, "request", &claim->request, error) ||
--- a/packages/config/record.h
+++ b/packages/config/record.h
@@ -52,11 +52,12 @@
 } cq_record_t;
 
 /** cq_record_hash() - write the hash of @body to @hash */
-void cq_record_hash(const char *body,
-                    char hash[CQ_TOKEN_HASH_BYTES * 2 + 1]);
+void
+cq_record_hash(const char *body, char hash[CQ_TOKEN_HASH_BYTES * 2 + 1]);
 
 /** cq_record_encode() - Return: @record as JSON; free with g_free() */
-char *cq_record_encode(const cq_record_t *record);
+char *
+cq_record_encode(const cq_record_t *record);
 
 /**
  * cq_record_decode() - read a record
@@ -66,11 +67,12 @@
  *
  * Return: whether the record is well formed and its hash is right.
  */
-gboolean cq_record_decode(const char *text, cq_record_t *record,
-                          cq_error_t *error);
+gboolean
+cq_record_decode(const char *text, cq_record_t *record, cq_error_t *error);
 
 /** cq_record_clear() - free what @record holds */
-void cq_record_clear(cq_record_t *record);
+void
+cq_record_clear(cq_record_t *record);
 
 G_END_DECLS
 
--- a/packages/config/schema.h
+++ b/packages/config/schema.h
@@ -20,8 +20,8 @@
     CQ_FIELD_ADDRESS, /* ip:port */
     CQ_FIELD_INTEGER,
     CQ_FIELD_BOOLEAN,
-    CQ_FIELD_CHOICE,  /* one of the words in @words, stored as its index */
-    CQ_FIELD_SHA256,  /* 64 hexadecimal digits */
+    CQ_FIELD_CHOICE, /* one of the words in @words, stored as its index */
+    CQ_FIELD_SHA256, /* 64 hexadecimal digits */
 } cq_field_type_t;
 
 /**
@@ -58,9 +58,9 @@
  *
  * Return: the field, or NULL.
  */
-const cq_field_t *cq_schema_find(const cq_field_t *fields, guint len,
-                                 const cq_toml_item_t *item, const char *file,
-                                 cq_error_t *error);
+const cq_field_t *
+cq_schema_find(const cq_field_t *fields, guint len, const cq_toml_item_t *item,
+               const char *file, cq_error_t *error);
 
 /**
  * cq_schema_store() - check an item and store its value
@@ -72,8 +72,9 @@
  *
  * Return: whether the value is right.
  */
-gboolean cq_schema_store(const cq_field_t *field, const cq_toml_item_t *item,
-                         const char *file, void *base, cq_error_t *error);
+gboolean
+cq_schema_store(const cq_field_t *field, const cq_toml_item_t *item,
+                const char *file, void *base, cq_error_t *error);
 
 /**
  * cq_schema_required() - test that a table has its required keys
@@ -87,12 +88,14 @@
  *
  * Return: whether none is missing.
  */
-gboolean cq_schema_required(const cq_field_t *fields, guint len,
-                            const GArray *items, const char *section,
-                            guint table, const char *file, cq_error_t *error);
+gboolean
+cq_schema_required(const cq_field_t *fields, guint len, const GArray *items,
+                   const char *section, guint table, const char *file,
+                   cq_error_t *error);
 
 /** cq_schema_tables() - Return: number of tables named @section in @items */
-guint cq_schema_tables(const GArray *items, const char *section);
+guint
+cq_schema_tables(const GArray *items, const char *section);
 
 G_END_DECLS
 
--- a/packages/config/service.c
+++ b/packages/config/service.c
@@ -212,11 +212,12 @@
                             file);
     }
     if (rules->timeout_ms > rules->timeout_max_ms) {
-        return cq_error_set(error, CQ_ERROR_VALUE,
-                            "%s:1: requests.timeout_ms: found %"
-                            G_GINT64_FORMAT "; write at most "
-                            "timeout_max_ms (%" G_GINT64_FORMAT ")",
-                            file, rules->timeout_ms, rules->timeout_max_ms);
+        return cq_error_set(
+            error, CQ_ERROR_VALUE,
+            "%s:1: requests.timeout_ms: found %" G_GINT64_FORMAT
+            "; write at most "
+            "timeout_max_ms (%" G_GINT64_FORMAT ")",
+            file, rules->timeout_ms, rules->timeout_max_ms);
     }
     return TRUE;
 }
--- a/packages/config/service.h
+++ b/packages/config/service.h
@@ -20,8 +20,8 @@
  *
  * Return: the rules, or NULL.
  */
-cq_rules_t *cq_service_parse(const char *text, const char *file,
-                             cq_error_t *error);
+cq_rules_t *
+cq_service_parse(const char *text, const char *file, cq_error_t *error);
 
 G_END_DECLS
 
--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -59,11 +59,13 @@
  *
  * Return: whether all is right.
  */
-gboolean cq_settings_parse(const char *text, const char *file,
-                           cq_settings_t *settings, cq_error_t *error);
+gboolean
+cq_settings_parse(const char *text, const char *file, cq_settings_t *settings,
+                  cq_error_t *error);
 
 /** cq_settings_level() - Return: the name of log level @level */
-const char *cq_settings_level(int level);
+const char *
+cq_settings_level(int level);
 
 G_END_DECLS
 
--- a/packages/config/toml.cc
+++ b/packages/config/toml.cc
@@ -62,7 +62,8 @@
     g_array_append_val(out.items, item);
 }
 
-void add_table(out_t &out, const place_t &place, const toml::table &table);
+void
+add_table(out_t &out, const place_t &place, const toml::table &table);
 
 void
 add_array(out_t &out, const place_t &place, const std::string &key,
@@ -118,8 +119,7 @@
         add_table(out, {"", 0}, table);
         g_array_sort(items, by_line);
         return out.ok ? TRUE : FALSE;
-    }
-    catch (const toml::parse_error &bad) {
+    } catch (const toml::parse_error &bad) {
         std::string what(bad.description());
         return cq_error_set(error, CQ_ERROR_SYNTAX,
                             "%s:%u: not TOML: %s; correct the line", file,
--- a/packages/config/toml.h
+++ b/packages/config/toml.h
@@ -55,8 +55,9 @@
  *
  * Return: whether the text is well formed and its strings are short enough.
  */
-gboolean cq_toml_parse(const char *text, const char *file, GArray *items,
-                       cq_error_t *error);
+gboolean
+cq_toml_parse(const char *text, const char *file, GArray *items,
+              cq_error_t *error);
 
 G_END_DECLS
 
--- a/packages/core/action.c
+++ b/packages/core/action.c
@@ -27,13 +27,11 @@
                             "retry_after_ms"},
     [CQ_OUT_ALREADY_RAN] = {"already_ran", 409,
                             "take the first answer; the call ran once"},
-    [CQ_OUT_EXPIRED] = {"deadline_exceeded", 504,
-                        "allow it more time"},
+    [CQ_OUT_EXPIRED] = {"deadline_exceeded", 504, "allow it more time"},
     [CQ_OUT_BROKEN] = {"upstream_failed", 502,
                        "see ran: a call that may have run is not repeated "
                        "for you"},
-    [CQ_OUT_DRAINING] = {"draining", 503,
-                         "send it to another entry host"},
+    [CQ_OUT_DRAINING] = {"draining", 503, "send it to another entry host"},
     [CQ_OUT_HUNG_UP] = {"caller_left", 499, ""},
 };
 
--- a/packages/core/action.h
+++ b/packages/core/action.h
@@ -34,18 +34,18 @@
 
 /** enum cq_outcome_t - how a request ended */
 typedef enum {
-    CQ_OUT_DONE,        /* the upstream's answer was passed on whole */
+    CQ_OUT_DONE,         /* the upstream's answer was passed on whole */
     CQ_OUT_UNKNOWN_NAME, /* no such service, model or team */
-    CQ_OUT_TOO_LONG,    /* the prompt exceeds what engines can hold */
-    CQ_OUT_OVERLOADED,  /* can't finish in time; come back later */
-    CQ_OUT_NO_UPSTREAM, /* no upstream takes work */
-    CQ_OUT_NO_LOG,      /* a keyed call can't be claimed now */
-    CQ_OUT_IN_PROGRESS, /* another request holds the key */
-    CQ_OUT_ALREADY_RAN, /* an earlier request with the key ran */
-    CQ_OUT_EXPIRED,     /* its time is over */
-    CQ_OUT_BROKEN,      /* the upstream failed and no retry is allowed */
-    CQ_OUT_DRAINING,    /* this process is stopping */
-    CQ_OUT_HUNG_UP,     /* the caller left */
+    CQ_OUT_TOO_LONG,     /* the prompt exceeds what engines can hold */
+    CQ_OUT_OVERLOADED,   /* can't finish in time; come back later */
+    CQ_OUT_NO_UPSTREAM,  /* no upstream takes work */
+    CQ_OUT_NO_LOG,       /* a keyed call can't be claimed now */
+    CQ_OUT_IN_PROGRESS,  /* another request holds the key */
+    CQ_OUT_ALREADY_RAN,  /* an earlier request with the key ran */
+    CQ_OUT_EXPIRED,      /* its time is over */
+    CQ_OUT_BROKEN,       /* the upstream failed and no retry is allowed */
+    CQ_OUT_DRAINING,     /* this process is stopping */
+    CQ_OUT_HUNG_UP,      /* the caller left */
     CQ_OUT_COUNT,
 } cq_outcome_t;
 
@@ -141,31 +141,40 @@
 } cq_actions_t;
 
 /** cq_actions_init() - make @actions empty */
-void cq_actions_init(cq_actions_t *actions);
+void
+cq_actions_init(cq_actions_t *actions);
 
 /** cq_actions_reset() - drop every action */
-void cq_actions_reset(cq_actions_t *actions);
+void
+cq_actions_reset(cq_actions_t *actions);
 
 /** cq_actions_clear() - free what @actions holds */
-void cq_actions_clear(cq_actions_t *actions);
+void
+cq_actions_clear(cq_actions_t *actions);
 
 /** cq_actions_at() - Return: action number @i */
-const cq_action_t *cq_actions_at(const cq_actions_t *actions, guint i);
+const cq_action_t *
+cq_actions_at(const cq_actions_t *actions, guint i);
 
 /** cq_actions_add() - append a copy of @action */
-void cq_actions_add(cq_actions_t *actions, const cq_action_t *action);
+void
+cq_actions_add(cq_actions_t *actions, const cq_action_t *action);
 
 /** cq_outcome_code() - Return: the error code callers see */
-const char *cq_outcome_code(cq_outcome_t outcome);
+const char *
+cq_outcome_code(cq_outcome_t outcome);
 
 /** cq_outcome_remedy() - Return: what the caller can do */
-const char *cq_outcome_remedy(cq_outcome_t outcome);
+const char *
+cq_outcome_remedy(cq_outcome_t outcome);
 
 /** cq_outcome_status() - Return: the HTTP status */
-int cq_outcome_status(cq_outcome_t outcome);
+int
+cq_outcome_status(cq_outcome_t outcome);
 
 /** cq_ran_text() - Return: "no", "yes" or "unknown" */
-const char *cq_ran_text(cq_ran_t ran);
+const char *
+cq_ran_text(cq_ran_t ran);
 
 G_END_DECLS
 
--- a/packages/core/claim.c
+++ b/packages/core/claim.c
@@ -164,7 +164,6 @@
 void
 cq_claim_sweep(cq_core_t *core)
 {
-    guint dropped =
-        g_hash_table_foreach_remove(core->claims, too_old, core);
+    guint dropped = g_hash_table_foreach_remove(core->claims, too_old, core);
     cq_counters_add(&core->counters, CQ_N_CLAIMS_EXPIRED, dropped);
 }
--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -324,8 +324,7 @@
 {
     for (guint i = 0; i < core->services->len; i++) {
         const cq_service_t *service = g_ptr_array_index(core->services, i);
-        if (service->rules != NULL &&
-            cq_rules_serves(service->rules, model)) {
+        if (service->rules != NULL && cq_rules_serves(service->rules, model)) {
             return service->name;
         }
     }
--- a/packages/core/core.h
+++ b/packages/core/core.h
@@ -75,10 +75,12 @@
 } cq_core_stats_t;
 
 /** cq_core_new() - Return: a core without rules, upstreams or peers */
-cq_core_t *cq_core_new(const cq_core_options_t *options);
+cq_core_t *
+cq_core_new(const cq_core_options_t *options);
 
 /** cq_core_free() - free @core */
-void cq_core_free(cq_core_t *core);
+void
+cq_core_free(cq_core_t *core);
 
 /**
  * cq_core_step() - take one event and run the systems
@@ -87,18 +89,21 @@
  * @event: the event
  * @actions: what to do is appended here
  */
-void cq_core_step(cq_core_t *core, gint64 now_us, const cq_event_t *event,
-                  cq_actions_t *actions);
+void
+cq_core_step(cq_core_t *core, gint64 now_us, const cq_event_t *event,
+             cq_actions_t *actions);
 
 /** cq_core_rules() - Return: rules of @service in force, or NULL; borrowed */
-cq_rules_t *cq_core_rules(const cq_core_t *core, const char *service);
+cq_rules_t *
+cq_core_rules(const cq_core_t *core, const char *service);
 
 /** cq_core_model_service() - Return: the service that has @model, or NULL */
-const char *cq_core_model_service(const cq_core_t *core, const char *model);
+const char *
+cq_core_model_service(const cq_core_t *core, const char *model);
 
 /** cq_core_upstream() - Return: whether upstream @id is known; fills @view */
-gboolean cq_core_upstream(const cq_core_t *core, guint64 id,
-                          cq_upstream_view_t *view);
+gboolean
+cq_core_upstream(const cq_core_t *core, guint64 id, cq_upstream_view_t *view);
 
 /**
  * cq_core_watched() - the engines whose load this process should ask for
@@ -108,16 +113,20 @@
  *
  * Return: number of ids.
  */
-guint cq_core_watched(const cq_core_t *core, guint64 *ids, guint max);
+guint
+cq_core_watched(const cq_core_t *core, guint64 *ids, guint max);
 
 /** cq_core_counters() - Return: the core's counters, also for adapters */
-cq_counters_t *cq_core_counters(cq_core_t *core);
+cq_counters_t *
+cq_core_counters(cq_core_t *core);
 
 /** cq_core_ring() - Return: the core's time line, also for adapters */
-cq_ring_t *cq_core_ring(cq_core_t *core);
+cq_ring_t *
+cq_core_ring(cq_core_t *core);
 
 /** cq_core_stats() - Return: sizes of the core's tables */
-cq_core_stats_t cq_core_stats(const cq_core_t *core);
+cq_core_stats_t
+cq_core_stats(const cq_core_t *core);
 
 /**
  * cq_core_check() - test every invariant
@@ -126,7 +135,8 @@
  *
  * Return: NULL, or the text of the first broken invariant.
  */
-const char *cq_core_check(const cq_core_t *core, gint64 now_us);
+const char *
+cq_core_check(const cq_core_t *core, gint64 now_us);
 
 G_END_DECLS
 
--- a/packages/core/group.c
+++ b/packages/core/group.c
@@ -39,8 +39,9 @@
     request->phase_us = core->now_us;
     request->granted = 0;
     cq_counters_add(&core->counters, CQ_N_GROUPS, 1);
-    cq_table_note(core, request, "reserve", "engines=%u tokens_each=%"
-                  G_GINT64_FORMAT, request->group_len, part_of(request));
+    cq_table_note(core, request, "reserve",
+                  "engines=%u tokens_each=%" G_GINT64_FORMAT,
+                  request->group_len, part_of(request));
     for (guint i = 0; i < request->group_len; i++) {
         request->group_granted[i] = FALSE;
         cq_load_hold(core, request->group[i], part_of(request));
--- a/packages/core/intake.c
+++ b/packages/core/intake.c
@@ -121,8 +121,8 @@
         wait_us = cq_flow_wait_us(core, request);
     }
     gint64 left_us = request->deadline_us - core->now_us;
-    gint64 run_us = wait_us > 0 ? cq_load_run_us(request)
-                                : cq_load_least_us(request);
+    gint64 run_us =
+        wait_us > 0 ? cq_load_run_us(request) : cq_load_least_us(request);
     gint64 needed_us = wait_us + run_us;
     return needed_us <= left_us * FEASIBLE_PERCENT / 100;
 }
--- a/packages/core/intake.h
+++ b/packages/core/intake.h
@@ -11,7 +11,8 @@
 G_BEGIN_DECLS
 
 /** cq_intake_request() - take or refuse a caller's request */
-void cq_intake_request(cq_core_t *core, const cq_ev_request_t *event);
+void
+cq_intake_request(cq_core_t *core, const cq_ev_request_t *event);
 
 G_END_DECLS
 
--- a/packages/core/load.c
+++ b/packages/core/load.c
@@ -50,8 +50,7 @@
 cq_load_prompt_us(const cq_request_t *request)
 {
     gint64 size = cq_place_group_size(request);
-    return cq_load_prefill_us(request->service, request->prompt_tokens) /
-           size;
+    return cq_load_prefill_us(request->service, request->prompt_tokens) / size;
 }
 
 static gboolean
--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -48,8 +48,7 @@
         return;
     }
     cq_service_t *service = cq_table_need_service(core, row->service);
-    cq_upstream_t *upstream =
-        cq_table_add_upstream(core, service, row->name);
+    cq_upstream_t *upstream = cq_table_add_upstream(core, service, row->name);
     upstream->incarnation = row->incarnation;
     take_row(core, upstream, row);
     cq_ring_add(&core->ring, core->now_us, 0, 0, "upstream",
--- a/packages/core/member.h
+++ b/packages/core/member.h
@@ -13,14 +13,17 @@
 G_BEGIN_DECLS
 
 /** cq_member_list() - take the platform's whole list */
-void cq_member_list(cq_core_t *core, const cq_ev_hosts_t *list);
+void
+cq_member_list(cq_core_t *core, const cq_ev_hosts_t *list);
 
 /** cq_member_leaving() - @upstream's @incarnation is leaving */
-void cq_member_leaving(cq_core_t *core, cq_upstream_t *upstream,
-                       guint64 incarnation);
+void
+cq_member_leaving(cq_core_t *core, cq_upstream_t *upstream,
+                  guint64 incarnation);
 
 /** cq_member_sweep() - drop upstreams that are off the list and unused */
-void cq_member_sweep(cq_core_t *core);
+void
+cq_member_sweep(cq_core_t *core);
 
 G_END_DECLS
 
--- a/packages/core/peer.h
+++ b/packages/core/peer.h
@@ -12,10 +12,12 @@
 G_BEGIN_DECLS
 
 /** cq_peer_summary() - take a peer's summary */
-void cq_peer_summary(cq_core_t *core, const cq_summary_t *summary);
+void
+cq_peer_summary(cq_core_t *core, const cq_summary_t *summary);
 
 /** cq_peer_tick() - forget silent peers; send a summary when one is due */
-void cq_peer_tick(cq_core_t *core);
+void
+cq_peer_tick(cq_core_t *core);
 
 G_END_DECLS
 
--- a/packages/core/place.h
+++ b/packages/core/place.h
@@ -12,35 +12,43 @@
 
 /** cq_place_mix() - Return: a well mixed hash of @value (splitmix64
  * finaliser, Steele et al. 2014) */
-guint64 cq_place_mix(guint64 value);
+guint64
+cq_place_mix(guint64 value);
 
 /** cq_place_refresh() - rebuild the candidate arrays of @service */
-void cq_place_refresh(cq_core_t *core, cq_service_t *service);
+void
+cq_place_refresh(cq_core_t *core, cq_service_t *service);
 
 /** cq_place_usable() - Return: whether @upstream may get new work now */
-gboolean cq_place_usable(const cq_core_t *core,
-                         const cq_upstream_t *upstream);
+gboolean
+cq_place_usable(const cq_core_t *core, const cq_upstream_t *upstream);
 
 /** cq_place_any() - Return: whether any upstream may get new work now */
-gboolean cq_place_any(const cq_core_t *core, const cq_service_t *service);
+gboolean
+cq_place_any(const cq_core_t *core, const cq_service_t *service);
 
 /** cq_place_need() - Return: memory that @request needs, in tokens */
-gint64 cq_place_need(const cq_request_t *request);
+gint64
+cq_place_need(const cq_request_t *request);
 
 /** cq_place_choose() - Return: the upstream for @request now, or NULL when
  * it should wait */
-cq_upstream_t *cq_place_choose(cq_core_t *core, cq_request_t *request);
+cq_upstream_t *
+cq_place_choose(cq_core_t *core, cq_request_t *request);
 
 /** cq_place_group() - choose engines that hold @request together: fills
  * request->group; FALSE when too few have room */
-gboolean cq_place_group(cq_core_t *core, cq_request_t *request);
+gboolean
+cq_place_group(cq_core_t *core, cq_request_t *request);
 
 /** cq_place_group_size() - Return: least number of engines that can hold
  * @request */
-guint cq_place_group_size(const cq_request_t *request);
+guint
+cq_place_group_size(const cq_request_t *request);
 
 /** cq_place_unmark() - give up the engine held free for @request */
-void cq_place_unmark(cq_core_t *core, cq_request_t *request);
+void
+cq_place_unmark(cq_core_t *core, cq_request_t *request);
 
 G_END_DECLS
 
--- a/packages/core/repair.c
+++ b/packages/core/repair.c
@@ -32,8 +32,7 @@
 static gboolean
 outdated(const cq_core_t *core, const cq_ev_load_t *report)
 {
-    const cq_upstream_t *upstream =
-        cq_table_upstream(core, report->upstream);
+    const cq_upstream_t *upstream = cq_table_upstream(core, report->upstream);
     return upstream == NULL ||
            report->at_us < upstream->released_us + SETTLE_US;
 }
--- a/packages/core/repair.h
+++ b/packages/core/repair.h
@@ -12,7 +12,8 @@
 G_BEGIN_DECLS
 
 /** cq_repair_holdings() - look at one engine's report */
-void cq_repair_holdings(cq_core_t *core, const cq_ev_load_t *report);
+void
+cq_repair_holdings(cq_core_t *core, const cq_ev_load_t *report);
 
 G_END_DECLS
 
--- a/packages/core/table.c
+++ b/packages/core/table.c
@@ -49,14 +49,14 @@
 cq_table_init(cq_core_t *core)
 {
     cq_list_init(&core->requests);
-    core->request_by_id = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-                                                NULL, g_free);
+    core->request_by_id =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     core->upstream_by_id = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                                  NULL, free_upstream);
     core->service_by_name = g_hash_table_new(g_str_hash, g_str_equal);
     core->services = g_ptr_array_new_with_free_func(free_service);
-    core->peer_by_host = g_hash_table_new_full(g_direct_hash, g_direct_equal,
-                                               NULL, free_peer);
+    core->peer_by_host =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_peer);
     core->entry_hosts = g_hash_table_new(g_direct_hash, g_direct_equal);
     core->claims = g_hash_table_new_full(key_hash, key_equal, NULL, g_free);
 }
--- a/packages/core/table.h
+++ b/packages/core/table.h
@@ -11,41 +11,53 @@
 G_BEGIN_DECLS
 
 /** cq_table_init() - make every table of @core empty */
-void cq_table_init(cq_core_t *core);
+void
+cq_table_init(cq_core_t *core);
 
 /** cq_table_clear() - free every table of @core */
-void cq_table_clear(cq_core_t *core);
+void
+cq_table_clear(cq_core_t *core);
 
 /** cq_table_request() - Return: the open request @id, or NULL */
-cq_request_t *cq_table_request(const cq_core_t *core, guint64 id);
+cq_request_t *
+cq_table_request(const cq_core_t *core, guint64 id);
 
 /** cq_table_upstream() - Return: upstream @id, or NULL */
-cq_upstream_t *cq_table_upstream(const cq_core_t *core, guint64 id);
+cq_upstream_t *
+cq_table_upstream(const cq_core_t *core, guint64 id);
 
 /** cq_table_service() - Return: service @name, or NULL */
-cq_service_t *cq_table_service(const cq_core_t *core, const char *name);
+cq_service_t *
+cq_table_service(const cq_core_t *core, const char *name);
 
 /** cq_table_peer() - Return: the peer on @host, or NULL */
-cq_peer_t *cq_table_peer(const cq_core_t *core, guint32 host);
+cq_peer_t *
+cq_table_peer(const cq_core_t *core, guint32 host);
 
 /** cq_table_add_request() - Return: a new zeroed request with @id */
-cq_request_t *cq_table_add_request(cq_core_t *core, guint64 id);
+cq_request_t *
+cq_table_add_request(cq_core_t *core, guint64 id);
 
 /** cq_table_drop_request() - forget @request, which is in no queue */
-void cq_table_drop_request(cq_core_t *core, cq_request_t *request);
+void
+cq_table_drop_request(cq_core_t *core, cq_request_t *request);
 
 /** cq_table_need_service() - Return: service @name, made when missing */
-cq_service_t *cq_table_need_service(cq_core_t *core, const char *name);
+cq_service_t *
+cq_table_need_service(cq_core_t *core, const char *name);
 
 /** cq_table_add_upstream() - Return: a new upstream of @service */
-cq_upstream_t *cq_table_add_upstream(cq_core_t *core, cq_service_t *service,
-                                     const char *name);
+cq_upstream_t *
+cq_table_add_upstream(cq_core_t *core, cq_service_t *service,
+                      const char *name);
 
 /** cq_table_drop_upstream() - forget @upstream, which no request uses */
-void cq_table_drop_upstream(cq_core_t *core, cq_upstream_t *upstream);
+void
+cq_table_drop_upstream(cq_core_t *core, cq_upstream_t *upstream);
 
 /** cq_table_need_peer() - Return: the peer on @host, made when missing */
-cq_peer_t *cq_table_need_peer(cq_core_t *core, guint32 host);
+cq_peer_t *
+cq_table_need_peer(cq_core_t *core, guint32 host);
 
 /** cq_table_note() - write an event of @request to the time line */
 #define cq_table_note(core, request, kind, ...)                               \
--- a/packages/core/watch.h
+++ b/packages/core/watch.h
@@ -11,10 +11,12 @@
 G_BEGIN_DECLS
 
 /** cq_watch_tick() - look at every open request */
-void cq_watch_tick(cq_core_t *core);
+void
+cq_watch_tick(cq_core_t *core);
 
 /** cq_watch_probed() - take what an upstream says of an attempt */
-void cq_watch_probed(cq_core_t *core, const cq_ev_attempt_t *event);
+void
+cq_watch_probed(cq_core_t *core, const cq_ev_attempt_t *event);
 
 G_END_DECLS
 
--- a/packages/ctl/main.c
+++ b/packages/ctl/main.c
@@ -60,9 +60,8 @@
         g_string_append_printf(text, "  %-9s %-28s %s\n", commands[i].name,
                                commands[i].usage, commands[i].summary);
     }
-    g_string_append(text,
-                    "\nExit codes: 0 done, 1 refused, 2 wrong use, "
-                    "3 unreachable\n");
+    g_string_append(text, "\nExit codes: 0 done, 1 refused, 2 wrong use, "
+                          "3 unreachable\n");
     return g_string_free(text, FALSE);
 }
 
@@ -84,8 +83,8 @@
     GOptionContext *context = g_option_context_new(title);
     g_option_context_add_main_entries(context, entries, NULL);
     char *list = list_commands();
-    g_option_context_set_summary(context, command != NULL ? command->summary
-                                                          : list);
+    g_option_context_set_summary(context,
+                                 command != NULL ? command->summary : list);
     GError *error = NULL;
     gboolean good = g_option_context_parse(context, argc, argv, &error);
     if (!good) {
@@ -114,8 +113,8 @@
     command = find_command(argc > 1 ? argv[1] : NULL);
     if (command == NULL) {
         char *list = list_commands();
-        fprintf(stderr, "cuminquayctl: no such command; write one of these\n%s",
-                list);
+        fprintf(stderr,
+                "cuminquayctl: no such command; write one of these\n%s", list);
         g_free(list);
         return CQ_EXIT_USAGE;
     }
--- a/packages/ctl/net.h
+++ b/packages/ctl/net.h
@@ -24,8 +24,9 @@
  *
  * Return: the answer's body, or NULL; free with g_free().
  */
-char *cq_net_call(const char *method, const char *addr, const char *path,
-                  const char *body, cq_error_t *error);
+char *
+cq_net_call(const char *method, const char *addr, const char *path,
+            const char *body, cq_error_t *error);
 
 /** typedef cq_net_record_t - hears of each configuration record in the log */
 typedef void (*cq_net_record_t)(gint64 offset, const cq_config_entry_t *entry,
@@ -42,8 +43,9 @@
  *
  * Return: whether the end was reached.
  */
-gboolean cq_net_fold(const char *addr, gint64 *from, cq_fold_t *fold,
-                     cq_net_record_t heard, void *data, cq_error_t *error);
+gboolean
+cq_net_fold(const char *addr, gint64 *from, cq_fold_t *fold,
+            cq_net_record_t heard, void *data, cq_error_t *error);
 
 G_END_DECLS
 
--- a/packages/ctl/publish.c
+++ b/packages/ctl/publish.c
@@ -179,8 +179,7 @@
     char *text = cq_record_encode(&record);
     char *body = append_body(text);
     cq_error_t append_error = {0};
-    char *answer =
-        cq_net_call("POST", log, "/append", body, &append_error);
+    char *answer = cq_net_call("POST", log, "/append", body, &append_error);
     g_free(answer);
     g_free(body);
     g_free(text);
@@ -206,16 +205,16 @@
     }
     const cq_config_entry_t *held = cq_fold_get(fold, entry->service);
     fprintf(stderr,
-            "cuminquayctl: %s: another operator published version %"
-            G_GUINT64_FORMAT " first; read it with config show and publish "
+            "cuminquayctl: %s: another operator published version "
+            "%" G_GUINT64_FORMAT
+            " first; read it with config show and publish "
             "again\n",
             entry->service, held != NULL ? held->version : 0);
     return CQ_EXIT_REFUSED;
 }
 
 static int
-publish_one(const char *log, const file_t *file, gint64 *from,
-            cq_fold_t *fold)
+publish_one(const char *log, const file_t *file, gint64 *from, cq_fold_t *fold)
 {
     const cq_config_entry_t *held = cq_fold_get(fold, file->rules->name);
     cq_config_entry_t entry = {0};
@@ -281,8 +280,8 @@
               cq_fold_result_t result, void *data)
 {
     (void)data;
-    printf("offset=%" G_GINT64_FORMAT " service=%s version=%"
-           G_GUINT64_FORMAT " id=%s result=%s\n",
+    printf("offset=%" G_GINT64_FORMAT " service=%s version=%" G_GUINT64_FORMAT
+           " id=%s result=%s\n",
            offset, entry->service, entry->version, entry->id,
            result_text(result));
 }
--- a/packages/ctl/show.c
+++ b/packages/ctl/show.c
@@ -37,8 +37,7 @@
     int code = CQ_EXIT_DONE;
     for (guint i = 0; options->at[i] != NULL; i++) {
         cq_error_t error = {0};
-        char *text =
-            cq_net_call(method, options->at[i], path, NULL, &error);
+        char *text = cq_net_call(method, options->at[i], path, NULL, &error);
         if (text == NULL) {
             int failed = cq_ctl_fail(&error);
             code = code == CQ_EXIT_DONE ? failed : code;
@@ -57,9 +56,9 @@
            json_object_get_string_member(object, "host"),
            json_object_get_string_member(object, "zone"),
            json_object_get_boolean_member(object, "draining") ? "yes" : "no");
-    static const char *const numbers[] = {"requests_open", "requests_queued",
-                                          "reservations_open", "upstreams",
-                                          "peers_heard", "services"};
+    static const char *const numbers[] = {
+        "requests_open", "requests_queued", "reservations_open",
+        "upstreams",     "peers_heard",     "services"};
     for (guint i = 0; i < G_N_ELEMENTS(numbers); i++) {
         printf(" %s=%" G_GINT64_FORMAT, numbers[i],
                json_object_get_int_member(object, numbers[i]));
@@ -131,14 +130,11 @@
         event->wall_us = json_object_get_int_member(row, "wall_us");
         event->logical = json_object_get_int_member(row, "logical");
         event->attempt = json_object_get_int_member(row, "attempt");
-        event->host =
-            g_strdup(json_object_get_string_member(row, "host"));
+        event->host = g_strdup(json_object_get_string_member(row, "host"));
         event->request =
             g_strdup(json_object_get_string_member(row, "request"));
-        event->kind =
-            g_strdup(json_object_get_string_member(row, "kind"));
-        event->fields =
-            g_strdup(json_object_get_string_member(row, "fields"));
+        event->kind = g_strdup(json_object_get_string_member(row, "kind"));
+        event->fields = g_strdup(json_object_get_string_member(row, "fields"));
         g_ptr_array_add(events, event);
     }
     json_node_unref(root);
@@ -215,12 +211,14 @@
     }
     guint64 number;
     if (!g_ascii_string_to_unsigned(id, 16, 1, G_MAXUINT64, &number, NULL)) {
-        fprintf(stderr, "cuminquayctl: explain: found %s; write the 16 "
-                        "hexadecimal digits of X-Request-Id\n", id);
+        fprintf(stderr,
+                "cuminquayctl: explain: found %s; write the 16 "
+                "hexadecimal digits of X-Request-Id\n",
+                id);
         return CQ_EXIT_USAGE;
     }
     char path[64];
-    g_snprintf(path, sizeof path, "/timeline?request=%016" G_GINT64_MODIFIER
-               "x", number);
+    g_snprintf(path, sizeof path,
+               "/timeline?request=%016" G_GINT64_MODIFIER "x", number);
     return print_events(options, path);
 }
--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -36,7 +36,8 @@
     gboolean draining;
 };
 
-static void carry_out(cq_app_t *app, const cq_action_t *action);
+static void
+carry_out(cq_app_t *app, const cq_action_t *action);
 
 gint64
 cq_app_now_us(const cq_app_t *app)
@@ -223,8 +224,8 @@
     app->fold = cq_fold_new(on_rules, app);
     cq_actions_init(&app->actions);
     g_queue_init(&app->posted);
-    app->logs = cq_logs_new(settings->host,
-                            cq_settings_level(settings->log_level));
+    app->logs =
+        cq_logs_new(settings->host, cq_settings_level(settings->log_level));
     app->front = cq_front_new(app);
     app->calls = cq_calls_new(app);
     app->oper = cq_oper_new(app);
--- a/packages/router/app.h
+++ b/packages/router/app.h
@@ -19,55 +19,70 @@
 typedef struct cq_app cq_app_t;
 
 /** cq_app_new() - Return: a process with @settings, not yet listening */
-cq_app_t *cq_app_new(const cq_settings_t *settings);
+cq_app_t *
+cq_app_new(const cq_settings_t *settings);
 
 /** cq_app_start() - open every listener; FALSE and @error when one fails */
-gboolean cq_app_start(cq_app_t *app, cq_error_t *error);
+gboolean
+cq_app_start(cq_app_t *app, cq_error_t *error);
 
 /** cq_app_free() - close and free everything */
-void cq_app_free(cq_app_t *app);
+void
+cq_app_free(cq_app_t *app);
 
 /** cq_app_run() - serve until a drain has finished; Return: exit code */
-int cq_app_run(cq_app_t *app);
+int
+cq_app_run(cq_app_t *app);
 
 /** cq_app_drain() - begin a planned stop; a second call ends it now */
-void cq_app_drain(cq_app_t *app);
+void
+cq_app_drain(cq_app_t *app);
 
 /** cq_app_post() - give @event to the core and carry out its actions; events
  * posted meanwhile follow in order */
-void cq_app_post(cq_app_t *app, const cq_event_t *event);
+void
+cq_app_post(cq_app_t *app, const cq_event_t *event);
 
 /** cq_app_core() - Return: the core */
-cq_core_t *cq_app_core(cq_app_t *app);
+cq_core_t *
+cq_app_core(cq_app_t *app);
 
 /** cq_app_fold() - Return: the configuration fold */
-cq_fold_t *cq_app_fold(cq_app_t *app);
+cq_fold_t *
+cq_app_fold(cq_app_t *app);
 
 /** cq_app_settings() - Return: the settings */
-const cq_settings_t *cq_app_settings(const cq_app_t *app);
+const cq_settings_t *
+cq_app_settings(const cq_app_t *app);
 
 /** cq_app_now_us() - Return: monotonic time near the wall clock, in
  * microseconds */
-gint64 cq_app_now_us(const cq_app_t *app);
+gint64
+cq_app_now_us(const cq_app_t *app);
 
 /** cq_app_incarnation() - Return: incarnation of this process */
-guint64 cq_app_incarnation(const cq_app_t *app);
+guint64
+cq_app_incarnation(const cq_app_t *app);
 
 /** cq_app_request_id() - Return: a new request id */
-guint64 cq_app_request_id(cq_app_t *app);
+guint64
+cq_app_request_id(cq_app_t *app);
 
 /** cq_app_draining() - Return: whether a planned stop has begun */
-gboolean cq_app_draining(const cq_app_t *app);
+gboolean
+cq_app_draining(const cq_app_t *app);
 
 /** cq_app_resume() - a slow caller took its bytes: go on reading for @id */
-void cq_app_resume(cq_app_t *app, guint64 id);
+void
+cq_app_resume(cq_app_t *app, guint64 id);
 
 /** cq_app_count() - add @n to counter @which */
-void cq_app_count(cq_app_t *app, cq_counter_t which, guint64 n);
-
+void
+cq_app_count(cq_app_t *app, cq_counter_t which, guint64 n);
 
 /** cq_app_peer_rows() - take the entry hosts of the platform's list */
-void cq_app_peer_rows(cq_app_t *app, const cq_listed_t *rows, guint len);
+void
+cq_app_peer_rows(cq_app_t *app, const cq_listed_t *rows, guint len);
 
 G_END_DECLS
 
--- a/packages/router/caller.c
+++ b/packages/router/caller.c
@@ -71,8 +71,8 @@
     char byte;
     GInputVector vector = {&byte, 1};
     gint flags = G_SOCKET_MSG_PEEK;
-    gssize got = g_socket_receive_message(socket, NULL, &vector, 1, NULL,
-                                          NULL, &flags, NULL, NULL);
+    gssize got = g_socket_receive_message(socket, NULL, &vector, 1, NULL, NULL,
+                                          &flags, NULL, NULL);
     stop_watching(caller);
     if (got <= 0) {
         lost(caller);
@@ -87,8 +87,8 @@
     if (socket == NULL) {
         return;
     }
-    caller->hangup = g_socket_create_source(
-        socket, G_IO_IN | G_IO_HUP | G_IO_ERR, NULL);
+    caller->hangup =
+        g_socket_create_source(socket, G_IO_IN | G_IO_HUP | G_IO_ERR, NULL);
     g_source_set_callback(caller->hangup, G_SOURCE_FUNC(on_readable), caller,
                           NULL);
     g_source_attach(caller->hangup, NULL);
@@ -142,8 +142,7 @@
         soup_server_message_get_response_headers(message);
     soup_message_headers_replace(headers, "X-Request-Id", id);
     g_signal_connect(message, "finished", G_CALLBACK(on_finished), caller);
-    g_signal_connect(message, "wrote-body-data", G_CALLBACK(on_wrote),
-                     caller);
+    g_signal_connect(message, "wrote-body-data", G_CALLBACK(on_wrote), caller);
     soup_server_message_pause(message);
     watch(caller);
     return caller;
@@ -232,8 +231,7 @@
     SoupMessageHeaders *headers =
         soup_server_message_get_response_headers(caller->message);
     soup_message_headers_set_encoding(headers, SOUP_ENCODING_CHUNKED);
-    soup_message_headers_replace(headers, "Content-Type",
-                                 "text/event-stream");
+    soup_message_headers_replace(headers, "Content-Type", "text/event-stream");
     soup_server_message_set_status(caller->message, 200, NULL);
     SoupMessageBody *body =
         soup_server_message_get_response_body(caller->message);
@@ -335,9 +333,8 @@
     JsonBuilder *builder = json_builder_new();
     json_builder_begin_object(builder);
     json_builder_set_member_name(builder, "object");
-    json_builder_add_string_value(builder, caller->options.chat
-                                               ? "chat.completion"
-                                               : "text_completion");
+    json_builder_add_string_value(
+        builder, caller->options.chat ? "chat.completion" : "text_completion");
     json_builder_set_member_name(builder, "choices");
     json_builder_begin_array(builder);
     json_builder_begin_object(builder);
--- a/packages/router/caller.h
+++ b/packages/router/caller.h
@@ -50,34 +50,40 @@
 } cq_caller_options_t;
 
 /** cq_caller_new() - Return: a caller; @message is paused until answered */
-cq_caller_t *cq_caller_new(SoupServerMessage *message,
-                           const cq_caller_options_t *options);
+cq_caller_t *
+cq_caller_new(SoupServerMessage *message, const cq_caller_options_t *options);
 
 /** cq_caller_unref() - give up the caller's table reference */
-void cq_caller_unref(cq_caller_t *caller);
+void
+cq_caller_unref(cq_caller_t *caller);
 
 /** cq_caller_id() - Return: the request's id */
-guint64 cq_caller_id(const cq_caller_t *caller);
+guint64
+cq_caller_id(const cq_caller_t *caller);
 
 /** cq_caller_key() - Return: the id's address, for hash tables */
-gpointer cq_caller_key(cq_caller_t *caller);
+gpointer
+cq_caller_key(cq_caller_t *caller);
 
 /** cq_caller_target() - fill @target; its pointers are borrowed */
-void cq_caller_target(const cq_caller_t *caller, cq_call_target_t *target);
+void
+cq_caller_target(const cq_caller_t *caller, cq_call_target_t *target);
 
 /** cq_caller_write() - pass stream events on; Return: whether the caller has
  * more than CQ_BUFFER_BYTES_MAX to take */
-gboolean cq_caller_write(cq_caller_t *caller, GBytes *bytes);
+gboolean
+cq_caller_write(cq_caller_t *caller, GBytes *bytes);
 
 /** cq_caller_answer() - give the final answer; @finished is called when its
  * last byte is written or the caller is gone */
-void cq_caller_answer(cq_caller_t *caller, const cq_ac_answer_t *answer,
-                      const cq_call_result_t *result,
-                      cq_caller_heard_t finished);
+void
+cq_caller_answer(cq_caller_t *caller, const cq_ac_answer_t *answer,
+                 const cq_call_result_t *result, cq_caller_heard_t finished);
 
 /** cq_caller_error() - answer @message with a JSON error */
-void cq_caller_error(SoupServerMessage *message, int status, const char *code,
-                     cq_ran_t ran, gint64 retry_after_us, const char *remedy);
+void
+cq_caller_error(SoupServerMessage *message, int status, const char *code,
+                cq_ran_t ran, gint64 retry_after_us, const char *remedy);
 
 G_END_DECLS
 
--- a/packages/router/calls.c
+++ b/packages/router/calls.c
@@ -36,7 +36,8 @@
     guint refs;
 } call_t;
 
-static void read_more(call_t *call);
+static void
+read_more(call_t *call);
 
 static void
 call_unref(call_t *call)
@@ -126,8 +127,7 @@
     gsize len = call->received->len;
     for (;;) {
         const char *at = data + used;
-        const char *stop =
-            g_strstr_len(at, (gssize)(len - used), EVENT_END);
+        const char *stop = g_strstr_len(at, (gssize)(len - used), EVENT_END);
         if (stop == NULL) {
             break;
         }
@@ -270,8 +270,7 @@
     for (guint i = 0; i < send->group_len; i++) {
         cq_upstream_view_t view;
         if (cq_core_upstream(cq_app_core(calls->app), send->group[i], &view)) {
-            g_string_append_printf(names, "%s%s", i > 0 ? "," : "",
-                                   view.name);
+            g_string_append_printf(names, "%s%s", i > 0 ? "," : "", view.name);
         }
     }
     set_header(message, "X-Group", "%s", names->str);
@@ -320,8 +319,8 @@
     cq_calls_t *calls = g_new0(cq_calls_t, 1);
     calls->app = app;
     calls->session = cq_http_session();
-    calls->by_request = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-                                              NULL, free_call);
+    calls->by_request =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_call);
     return calls;
 }
 
@@ -353,8 +352,7 @@
         post_failed(call, CQ_FAIL_CONNECT);
         return;
     }
-    g_signal_connect(call->message, "starting", G_CALLBACK(on_starting),
-                     call);
+    g_signal_connect(call->message, "starting", G_CALLBACK(on_starting), call);
     call->refs++;
     soup_session_send_async(calls->session, call->message, G_PRIORITY_DEFAULT,
                             call->cancellable, on_head, call);
@@ -427,10 +425,9 @@
     probe->model = model;
     char *url;
     if (model) {
-        url = g_strdup_printf("http://%s/requests/%016" G_GINT64_MODIFIER
-                              "x-%u",
-                              upstream->addr, attempt->request,
-                              attempt->attempt);
+        url = g_strdup_printf(
+            "http://%s/requests/%016" G_GINT64_MODIFIER "x-%u", upstream->addr,
+            attempt->request, attempt->attempt);
     }
     else {
         url = g_strdup_printf("http://%s/healthz", upstream->addr);
--- a/packages/router/calls.h
+++ b/packages/router/calls.h
@@ -44,36 +44,44 @@
 } cq_call_result_t;
 
 /** cq_calls_new() - Return: a table without calls */
-cq_calls_t *cq_calls_new(cq_app_t *app);
+cq_calls_t *
+cq_calls_new(cq_app_t *app);
 
 /** cq_calls_free() - cancel every call and free the table */
-void cq_calls_free(cq_calls_t *calls);
+void
+cq_calls_free(cq_calls_t *calls);
 
 /** cq_calls_send() - start an attempt at @upstream */
-void cq_calls_send(cq_calls_t *calls, const cq_ac_send_t *send,
-                   const cq_upstream_view_t *upstream,
-                   const cq_call_target_t *target);
+void
+cq_calls_send(cq_calls_t *calls, const cq_ac_send_t *send,
+              const cq_upstream_view_t *upstream,
+              const cq_call_target_t *target);
 
 /** cq_calls_stop() - end an attempt from our side */
-void cq_calls_stop(cq_calls_t *calls, const cq_ac_attempt_t *attempt,
-                   const cq_upstream_view_t *upstream);
+void
+cq_calls_stop(cq_calls_t *calls, const cq_ac_attempt_t *attempt,
+              const cq_upstream_view_t *upstream);
 
 /** cq_calls_probe() - ask @upstream about an attempt on a new connection */
-void cq_calls_probe(cq_calls_t *calls, const cq_ac_attempt_t *attempt,
-                    const cq_upstream_view_t *upstream, gboolean model);
+void
+cq_calls_probe(cq_calls_t *calls, const cq_ac_attempt_t *attempt,
+               const cq_upstream_view_t *upstream, gboolean model);
 
 /** cq_calls_take() - Return: the bytes behind the last TOKENS event */
-GBytes *cq_calls_take(cq_calls_t *calls, guint64 request);
+GBytes *
+cq_calls_take(cq_calls_t *calls, guint64 request);
 
 /** cq_calls_result() - Return: whether @request has a whole answer */
-gboolean cq_calls_result(cq_calls_t *calls, guint64 request,
-                         cq_call_result_t *result);
+gboolean
+cq_calls_result(cq_calls_t *calls, guint64 request, cq_call_result_t *result);
 
 /** cq_calls_drop() - forget the calls of @request */
-void cq_calls_drop(cq_calls_t *calls, guint64 request);
+void
+cq_calls_drop(cq_calls_t *calls, guint64 request);
 
 /** cq_calls_hold() - stop or go on reading for @request */
-void cq_calls_hold(cq_calls_t *calls, guint64 request, gboolean hold);
+void
+cq_calls_hold(cq_calls_t *calls, guint64 request, gboolean hold);
 
 G_END_DECLS
 
--- a/packages/router/front.c
+++ b/packages/router/front.c
@@ -76,11 +76,10 @@
 
 /* Fills what every request has; FALSE when it was refused. */
 static gboolean
-fill_common(cq_front_t *front, SoupServerMessage *message,
-            const char *service, cq_ev_request_t *request)
+fill_common(cq_front_t *front, SoupServerMessage *message, const char *service,
+            cq_ev_request_t *request)
 {
-    const cq_rules_t *rules =
-        cq_core_rules(cq_app_core(front->app), service);
+    const cq_rules_t *rules = cq_core_rules(cq_app_core(front->app), service);
     if (rules == NULL) {
         refuse(front, message, 404, "unknown_service",
                "name a service that has been published");
@@ -96,8 +95,8 @@
     const char *timeout = header(message, "X-Request-Timeout-Ms");
     if (timeout != NULL) {
         guint64 ms;
-        if (!g_ascii_string_to_unsigned(timeout, 10, 1, CQ_TIMEOUT_MAX_MS,
-                                        &ms, NULL)) {
+        if (!g_ascii_string_to_unsigned(timeout, 10, 1, CQ_TIMEOUT_MAX_MS, &ms,
+                                        NULL)) {
             refuse(front, message, 400, "bad_timeout",
                    "write X-Request-Timeout-Ms as an integer from 1 to "
                    "3600000");
@@ -203,11 +202,10 @@
             cq_core_rules(cq_app_core(front->app), service);
         const char *method = soup_server_message_get_method(message);
         request.repeatable = cq_rules_repeatable(rules, method, rest);
-        const char *query = g_uri_get_query(
-            soup_server_message_get_uri(message));
-        char *full = query != NULL
-                         ? g_strdup_printf("%s?%s", rest, query)
-                         : g_strdup(rest);
+        const char *query =
+            g_uri_get_query(soup_server_message_get_uri(message));
+        char *full = query != NULL ? g_strdup_printf("%s?%s", rest, query)
+                                   : g_strdup(rest);
         GBytes *body = body_of(message);
         cq_caller_options_t options = {
             .method = method,
@@ -286,8 +284,7 @@
     (void)query;
     SoupMessageHeaders *headers =
         soup_server_message_get_request_headers(message);
-    if (soup_message_headers_get_content_length(headers) >
-        CQ_BODY_BYTES_MAX) {
+    if (soup_message_headers_get_content_length(headers) > CQ_BODY_BYTES_MAX) {
         too_long(data, message);
         return;
     }
@@ -306,8 +303,8 @@
     cq_front_t *front = g_new0(cq_front_t, 1);
     front->app = app;
     front->server = soup_server_new("server-header", "cuminquay", NULL);
-    front->callers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-                                           free_caller);
+    front->callers =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_caller);
     soup_server_add_early_handler(front->server, NULL, on_early, front, NULL);
     soup_server_add_handler(front->server, NULL, on_request, front, NULL);
     return front;
@@ -333,9 +330,8 @@
 {
     GSocketAddress *address = cq_front_parse_addr(addr);
     GError *cause = NULL;
-    gboolean good =
-        address != NULL &&
-        soup_server_listen(front->server, address, 0, &cause);
+    gboolean good = address != NULL &&
+                    soup_server_listen(front->server, address, 0, &cause);
     if (!good) {
         cq_error_set(error, CQ_ERROR_UNREACHABLE,
                      "listen.callers: %s is not free (%s); write another "
--- a/packages/router/http.c
+++ b/packages/router/http.c
@@ -46,10 +46,9 @@
 SoupSession *
 cq_http_session(void)
 {
-    return soup_session_new_with_options("max-conns", CONNECTIONS_MAX,
-                                         "max-conns-per-host", CONNECTIONS_MAX,
-                                         "timeout", 0, "idle-timeout", 30,
-                                         NULL);
+    return soup_session_new_with_options(
+        "max-conns", CONNECTIONS_MAX, "max-conns-per-host", CONNECTIONS_MAX,
+        "timeout", 0, "idle-timeout", 30, NULL);
 }
 
 void
--- a/packages/router/http.h
+++ b/packages/router/http.h
@@ -16,7 +16,8 @@
 typedef void (*cq_http_done_t)(int status, GBytes *body, void *data);
 
 /** cq_http_session() - Return: a session without connection limits */
-SoupSession *cq_http_session(void);
+SoupSession *
+cq_http_session(void);
 
 /**
  * cq_http_call() - start a call
@@ -28,9 +29,9 @@
  * @done: called once, always from the main loop; may be NULL
  * @data: for @done
  */
-void cq_http_call(SoupSession *session, const char *method, const char *url,
-                  GBytes *body, guint timeout_ms, cq_http_done_t done,
-                  void *data);
+void
+cq_http_call(SoupSession *session, const char *method, const char *url,
+             GBytes *body, guint timeout_ms, cq_http_done_t done, void *data);
 
 G_END_DECLS
 
--- a/packages/router/link.c
+++ b/packages/router/link.c
@@ -27,8 +27,10 @@
     guint refs;
 };
 
-static void write_next(cq_link_t *link);
-static void read_next(cq_link_t *link);
+static void
+write_next(cq_link_t *link);
+static void
+read_next(cq_link_t *link);
 
 static void
 unref(cq_link_t *link)
@@ -92,8 +94,8 @@
     gsize len;
     const void *bytes =
         g_bytes_get_data(g_queue_peek_head(&link->unsent), &len);
-    GOutputStream *out = g_io_stream_get_output_stream(
-        G_IO_STREAM(link->options.connection));
+    GOutputStream *out =
+        g_io_stream_get_output_stream(G_IO_STREAM(link->options.connection));
     g_output_stream_write_all_async(out, bytes, len, G_PRIORITY_DEFAULT,
                                     link->cancellable, on_written, link);
 }
@@ -238,8 +240,8 @@
 on_read(GObject *source, GAsyncResult *result, gpointer data)
 {
     cq_link_t *link = data;
-    GBytes *bytes = g_input_stream_read_bytes_finish(G_INPUT_STREAM(source),
-                                                     result, NULL);
+    GBytes *bytes =
+        g_input_stream_read_bytes_finish(G_INPUT_STREAM(source), result, NULL);
     if (bytes == NULL || g_bytes_get_size(bytes) == 0) {
         cq_link_close(link);
     }
@@ -262,8 +264,8 @@
         return;
     }
     link->refs++;
-    GInputStream *in = g_io_stream_get_input_stream(
-        G_IO_STREAM(link->options.connection));
+    GInputStream *in =
+        g_io_stream_get_input_stream(G_IO_STREAM(link->options.connection));
     g_input_stream_read_bytes_async(in, READ_BYTES, G_PRIORITY_DEFAULT,
                                     link->cancellable, on_read, link);
 }
@@ -295,9 +297,8 @@
     link->heard_us = cq_app_now_us(options->app);
     cq_frame_init(&link->reader);
     g_queue_init(&link->unsent);
-    g_socket_set_option(
-        g_socket_connection_get_socket(options->connection), IPPROTO_TCP,
-        TCP_NODELAY, 1, NULL);
+    g_socket_set_option(g_socket_connection_get_socket(options->connection),
+                        IPPROTO_TCP, TCP_NODELAY, 1, NULL);
     send_hello(link);
     read_next(link);
     return link;
--- a/packages/router/link.h
+++ b/packages/router/link.h
@@ -33,24 +33,30 @@
 } cq_link_options_t;
 
 /** cq_link_new() - Return: a link that has sent its challenge */
-cq_link_t *cq_link_new(const cq_link_options_t *options);
+cq_link_t *
+cq_link_new(const cq_link_options_t *options);
 
 /** cq_link_send() - send a framed message once the other side is proved; it
  * is dropped while the link is too slow */
-void cq_link_send(cq_link_t *link, GBytes *frame);
+void
+cq_link_send(cq_link_t *link, GBytes *frame);
 
 /** cq_link_proved() - Return: whether the other side has the peer key */
-gboolean cq_link_proved(const cq_link_t *link);
+gboolean
+cq_link_proved(const cq_link_t *link);
 
 /** cq_link_dialled() - Return: whether this side opened the connection */
-gboolean cq_link_dialled(const cq_link_t *link);
+gboolean
+cq_link_dialled(const cq_link_t *link);
 
 /** cq_link_check() - close the link when part of a frame, or the other
  * side's proof, is overdue */
-void cq_link_check(cq_link_t *link, gint64 now_us);
+void
+cq_link_check(cq_link_t *link, gint64 now_us);
 
 /** cq_link_close() - close the link */
-void cq_link_close(cq_link_t *link);
+void
+cq_link_close(cq_link_t *link);
 
 G_END_DECLS
 
--- a/packages/router/links.c
+++ b/packages/router/links.c
@@ -186,8 +186,7 @@
     gboolean loopback = FALSE;
     if (address != NULL && G_IS_INET_SOCKET_ADDRESS(address)) {
         loopback = g_inet_address_get_is_loopback(
-            g_inet_socket_address_get_address(
-                G_INET_SOCKET_ADDRESS(address)));
+            g_inet_socket_address_get_address(G_INET_SOCKET_ADDRESS(address)));
     }
     g_clear_object(&address);
     return loopback;
@@ -220,8 +219,8 @@
 {
     dial_t *dial = data;
     cq_links_t *links = dial->links;
-    GSocketConnection *connection = g_socket_client_connect_finish(
-        G_SOCKET_CLIENT(source), result, NULL);
+    GSocketConnection *connection =
+        g_socket_client_connect_finish(G_SOCKET_CLIENT(source), result, NULL);
     target_t *target = g_hash_table_lookup(links->targets, dial->addr);
     if (target != NULL) {
         target->dialling = FALSE;
@@ -304,10 +303,9 @@
     links->service = g_socket_service_new();
     gboolean good =
         address != NULL &&
-        g_socket_listener_add_address(G_SOCKET_LISTENER(links->service),
-                                      address, G_SOCKET_TYPE_STREAM,
-                                      G_SOCKET_PROTOCOL_TCP, NULL, NULL,
-                                      &cause);
+        g_socket_listener_add_address(
+            G_SOCKET_LISTENER(links->service), address, G_SOCKET_TYPE_STREAM,
+            G_SOCKET_PROTOCOL_TCP, NULL, NULL, &cause);
     if (!good) {
         cq_error_set(error, CQ_ERROR_UNREACHABLE,
                      "listen.peers: %s is not free (%s); write another "
--- a/packages/router/links.h
+++ b/packages/router/links.h
@@ -14,23 +14,28 @@
 typedef struct cq_links cq_links_t;
 
 /** cq_links_new() - Return: links that do not listen yet */
-cq_links_t *cq_links_new(cq_app_t *app);
+cq_links_t *
+cq_links_new(cq_app_t *app);
 
 /** cq_links_listen() - listen on @addr; FALSE and @error when it fails */
-gboolean cq_links_listen(cq_links_t *links, const char *addr,
-                         cq_error_t *error);
+gboolean
+cq_links_listen(cq_links_t *links, const char *addr, cq_error_t *error);
 
 /** cq_links_free() - close every connection and free */
-void cq_links_free(cq_links_t *links);
+void
+cq_links_free(cq_links_t *links);
 
 /** cq_links_dial() - keep a connection to the process at @addr */
-void cq_links_dial(cq_links_t *links, const char *addr);
+void
+cq_links_dial(cq_links_t *links, const char *addr);
 
 /** cq_links_summary() - send @summary to every peer */
-void cq_links_summary(cq_links_t *links, const cq_summary_t *summary);
+void
+cq_links_summary(cq_links_t *links, const cq_summary_t *summary);
 
 /** cq_links_offer() - tell every peer which versions are in force here */
-void cq_links_offer(cq_links_t *links);
+void
+cq_links_offer(cq_links_t *links);
 
 G_END_DECLS
 
--- a/packages/router/loads.c
+++ b/packages/router/loads.c
@@ -131,8 +131,8 @@
         cq_event_t event = {.kind = CQ_EV_CACHE};
         event.cache.upstream = upstream;
         event.cache.prefix = hex(row, "prefix");
-        event.cache.present = json_object_get_boolean_member_with_default(
-            row, "present", TRUE);
+        event.cache.present =
+            json_object_get_boolean_member_with_default(row, "present", TRUE);
         cq_app_post(loads->app, &event);
     }
 }
@@ -245,10 +245,11 @@
     gboolean reserve = kind == CQ_AC_RESERVE;
     char *url = g_strdup_printf("http://%s/kv/%s", view.addr,
                                 reserve ? "reserve" : "release");
-    char *text = g_strdup_printf(
-        "{\"request\":\"%016" G_GINT64_MODIFIER "x\",\"tokens\":%"
-        G_GINT64_FORMAT ",\"expiry_ms\":%" G_GINT64_FORMAT "}",
-        memory->request, memory->tokens, memory->expiry_us / CQ_MS_US);
+    char *text = g_strdup_printf("{\"request\":\"%016" G_GINT64_MODIFIER
+                                 "x\",\"tokens\":%" G_GINT64_FORMAT
+                                 ",\"expiry_ms\":%" G_GINT64_FORMAT "}",
+                                 memory->request, memory->tokens,
+                                 memory->expiry_us / CQ_MS_US);
     GBytes *body = g_bytes_new_take(text, strlen(text));
     asked_t *asked = g_new0(asked_t, 1);
     asked->loads = loads;
--- a/packages/router/loads.h
+++ b/packages/router/loads.h
@@ -14,14 +14,17 @@
 typedef struct cq_loads cq_loads_t;
 
 /** cq_loads_new() - Return: a poller that starts with the loop */
-cq_loads_t *cq_loads_new(cq_app_t *app);
+cq_loads_t *
+cq_loads_new(cq_app_t *app);
 
 /** cq_loads_free() - stop and free */
-void cq_loads_free(cq_loads_t *loads);
+void
+cq_loads_free(cq_loads_t *loads);
 
 /** cq_loads_memory() - send a RESERVE or RELEASE to an engine */
-void cq_loads_memory(cq_loads_t *loads, cq_action_kind_t kind,
-                     const cq_ac_memory_t *memory);
+void
+cq_loads_memory(cq_loads_t *loads, cq_action_kind_t kind,
+                const cq_ac_memory_t *memory);
 
 G_END_DECLS
 
--- a/packages/router/logs.c
+++ b/packages/router/logs.c
@@ -19,8 +19,7 @@
     (void)layout;
     int size = (int)event->evt_buffer.buf_size;
     g_snprintf(event->evt_buffer.buf_data, (gulong)size,
-               "time_us=%" G_GINT64_FORMAT " level=%s %s\n",
-               g_get_real_time(),
+               "time_us=%" G_GINT64_FORMAT " level=%s %s\n", g_get_real_time(),
                log4c_priority_to_string(event->evt_priority), event->evt_msg);
     return event->evt_buffer.buf_data;
 }
--- a/packages/router/logs.h
+++ b/packages/router/logs.h
@@ -12,20 +12,24 @@
 
 typedef struct cq_logs cq_logs_t;
 
-/** cq_logs_new() - Return: a log to standard error of lines at @level ("debug",
- * "info", "warn" or "error") and above, each with host=@host */
-cq_logs_t *cq_logs_new(const char *host, const char *level);
+/** cq_logs_new() - Return: a log to standard error of lines at @level
+ * ("debug", "info", "warn" or "error") and above, each with host=@host */
+cq_logs_t *
+cq_logs_new(const char *host, const char *level);
 
 /** cq_logs_free() - close the log */
-void cq_logs_free(cq_logs_t *logs);
+void
+cq_logs_free(cq_logs_t *logs);
 
 /** cq_logs_info() - log `event=@event` and the formatted fields */
-void cq_logs_info(cq_logs_t *logs, const char *event, const char *format, ...)
+void
+cq_logs_info(cq_logs_t *logs, const char *event, const char *format, ...)
     G_GNUC_PRINTF(3, 4);
 
 /** cq_logs_error() - the same, as an error */
-void cq_logs_error(cq_logs_t *logs, const char *event, const char *format,
-                   ...) G_GNUC_PRINTF(3, 4);
+void
+cq_logs_error(cq_logs_t *logs, const char *event, const char *format, ...)
+    G_GNUC_PRINTF(3, 4);
 
 G_END_DECLS
 
--- a/packages/router/oper.c
+++ b/packages/router/oper.c
@@ -94,8 +94,7 @@
     json_builder_begin_object(builder);
     add_text(builder, "host", settings->host);
     add_text(builder, "zone", settings->zone);
-    add_number(builder, "incarnation",
-               (gint64)cq_app_incarnation(oper->app));
+    add_number(builder, "incarnation", (gint64)cq_app_incarnation(oper->app));
     json_builder_set_member_name(builder, "draining");
     json_builder_add_boolean_value(builder, cq_app_draining(oper->app));
     add_number(builder, "requests_open", stats.requests);
@@ -176,9 +175,9 @@
 } page_t;
 
 static const page_t pages[] = {
-    {"/healthz", serve_health},   {"/readyz", serve_ready},
-    {"/metrics", serve_metrics},  {"/status", serve_status},
-    {"/config", serve_config},    {"/timeline", serve_timeline},
+    {"/healthz", serve_health},  {"/readyz", serve_ready},
+    {"/metrics", serve_metrics}, {"/status", serve_status},
+    {"/config", serve_config},   {"/timeline", serve_timeline},
     {"/drain", serve_drain},
 };
 
@@ -213,8 +212,8 @@
 {
     GSocketAddress *address = cq_front_parse_addr(addr);
     GError *cause = NULL;
-    gboolean good = address != NULL && soup_server_listen(oper->server,
-                                                          address, 0, &cause);
+    gboolean good = address != NULL &&
+                    soup_server_listen(oper->server, address, 0, &cause);
     if (!good) {
         cq_error_set(error, CQ_ERROR_UNREACHABLE,
                      "listen.operators: %s is not free (%s); write another "
--- a/packages/router/oper.h
+++ b/packages/router/oper.h
@@ -14,13 +14,16 @@
 typedef struct cq_oper cq_oper_t;
 
 /** cq_oper_new() - Return: an operator port that does not listen yet */
-cq_oper_t *cq_oper_new(cq_app_t *app);
+cq_oper_t *
+cq_oper_new(cq_app_t *app);
 
 /** cq_oper_listen() - listen on @addr; FALSE and @error when it fails */
-gboolean cq_oper_listen(cq_oper_t *oper, const char *addr, cq_error_t *error);
+gboolean
+cq_oper_listen(cq_oper_t *oper, const char *addr, cq_error_t *error);
 
 /** cq_oper_free() - close and free */
-void cq_oper_free(cq_oper_t *oper);
+void
+cq_oper_free(cq_oper_t *oper);
 
 G_END_DECLS
 
--- a/packages/router/plat.c
+++ b/packages/router/plat.c
@@ -25,8 +25,10 @@
     GRand *rand;
 };
 
-static void read_log(cq_plat_t *plat);
-static void flush(cq_plat_t *plat);
+static void
+read_log(cq_plat_t *plat);
+static void
+flush(cq_plat_t *plat);
 
 static char *
 url_of(const cq_plat_t *plat, const char *path)
@@ -84,8 +86,8 @@
         break;
     case CQ_RECORD_CHECKPOINT:
         for (guint i = 0; i < record.checkpoint->len; i++) {
-            cq_fold_merge(fold, &g_array_index(record.checkpoint,
-                                               cq_config_entry_t, i));
+            cq_fold_merge(
+                fold, &g_array_index(record.checkpoint, cq_config_entry_t, i));
         }
         plat->anchor = offset;
         plat->checkpoint_due_us = 0;
@@ -171,15 +173,14 @@
     good = root != NULL && JSON_NODE_HOLDS_OBJECT(root);
     if (good) {
         JsonObject *page = json_node_get_object(root);
-        gint64 first = json_object_get_int_member_with_default(page, "first",
-                                                               0);
+        gint64 first =
+            json_object_get_int_member_with_default(page, "first", 0);
         gint64 end = json_object_get_int_member_with_default(page, "end", 0);
         if (end < plat->next) {
             log_went_back(plat, first);
         }
         else if (json_object_has_member(page, "records")) {
-            take_records(plat,
-                         json_object_get_array_member(page, "records"));
+            take_records(plat, json_object_get_array_member(page, "records"));
         }
         if (plat->next >= end) {
             post_log(plat, TRUE);
@@ -220,8 +221,8 @@
 read_log(cq_plat_t *plat)
 {
     char path[128];
-    g_snprintf(path, sizeof path, "/read?from=%" G_GINT64_FORMAT
-               "&wait_ms=%d", plat->next, CQ_LOG_WAIT_MS);
+    g_snprintf(path, sizeof path, "/read?from=%" G_GINT64_FORMAT "&wait_ms=%d",
+               plat->next, CQ_LOG_WAIT_MS);
     char *url = url_of(plat, path);
     plat->calls++;
     cq_http_call(plat->session, "GET", url, NULL, READ_TIMEOUT_MS, on_page,
@@ -310,9 +311,8 @@
         copy_member(row, "addr", listed.addr, sizeof listed.addr);
         copy_member(row, "zone", listed.zone, sizeof listed.zone);
         copy_member(row, "service", listed.service, sizeof listed.service);
-        listed.incarnation =
-            (guint64)json_object_get_int_member_with_default(row,
-                                                             "incarnation", 0);
+        listed.incarnation = (guint64)json_object_get_int_member_with_default(
+            row, "incarnation", 0);
         listed.leaving =
             json_object_get_boolean_member_with_default(row, "leaving", FALSE);
         g_array_append_val(list, listed);
--- a/packages/router/plat.h
+++ b/packages/router/plat.h
@@ -14,19 +14,24 @@
 typedef struct cq_plat cq_plat_t;
 
 /** cq_plat_new() - Return: a follower that starts with the loop */
-cq_plat_t *cq_plat_new(cq_app_t *app);
+cq_plat_t *
+cq_plat_new(cq_app_t *app);
 
 /** cq_plat_free() - stop and free */
-void cq_plat_free(cq_plat_t *plat);
+void
+cq_plat_free(cq_plat_t *plat);
 
 /** cq_plat_append() - append @record, in order, until the log has it */
-void cq_plat_append(cq_plat_t *plat, const cq_record_t *record);
+void
+cq_plat_append(cq_plat_t *plat, const cq_record_t *record);
 
 /** cq_plat_pending() - Return: records not yet known to be in the log */
-guint cq_plat_pending(const cq_plat_t *plat);
+guint
+cq_plat_pending(const cq_plat_t *plat);
 
 /** cq_plat_offset() - Return: offset of the next record to read */
-gint64 cq_plat_offset(const cq_plat_t *plat);
+gint64
+cq_plat_offset(const cq_plat_t *plat);
 
 G_END_DECLS
 
--- a/packages/router/prompt.c
+++ b/packages/router/prompt.c
@@ -112,8 +112,7 @@
     }
     g_strlcpy(prompt->model, model, sizeof prompt->model);
     JsonNode *stream = json_object_get_member(object, "stream");
-    if (stream != NULL &&
-        json_node_get_value_type(stream) == G_TYPE_BOOLEAN) {
+    if (stream != NULL && json_node_get_value_type(stream) == G_TYPE_BOOLEAN) {
         prompt->stream = json_node_get_boolean(stream);
     }
     if (!read_output(object, prompt, error)) {
@@ -133,9 +132,8 @@
     gsize len;
     const char *text = g_bytes_get_data(body, &len);
     JsonParser *parser = json_parser_new();
-    gboolean good = text != NULL &&
-                    json_parser_load_from_data(parser, text, (gssize)len,
-                                               NULL);
+    gboolean good = text != NULL && json_parser_load_from_data(
+                                        parser, text, (gssize)len, NULL);
     JsonNode *root = good ? json_parser_get_root(parser) : NULL;
     if (root == NULL || !JSON_NODE_HOLDS_OBJECT(root)) {
         good = cq_error_set(error, CQ_ERROR_SYNTAX,
--- a/packages/router/prompt.h
+++ b/packages/router/prompt.h
@@ -33,11 +33,13 @@
 } cq_prompt_t;
 
 /** cq_prompt_read() - read @body; FALSE and @error when it is not right */
-gboolean cq_prompt_read(GBytes *body, gboolean chat, cq_prompt_t *prompt,
-                        cq_error_t *error);
+gboolean
+cq_prompt_read(GBytes *body, gboolean chat, cq_prompt_t *prompt,
+               cq_error_t *error);
 
 /** cq_prompt_for_engine() - Return: @body with streaming asked for */
-GBytes *cq_prompt_for_engine(GBytes *body);
+GBytes *
+cq_prompt_for_engine(GBytes *body);
 
 G_END_DECLS
 
--- a/packages/wire/codec.h
+++ b/packages/wire/codec.h
@@ -14,20 +14,25 @@
 G_BEGIN_DECLS
 
 /** cq_codec_pack() - Return: @frame with its length in front; unref it */
-GBytes *cq_codec_pack(const Cq__Frame *frame);
+GBytes *
+cq_codec_pack(const Cq__Frame *frame);
 
 /** cq_codec_summary() - Return: a framed summary stamped with @clock */
-GBytes *cq_codec_summary(const cq_summary_t *summary, cq_hlc_t clock);
+GBytes *
+cq_codec_summary(const cq_summary_t *summary, cq_hlc_t clock);
 
 /** cq_codec_entry() - Return: a framed configuration entry */
-GBytes *cq_codec_entry(const cq_config_entry_t *entry);
+GBytes *
+cq_codec_entry(const cq_config_entry_t *entry);
 
 /** cq_codec_read_summary() - copy @from; FALSE when it breaks a limit */
-gboolean cq_codec_read_summary(const Cq__Summary *from, cq_summary_t *summary);
+gboolean
+cq_codec_read_summary(const Cq__Summary *from, cq_summary_t *summary);
 
 /** cq_codec_read_entry() - copy @from; free entry->body; FALSE when it
  * breaks a limit or its hash is wrong */
-gboolean cq_codec_read_entry(const Cq__Entry *from, cq_config_entry_t *entry);
+gboolean
+cq_codec_read_entry(const Cq__Entry *from, cq_config_entry_t *entry);
 
 G_END_DECLS
 
--- a/packages/wire/frame.h
+++ b/packages/wire/frame.h
@@ -28,13 +28,16 @@
 } cq_frame_reader_t;
 
 /** cq_frame_init() - make @reader empty */
-void cq_frame_init(cq_frame_reader_t *reader);
+void
+cq_frame_init(cq_frame_reader_t *reader);
 
 /** cq_frame_clear() - free what @reader holds */
-void cq_frame_clear(cq_frame_reader_t *reader);
+void
+cq_frame_clear(cq_frame_reader_t *reader);
 
 /** cq_frame_push() - add @len received bytes */
-void cq_frame_push(cq_frame_reader_t *reader, const void *data, gsize len);
+void
+cq_frame_push(cq_frame_reader_t *reader, const void *data, gsize len);
 
 /**
  * cq_frame_next() - take the next whole frame
@@ -43,13 +46,16 @@
  *
  * Return: the status.
  */
-cq_frame_status_t cq_frame_next(cq_frame_reader_t *reader, GBytes **payload);
+cq_frame_status_t
+cq_frame_next(cq_frame_reader_t *reader, GBytes **payload);
 
 /** cq_frame_partial() - Return: whether part of a frame is held */
-gboolean cq_frame_partial(const cq_frame_reader_t *reader);
+gboolean
+cq_frame_partial(const cq_frame_reader_t *reader);
 
 /** cq_frame_wrap() - Return: @payload behind its length; unref it */
-GBytes *cq_frame_wrap(const void *payload, gsize len);
+GBytes *
+cq_frame_wrap(const void *payload, gsize len);
 
 G_END_DECLS
 
--- /dev/null
+++ b/tests/proc/hangup.sh
@@ -0,0 +1,26 @@
+#!/bin/bash
+# A caller that hangs up cancels its work at the engine, before its first
+# token and in the middle of its answer; a slow caller gets every token.
+BUILD=${1:-build}
+. tests/proc/fleet.sh
+STEP_MS=20 start_fleet
+
+curl -sN -m 0.5 -H "$MODEL" "http://127.0.0.1:$A/v1/completions" \
+    -d '{"model":"cupos-1","prompt":"#gone x","max_tokens":500,"stream":true}' >"$DIR/part"
+grep -q "gone:3" "$DIR/part" || fail "the stream had not begun"
+wait_until '"cancelled":1' eval "counters $E1; counters $E2"
+say "cancelled in the middle"
+
+{
+    printf '{"model":"cupos-1","max_tokens":8,"prompt":"#long '
+    head -c 800000 /dev/zero | tr '\0' 'x'
+    printf '"}'
+} >"$DIR/long.json"
+curl -s -m 1 -H "$MODEL" --data-binary "@$DIR/long.json" "http://127.0.0.1:$A/v1/completions"
+wait_until '^2$' eval "(counters $E1; counters $E2) | tr ',' '\n' | awk -F: '/cancelled/ { n += \$2 } END { print n }'"
+say "cancelled before the first token"
+
+slow=$(curl -sN -m 60 --limit-rate 20000 -H "$MODEL" "http://127.0.0.1:$A/v1/completions" \
+    -d '{"model":"cupos-1","prompt":"#slow x","max_tokens":300,"stream":true}')
+case "$slow" in *"slow:299 "*"data: [DONE]"*) say "the slow caller has every token" ;; *) fail "the slow caller lacks tokens" ;; esac
+[ "$(count $A requests_open)" = 0 ] || fail "requests are still open"
--- /dev/null
+++ b/tests/run.sh
@@ -0,0 +1,67 @@
+#!/bin/bash
+# Runs every test of a build and closes with 'N passed, N failed'. Tests that
+# KNOWN-RED.txt names are run and printed, and do not count as failed.
+BUILD=${1:-build}
+export ASAN_OPTIONS=detect_leaks=0 UBSAN_OPTIONS=halt_on_error=1
+passed=0 failed=0 red=""
+
+known_red() { grep -q "^$1 |" KNOWN-RED.txt; }
+
+# record NAME GOOD
+record() {
+    if [ "$2" = 0 ]; then
+        passed=$((passed + 1))
+        known_red "$1" && echo "listed in KNOWN-RED.txt, and passes: $1"
+        return
+    fi
+    if known_red "$1"; then
+        red="$red$1"$'\n'
+    else
+        failed=$((failed + 1))
+        echo "FAILED: $1"
+    fi
+}
+
+run_unit() {
+    local program=$1 out line name
+    out=$(mktemp)
+    "$program" --gtest_color=no >"$out" 2>&1
+    local code=$?
+    while read -r line; do
+        name=$(echo "$line" | sed 's/^\[[^]]*\] //; s/[ ,].*//')
+        case "$line" in
+        "[       OK ]"*) record "$name" 0 ;;
+        "[  FAILED  ]"*"ms)") record "$name" 1 ;;
+        esac
+    done <"$out"
+    grep -q " ran\. (" "$out" || record "$(basename "$program")" 1
+    if [ $code != 0 ]; then
+        grep -vE "^\[ +(RUN|OK) |^\[-+\]|^$" "$out" | tail -40
+    fi
+    rm -f "$out"
+}
+
+run_script() {
+    local out name
+    name="proc/$(basename "$1" .sh)"
+    out=$(mktemp)
+    timeout 180 bash "$1" "$BUILD" >"$out" 2>&1
+    local code=$?
+    record "$name" $code
+    [ $code = 0 ] || tail -20 "$out"
+    rm -f "$out"
+}
+
+for program in config wire scn soak targets; do
+    run_unit "$BUILD/tests/${program}_test"
+done
+for script in demo badinput hangup operator drain holds giant; do
+    run_script "tests/proc/$script.sh"
+done
+
+if [ -n "$red" ]; then
+    echo "known red, see KNOWN-RED.txt:"
+    printf '%s' "$red" | sed 's/^/  /'
+fi
+echo "$passed passed, $failed failed"
+[ $failed = 0 ]
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -54,6 +54,16 @@
     forget(run);
 }
 
+/* Ends a run by closing its connection. */
+static void
+cut(run_t *run)
+{
+    SoupServerMessage *message = run->message;
+    g_signal_handlers_disconnect_by_func(message, on_finished, run);
+    forget(run);
+    standin_close(message);
+}
+
 static void
 emit(run_t *run, const char *text)
 {
@@ -71,7 +81,7 @@
     }
     if (run->die_at > 0 && run->next >= run->die_at) {
         run->timer = 0;
-        standin_close(run->message);
+        cut(run);
         return G_SOURCE_REMOVE;
     }
     char event[256];
@@ -113,8 +123,8 @@
         JsonObject *object = json_node_get_object(root);
         run->end = (int)json_object_get_int_member_with_default(
             object, "max_tokens", OUTPUT_TOKENS);
-        const char *prompt = json_object_get_string_member_with_default(
-            object, "prompt", "");
+        const char *prompt =
+            json_object_get_string_member_with_default(object, "prompt", "");
         if (prompt[0] == '#') {
             gsize len = strcspn(prompt + 1, " ");
             g_strlcpy(run->tag, prompt + 1, MIN(len + 1, sizeof run->tag));
@@ -148,8 +158,8 @@
     g_snprintf(run->id, sizeof run->id, "%s-%s",
                header(message, "X-Request-Id", "none"),
                header(message, "X-Attempt", "0"));
-    run->next = (int)g_ascii_strtoll(
-        header(message, "X-Resume-From", "0"), NULL, 10);
+    run->next =
+        (int)g_ascii_strtoll(header(message, "X-Resume-From", "0"), NULL, 10);
     if (standin_fault_take("stall_next")) {
         run->stall_at = MAX(standin_fault("stall_at"), 1);
     }
@@ -187,8 +197,7 @@
     SoupMessageHeaders *headers =
         soup_server_message_get_response_headers(message);
     soup_message_headers_set_encoding(headers, SOUP_ENCODING_CHUNKED);
-    soup_message_headers_replace(headers, "Content-Type",
-                                 "text/event-stream");
+    soup_message_headers_replace(headers, "Content-Type", "text/event-stream");
     soup_server_message_set_status(message, 200, NULL);
     g_signal_connect(message, "finished", G_CALLBACK(on_finished), run);
     soup_server_message_pause(message);
@@ -289,19 +298,18 @@
         const run_t *run = value;
         prefill += run->prefilled ? 0 : run->prefill_tokens;
     }
-    g_string_append_printf(
-        text,
-        "{\"age_ms\":0,\"running\":%u,\"waiting\":0,\"prefill_tokens\":%"
-        G_GINT64_FORMAT ",\"kv_tokens\":%" G_GINT64_FORMAT ",\"holdings\":[",
-        g_hash_table_size(runs), prefill, held_tokens());
+    g_string_append_printf(text,
+                           "{\"age_ms\":0,\"running\":%u,\"waiting\":0,"
+                           "\"prefill_tokens\":%" G_GINT64_FORMAT
+                           ",\"kv_tokens\":%" G_GINT64_FORMAT
+                           ",\"holdings\":[",
+                           g_hash_table_size(runs), prefill, held_tokens());
     g_hash_table_iter_init(&iter, holdings);
     const char *comma = "";
     while (g_hash_table_iter_next(&iter, &key, &value)) {
-        g_string_append_printf(text,
-                               "%s{\"request\":\"%s\",\"tokens\":%"
-                               G_GINT64_FORMAT "}",
-                               comma, (char *)key,
-                               ((holding_t *)value)->tokens);
+        g_string_append_printf(
+            text, "%s{\"request\":\"%s\",\"tokens\":%" G_GINT64_FORMAT "}",
+            comma, (char *)key, ((holding_t *)value)->tokens);
         comma = ",";
     }
     g_string_append(text, "]}");
@@ -335,7 +343,8 @@
         (int)json_object_get_int_member(object, "attempt"));
     run_t *run = g_hash_table_lookup(runs, id);
     if (run != NULL) {
-        standin_close(run->message);
+        cancelled++;
+        cut(run);
     }
     g_free(id);
     json_node_unref(root);
--- a/tests/standin/plat.c
+++ b/tests/standin/plat.c
@@ -51,8 +51,7 @@
 static gint64
 number(GHashTable *query, const char *name)
 {
-    const char *text =
-        query != NULL ? g_hash_table_lookup(query, name) : NULL;
+    const char *text = query != NULL ? g_hash_table_lookup(query, name) : NULL;
     return text != NULL ? g_ascii_strtoll(text, NULL, 10) : 0;
 }
 
@@ -140,8 +139,8 @@
     }
     char *text = standin_body(message);
     JsonNode *root = json_from_string(text, NULL);
-    JsonArray *rows = json_object_get_array_member(
-        json_node_get_object(root), "records");
+    JsonArray *rows =
+        json_object_get_array_member(json_node_get_object(root), "records");
     gint64 offset = end();
     for (guint i = 0; i < json_array_get_length(rows); i++) {
         append(json_array_get_string_element(rows, i));
@@ -152,9 +151,9 @@
         standin_close(message);
         return;
     }
-    standin_reply(message, 200,
-                  g_strdup_printf("{\"offset\":%" G_GINT64_FORMAT "}",
-                                  offset));
+    standin_reply(
+        message, 200,
+        g_strdup_printf("{\"offset\":%" G_GINT64_FORMAT "}", offset));
 }
 
 static void
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -29,31 +29,40 @@
 } standin_options_t;
 
 /** standin_reply() - answer with JSON; takes @text */
-void standin_reply(SoupServerMessage *message, guint status, char *text);
+void
+standin_reply(SoupServerMessage *message, guint status, char *text);
 
 /** standin_fault() - Return: fault @name, 0 when it was never set */
-int standin_fault(const char *name);
+int
+standin_fault(const char *name);
 
 /** standin_fault_take() - Return: whether fault @name was above 0; lowers it
  * by one */
-gboolean standin_fault_take(const char *name);
+gboolean
+standin_fault_take(const char *name);
 
 /** standin_close() - close the caller's connection without an answer */
-void standin_close(SoupServerMessage *message);
+void
+standin_close(SoupServerMessage *message);
 
 /** standin_body() - Return: the request's body as text; free with g_free() */
-char *standin_body(SoupServerMessage *message);
+char *
+standin_body(SoupServerMessage *message);
 
 /** standin_engine() - serve as an engine */
-void standin_engine(SoupServer *server, const standin_options_t *options);
+void
+standin_engine(SoupServer *server, const standin_options_t *options);
 
 /** standin_plain() - serve as a plain service */
-void standin_plain(SoupServer *server, const standin_options_t *options);
+void
+standin_plain(SoupServer *server, const standin_options_t *options);
 
 /** standin_log() - serve as the platform's log */
-void standin_log(SoupServer *server, const standin_options_t *options);
+void
+standin_log(SoupServer *server, const standin_options_t *options);
 
 /** standin_hosts() - serve as the platform's host list */
-void standin_hosts(SoupServer *server, const standin_options_t *options);
+void
+standin_hosts(SoupServer *server, const standin_options_t *options);
 
 #endif
--- a/tests/unit/config_test.cc
+++ b/tests/unit/config_test.cc
@@ -66,10 +66,10 @@
     EXPECT_EQ("f.toml:1: listen: duplicate address 127.0.0.1:1; give each "
               "listener its own port",
               settings_error(with(kSettings, "127.0.0.1:3", "127.0.0.1:1")));
-    EXPECT_EQ("f.toml:12: drain.limit_ms: found 0; write an integer from 1 "
-              "to 3600000",
-              settings_error(std::string(kSettings) +
-                             "[drain]\nlimit_ms = 0\n"));
+    EXPECT_EQ(
+        "f.toml:12: drain.limit_ms: found 0; write an integer from 1 "
+        "to 3600000",
+        settings_error(std::string(kSettings) + "[drain]\nlimit_ms = 0\n"));
     EXPECT_EQ("f.toml:12: peers.seeds: duplicate host 127.0.0.1:9; list each "
               "peer once",
               settings_error(std::string(kSettings) +
@@ -90,9 +90,9 @@
               service_error(with(kService, "\"plain\"", "\"odd\"")));
     EXPECT_EQ("f.toml:1: [[team]]: missing; add at least one",
               service_error(with(kService, "[[team]]\nname = \"t\"\n", "")));
-    EXPECT_EQ("f.toml:1: team.name: duplicate t; list each team once",
-              service_error(std::string(kService) +
-                            "[[team]]\nname = \"t\"\n"));
+    EXPECT_EQ(
+        "f.toml:1: team.name: duplicate t; list each team once",
+        service_error(std::string(kService) + "[[team]]\nname = \"t\"\n"));
     EXPECT_EQ("f.toml:1: team.token_sha256: missing for t; add it, or write "
               "auth = \"none\"",
               service_error(with(kService, "auth = \"none\"\n", "")));
@@ -168,7 +168,12 @@
 TEST(Record, RefusesWhatIsNotOne)
 {
     static const char *const bad[] = {
-        "", "7", "[]", "{}", "{\"type\":\"odd\"}", "{\"type\":7}",
+        "",
+        "7",
+        "[]",
+        "{}",
+        "{\"type\":\"odd\"}",
+        "{\"type\":7}",
         "{\"type\":\"config\",\"service\":\"s\",\"base\":0,\"version\":1,"
         "\"hash\":\"00\",\"id\":\"i\",\"body\":\"b\"}",
         "{\"type\":\"claim\",\"key_hi\":\"zz\"}",
--- a/tests/unit/targets_test.cc
+++ b/tests/unit/targets_test.cc
@@ -4,6 +4,9 @@
 // met stand in KNOWN-RED.txt; their bounds stay as they are stated.
 #include <gtest/gtest.h>
 
+#include <map>
+#include <string>
+
 #include "bench/stats.h"
 #include "bench/trial.h"
 
@@ -30,7 +33,7 @@
 }
 
 seen_t
-see(const char *scenario, cq_policy_t policy = CQ_POLICY_COST)
+measure(const char *scenario, cq_policy_t policy)
 {
     cq_trial_t mixed = run(scenario, policy, FALSE);
     cq_trial_t alone = run(scenario, policy, TRUE);
@@ -44,6 +47,19 @@
     return seen;
 }
 
+// Each scenario runs once, whatever the number of tests that look at it.
+const seen_t &
+see(const char *scenario, cq_policy_t policy = CQ_POLICY_COST)
+{
+    static std::map<std::pair<std::string, int>, seen_t> done;
+    auto key = std::make_pair(std::string(scenario), (int)policy);
+    auto found = done.find(key);
+    if (found == done.end()) {
+        found = done.emplace(key, measure(scenario, policy)).first;
+    }
+    return found->second;
+}
+
 guint
 expired(const seen_t &seen)
 {
@@ -120,7 +136,7 @@
 
 TEST(HostLost, LeavesNoMemoryHeld)
 {
-    seen_t seen = see("host_lost");
+    const seen_t &seen = see("host_lost");
     EXPECT_EQ(0, seen.held);
     EXPECT_EQ(0u, expired(seen));
 }
@@ -137,8 +153,7 @@
     int team = flood.scenario->flood_team;
     GArray *with = cq_stats_first_token(flood.work, -1, team);
     GArray *without = cq_stats_first_token(calm.work, -1, team);
-    EXPECT_LE(cq_stats_percentile(with, 95) /
-                  cq_stats_percentile(without, 95),
+    EXPECT_LE(cq_stats_percentile(with, 95) / cq_stats_percentile(without, 95),
               1.1);
     g_array_unref(with);
     g_array_unref(without);
