--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 STEPS ?= 20000
 
-.PHONY: all deps demo check bench soak lint format clean
+.PHONY: all deps demo check mutants bench soak lint format clean
 
 all: deps
 	@test -f $(BUILD)/build.ninja || meson setup $(BUILD) >/dev/null
@@ -24,6 +24,9 @@
 	@ln -sf packages/cuminquay packages/cuminquayctl $(BUILD)-asan/
 	@bash tests/run.sh $(BUILD)-asan
 
+mutants: deps
+	@bash tests/mutants.sh
+
 lint: all
 	@bash tests/lint.sh $(BUILD)
 
--- a/packages/bench/scn.h
+++ b/packages/bench/scn.h
@@ -23,7 +23,8 @@
  *   at 9s expect ran r1 0          at 9s expect held 0
  *   at 9s expect version host 0 reservas 2
  *   at 9s expect arrivals plain-0 3
- *   at 9s expect stopped host 1
+ *   at 9s expect id host 0 reservas a
+ *   at 9s expect stopped|running host 1
  *   at 9s note arrivals plain-0    then: expect no more arrivals plain-0
  *
  * The output is the time line of all hosts and what was expected.
--- a/packages/bench/scncmd.c
+++ b/packages/bench/scncmd.c
@@ -82,7 +82,7 @@
         }
         else {
             return cq_scn_fail(scn, CQ_ERROR_SYNTAX,
-                        "write zones, hosts, engines, plains or seed");
+                               "write zones, hosts, engines, plains or seed");
         }
     }
     scn->hosts = options.hosts;
@@ -130,9 +130,10 @@
             ask->max_tokens = (gint64)number;
         }
         else if (good && strcmp(word, "call") != 0) {
-            good = cq_scn_fail(scn, CQ_ERROR_SYNTAX,
-                        "write hold, check, call, prompt, answer, output "
-                        "or timeout");
+            good =
+                cq_scn_fail(scn, CQ_ERROR_SYNTAX,
+                            "write hold, check, call, prompt, answer, output "
+                            "or timeout");
         }
         if (!good) {
             return FALSE;
@@ -208,7 +209,8 @@
         return FALSE;
     }
     gboolean host = strcmp(word, "host") == 0;
-    gboolean good = host ? cq_scn_host(scn, &index) : cq_scn_upstream(scn, &index);
+    gboolean good =
+        host ? cq_scn_host(scn, &index) : cq_scn_upstream(scn, &index);
     if (!good || !cq_scn_skip(scn, "for") || !cq_scn_time(scn, &us)) {
         return FALSE;
     }
@@ -354,11 +356,11 @@
 }
 
 static const cq_scn_command_t commands[] = {
-    {"world", do_world},   {"ask", do_ask},         {"kill", do_kill},
-    {"start", do_start},   {"freeze", do_freeze},   {"drain", do_drain},
-    {"leave", do_leave},   {"silence", do_silence}, {"cut", do_cut},
-    {"join", do_join},     {"log", do_log},         {"list", do_list},
-    {"lose", do_lose},     {"publish", do_publish}, {"note", do_note},
+    {"world", do_world},       {"ask", do_ask},         {"kill", do_kill},
+    {"start", do_start},       {"freeze", do_freeze},   {"drain", do_drain},
+    {"leave", do_leave},       {"silence", do_silence}, {"cut", do_cut},
+    {"join", do_join},         {"log", do_log},         {"list", do_list},
+    {"lose", do_lose},         {"publish", do_publish}, {"note", do_note},
     {"expect", cq_scn_expect},
 };
 
--- a/packages/bench/scnexpect.c
+++ b/packages/bench/scnexpect.c
@@ -48,8 +48,9 @@
     char code[CQ_SCN_NAME_BYTES];
     char ran[CQ_SCN_NAME_BYTES];
     const cq_scn_named_t *named = next_named(scn);
-    if (named == NULL || !cq_scn_skip(scn, "code") || !cq_scn_word(scn, code) ||
-        !cq_scn_skip(scn, "ran") || !cq_scn_word(scn, ran)) {
+    if (named == NULL || !cq_scn_skip(scn, "code") ||
+        !cq_scn_word(scn, code) || !cq_scn_skip(scn, "ran") ||
+        !cq_scn_word(scn, ran)) {
         return FALSE;
     }
     const cq_ac_answer_t *answer = &named->answer;
@@ -132,6 +133,24 @@
                   service, seen, held != NULL ? held->id : "-");
 }
 
+static gboolean
+expect_id(cq_scn_t *scn)
+{
+    guint host = 0;
+    char service[CQ_SCN_NAME_BYTES];
+    char id[CQ_SCN_NAME_BYTES];
+    if (!cq_scn_skip(scn, "host") || !cq_scn_host(scn, &host) ||
+        !cq_scn_word(scn, service) || !cq_scn_word(scn, id)) {
+        return FALSE;
+    }
+    cq_fold_t *fold = cq_sim_fold(scn->sim, host);
+    const cq_config_entry_t *held =
+        fold != NULL ? cq_fold_get(fold, service) : NULL;
+    const char *seen = held != NULL ? held->id : "-";
+    return expect(scn, strcmp(seen, id) == 0, "host-%u has %s of %s", host,
+                  service, seen);
+}
+
 static gboolean
 expect_no(cq_scn_t *scn)
 {
@@ -157,11 +176,24 @@
                   stopped ? "has stopped" : "runs");
 }
 
+static gboolean
+expect_running(cq_scn_t *scn)
+{
+    guint host = 0;
+    if (!cq_scn_skip(scn, "host") || !cq_scn_host(scn, &host)) {
+        return FALSE;
+    }
+    gboolean stopped = cq_sim_host_stopped(scn->sim, host);
+    return expect(scn, !stopped, "host-%u %s", host,
+                  stopped ? "has stopped" : "runs");
+}
+
 static const cq_scn_command_t expectations[] = {
     {"request", expect_request}, {"open", expect_open},
     {"runs", expect_runs},       {"ran", expect_ran},
     {"held", expect_held},       {"version", expect_version},
     {"no", expect_no},           {"stopped", expect_stopped},
+    {"running", expect_running}, {"id", expect_id},
 };
 
 gboolean
