Let a few hosts of each zone follow the log and the rest hear from peers

At 330 hosts each reader of the log costs it a waiting read a second. The core now chooses, from the host list, at most 8 peers (most of its own zone, at least 2 of others) and whether this process follows the log: 3 hosts a zone do; the others hear their peers' offers, look every 8 s, and follow while a record of their own is on the way.

Before, by the same rule of one waiting read a second a host, 330 hosts would read 330 times a second; that was not run.

--- a/packages/bench/bench.c
+++ b/packages/bench/bench.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "bench/slopes.h"
+#include "bench/spread.h"
 #include "bench/stats.h"
 #include "bench/trial.h"
 
@@ -137,9 +138,15 @@
         cq_slopes_print();
         return 0;
     }
+    if (strcmp(name, "spread") == 0) {
+        cq_spread_print();
+        return 0;
+    }
     GArray *runs = plan_runs(name, seed);
     if (runs->len == 0) {
-        fprintf(stderr, "bench: no scenario %s; write one of: all slopes",
+        fprintf(stderr,
+                "bench: no scenario %s; write one of: all slopes "
+                "spread",
                 name);
         const cq_scenario_t *scenarios;
         guint len = cq_trial_scenarios(&scenarios);
@@ -155,6 +162,7 @@
     g_array_unref(runs);
     if (strcmp(name, "all") == 0) {
         cq_slopes_print();
+        cq_spread_print();
     }
     return 0;
 }
--- a/packages/bench/plat.c
+++ b/packages/bench/plat.c
@@ -33,9 +33,17 @@
 read_log(cq_world_host_t *host)
 {
     cq_sim_t *sim = host->sim;
+    gint64 now_us = cq_world_now(sim);
     gboolean up = !sim->log_down && cq_world_platform(sim, host->index);
+    gboolean news = up && host->log_next < (gint64)sim->log->len;
+    gint64 wait_us = up ? CQ_LOG_WAIT_MS * CQ_MS_US : CQ_LOG_RETRY_US;
+    if (news || now_us - host->read_us >= wait_us) {
+        sim->totals.log_reads++;
+        host->read_us = now_us;
+    }
     if (up && host->log_next > (gint64)sim->log->len) {
         host->log_next = 0;
+        host->appended = 0;
     }
     while (up && host->log_next < (gint64)sim->log->len) {
         take_record(host, record_at(sim, host->log_next));
@@ -51,6 +59,20 @@
     return host->frozen_until_us > cq_world_now(host->sim);
 }
 
+/* A process that need not follow the log looks only from time to time,
+ * unless a record of its own is on the way. */
+static gboolean
+due(cq_world_host_t *host)
+{
+    gint64 now_us = cq_world_now(host->sim);
+    gboolean own = !g_queue_is_empty(&host->appends) || host->appending ||
+                   host->log_next < host->appended;
+    if (cq_core_reads_log(host->core) || own) {
+        return TRUE;
+    }
+    return now_us - host->looked_us >= CQ_LOG_LOOK_US;
+}
+
 static void
 on_read(void *world, void *data, guint64 incarnation)
 {
@@ -59,7 +81,8 @@
     if (host->core == NULL || host->incarnation != incarnation) {
         return;
     }
-    if (!frozen(host)) {
+    if (!frozen(host) && due(host)) {
+        host->looked_us = cq_world_now(sim);
         read_log(host);
     }
     cq_heap_add(&sim->heap, cq_world_now(sim) + CQ_WORLD_READ_US, on_read,
@@ -70,6 +93,8 @@
 cq_world_start_reader(cq_sim_t *sim, cq_world_host_t *host)
 {
     host->log_next = 0;
+    host->appended = 0;
+    host->looked_us = -CQ_LOG_LOOK_US;
     cq_heap_add(&sim->heap, cq_world_now(sim) + CQ_WORLD_READ_US, on_read,
                 host, host->incarnation);
 }
@@ -91,6 +116,7 @@
     if (up) {
         cq_world_record_t *copy = g_memdup2(record, sizeof *record);
         g_ptr_array_add(sim->log, copy);
+        host->appended = sim->log->len;
         if (sim->lose_appends > 0) {
             sim->lose_appends--;
         }
@@ -273,40 +299,52 @@
     cq_heap_add(&sim->heap, now_us + CQ_WORLD_LOAD_US, on_load, NULL, number);
 }
 
-/* Processes offer each other what they have in force, so that one without
- * the platform hears it from a peer. */
 static void
-on_offer(void *world, void *data, guint64 number)
+offer(cq_world_host_t *from, cq_world_host_t *to)
+{
+    gboolean up = from->core != NULL && to->core != NULL;
+    if (!up || frozen(from) || frozen(to) ||
+        !cq_world_reachable(from->sim, from->zone, to->zone)) {
+        return;
+    }
+    cq_record_t state = cq_fold_checkpoint(from->fold);
+    for (guint i = 0; i < state.checkpoint->len; i++) {
+        cq_fold_merge(to->fold,
+                      &g_array_index(state.checkpoint, cq_config_entry_t, i));
+    }
+    cq_record_clear(&state);
+}
+
+/* Processes offer their peers what they have in force, both ways, so that
+ * one without the platform hears it. */
+static void
+on_offer(void *world, void *data, guint64 index)
 {
     (void)data;
-    (void)number;
     cq_sim_t *sim = world;
-    for (guint i = 0; i < sim->options.hosts; i++) {
-        for (guint k = 0; k < sim->options.hosts; k++) {
-            cq_world_host_t *from = &sim->hosts[i];
-            cq_world_host_t *to = &sim->hosts[k];
-            gboolean up = from->core != NULL && to->core != NULL;
-            if (i == k || !up || frozen(from) || frozen(to) ||
-                !cq_world_reachable(sim, from->zone, to->zone)) {
-                continue;
-            }
-            cq_record_t state = cq_fold_checkpoint(from->fold);
-            for (guint n = 0; n < state.checkpoint->len; n++) {
-                cq_fold_merge(to->fold, &g_array_index(state.checkpoint,
-                                                       cq_config_entry_t, n));
-            }
-            cq_record_clear(&state);
-        }
+    cq_world_host_t *host = &sim->hosts[index];
+    guint len = 0;
+    const cq_listed_t *peers = NULL;
+    if (host->core != NULL) {
+        peers = cq_core_peers(host->core, &len);
+    }
+    for (guint i = 0; i < len; i++) {
+        guint peer = cq_world_host_index(sim, peers[i].name);
+        offer(host, &sim->hosts[peer]);
+        offer(&sim->hosts[peer], host);
     }
-    cq_heap_add(&sim->heap, cq_world_now(sim) + CQ_WORLD_OFFER_US, on_offer,
-                NULL, 0);
+    cq_heap_add(&sim->heap, cq_world_now(sim) + CQ_OFFER_US, on_offer, NULL,
+                index);
 }
 
 void
 cq_world_start_plat(cq_sim_t *sim)
 {
     cq_heap_add(&sim->heap, 0, on_list, NULL, 0);
-    cq_heap_add(&sim->heap, CQ_WORLD_OFFER_US, on_offer, NULL, 0);
+    for (guint i = 0; i < sim->options.hosts; i++) {
+        gint64 at_us = g_rand_int_range(sim->rand, 0, CQ_OFFER_US);
+        cq_heap_add(&sim->heap, at_us, on_offer, NULL, i);
+    }
     for (guint i = 0; i < sim->upstreams_len; i++) {
         gint64 at_us = g_rand_int_range(sim->rand, 0, CQ_WORLD_LOAD_US);
         cq_heap_add(&sim->heap, at_us, on_load, NULL, i);
--- a/packages/bench/sim.c
+++ b/packages/bench/sim.c
@@ -12,6 +12,17 @@
     return sim->heap.now_us;
 }
 
+guint
+cq_world_host_index(const cq_sim_t *sim, const char *name)
+{
+    for (guint i = 0; i < sim->options.hosts; i++) {
+        if (strcmp(sim->hosts[i].name, name) == 0) {
+            return i;
+        }
+    }
+    g_assert_not_reached();
+}
+
 gboolean
 cq_world_reachable(const cq_sim_t *sim, guint a, guint b)
 {
@@ -30,18 +41,37 @@
     cq_summary_t summary;
 } summary_news_t;
 
+/* The dialling side tells its summaries. */
+static gboolean
+linked(const cq_sim_t *sim, guint from, guint to)
+{
+    guint len = 0;
+    const cq_listed_t *peers = cq_core_peers(sim->hosts[from].core, &len);
+    for (guint i = 0; i < len; i++) {
+        if (strcmp(peers[i].name, sim->hosts[to].name) == 0) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
 static void
 on_summary(void *world, void *data, guint64 number)
 {
     (void)number;
     cq_sim_t *sim = world;
     summary_news_t *news = data;
+    if (sim->hosts[news->from].core == NULL) {
+        g_free(news);
+        return;
+    }
     guint from = sim->hosts[news->from].zone;
     cq_event_t event = {.kind = CQ_EV_SUMMARY, .summary = &news->summary};
     for (guint i = 0; i < sim->options.hosts; i++) {
         cq_world_host_t *host = &sim->hosts[i];
         gboolean frozen = host->frozen_until_us > cq_world_now(sim);
         if (i != news->from && host->core != NULL && !frozen &&
+            linked(sim, news->from, i) &&
             cq_world_reachable(sim, from, host->zone)) {
             cq_world_post(sim, i, &event);
         }
--- a/packages/bench/sim.h
+++ b/packages/bench/sim.h
@@ -15,7 +15,7 @@
 
 G_BEGIN_DECLS
 
-#define CQ_SIM_HOSTS_MAX 64
+#define CQ_SIM_HOSTS_MAX 400
 #define CQ_SIM_UPSTREAMS_MAX 512
 #define CQ_SIM_ZONES_MAX 16
 /* Index of the platform among the zones, for cuts. */
@@ -92,12 +92,14 @@
  * @used_us: engine time spent in all
  * @summary_bytes: bytes of summaries sent
  * @steps: steps of the cores
+ * @log_reads: reads of the log, a waiting read counted once
  */
 typedef struct {
     gint64 wasted_us;
     gint64 used_us;
     guint64 summary_bytes;
     guint64 steps;
+    guint64 log_reads;
 } cq_sim_totals_t;
 
 /** cq_sim_new() - Return: a world at time 0 */
--- /dev/null
+++ b/packages/bench/spread.c
@@ -0,0 +1,117 @@
+#include "bench/spread.h"
+
+#include <stdio.h>
+
+#include "bench/sim.h"
+
+#define SETTLE_US (12 * CQ_SECOND_US)
+#define STEP_US (50 * CQ_MS_US)
+#define LIMIT_US (60 * CQ_SECOND_US)
+#define PUBLICATIONS 5
+/* 6,800 changes a day. */
+#define PAUSE_US (12700 * CQ_MS_US)
+
+static const char rules_text[] =
+    "[service]\nname = \"reservas\"\nkind = \"plain\"\nauth = \"none\"\n"
+    "[[team]]\nname = \"t\"\n";
+
+static void
+on_answered(cq_sim_t *sim, guint64 tag, const cq_ac_answer_t *answer,
+            void *data)
+{
+    (void)sim;
+    (void)tag;
+    (void)answer;
+    (void)data;
+}
+
+static gboolean
+everywhere(cq_sim_t *sim, guint hosts, guint64 version)
+{
+    for (guint i = 0; i < hosts; i++) {
+        const cq_config_entry_t *held =
+            cq_fold_get(cq_sim_fold(sim, i), "reservas");
+        if (held == NULL || held->version < version) {
+            return FALSE;
+        }
+    }
+    return TRUE;
+}
+
+/* Return: seconds until version @base + 1 is everywhere, or -1. */
+static double
+publish(cq_sim_t *sim, guint hosts, guint64 base)
+{
+    gint64 from_us = cq_sim_heap(sim)->now_us;
+    char id[32];
+    g_snprintf(id, sizeof id, "p-%" G_GUINT64_FORMAT, base);
+    char *body = g_strdup_printf("%s# %s\n", rules_text, id);
+    cq_sim_publish(sim, "reservas", body, base, id);
+    g_free(body);
+    while (!everywhere(sim, hosts, base + 1)) {
+        gint64 now_us = cq_sim_heap(sim)->now_us;
+        if (now_us - from_us > LIMIT_US) {
+            return -1;
+        }
+        cq_sim_run(sim, now_us + STEP_US);
+    }
+    return (double)(cq_sim_heap(sim)->now_us - from_us) / 1e6;
+}
+
+void
+cq_spread_run(cq_spread_t *spread)
+{
+    const char *const rules[] = {rules_text, NULL};
+    cq_sim_options_t options = {
+        .zones = spread->zones,
+        .hosts = spread->hosts,
+        .plains = 1,
+        .policy = CQ_POLICY_COST,
+        .seed = 1,
+        .report_lag_us = CQ_SECOND_US,
+        .list_lag_us = CQ_SECOND_US,
+        .rules = rules,
+        .answered = on_answered,
+    };
+    cq_sim_t *sim = cq_sim_new(&options);
+    cq_sim_run(sim, SETTLE_US);
+    if (spread->cut_zone >= 0) {
+        cq_sim_cut(sim, (guint)spread->cut_zone, CQ_SIM_PLATFORM, TRUE);
+    }
+    guint64 reads = cq_sim_totals(sim).log_reads;
+    gint64 from_us = cq_sim_heap(sim)->now_us;
+    spread->everywhere_s = 0;
+    for (guint64 base = 1; base <= PUBLICATIONS; base++) {
+        double took_s = publish(sim, spread->hosts, base);
+        if (took_s < 0 || spread->everywhere_s < 0) {
+            spread->everywhere_s = -1;
+            break;
+        }
+        spread->everywhere_s = MAX(spread->everywhere_s, took_s);
+        cq_sim_run(sim, cq_sim_heap(sim)->now_us + PAUSE_US);
+    }
+    double passed_s = (double)(cq_sim_heap(sim)->now_us - from_us) / 1e6;
+    spread->reads_per_s =
+        (double)(cq_sim_totals(sim).log_reads - reads) / passed_s;
+    cq_sim_free(sim);
+}
+
+void
+cq_spread_print(void)
+{
+    static const cq_spread_t sizes[] = {
+        {.hosts = 4, .zones = 3, .cut_zone = -1},
+        {.hosts = 33, .zones = 3, .cut_zone = -1},
+        {.hosts = 330, .zones = 10, .cut_zone = -1},
+        {.hosts = 330, .zones = 10, .cut_zone = 4},
+    };
+    for (guint i = 0; i < G_N_ELEMENTS(sizes); i++) {
+        cq_spread_t spread = sizes[i];
+        cq_spread_run(&spread);
+        const char *cut = spread.cut_zone >= 0 ? "zone_cut" : "joined";
+        printf("spread.config_everywhere.%u_hosts.%s %.3g s\n", spread.hosts,
+               cut, spread.everywhere_s);
+        printf("spread.log_reads.%u_hosts.%s %.3g reads/s\n", spread.hosts,
+               cut, spread.reads_per_s);
+    }
+}
--- a/packages/bench/world.h
+++ b/packages/bench/world.h
@@ -17,7 +17,6 @@
 #define CQ_WORLD_LOAD_US CQ_SECOND_US
 #define CQ_WORLD_CACHE_LAG_US (2 * CQ_SECOND_US)
 #define CQ_WORLD_PLAIN_US (5 * CQ_MS_US)
-#define CQ_WORLD_OFFER_US (500 * CQ_MS_US)
 
 /**
  * struct cq_world_host_t - a serving process
@@ -37,6 +36,9 @@
     guint64 asked;
     gint64 frozen_until_us;
     gint64 log_next;
+    gint64 appended;
+    gint64 looked_us;
+    gint64 read_us;
     GQueue appends;
     gboolean appending;
 } cq_world_host_t;
@@ -130,6 +132,10 @@
 gint64
 cq_world_now(const cq_sim_t *sim);
 
+/** cq_world_host_index() - Return: index of the host named @name */
+guint
+cq_world_host_index(const cq_sim_t *sim, const char *name);
+
 /** cq_world_post() - give @event to host @host now, or when it thaws */
 void
 cq_world_post(cq_sim_t *sim, guint host, const cq_event_t *event);
--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -372,6 +372,19 @@
     return len;
 }
 
+const cq_listed_t *
+cq_core_peers(const cq_core_t *core, guint *len)
+{
+    *len = core->peers->len;
+    return (const cq_listed_t *)(const void *)core->peers->data;
+}
+
+gboolean
+cq_core_reads_log(const cq_core_t *core)
+{
+    return core->reads_log;
+}
+
 cq_counters_t *
 cq_core_counters(cq_core_t *core)
 {
--- a/packages/core/core.h
+++ b/packages/core/core.h
@@ -116,6 +116,16 @@
 guint
 cq_core_watched(const cq_core_t *core, guint64 *ids, guint max);
 
+/** cq_core_peers() - Return: the entry hosts to keep links to; @len gets their
+ * number; borrowed until the next host list */
+const cq_listed_t *
+cq_core_peers(const cq_core_t *core, guint *len);
+
+/** cq_core_reads_log() - Return: whether this process should follow the log
+ * all the time, rather than hear from peers and look every CQ_LOG_LOOK_US */
+gboolean
+cq_core_reads_log(const cq_core_t *core);
+
 /** cq_core_counters() - Return: the core's counters, also for adapters */
 cq_counters_t *
 cq_core_counters(cq_core_t *core);
--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -1,5 +1,6 @@
 #include "core/member.h"
 
+#include "core/place.h"
 #include "core/table.h"
 
 void
@@ -65,6 +66,90 @@
     }
 }
 
+typedef struct {
+    const cq_listed_t *row;
+    gboolean far;
+    guint64 rank;
+} neighbour_t;
+
+static gint
+by_distance(gconstpointer a, gconstpointer b)
+{
+    const neighbour_t *x = a;
+    const neighbour_t *y = b;
+    if (x->far != y->far) {
+        return x->far ? 1 : -1;
+    }
+    return x->rank < y->rank ? -1 : x->rank > y->rank;
+}
+
+/* The rank is the same from both ends, so that most links are mutual. */
+static guint64
+link_rank(guint32 a, guint32 b)
+{
+    guint64 low = MIN(a, b);
+    guint64 high = MAX(a, b);
+    return cq_place_mix(high << 32 | low);
+}
+
+static GArray *
+neighbours(const cq_core_t *core, const cq_ev_hosts_t *list)
+{
+    GArray *found = g_array_new(FALSE, FALSE, sizeof(neighbour_t));
+    for (guint i = 0; i < list->len; i++) {
+        const cq_listed_t *row = &list->rows[i];
+        guint32 host = cq_ident_host(row->name);
+        if (row->service[0] != '\0' || host == core->host) {
+            continue;
+        }
+        neighbour_t neighbour = {
+            .row = row,
+            .far = !g_str_equal(row->zone, core->zone),
+            .rank = link_rank(core->host, host),
+        };
+        g_array_append_val(found, neighbour);
+    }
+    g_array_sort(found, by_distance);
+    return found;
+}
+
+/* Most peers are of this zone, so that it agrees when it is cut off; some are
+ * of others, so that news crosses zones. */
+static void
+choose_peers(cq_core_t *core, const cq_ev_hosts_t *list)
+{
+    GArray *found = neighbours(core, list);
+    g_array_set_size(core->peers, 0);
+    for (guint i = 0; i < found->len; i++) {
+        const neighbour_t *one = &g_array_index(found, neighbour_t, i);
+        guint left = found->len - i;
+        guint room = CQ_PEERS_NEAR_MAX - core->peers->len;
+        gboolean keep_room = room <= CQ_PEERS_FAR_MIN && left > room;
+        if (room == 0 || (!one->far && keep_room)) {
+            continue;
+        }
+        g_array_append_val(core->peers, *one->row);
+    }
+    g_array_unref(found);
+}
+
+/* A few hosts of each zone follow the log; the others hear from them, and
+ * look themselves from time to time. */
+static void
+choose_reader(cq_core_t *core, const cq_ev_hosts_t *list)
+{
+    guint64 own = cq_place_mix(core->host);
+    guint before = 0;
+    for (guint i = 0; i < list->len; i++) {
+        const cq_listed_t *row = &list->rows[i];
+        gboolean entry = row->service[0] == '\0' && !row->leaving;
+        if (entry && g_str_equal(row->zone, core->zone)) {
+            before += cq_place_mix(cq_ident_host(row->name)) < own;
+        }
+    }
+    core->reads_log = before < CQ_LOG_READERS;
+}
+
 static void
 unlist_all(cq_core_t *core)
 {
@@ -136,6 +221,8 @@
     }
     mark_unlisted_stale(core, before);
     g_hash_table_unref(before);
+    choose_peers(core, list);
+    choose_reader(core, list);
 }
 
 static gboolean
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -252,6 +252,15 @@
     gint64 seen_us;
 } cq_claim_entry_t;
 
+/**
+ * struct cq_core - the whole state
+ * @entry_hosts: host ids of the other entry hosts on the list
+ * @peers: array of cq_listed_t: those that this process keeps links to
+ * @reads_log: whether this process follows the log all the time
+ * @claims: key to cq_claim_entry_t*
+ * @reserved: reservations without a release
+ * @touched: a share changed since the last summary
+ */
 struct cq_core {
     char host_name[CQ_NAME_BYTES];
     char zone[CQ_NAME_BYTES];
@@ -268,6 +277,8 @@
     GPtrArray *services;
     GHashTable *peer_by_host;
     GHashTable *entry_hosts;
+    GArray *peers;
+    gboolean reads_log;
     GHashTable *claims;
     guint reserved;
     gboolean log_up;
--- a/packages/core/table.c
+++ b/packages/core/table.c
@@ -57,6 +57,8 @@
     core->services = g_ptr_array_new_with_free_func(free_service);
     core->peer_by_host =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_peer);
+    core->peers = g_array_new(FALSE, FALSE, sizeof(cq_listed_t));
+    core->reads_log = TRUE;
     core->entry_hosts = g_hash_table_new(g_direct_hash, g_direct_equal);
     core->claims = g_hash_table_new_full(key_hash, key_equal, NULL, g_free);
 }
@@ -66,6 +68,7 @@
 {
     g_hash_table_unref(core->claims);
     g_hash_table_unref(core->entry_hosts);
+    g_array_unref(core->peers);
     g_hash_table_unref(core->peer_by_host);
     g_hash_table_unref(core->service_by_name);
     g_hash_table_unref(core->request_by_id);
--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -347,12 +347,11 @@
 }
 
 void
-cq_app_peer_rows(cq_app_t *app, const cq_listed_t *rows, guint len)
+cq_app_link_peers(cq_app_t *app)
 {
+    guint len;
+    const cq_listed_t *peers = cq_core_peers(app->core, &len);
     for (guint i = 0; i < len; i++) {
-        gboolean entry = rows[i].service[0] == '\0';
-        if (entry && strcmp(rows[i].name, app->settings.host) != 0) {
-            cq_links_dial(app->links, rows[i].addr);
-        }
+        cq_links_dial(app->links, peers[i].addr);
     }
 }
--- a/packages/router/app.h
+++ b/packages/router/app.h
@@ -80,9 +80,9 @@
 void
 cq_app_count(cq_app_t *app, cq_counter_t which, guint64 n);
 
-/** cq_app_peer_rows() - take the entry hosts of the platform's list */
+/** cq_app_link_peers() - keep links to the peers that the core has chosen */
 void
-cq_app_peer_rows(cq_app_t *app, const cq_listed_t *rows, guint len);
+cq_app_link_peers(cq_app_t *app);
 
 G_END_DECLS
 
--- a/packages/router/plat.c
+++ b/packages/router/plat.c
@@ -19,9 +19,11 @@
     guint in_flight;
     gboolean stopped;
     gint64 next;
+    gint64 appended;
     gint64 anchor;
     gint64 checkpoint_due_us;
     guint calls;
+    guint look;
     GRand *rand;
 };
 
@@ -157,6 +159,7 @@
 {
     cq_app_count(plat->app, CQ_N_LOG_BACKWARD, 1);
     plat->next = first;
+    plat->appended = 0;
     plat->anchor = first;
     append_checkpoint(plat);
 }
@@ -191,6 +194,17 @@
     return good;
 }
 
+static gboolean
+on_look(gpointer data)
+{
+    cq_plat_t *plat = data;
+    plat->look = 0;
+    if (call_ended(plat)) {
+        read_log(plat);
+    }
+    return G_SOURCE_REMOVE;
+}
+
 static gboolean
 on_read_again(gpointer data)
 {
@@ -201,6 +215,22 @@
     return G_SOURCE_REMOVE;
 }
 
+/* A process that need not follow the log, and waits for no record of its own,
+ * looks at it from time to time only. */
+static void
+read_when_due(cq_plat_t *plat)
+{
+    gboolean follow = cq_core_reads_log(cq_app_core(plat->app)) ||
+                      plat->next < plat->appended ||
+                      !g_queue_is_empty(&plat->pending);
+    if (follow) {
+        read_log(plat);
+        return;
+    }
+    plat->calls++;
+    plat->look = g_timeout_add(CQ_LOG_LOOK_US / CQ_MS_US, on_look, plat);
+}
+
 static void
 on_page(int status, GBytes *body, void *data)
 {
@@ -209,7 +239,7 @@
         return;
     }
     if (status == 200 && take_page(plat, body)) {
-        read_log(plat);
+        read_when_due(plat);
         return;
     }
     post_log(plat, FALSE);
@@ -241,17 +271,36 @@
     return G_SOURCE_REMOVE;
 }
 
+/* Return: offset of the first record of a batch, by the log's answer. */
+static gint64
+offset_of(GBytes *body)
+{
+    gsize len;
+    const char *text = g_bytes_get_data(body, &len);
+    JsonParser *parser = json_parser_new();
+    gint64 offset = 0;
+    if (json_parser_load_from_data(parser, text, (gssize)len, NULL)) {
+        JsonNode *root = json_parser_get_root(parser);
+        if (root != NULL && JSON_NODE_HOLDS_OBJECT(root)) {
+            offset = json_object_get_int_member_with_default(
+                json_node_get_object(root), "offset", 0);
+        }
+    }
+    g_object_unref(parser);
+    return offset;
+}
+
 /* Without an answer the records may stand in the log or not; they are sent
  * again, and readers count a repeated record once. */
 static void
 on_appended(int status, GBytes *body, void *data)
 {
-    (void)body;
     cq_plat_t *plat = data;
     if (!call_ended(plat)) {
         return;
     }
     if (status == 200) {
+        plat->appended = offset_of(body) + plat->in_flight;
         for (guint i = 0; i < plat->in_flight; i++) {
             g_free(g_queue_pop_head(&plat->pending));
         }
@@ -259,6 +308,7 @@
         flush(plat);
         return;
     }
+    post_log(plat, FALSE);
     plat->calls++;
     g_timeout_add(CQ_LOG_RETRY_US / CQ_MS_US, on_flush_again, plat);
 }
@@ -321,7 +371,7 @@
     event.hosts.rows = (cq_listed_t *)(void *)list->data;
     event.hosts.len = list->len;
     cq_app_post(plat->app, &event);
-    cq_app_peer_rows(plat->app, event.hosts.rows, event.hosts.len);
+    cq_app_link_peers(plat->app);
     g_array_unref(list);
 }
 
@@ -406,6 +456,10 @@
         return;
     }
     g_queue_push_tail(&plat->pending, cq_record_encode(record));
+    if (plat->look != 0) {
+        g_source_remove(plat->look);
+        on_look(plat);
+    }
     flush(plat);
 }
 
--- a/tests/unit/targets_test.cc
+++ b/tests/unit/targets_test.cc
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 
+#include "bench/spread.h"
 #include "bench/stats.h"
 #include "bench/trial.h"
 
@@ -161,4 +162,20 @@
     cq_trial_clear(&calm);
 }
 
+TEST(Configuration, EverywhereWithin11sAt330Hosts)
+{
+    cq_spread_t joined = {330, 10, -1, 0, 0};
+    cq_spread_run(&joined);
+    EXPECT_GE(joined.everywhere_s, 0);
+    EXPECT_LE(joined.everywhere_s, 11);
+}
+
+TEST(Configuration, EverywhereWithin11sWithAZoneCutFromThePlatform)
+{
+    cq_spread_t cut = {330, 10, 4, 0, 0};
+    cq_spread_run(&cut);
+    EXPECT_GE(cut.everywhere_s, 0);
+    EXPECT_LE(cut.everywhere_s, 11);
+}
+
 } // namespace
