--- a/packages/base/counters.c
+++ b/packages/base/counters.c
@@ -18,6 +18,7 @@
     [CQ_N_CLAIMS_EXPIRED] = "claims_expired_total",
     [CQ_N_GROUPS] = "groups_total",
     [CQ_N_GROUP_BACKOFFS] = "group_backoffs_total",
+    [CQ_N_ORDERS] = "orders_total",
     [CQ_N_RELEASES] = "reservations_released_total",
     [CQ_N_STRAYS] = "stray_reservations_total",
     [CQ_N_SILENT] = "silent_connections_total",
--- a/packages/base/counters.h
+++ b/packages/base/counters.h
@@ -29,6 +29,7 @@
     CQ_N_CLAIMS_EXPIRED,
     CQ_N_GROUPS,
     CQ_N_GROUP_BACKOFFS,
+    CQ_N_ORDERS,
     CQ_N_RELEASES,
     CQ_N_STRAYS,
     CQ_N_SILENT,
--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -84,6 +84,14 @@
 #define CQ_RESERVATION_US (30 * CQ_SECOND_US)
 #define CQ_RESERVE_WAIT_US (2 * CQ_SECOND_US)
 
+/* Leases and orders. */
+#define CQ_LEASE_US (9 * CQ_SECOND_US)
+#define CQ_LEASE_MARGIN_US (2 * CQ_SECOND_US)
+#define CQ_LEASE_RENEW_US (2 * CQ_SECOND_US)
+#define CQ_LOADS_MAX 2
+#define CQ_ORDER_SEEN_US (5 * CQ_SECOND_US)
+#define CQ_ENGINE_MODELS_MAX 4
+
 /* Placement. */
 #define CQ_SAMPLES 16
 #define CQ_SCAN_MAX 24
--- a/packages/base/rules.c
+++ b/packages/base/rules.c
@@ -7,7 +7,7 @@
 {
     cq_rules_t *rules = data;
     g_array_unref(rules->teams);
-    g_ptr_array_unref(rules->models);
+    g_array_unref(rules->models);
     g_array_unref(rules->calls);
 }
 
@@ -28,7 +28,7 @@
     rules->streams_max = CQ_STREAMS_MAX;
     rules->group_max = 1;
     rules->teams = g_array_new(FALSE, TRUE, sizeof(cq_team_rule_t));
-    rules->models = g_ptr_array_new_with_free_func(g_free);
+    rules->models = g_array_new(FALSE, TRUE, sizeof(cq_model_rule_t));
     rules->calls = g_array_new(FALSE, TRUE, sizeof(cq_call_rule_t));
     return rules;
 }
@@ -72,11 +72,41 @@
     return found;
 }
 
+static const cq_model_rule_t *
+find_model(const cq_rules_t *rules, const char *name)
+{
+    for (guint i = 0; i < rules->models->len; i++) {
+        const cq_model_rule_t *model =
+            &g_array_index(rules->models, cq_model_rule_t, i);
+        if (strcmp(model->name, name) == 0) {
+            return model;
+        }
+    }
+    return NULL;
+}
+
 gboolean
 cq_rules_serves(const cq_rules_t *rules, const char *name)
 {
-    return g_ptr_array_find_with_equal_func(rules->models, name, g_str_equal,
-                                            NULL);
+    return find_model(rules, name) != NULL;
+}
+
+gint64
+cq_rules_replicas(const cq_rules_t *rules, const char *model)
+{
+    const cq_model_rule_t *found = find_model(rules, model);
+    return found != NULL ? found->replicas : 0;
+}
+
+gboolean
+cq_rules_loads(const cq_rules_t *rules)
+{
+    for (guint i = 0; i < rules->models->len; i++) {
+        if (g_array_index(rules->models, cq_model_rule_t, i).replicas > 0) {
+            return TRUE;
+        }
+    }
+    return FALSE;
 }
 
 gboolean
--- a/packages/base/rules.h
+++ b/packages/base/rules.h
@@ -37,6 +37,16 @@
     gint64 weight;
 } cq_team_rule_t;
 
+/**
+ * struct cq_model_rule_t - one model of a service
+ * @name: the model
+ * @replicas: engines that should have it loaded; 0: every engine has it
+ */
+typedef struct {
+    char name[CQ_NAME_BYTES];
+    gint64 replicas;
+} cq_model_rule_t;
+
 /**
  * struct cq_call_rule_t - which calls of a plain service may be repeated
  * @method: HTTP method, or "*"
@@ -71,7 +81,7 @@
  * @resume: whether engines resume a stream at a token
  * @fencing: whether upstreams refuse an old fencing number
  * @teams: array of cq_team_rule_t
- * @models: array of model names, each CQ_NAME_BYTES
+ * @models: array of cq_model_rule_t
  * @calls: array of cq_call_rule_t
  */
 typedef struct {
@@ -94,7 +104,7 @@
     gboolean resume;
     gboolean fencing;
     GArray *teams;
-    GPtrArray *models;
+    GArray *models;
     GArray *calls;
 } cq_rules_t;
 
@@ -122,6 +132,15 @@
 gboolean
 cq_rules_serves(const cq_rules_t *rules, const char *name);
 
+/** cq_rules_replicas() - Return: engines that should have @model loaded, 0
+ * when every engine has it */
+gint64
+cq_rules_replicas(const cq_rules_t *rules, const char *model);
+
+/** cq_rules_loads() - Return: whether engines are told which models to load */
+gboolean
+cq_rules_loads(const cq_rules_t *rules);
+
 /** cq_rules_repeatable() - Return: whether @method on @path may repeat */
 gboolean
 cq_rules_repeatable(const cq_rules_t *rules, const char *method,
--- a/packages/bench/plat.c
+++ b/packages/bench/plat.c
@@ -1,4 +1,6 @@
 /* The platform: log, host list, and the engines' load reports. */
+#include <string.h>
+
 #include "bench/world.h"
 
 #define APPEND_RETRY_US (200 * CQ_MS_US)
@@ -21,12 +23,24 @@
 static void
 take_record(cq_world_host_t *host, const cq_world_record_t *record)
 {
-    if (record->is_claim) {
-        cq_event_t event = {.kind = CQ_EV_CLAIM, .claim = record->claim};
+    cq_event_t event = {.kind = CQ_EV_CLAIM};
+    switch (record->kind) {
+    case CQ_RECORD_CLAIM:
+        event.claim = record->claim;
         cq_world_post(host->sim, host->index, &event);
-        return;
+        break;
+    case CQ_RECORD_LEASE:
+        event.kind = CQ_EV_LEASE;
+        event.lease.record = record->lease;
+        event.lease.offset = (guint64)host->log_next;
+        cq_world_post(host->sim, host->index, &event);
+        break;
+    case CQ_RECORD_CONFIG:
+        cq_fold_config(host->fold, &record->config);
+        break;
+    case CQ_RECORD_CHECKPOINT:
+        g_assert_not_reached();
     }
-    cq_fold_config(host->fold, &record->config);
 }
 
 static void
@@ -146,13 +160,9 @@
 }
 
 void
-cq_world_append(cq_sim_t *sim, cq_world_host_t *host, const cq_claim_t *claim)
+cq_world_append(cq_world_host_t *host, const cq_world_record_t *record)
 {
-    (void)sim;
-    cq_world_record_t *record = g_new0(cq_world_record_t, 1);
-    record->is_claim = TRUE;
-    record->claim = *claim;
-    g_queue_push_tail(&host->appends, record);
+    g_queue_push_tail(&host->appends, g_memdup2(record, sizeof *record));
     start_append(host);
 }
 
@@ -249,6 +259,9 @@
     gint64 at_us;
     cq_engine_load_t load;
     GArray *holdings;
+    guint64 models[CQ_ENGINE_MODELS_MAX];
+    guint models_len;
+    guint64 loading;
 } report_t;
 
 static void
@@ -267,6 +280,9 @@
     event.load.holdings =
         (const cq_holding_t *)(const void *)report->holdings->data;
     event.load.holdings_len = report->holdings->len;
+    event.load.models = report->models;
+    event.load.models_len = report->models_len;
+    event.load.loading = report->loading;
     for (guint i = 0; i < sim->options.hosts; i++) {
         const cq_world_host_t *host = &sim->hosts[i];
         gboolean up = host->core != NULL && !frozen(host);
@@ -293,6 +309,9 @@
         report->load = cq_engine_load(upstream->engine);
         report->holdings = g_array_new(FALSE, FALSE, sizeof(cq_holding_t));
         cq_engine_holdings(upstream->engine, report->holdings);
+        memcpy(report->models, upstream->models, sizeof report->models);
+        report->models_len = upstream->models_len;
+        report->loading = upstream->loading;
         cq_heap_add(&sim->heap, now_us + sim->options.report_lag_us, on_report,
                     report, 0);
     }
--- a/packages/bench/scn.h
+++ b/packages/bench/scn.h
@@ -16,7 +16,11 @@
  *   at 3s silence host 0 upstream engine-1
  *   at 3s cut|join zone 0 zone 1|platform
  *   at 3s log down|up|truncate N   at 3s list down|up
- *   at 3s lose append answer
+ *   at 3s lose append answer       at 3s delay orders 20s
+ *   at 3s publish modelo base 1 id b replicas 3 (of the model "big")
+ *   at 9s ask r5 host 0 prompt 2000 answer 5 model big
+ *   at 9s expect loaded big 3      at 9s expect loads 3 at most 2
+ *   at 9s expect old 1 refused 1   (orders with an old fencing number)
  *   at 3s publish reservas base 1 id a
  *   at 9s expect request r1 code done ran yes
  *   at 9s expect open r2           at 9s expect runs 7 1
--- a/packages/bench/scncmd.c
+++ b/packages/bench/scncmd.c
@@ -120,6 +120,10 @@
             ask->service = "modelo";
             ask->repeatable = TRUE;
         }
+        else if (good && strcmp(word, "model") == 0) {
+            good = cq_scn_word(scn, named->model);
+            ask->model = named->model;
+        }
         else if (good && strcmp(word, "output") == 0) {
             good = cq_scn_number(scn, &number);
             ask->output_tokens = (gint64)number;
@@ -316,6 +320,17 @@
     return TRUE;
 }
 
+static gboolean
+do_delay(cq_scn_t *scn)
+{
+    gint64 us = 0;
+    if (!cq_scn_skip(scn, "orders") || !cq_scn_time(scn, &us)) {
+        return FALSE;
+    }
+    cq_sim_delay_orders(scn->sim, us);
+    return TRUE;
+}
+
 static gboolean
 do_lose(cq_scn_t *scn)
 {
@@ -337,8 +352,18 @@
         !cq_scn_word(scn, id)) {
         return FALSE;
     }
-    const char *text = strcmp(service, "modelo") == 0 ? rules[0] : rules[1];
-    char *body = g_strdup_printf("%s# %s\n", text, id);
+    gboolean model = strcmp(service, "modelo") == 0;
+    guint64 replicas = 0;
+    if (cq_scn_more(scn) &&
+        (!cq_scn_skip(scn, "replicas") || !cq_scn_number(scn, &replicas))) {
+        return FALSE;
+    }
+    char *loads = g_strdup_printf("[[model]]\nname = \"big\"\n"
+                                  "replicas = %" G_GUINT64_FORMAT "\n",
+                                  replicas);
+    char *body = g_strdup_printf("%s%s# %s\n", model ? rules[0] : rules[1],
+                                 replicas > 0 ? loads : "", id);
+    g_free(loads);
     cq_sim_publish(scn->sim, service, body, base, id);
     g_free(body);
     return TRUE;
@@ -361,7 +386,7 @@
     {"leave", do_leave},       {"silence", do_silence}, {"cut", do_cut},
     {"join", do_join},         {"log", do_log},         {"list", do_list},
     {"lose", do_lose},         {"publish", do_publish}, {"note", do_note},
-    {"expect", cq_scn_expect},
+    {"expect", cq_scn_expect}, {"delay", do_delay},
 };
 
 gboolean
--- a/packages/bench/scnexpect.c
+++ b/packages/bench/scnexpect.c
@@ -176,6 +176,49 @@
                   stopped ? "has stopped" : "runs");
 }
 
+static gboolean
+expect_loaded(cq_scn_t *scn)
+{
+    char model[CQ_SCN_NAME_BYTES];
+    guint64 engines = 0;
+    if (!cq_scn_word(scn, model) || !cq_scn_number(scn, &engines)) {
+        return FALSE;
+    }
+    guint seen = cq_sim_loaded(scn->sim, model);
+    return expect(scn, seen == engines, "%u engines have %s", seen, model);
+}
+
+static gboolean
+expect_loads(cq_scn_t *scn)
+{
+    guint64 loads = 0;
+    guint64 most = 0;
+    if (!cq_scn_number(scn, &loads) || !cq_scn_skip(scn, "at") ||
+        !cq_scn_skip(scn, "most") || !cq_scn_number(scn, &most)) {
+        return FALSE;
+    }
+    cq_sim_totals_t totals = cq_sim_totals(scn->sim);
+    gboolean holds = totals.loads == loads && totals.loads_at_once <= most;
+    return expect(scn, holds, "%u loads, at most %u at once", totals.loads,
+                  totals.loads_at_once);
+}
+
+static gboolean
+expect_old(cq_scn_t *scn)
+{
+    guint64 old = 0;
+    guint64 refused = 0;
+    if (!cq_scn_number(scn, &old) || !cq_scn_skip(scn, "refused") ||
+        !cq_scn_number(scn, &refused)) {
+        return FALSE;
+    }
+    cq_sim_totals_t totals = cq_sim_totals(scn->sim);
+    gboolean holds =
+        totals.old_orders == old && totals.old_orders_refused == refused;
+    return expect(scn, holds, "%u old orders, %u refused", totals.old_orders,
+                  totals.old_orders_refused);
+}
+
 static gboolean
 expect_running(cq_scn_t *scn)
 {
@@ -194,6 +237,8 @@
     {"held", expect_held},       {"version", expect_version},
     {"no", expect_no},           {"stopped", expect_stopped},
     {"running", expect_running}, {"id", expect_id},
+    {"loaded", expect_loaded},   {"loads", expect_loads},
+    {"old", expect_old},
 };
 
 gboolean
--- a/packages/bench/scnstate.h
+++ b/packages/bench/scnstate.h
@@ -18,6 +18,7 @@
  */
 typedef struct {
     char name[CQ_SCN_NAME_BYTES];
+    char model[CQ_SCN_NAME_BYTES];
     guint64 id;
     gboolean answered;
     gboolean lost;
--- a/packages/bench/sim.c
+++ b/packages/bench/sim.c
@@ -138,8 +138,20 @@
     case CQ_AC_PROBE:
         cq_world_probe(sim, host, &action->attempt);
         break;
-    case CQ_AC_CLAIM:
-        cq_world_append(sim, host, &action->claim);
+    case CQ_AC_CLAIM: {
+        cq_world_record_t record = {.kind = CQ_RECORD_CLAIM,
+                                    .claim = action->claim};
+        cq_world_append(host, &record);
+        break;
+    }
+    case CQ_AC_LEASE: {
+        cq_world_record_t record = {.kind = CQ_RECORD_LEASE,
+                                    .lease = action->lease};
+        cq_world_append(host, &record);
+        break;
+    }
+    case CQ_AC_ORDER:
+        cq_world_order(host, &action->order);
         break;
     case CQ_AC_SUMMARY:
         send_summary(sim, host, action->summary);
@@ -164,8 +176,8 @@
     host->stepping = FALSE;
 }
 
-static void
-on_thaw(void *world, void *data, guint64 incarnation)
+void
+cq_world_thaw(void *world, void *data, guint64 incarnation)
 {
     cq_sim_t *sim = world;
     cq_world_host_t *host = data;
@@ -242,167 +254,13 @@
     cq_world_start_reader(sim, host);
 }
 
-static GPtrArray *
-asks_of_host(cq_sim_t *sim, guint index)
-{
-    GPtrArray *found = g_ptr_array_new();
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, sim->asks);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        cq_world_ask_t *ask = value;
-        if (ask->ask.host == index) {
-            g_ptr_array_add(found, ask);
-        }
-    }
-    return found;
-}
-
-static gint
-by_id(gconstpointer a, gconstpointer b)
-{
-    const cq_world_ask_t *x = *(cq_world_ask_t *const *)a;
-    const cq_world_ask_t *y = *(cq_world_ask_t *const *)b;
-    return x->id < y->id ? -1 : x->id > y->id;
-}
-
-static void
-lose_asks(cq_sim_t *sim, guint index)
-{
-    GPtrArray *asks = asks_of_host(sim, index);
-    g_ptr_array_sort(asks, by_id);
-    for (guint i = 0; i < asks->len; i++) {
-        cq_world_ask_t *ask = g_ptr_array_index(asks, i);
-        guint64 tag = ask->ask.tag;
-        g_hash_table_remove(sim->asks, &ask->id);
-        if (sim->options.lost != NULL) {
-            sim->options.lost(sim, tag, sim->options.data);
-        }
-    }
-    g_ptr_array_unref(asks);
-}
-
-void
-cq_sim_kill_host(cq_sim_t *sim, guint index)
-{
-    cq_world_host_t *host = &sim->hosts[index];
-    if (host->core == NULL) {
-        return;
-    }
-    cq_core_free(host->core);
-    cq_fold_free(host->fold);
-    host->core = NULL;
-    host->fold = NULL;
-    host->appending = FALSE;
-    g_queue_clear_full(&host->waiting, g_free);
-    g_queue_clear_full(&host->appends, g_free);
-    cq_world_drop_tries(sim, index);
-    lose_asks(sim, index);
-}
-
-void
-cq_sim_freeze_host(cq_sim_t *sim, guint index, gint64 us)
-{
-    cq_world_host_t *host = &sim->hosts[index];
-    if (host->core == NULL) {
-        return;
-    }
-    host->frozen_until_us = cq_world_now(sim) + us;
-    cq_heap_add(&sim->heap, host->frozen_until_us, on_thaw, host,
-                host->incarnation);
-}
-
-void
-cq_sim_drain_host(cq_sim_t *sim, guint index, gint64 notice_us,
-                  gint64 limit_us)
-{
-    if (sim->hosts[index].core == NULL) {
-        return;
-    }
-    cq_event_t event = {.kind = CQ_EV_DRAIN};
-    event.drain.notice_us = notice_us;
-    event.drain.limit_us = limit_us;
-    cq_world_post(sim, index, &event);
-}
-
-gboolean
-cq_sim_host_stopped(const cq_sim_t *sim, guint index)
-{
-    return sim->hosts[index].stopped;
-}
-
-void
-cq_sim_kill_upstream(cq_sim_t *sim, guint index)
-{
-    cq_world_upstream_t *upstream = &sim->upstreams[index];
-    if (!upstream->up) {
-        return;
-    }
-    cq_world_break_tries(sim, index);
-    upstream->up = FALSE;
-    if (upstream->engine != NULL) {
-        cq_engine_reset(upstream->engine);
-    }
-}
-
-void
-cq_sim_start_upstream(cq_sim_t *sim, guint index)
-{
-    cq_world_upstream_t *upstream = &sim->upstreams[index];
-    if (upstream->up) {
-        return;
-    }
-    upstream->up = TRUE;
-    upstream->leaving = FALSE;
-    upstream->frozen_until_us = 0;
-    upstream->incarnation++;
-    (void)sim;
-}
-
-void
-cq_sim_freeze_upstream(cq_sim_t *sim, guint index, gint64 us)
-{
-    sim->upstreams[index].frozen_until_us = cq_world_now(sim) + us;
-}
-
-void
-cq_sim_leave_upstream(cq_sim_t *sim, guint index)
-{
-    sim->upstreams[index].leaving = TRUE;
-}
-
-void
-cq_sim_cut(cq_sim_t *sim, guint a, guint b, gboolean cut)
-{
-    sim->cut[a][b] = cut;
-    sim->cut[b][a] = cut;
-}
-
-void
-cq_sim_log_down(cq_sim_t *sim, gboolean down)
-{
-    sim->log_down = down;
-}
-
-void
-cq_sim_lose_appends(cq_sim_t *sim, guint n)
-{
-    sim->lose_appends = n;
-}
-
-void
-cq_sim_list_down(cq_sim_t *sim, gboolean down)
-{
-    sim->list_down = down;
-}
-
 static void
 fill_event(const cq_sim_ask_t *ask, guint64 id, cq_ev_request_t *request)
 {
     request->id = id;
     request->service = ask->service;
     request->team = ask->team;
-    request->model = "m";
+    request->model = ask->model != NULL ? ask->model : "m";
     request->repeatable = ask->repeatable;
     request->prompt_tokens = ask->prompt_tokens;
     request->output_tokens = ask->max_tokens;
@@ -447,6 +305,8 @@
     upstream->zone = number % sim->options.zones;
     upstream->incarnation = 1;
     upstream->up = TRUE;
+    /* Some engines check fencing numbers, others ignore them. */
+    upstream->checks_fence = number % 2 == 0;
     g_snprintf(upstream->name, sizeof upstream->name, "%s-%u", kind, number);
     upstream->id = cq_ident_hash(upstream->name);
     g_hash_table_insert(sim->upstream_by_id, &upstream->id,
--- a/packages/bench/sim.h
+++ b/packages/bench/sim.h
@@ -28,6 +28,7 @@
  * @host: index of the entry host
  * @service: name of the service
  * @team: team
+ * @model: model, or NULL for "m"
  * @key: idempotency key, or 0
  * @repeatable: by the service's rules
  * @prompt_tokens: length of the prompt
@@ -42,6 +43,7 @@
     guint host;
     const char *service;
     const char *team;
+    const char *model;
     guint64 key;
     gboolean repeatable;
     gint64 prompt_tokens;
@@ -92,6 +94,10 @@
  * @used_us: engine time spent in all
  * @summary_bytes: bytes of summaries sent
  * @steps: steps of the cores
+ * @loads: models that engines began to load
+ * @loads_at_once: most of them at one time
+ * @old_orders: orders that came after one with a newer fencing number
+ * @old_orders_refused: those of them that the engine refused
  * @log_reads: reads of the log, a waiting read counted once
  */
 typedef struct {
@@ -100,6 +106,10 @@
     guint64 summary_bytes;
     guint64 steps;
     guint64 log_reads;
+    guint loads;
+    guint loads_at_once;
+    guint old_orders;
+    guint old_orders_refused;
 } cq_sim_totals_t;
 
 /** cq_sim_new() - Return: a world at time 0 */
@@ -217,6 +227,14 @@
 void
 cq_sim_list_down(cq_sim_t *sim, gboolean down);
 
+/** cq_sim_delay_orders() - orders are on their way for @us more */
+void
+cq_sim_delay_orders(cq_sim_t *sim, gint64 us);
+
+/** cq_sim_loaded() - Return: engines that have @model */
+guint
+cq_sim_loaded(const cq_sim_t *sim, const char *model);
+
 /** cq_sim_upstream_name() - Return: name of upstream @index */
 const char *
 cq_sim_upstream_name(const cq_sim_t *sim, guint index);
--- a/packages/bench/soak.c
+++ b/packages/bench/soak.c
@@ -3,13 +3,9 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "bench/sim.h"
+#include "bench/soakstate.h"
 
-#define ZONES 3
-#define HOSTS 4
-#define ENGINES 6
-#define PLAINS 3
-#define UPSTREAMS (ENGINES + PLAINS)
+#define REPLICAS 3
 #define ASK_EVERY_US (60 * CQ_MS_US)
 #define FAULT_EVERY_US (900 * CQ_MS_US)
 #define CHECK_EVERY_US (50 * CQ_MS_US)
@@ -17,13 +13,12 @@
 #define START_US (3 * CQ_SECOND_US)
 #define LATE_US (3 * CQ_TICK_US)
 #define KEYS 40
-#define FREEZE_MAX_S 12
 
 static const char *const rules[] = {
     "[service]\nname = \"modelo\"\nkind = \"model\"\nauth = \"none\"\n"
     "[requests]\ntimeout_ms = 20000\n"
     "[engines]\ngroup_max = 8\nresume = true\n"
-    "[[model]]\nname = \"m\"\n"
+    "[[model]]\nname = \"m\"\nreplicas = 3\n"
     "[[team]]\nname = \"t0\"\n[[team]]\nname = \"t1\"\n",
     "[service]\nname = \"reservas\"\nkind = \"plain\"\nauth = \"none\"\n"
     "[requests]\ntimeout_ms = 8000\n"
@@ -31,44 +26,20 @@
     "[[team]]\nname = \"t0\"\n[[team]]\nname = \"t1\"\n",
     NULL};
 
-/**
- * struct ask_t - one request and its answer
- * @at_us: when its entry host could take it in
- */
-typedef struct {
-    guint64 id;
-    cq_sim_ask_t ask;
-    gint64 at_us;
-    gboolean answered;
-    gboolean lost;
-    cq_ac_answer_t answer;
-    gint64 tokens;
-} ask_t;
-
-typedef struct {
-    const cq_soak_options_t *options;
-    cq_soak_report_t *report;
-    cq_sim_t *sim;
-    GRand *rand;
-    GArray *asks;
-    gint64 thawed_us[HOSTS];
-    guint64 versions[HOSTS];
-    gint64 stopping_us[HOSTS];
-    guint published;
-    gint64 end_us;
-} soak_t;
+const char *const *
+cq_soak_rules(void)
+{
+    return rules;
+}
 
-static gint64
-now_us(const soak_t *soak)
+gint64
+cq_soak_now(const cq_soak_t *soak)
 {
     return cq_sim_heap(soak->sim)->now_us;
 }
 
-static void
-broken(soak_t *soak, const char *format, ...) G_GNUC_PRINTF(2, 3);
-
-static void
-broken(soak_t *soak, const char *format, ...)
+void
+cq_soak_broken(cq_soak_t *soak, const char *format, ...)
 {
     if (soak->report->broken[0] != '\0') {
         return;
@@ -80,35 +51,36 @@
     va_end(args);
 }
 
-static ask_t *
-ask_at(soak_t *soak, guint64 tag)
+cq_soak_ask_t *
+cq_soak_ask(cq_soak_t *soak, guint64 tag)
 {
-    return &g_array_index(soak->asks, ask_t, (guint)tag);
+    return &g_array_index(soak->asks, cq_soak_ask_t, (guint)tag);
 }
 
 static void
 on_tokens(cq_sim_t *sim, guint64 tag, gint64 tokens, void *data)
 {
     (void)sim;
-    ask_at(data, tag)->tokens += tokens;
+    cq_soak_ask(data, tag)->tokens += tokens;
 }
 
 static void
-check_answer(soak_t *soak, const ask_t *ask)
+check_answer(cq_soak_t *soak, const cq_soak_ask_t *ask)
 {
     gint64 due_us = ask->at_us + ask->ask.timeout_us + LATE_US;
     gint64 thawed_us = soak->thawed_us[ask->ask.host] + LATE_US;
-    if (now_us(soak) > MAX(due_us, thawed_us)) {
-        broken(soak, "request %016" G_GINT64_MODIFIER "x answered late",
-               ask->id);
+    if (cq_soak_now(soak) > MAX(due_us, thawed_us)) {
+        cq_soak_broken(
+            soak, "request %016" G_GINT64_MODIFIER "x answered late", ask->id);
     }
     gboolean model = ask->ask.prompt_tokens > 0;
     gboolean done = ask->answer.outcome == CQ_OUT_DONE;
     if (model && done && ask->tokens != ask->ask.output_tokens) {
-        broken(soak,
-               "request %016" G_GINT64_MODIFIER "x got %" G_GINT64_FORMAT
-               " tokens of %" G_GINT64_FORMAT,
-               ask->id, ask->tokens, ask->ask.output_tokens);
+        cq_soak_broken(soak,
+                       "request %016" G_GINT64_MODIFIER
+                       "x got %" G_GINT64_FORMAT
+                       " tokens of %" G_GINT64_FORMAT,
+                       ask->id, ask->tokens, ask->ask.output_tokens);
     }
 }
 
@@ -117,11 +89,12 @@
             void *data)
 {
     (void)sim;
-    soak_t *soak = data;
-    ask_t *ask = ask_at(soak, tag);
+    cq_soak_t *soak = data;
+    cq_soak_ask_t *ask = cq_soak_ask(soak, tag);
     if (ask->answered) {
-        broken(soak, "request %016" G_GINT64_MODIFIER "x answered twice",
-               ask->id);
+        cq_soak_broken(soak,
+                       "request %016" G_GINT64_MODIFIER "x answered twice",
+                       ask->id);
     }
     ask->answered = TRUE;
     ask->answer = *answer;
@@ -136,11 +109,11 @@
 on_lost(cq_sim_t *sim, guint64 tag, void *data)
 {
     (void)sim;
-    ask_at(data, tag)->lost = TRUE;
+    cq_soak_ask(data, tag)->lost = TRUE;
 }
 
 static void
-draw_model(soak_t *soak, cq_sim_ask_t *ask)
+draw_model(cq_soak_t *soak, cq_sim_ask_t *ask)
 {
     gboolean giant = g_rand_int_range(soak->rand, 0, 25) == 0;
     ask->service = "modelo";
@@ -154,7 +127,7 @@
 }
 
 static void
-draw_plain(soak_t *soak, cq_sim_ask_t *ask)
+draw_plain(cq_soak_t *soak, cq_sim_ask_t *ask)
 {
     ask->service = "reservas";
     ask->timeout_us = 8 * CQ_SECOND_US;
@@ -177,10 +150,10 @@
 {
     (void)number;
     cq_sim_t *sim = world;
-    soak_t *soak = data;
-    ask_t ask = {.at_us = now_us(soak)};
+    cq_soak_t *soak = data;
+    cq_soak_ask_t ask = {.at_us = cq_soak_now(soak)};
     ask.ask.tag = soak->asks->len;
-    ask.ask.host = (guint)g_rand_int_range(soak->rand, 0, HOSTS);
+    ask.ask.host = (guint)g_rand_int_range(soak->rand, 0, CQ_SOAK_HOSTS);
     ask.ask.team = g_rand_boolean(soak->rand) ? "t0" : "t1";
     if (g_rand_int_range(soak->rand, 0, 3) == 0) {
         draw_model(soak, &ask.ask);
@@ -193,364 +166,144 @@
     cq_sim_ask_t copy = ask.ask;
     g_array_append_val(soak->asks, ask);
     guint64 id = cq_sim_ask(sim, &copy);
-    ask_at(soak, copy.tag)->id = id;
+    cq_soak_ask(soak, copy.tag)->id = id;
     if (id == 0) {
-        ask_at(soak, copy.tag)->lost = TRUE;
+        cq_soak_ask(soak, copy.tag)->lost = TRUE;
     }
     soak->report->asked++;
     if (soak->report->asked < soak->options->steps) {
         gint64 pause_us =
             g_rand_int_range(soak->rand, 1, 2 * (gint32)ASK_EVERY_US);
-        cq_heap_add(cq_sim_heap(sim), now_us(soak) + pause_us, on_ask, soak,
-                    0);
-    }
-}
-
-static void
-on_start_host(void *world, void *data, guint64 host)
-{
-    soak_t *soak = data;
-    if (cq_sim_core(world, (guint)host) == NULL) {
-        cq_sim_start_host(world, (guint)host);
-        soak->versions[host] = 0;
-    }
-}
-
-static void
-kill_host(soak_t *soak, guint host, gint64 down_us)
-{
-    cq_sim_kill_host(soak->sim, host);
-    soak->stopping_us[host] = 0;
-    soak->thawed_us[host] = 0;
-    cq_heap_add(cq_sim_heap(soak->sim), now_us(soak) + down_us, on_start_host,
-                soak, host);
-}
-
-static void
-on_start_upstream(void *world, void *data, guint64 index)
-{
-    (void)data;
-    cq_sim_start_upstream(world, (guint)index);
-}
-
-static void
-on_kill_upstream(void *world, void *data, guint64 index)
-{
-    soak_t *soak = data;
-    cq_sim_kill_upstream(world, (guint)index);
-    cq_heap_add(cq_sim_heap(world), now_us(soak) + CQ_SECOND_US,
-                on_start_upstream, soak, index);
-}
-
-static void
-on_join(void *world, void *data, guint64 pair)
-{
-    (void)data;
-    cq_sim_cut(world, (guint)(pair / 100), (guint)(pair % 100), FALSE);
-}
-
-static void
-on_platform_up(void *world, void *data, guint64 number)
-{
-    (void)data;
-    (void)number;
-    cq_sim_log_down(world, FALSE);
-    cq_sim_list_down(world, FALSE);
-}
-
-static gint64
-some_us(soak_t *soak, gint32 most_s)
-{
-    return g_rand_int_range(soak->rand, 100, most_s * 1000) * CQ_MS_US;
-}
-
-static void
-fault_kill_host(soak_t *soak)
-{
-    guint host = (guint)g_rand_int_range(soak->rand, 0, HOSTS);
-    if (cq_sim_core(soak->sim, host) != NULL) {
-        kill_host(soak, host, some_us(soak, 5));
-    }
-}
-
-static void
-fault_freeze_host(soak_t *soak)
-{
-    guint host = (guint)g_rand_int_range(soak->rand, 0, HOSTS);
-    gint64 us = some_us(soak, FREEZE_MAX_S);
-    if (soak->thawed_us[host] > now_us(soak)) {
-        return;
-    }
-    cq_sim_freeze_host(soak->sim, host, us);
-    soak->thawed_us[host] = now_us(soak) + us;
-}
-
-static void
-fault_kill_upstream(soak_t *soak)
-{
-    guint index = (guint)g_rand_int_range(soak->rand, 0, UPSTREAMS);
-    cq_sim_kill_upstream(soak->sim, index);
-    cq_heap_add(cq_sim_heap(soak->sim), now_us(soak) + some_us(soak, 6),
-                on_start_upstream, soak, index);
-}
-
-static void
-fault_freeze_upstream(soak_t *soak)
-{
-    guint index = (guint)g_rand_int_range(soak->rand, 0, UPSTREAMS);
-    cq_sim_freeze_upstream(soak->sim, index, some_us(soak, 6));
-}
-
-static void
-fault_leave(soak_t *soak)
-{
-    guint index = (guint)g_rand_int_range(soak->rand, 0, UPSTREAMS);
-    cq_sim_leave_upstream(soak->sim, index);
-    cq_heap_add(cq_sim_heap(soak->sim), now_us(soak) + 8 * CQ_SECOND_US,
-                on_kill_upstream, soak, index);
-}
-
-static void
-fault_silence(soak_t *soak)
-{
-    guint host = (guint)g_rand_int_range(soak->rand, 0, HOSTS);
-    guint index = (guint)g_rand_int_range(soak->rand, 0, UPSTREAMS);
-    cq_sim_silence(soak->sim, host, index);
-}
-
-static void
-fault_cut(soak_t *soak)
-{
-    guint a = (guint)g_rand_int_range(soak->rand, 0, ZONES);
-    guint b = (guint)g_rand_int_range(soak->rand, 0, ZONES + 1);
-    b = b == ZONES ? CQ_SIM_PLATFORM : b;
-    if (a != b) {
-        cq_sim_cut(soak->sim, a, b, TRUE);
-        cq_heap_add(cq_sim_heap(soak->sim), now_us(soak) + some_us(soak, 10),
-                    on_join, soak, a * 100 + b);
-    }
-}
-
-static void
-fault_log(soak_t *soak)
-{
-    cq_sim_log_down(soak->sim, TRUE);
-    cq_heap_add(cq_sim_heap(soak->sim), now_us(soak) + some_us(soak, 6),
-                on_platform_up, soak, 0);
-}
-
-static void
-fault_lose_append(soak_t *soak)
-{
-    cq_sim_lose_appends(soak->sim, (guint)g_rand_int_range(soak->rand, 1, 4));
-}
-
-static void
-fault_list(soak_t *soak)
-{
-    cq_sim_list_down(soak->sim, TRUE);
-    cq_heap_add(cq_sim_heap(soak->sim), now_us(soak) + some_us(soak, 8),
-                on_platform_up, soak, 0);
-}
-
-/* Two operators race: both publish on the version that they saw. */
-static void
-fault_publish(soak_t *soak)
-{
-    guint host = (guint)g_rand_int_range(soak->rand, 0, HOSTS);
-    cq_fold_t *fold = cq_sim_fold(soak->sim, host);
-    const cq_config_entry_t *held =
-        fold != NULL ? cq_fold_get(fold, "reservas") : NULL;
-    guint64 base = held != NULL ? held->version : 0;
-    for (int i = 0; i < 2; i++) {
-        char id[32];
-        g_snprintf(id, sizeof id, "p-%u", soak->published++);
-        char *body = g_strdup_printf("%s# %s\n", rules[1], id);
-        cq_sim_publish(soak->sim, "reservas", body, base, id);
-        g_free(body);
-    }
-}
-
-static void
-fault_drain(soak_t *soak)
-{
-    guint host = (guint)g_rand_int_range(soak->rand, 0, HOSTS);
-    if (cq_sim_core(soak->sim, host) != NULL && soak->stopping_us[host] == 0) {
-        cq_sim_drain_host(soak->sim, host, CQ_SECOND_US, 50 * CQ_SECOND_US);
-        soak->stopping_us[host] = now_us(soak);
-    }
-}
-
-/* The upstream's answer to an older attempt, once more. */
-static void
-fault_crossed(soak_t *soak)
-{
-    if (soak->asks->len == 0) {
-        return;
-    }
-    guint tag =
-        (guint)g_rand_int_range(soak->rand, 0, (gint32)soak->asks->len);
-    const ask_t *ask = ask_at(soak, tag);
-    cq_core_t *core = cq_sim_core(soak->sim, ask->ask.host);
-    gboolean thawed = soak->thawed_us[ask->ask.host] <= now_us(soak);
-    if (core == NULL || ask->id == 0 || !thawed) {
-        return;
-    }
-    cq_event_t event = {.kind = CQ_EV_DONE};
-    event.attempt.request = ask->id;
-    event.attempt.attempt = 77;
-    event.attempt.status = 200;
-    cq_actions_t actions;
-    cq_actions_init(&actions);
-    cq_core_step(core, now_us(soak), &event, &actions);
-    if (actions.items->len > 0) {
-        broken(soak, "a crossed answer had an effect");
+        cq_heap_add(cq_sim_heap(sim), cq_soak_now(soak) + pause_us, on_ask,
+                    soak, 0);
     }
-    cq_actions_clear(&actions);
 }
 
-typedef struct {
-    const char *name;
-    void (*inject)(soak_t *soak);
-} fault_t;
-
-static const fault_t faults[] = {
-    {"kill_host", fault_kill_host},
-    {"freeze_host", fault_freeze_host},
-    {"kill_upstream", fault_kill_upstream},
-    {"freeze_upstream", fault_freeze_upstream},
-    {"leave", fault_leave},
-    {"silence", fault_silence},
-    {"cut", fault_cut},
-    {"log", fault_log},
-    {"lose_append", fault_lose_append},
-    {"list", fault_list},
-    {"publish", fault_publish},
-    {"drain", fault_drain},
-    {"crossed", fault_crossed},
-};
-
 static void
 on_fault(void *world, void *data, guint64 number)
 {
     (void)number;
-    soak_t *soak = data;
-    guint which = (guint)g_rand_int_range(soak->rand, 0, G_N_ELEMENTS(faults));
+    cq_soak_t *soak = data;
+    const char *name = cq_soak_inject(soak);
     if (soak->options->verbose) {
-        printf("%.3f %s\n", (double)now_us(soak) / 1e6, faults[which].name);
+        printf("%.3f %s\n", (double)cq_soak_now(soak) / 1e6, name);
     }
-    faults[which].inject(soak);
-    soak->report->faults++;
     if (soak->report->asked < soak->options->steps) {
         gint64 pause_us =
             g_rand_int_range(soak->rand, 1, 2 * (gint32)FAULT_EVERY_US);
-        cq_heap_add(cq_sim_heap(world), now_us(soak) + pause_us, on_fault,
+        cq_heap_add(cq_sim_heap(world), cq_soak_now(soak) + pause_us, on_fault,
                     soak, 0);
     }
 }
 
 static void
-check_version(soak_t *soak, guint host)
+check_version(cq_soak_t *soak, guint host)
 {
     cq_fold_t *fold = cq_sim_fold(soak->sim, host);
     const cq_config_entry_t *held = cq_fold_get(fold, "reservas");
     guint64 version = held != NULL ? held->version : 0;
     if (version < soak->versions[host]) {
-        broken(soak, "configuration of host %u went back", host);
+        cq_soak_broken(soak, "configuration of host %u went back", host);
     }
     soak->versions[host] = version;
 }
 
 /* A drained process leaves by itself; the platform starts a new one. */
 static void
-check_stopping(soak_t *soak, guint host)
+check_stopping(cq_soak_t *soak, guint host)
 {
     if (soak->stopping_us[host] == 0 ||
         !cq_sim_host_stopped(soak->sim, host)) {
         return;
     }
     if (cq_core_stats(cq_sim_core(soak->sim, host)).requests != 0) {
-        broken(soak, "host %u stopped with open requests", host);
+        cq_soak_broken(soak, "host %u stopped with open requests", host);
     }
-    kill_host(soak, host, CQ_SECOND_US);
+    cq_soak_kill_host(soak, host, CQ_SECOND_US);
 }
 
 static void
 on_check(void *world, void *data, guint64 number)
 {
     (void)number;
-    soak_t *soak = data;
-    for (guint host = 0; host < HOSTS; host++) {
+    cq_soak_t *soak = data;
+    for (guint host = 0; host < CQ_SOAK_HOSTS; host++) {
         cq_core_t *core = cq_sim_core(world, host);
-        gboolean frozen = soak->thawed_us[host] + LATE_US > now_us(soak);
+        gboolean frozen = soak->thawed_us[host] + LATE_US > cq_soak_now(soak);
         if (core == NULL || frozen) {
             continue;
         }
-        const char *text = cq_core_check(core, now_us(soak));
+        const char *text = cq_core_check(core, cq_soak_now(soak));
         if (text != NULL) {
-            broken(soak, "host %u at %.3f s: %s", host,
-                   (double)now_us(soak) / 1e6, text);
+            cq_soak_broken(soak, "host %u at %.3f s: %s", host,
+                           (double)cq_soak_now(soak) / 1e6, text);
         }
         check_version(soak, host);
         check_stopping(soak, host);
     }
-    cq_heap_add(cq_sim_heap(world), now_us(soak) + CHECK_EVERY_US, on_check,
-                soak, 0);
+    cq_heap_add(cq_sim_heap(world), cq_soak_now(soak) + CHECK_EVERY_US,
+                on_check, soak, 0);
 }
 
 static void
-check_runs(soak_t *soak)
+check_runs(cq_soak_t *soak)
 {
     for (guint i = 0; i < soak->asks->len; i++) {
-        const ask_t *ask = ask_at(soak, i);
+        const cq_soak_ask_t *ask = cq_soak_ask(soak, i);
         gboolean plain = ask->ask.prompt_tokens == 0;
         if (!ask->answered && !ask->lost) {
-            broken(soak, "request %016" G_GINT64_MODIFIER "x never answered",
-                   ask->id);
+            cq_soak_broken(soak,
+                           "request %016" G_GINT64_MODIFIER "x never answered",
+                           ask->id);
         }
         if (!plain || ask->id == 0) {
             continue;
         }
         guint runs = cq_sim_request_runs(soak->sim, ask->id);
         if (!ask->ask.repeatable && runs > 1) {
-            broken(soak, "request %016" G_GINT64_MODIFIER "x ran %u times",
-                   ask->id, runs);
+            cq_soak_broken(soak,
+                           "request %016" G_GINT64_MODIFIER "x ran %u times",
+                           ask->id, runs);
         }
         if (ask->answered && ask->answer.ran == CQ_RAN_NO && runs > 0) {
-            broken(soak,
-                   "request %016" G_GINT64_MODIFIER
-                   "x was told not run and ran",
-                   ask->id);
+            cq_soak_broken(soak,
+                           "request %016" G_GINT64_MODIFIER
+                           "x was told not run and ran",
+                           ask->id);
         }
         if (ask->ask.key != 0 && cq_sim_runs(soak->sim, ask->ask.key) > 1) {
-            broken(soak, "key %" G_GUINT64_FORMAT " ran %u times",
-                   ask->ask.key, cq_sim_runs(soak->sim, ask->ask.key));
+            cq_soak_broken(soak, "key %" G_GUINT64_FORMAT " ran %u times",
+                           ask->ask.key, cq_sim_runs(soak->sim, ask->ask.key));
         }
     }
 }
 
 static void
-check_end(soak_t *soak)
+check_end(cq_soak_t *soak)
 {
     check_runs(soak);
     if (cq_sim_held(soak->sim) != 0) {
-        broken(soak,
-               "%" G_GINT64_FORMAT " tokens of memory are held for "
-               "good",
-               cq_sim_held(soak->sim));
+        cq_soak_broken(soak,
+                       "%" G_GINT64_FORMAT " tokens of memory are held for "
+                       "good",
+                       cq_sim_held(soak->sim));
+    }
+    if (cq_sim_loaded(soak->sim, "m") < REPLICAS) {
+        cq_soak_broken(soak, "%u engines have the model, not %d",
+                       cq_sim_loaded(soak->sim, "m"), REPLICAS);
     }
     const cq_config_entry_t *first = NULL;
-    for (guint host = 0; host < HOSTS; host++) {
+    for (guint host = 0; host < CQ_SOAK_HOSTS; host++) {
         cq_fold_t *fold = cq_sim_fold(soak->sim, host);
         if (fold == NULL) {
             continue;
         }
         const cq_config_entry_t *held = cq_fold_get(fold, "reservas");
         if (held == NULL) {
-            broken(soak, "host %u has no configuration", host);
+            cq_soak_broken(soak, "host %u has no configuration", host);
         }
         else if (first != NULL && strcmp(held->hash, first->hash) != 0) {
-            broken(soak, "hosts differ in their configuration");
+            cq_soak_broken(soak, "hosts differ in their configuration");
         }
         first = held;
     }
@@ -560,14 +313,14 @@
 cq_soak_run(const cq_soak_options_t *options, cq_soak_report_t *report)
 {
     *report = (cq_soak_report_t){0};
-    soak_t soak = {.options = options, .report = report};
+    cq_soak_t soak = {.options = options, .report = report};
     soak.rand = g_rand_new_with_seed(options->seed);
-    soak.asks = g_array_new(FALSE, TRUE, sizeof(ask_t));
+    soak.asks = g_array_new(FALSE, TRUE, sizeof(cq_soak_ask_t));
     cq_sim_options_t world = {
-        .zones = ZONES,
-        .hosts = HOSTS,
-        .engines = ENGINES,
-        .plains = PLAINS,
+        .zones = CQ_SOAK_ZONES,
+        .hosts = CQ_SOAK_HOSTS,
+        .engines = CQ_SOAK_ENGINES,
+        .plains = CQ_SOAK_PLAINS,
         .policy = CQ_POLICY_COST,
         .seed = options->seed,
         .report_lag_us = CQ_SECOND_US,
--- a/packages/bench/spread.h
+++ b/packages/bench/spread.h
@@ -29,10 +29,12 @@
 } cq_spread_t;
 
 /** cq_spread_run() - make the measurement */
-void cq_spread_run(cq_spread_t *spread);
+void
+cq_spread_run(cq_spread_t *spread);
 
 /** cq_spread_print() - measure at several sizes and print */
-void cq_spread_print(void);
+void
+cq_spread_print(void);
 
 G_END_DECLS
 
--- a/packages/bench/tries.c
+++ b/packages/bench/tries.c
@@ -341,8 +341,8 @@
     g_free(reply);
 }
 
-static void
-reply_later(cq_world_host_t *host, const cq_event_t *event, gint64 us)
+void
+cq_world_tell(cq_world_host_t *host, const cq_event_t *event, gint64 us)
 {
     reply_t *reply = g_new0(reply_t, 1);
     reply->sim = host->sim;
@@ -376,10 +376,10 @@
             event.attempt.probe = CQ_PROBE_RUNNING;
             event.attempt.tokens = try->run->emitted;
         }
-        reply_later(host, &event, 2 * CQ_WORLD_HOP_US);
+        cq_world_tell(host, &event, 2 * CQ_WORLD_HOP_US);
         return;
     }
-    reply_later(host, &event, 2 * CQ_SECOND_US);
+    cq_world_tell(host, &event, 2 * CQ_SECOND_US);
 }
 
 void
@@ -403,7 +403,7 @@
     event.reserved.granted =
         cq_engine_reserve(upstream->engine, memory->request, memory->tokens,
                           cq_world_now(sim) + memory->expiry_us);
-    reply_later(host, &event, 2 * CQ_WORLD_HOP_US);
+    cq_world_tell(host, &event, 2 * CQ_WORLD_HOP_US);
 }
 
 static GPtrArray *
--- a/packages/bench/world.h
+++ b/packages/bench/world.h
@@ -16,6 +16,7 @@
 #define CQ_WORLD_LIST_US CQ_SECOND_US
 #define CQ_WORLD_LOAD_US CQ_SECOND_US
 #define CQ_WORLD_CACHE_LAG_US (2 * CQ_SECOND_US)
+#define CQ_WORLD_MODEL_US (5 * CQ_SECOND_US)
 #define CQ_WORLD_PLAIN_US (5 * CQ_MS_US)
 
 /**
@@ -58,6 +59,11 @@
     gboolean leaving;
     gint64 frozen_until_us;
     guint64 arrivals;
+    guint64 models[CQ_ENGINE_MODELS_MAX];
+    guint models_len;
+    guint64 loading;
+    gboolean checks_fence;
+    guint64 fence;
 } cq_world_upstream_t;
 
 /**
@@ -102,8 +108,9 @@
  * struct cq_world_record_t - one record of the log
  */
 typedef struct {
-    gboolean is_claim;
+    cq_record_kind_t kind;
     cq_claim_t claim;
+    cq_lease_t lease;
     cq_config_entry_t config;
 } cq_world_record_t;
 
@@ -122,6 +129,8 @@
     gboolean log_down;
     gboolean list_down;
     guint lose_appends;
+    gint64 order_delay_us;
+    guint loads;
     GHashTable *runs_by_key;
     GHashTable *runs_by_request;
     GArray *list;
@@ -140,6 +149,11 @@
 void
 cq_world_post(cq_sim_t *sim, guint host, const cq_event_t *event);
 
+/** cq_world_thaw() - the process @host, if it is still @incarnation, takes the
+ * events that came while it was frozen */
+void
+cq_world_thaw(void *world, void *host, guint64 incarnation);
+
 /** cq_world_reachable() - Return: whether zones @a and @b are joined */
 gboolean
 cq_world_reachable(const cq_sim_t *sim, guint a, guint b);
@@ -183,9 +197,17 @@
 cq_engine_options_t
 cq_world_engine_options(cq_sim_t *sim, cq_world_upstream_t *upstream);
 
-/** cq_world_append() - carry out a CLAIM */
+/** cq_world_append() - carry out a CLAIM or a LEASE; @record is copied */
+void
+cq_world_append(cq_world_host_t *host, const cq_world_record_t *record);
+
+/** cq_world_order() - carry out an ORDER */
+void
+cq_world_order(cq_world_host_t *host, const cq_ac_order_t *order);
+
+/** cq_world_tell() - give @event to @host after @us, if its process lives */
 void
-cq_world_append(cq_sim_t *sim, cq_world_host_t *host, const cq_claim_t *claim);
+cq_world_tell(cq_world_host_t *host, const cq_event_t *event, gint64 us);
 
 /** cq_world_record_free() - free a record of the log */
 void
--- a/packages/config/record.c
+++ b/packages/config/record.c
@@ -3,7 +3,9 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
-static const char *const kind_names[] = {"config", "claim", "checkpoint"};
+static const char *const kind_names[] = {"config", "claim", "checkpoint",
+                                         "lease"};
+static const char *const verb_names[] = {"take", "renew", "release"};
 static const char *const verdict_names[] = {"take", "free", "ran"};
 
 void
@@ -58,6 +60,16 @@
     add_number(builder, "status", claim->status);
 }
 
+static void
+add_lease(JsonBuilder *builder, const cq_lease_t *lease)
+{
+    add_text(builder, "verb", verb_names[lease->verb]);
+    add_number(builder, "host", lease->host);
+    add_id(builder, "incarnation", lease->incarnation);
+    add_id(builder, "fence", lease->fence);
+    add_id(builder, "sent_us", (guint64)lease->sent_us);
+}
+
 static void
 add_checkpoint(JsonBuilder *builder, const GArray *entries)
 {
@@ -87,6 +99,9 @@
     case CQ_RECORD_CHECKPOINT:
         add_checkpoint(builder, record->checkpoint);
         break;
+    case CQ_RECORD_LEASE:
+        add_lease(builder, &record->lease);
+        break;
     }
     json_builder_end_object(builder);
     JsonNode *root = json_builder_get_root(builder);
@@ -190,6 +205,30 @@
     return lacks(error, "verdict", "write \"take\", \"free\" or \"ran\"");
 }
 
+static gboolean
+get_lease(JsonObject *object, cq_lease_t *lease, cq_error_t *error)
+{
+    char verb[CQ_NAME_BYTES];
+    guint64 host = 0;
+    guint64 sent_us = 0;
+    if (!get_text(object, "verb", verb, sizeof verb, error) ||
+        !get_number(object, "host", &host, error) ||
+        !get_id(object, "incarnation", &lease->incarnation, error) ||
+        !get_id(object, "fence", &lease->fence, error) ||
+        !get_id(object, "sent_us", &sent_us, error)) {
+        return FALSE;
+    }
+    lease->host = (guint32)host;
+    lease->sent_us = (gint64)sent_us;
+    for (guint i = 0; i < G_N_ELEMENTS(verb_names); i++) {
+        if (strcmp(verb, verb_names[i]) == 0) {
+            lease->verb = (cq_lease_verb_t)i;
+            return TRUE;
+        }
+    }
+    return lacks(error, "verb", "write \"take\", \"renew\" or \"release\"");
+}
+
 static void
 clear_entry(gpointer data)
 {
@@ -241,8 +280,13 @@
         record->kind = CQ_RECORD_CHECKPOINT;
         return get_checkpoint(object, record, error);
     }
+    if (strcmp(type, kind_names[CQ_RECORD_LEASE]) == 0) {
+        record->kind = CQ_RECORD_LEASE;
+        return get_lease(object, &record->lease, error);
+    }
     return lacks(error, "type",
-                 "unknown; write \"config\", \"claim\" or \"checkpoint\"");
+                 "unknown; write \"config\", \"claim\", \"checkpoint\" or "
+                 "\"lease\"");
 }
 
 gboolean
--- a/packages/config/record.h
+++ b/packages/config/record.h
@@ -8,6 +8,7 @@
 
 #include "base/claim.h"
 #include "base/error.h"
+#include "base/lease.h"
 #include "base/limits.h"
 
 G_BEGIN_DECLS
@@ -17,6 +18,7 @@
     CQ_RECORD_CONFIG,
     CQ_RECORD_CLAIM,
     CQ_RECORD_CHECKPOINT,
+    CQ_RECORD_LEASE,
 } cq_record_kind_t;
 
 /**
@@ -42,12 +44,14 @@
  * @kind: which member is set
  * @config: CONFIG
  * @claim: CLAIM
+ * @lease: LEASE
  * @checkpoint: CHECKPOINT: array of cq_config_entry_t
  */
 typedef struct {
     cq_record_kind_t kind;
     cq_config_entry_t config;
     cq_claim_t claim;
+    cq_lease_t lease;
     GArray *checkpoint;
 } cq_record_t;
 
--- a/packages/config/service.c
+++ b/packages/config/service.c
@@ -7,6 +7,7 @@
 #define OFFSET(member) offsetof(cq_rules_t, member)
 #define SIZE(member) sizeof(((cq_rules_t *)NULL)->member)
 #define TEAM_OFFSET(member) offsetof(cq_team_rule_t, member)
+#define MODEL_OFFSET(member) offsetof(cq_model_rule_t, member)
 #define CALL_OFFSET(member) offsetof(cq_call_rule_t, member)
 #define WEIGHT_MAX 1000
 #define QUEUE_MAX 100000
@@ -70,7 +71,10 @@
 };
 
 static const cq_field_t model_fields[] = {
-    {"model", "name", CQ_FIELD_NAME, 0, CQ_NAME_BYTES, 0, 0, TRUE, NULL},
+    {"model", "name", CQ_FIELD_NAME, MODEL_OFFSET(name), CQ_NAME_BYTES, 0, 0,
+     TRUE, NULL},
+    {"model", "replicas", CQ_FIELD_INTEGER, MODEL_OFFSET(replicas), 0, 0,
+     CQ_UPSTREAMS_MAX, FALSE, NULL},
 };
 
 typedef struct {
@@ -106,7 +110,7 @@
     if (strcmp(item->section, "call") == 0) {
         return &g_array_index(rules->calls, cq_call_rule_t, item->table);
     }
-    return g_ptr_array_index(rules->models, item->table);
+    return &g_array_index(rules->models, cq_model_rule_t, item->table);
 }
 
 static gboolean
@@ -126,10 +130,7 @@
     for (guint i = 0; i < rules->teams->len; i++) {
         g_array_index(rules->teams, cq_team_rule_t, i).weight = 1;
     }
-    guint models = cq_schema_tables(items, "model");
-    for (guint i = 0; i < models; i++) {
-        g_ptr_array_add(rules->models, g_malloc0(CQ_NAME_BYTES));
-    }
+    g_array_set_size(rules->models, cq_schema_tables(items, "model"));
     return TRUE;
 }
 
--- a/packages/core/action.h
+++ b/packages/core/action.h
@@ -21,6 +21,8 @@
     CQ_AC_RELEASE,
     CQ_AC_PROBE,
     CQ_AC_CLAIM,
+    CQ_AC_LEASE,
+    CQ_AC_ORDER,
     CQ_AC_SUMMARY,
     CQ_AC_STOPPED,
 } cq_action_kind_t;
@@ -115,10 +117,22 @@
     gint64 tokens;
 } cq_ac_attempt_t;
 
+/**
+ * struct cq_ac_order_t - tell an engine which model it should have
+ * @upstream: the engine's id
+ * @fence: fencing number of the lease under which it is given
+ * @model: the model
+ */
+typedef struct {
+    guint64 upstream;
+    guint64 fence;
+    char model[CQ_NAME_BYTES];
+} cq_ac_order_t;
+
 /**
  * struct cq_action_t - one action
  * @kind: which member is set; STOP, FORWARD and PROBE use @attempt, RESERVE
- *   and RELEASE use @memory, CLAIM is a record to append
+ *   and RELEASE use @memory, CLAIM and LEASE are records to append
  */
 typedef struct {
     cq_action_kind_t kind;
@@ -128,6 +142,8 @@
         cq_ac_answer_t answer;
         cq_ac_memory_t memory;
         cq_claim_t claim;
+        cq_lease_t lease;
+        cq_ac_order_t order;
         cq_summary_t *summary;
     };
 } cq_action_t;
--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -5,8 +5,10 @@
 #include "core/flow.h"
 #include "core/group.h"
 #include "core/intake.h"
+#include "core/lease.h"
 #include "core/load.h"
 #include "core/member.h"
+#include "core/order.h"
 #include "core/peer.h"
 #include "core/place.h"
 #include "core/repair.h"
@@ -207,8 +209,10 @@
 
 /* Run in this order at every tick. */
 static const system_t systems[] = {
-    {"estimate", estimate}, {"watch", cq_watch_tick}, {"sweep", sweep},
-    {"place", place},       {"peers", cq_peer_tick},  {"drain", drain},
+    {"estimate", estimate},   {"watch", cq_watch_tick},
+    {"sweep", sweep},         {"place", place},
+    {"lease", cq_lease_tick}, {"order", cq_order_tick},
+    {"peers", cq_peer_tick},  {"drain", drain},
 };
 
 static void
@@ -244,6 +248,7 @@
         break;
     case CQ_EV_LOAD:
         cq_load_report(core, &event->load);
+        cq_order_report(core, &event->load);
         cq_repair_holdings(core, &event->load);
         break;
     case CQ_EV_CACHE:
@@ -261,6 +266,12 @@
     case CQ_EV_CLAIM:
         cq_claim_fold(core, &event->claim);
         break;
+    case CQ_EV_LEASE:
+        cq_lease_fold(core, &event->lease.record, event->lease.offset);
+        break;
+    case CQ_EV_ORDERED:
+        cq_order_answer(core, &event->ordered);
+        break;
     case CQ_EV_LOG:
         log_state(core, event->log_up);
         break;
@@ -281,6 +292,7 @@
     core->policy = options->policy;
     core->rand = g_rand_new_with_seed(options->seed);
     core->started_us = -1;
+    core->lease.asked_us = -CQ_LEASE_RENEW_US;
     cq_ring_init(&core->ring, CQ_RING_EVENTS);
     cq_table_init(core);
     return core;
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -11,6 +11,7 @@
 
 #include "base/claim.h"
 #include "base/ident.h"
+#include "base/lease.h"
 #include "base/limits.h"
 #include "base/rules.h"
 
@@ -33,6 +34,8 @@
     CQ_EV_SUMMARY,
     CQ_EV_RULES,
     CQ_EV_CLAIM,
+    CQ_EV_LEASE,
+    CQ_EV_ORDERED,
     CQ_EV_LOG,
     CQ_EV_DRAIN,
 } cq_event_kind_t;
@@ -140,6 +143,9 @@
  * @kv_tokens: memory in use
  * @holdings: reservations
  * @holdings_len: number of @holdings
+ * @models: hashes of the models that it has loaded
+ * @models_len: number of @models
+ * @loading: hash of the model that it is loading, or 0
  */
 typedef struct {
     guint64 upstream;
@@ -149,8 +155,33 @@
     gint64 kv_tokens;
     const cq_holding_t *holdings;
     guint holdings_len;
+    const guint64 *models;
+    guint models_len;
+    guint64 loading;
 } cq_ev_load_t;
 
+/**
+ * struct cq_ev_ordered_t - an engine's answer to an order
+ * @upstream: the engine's id
+ * @fence: the order's fencing number
+ * @accepted: FALSE: the engine has seen a newer one
+ */
+typedef struct {
+    guint64 upstream;
+    guint64 fence;
+    gboolean accepted;
+} cq_ev_ordered_t;
+
+/**
+ * struct cq_ev_lease_t - a lease record
+ * @record: the record
+ * @offset: where it stands in the log
+ */
+typedef struct {
+    cq_lease_t record;
+    guint64 offset;
+} cq_ev_lease_t;
+
 /**
  * struct cq_ev_cache_t - an engine's cache event
  * @upstream: the engine's id
@@ -266,6 +297,8 @@
         const cq_summary_t *summary;
         cq_rules_t *rules;
         cq_claim_t claim;
+        cq_ev_lease_t lease;
+        cq_ev_ordered_t ordered;
         gboolean log_up;
         cq_ev_drain_t drain;
     };
--- a/packages/core/intake.c
+++ b/packages/core/intake.c
@@ -106,6 +106,9 @@
         request->rank = CQ_CLASS_SHORT;
     }
     request->service = service;
+    if (model && cq_rules_replicas(rules, event->model) > 0) {
+        request->model = cq_ident_hash(event->model);
+    }
     request->deadline_us = core->now_us + timeout_us(rules, event);
     request->cost = cost_of(request);
     cq_usage_open(request);
--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -21,9 +21,6 @@
 static void
 take_row(cq_core_t *core, cq_upstream_t *upstream, const cq_listed_t *row)
 {
-    if (!upstream->listed) {
-        upstream->service->stale = TRUE;
-    }
     upstream->listed = TRUE;
     if (row->incarnation < upstream->incarnation) {
         return;
@@ -33,6 +30,9 @@
         upstream->leaving = FALSE;
         upstream->suspect_until_us = 0;
         upstream->service->stale = TRUE;
+        upstream->models_len = 0;
+        upstream->loading = 0;
+        upstream->ordered = 0;
         g_hash_table_remove_all(upstream->beliefs);
     }
     g_strlcpy(upstream->addr, row->addr, sizeof upstream->addr);
@@ -151,45 +151,39 @@
 }
 
 static void
-unlist_all(cq_core_t *core)
-{
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, core->upstream_by_id);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        ((cq_upstream_t *)value)->listed = FALSE;
-    }
-}
-
-static void
-mark_unlisted_stale(cq_core_t *core, GHashTable *before)
+unlist(const cq_core_t *core)
 {
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, before);
-    while (g_hash_table_iter_next(&iter, &value, NULL)) {
-        cq_upstream_t *upstream = value;
-        if (!upstream->listed) {
-            upstream->service->stale = TRUE;
-            cq_ring_add(&core->ring, core->now_us, 0, 0, "unlisted",
-                        "upstream=%s", upstream->name);
+    for (guint i = 0; i < core->services->len; i++) {
+        cq_service_t *service = g_ptr_array_index(core->services, i);
+        cq_list_t *link = service->upstreams.next;
+        for (; link != &service->upstreams; link = link->next) {
+            cq_upstream_t *upstream = CQ_ENTRY(link, cq_upstream_t, link);
+            upstream->was_listed = upstream->listed;
+            upstream->listed = FALSE;
         }
     }
 }
 
-static GHashTable *
-listed_now(cq_core_t *core)
+/* Goes through lists, whose order is that of arrival: the core must give the
+ * same actions and events for the same input. */
+static void
+compare_lists(cq_core_t *core)
 {
-    GHashTable *set = g_hash_table_new(g_direct_hash, g_direct_equal);
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, core->upstream_by_id);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        if (((cq_upstream_t *)value)->listed) {
-            g_hash_table_add(set, value);
+    for (guint i = 0; i < core->services->len; i++) {
+        cq_service_t *service = g_ptr_array_index(core->services, i);
+        cq_list_t *link = service->upstreams.next;
+        for (; link != &service->upstreams; link = link->next) {
+            cq_upstream_t *upstream = CQ_ENTRY(link, cq_upstream_t, link);
+            if (upstream->was_listed == upstream->listed) {
+                continue;
+            }
+            service->stale = TRUE;
+            if (!upstream->listed) {
+                cq_ring_add(&core->ring, core->now_us, 0, 0, "unlisted",
+                            "upstream=%s", upstream->name);
+            }
         }
     }
-    return set;
 }
 
 void
@@ -200,8 +194,7 @@
         return;
     }
     core->hosts_us = core->now_us;
-    GHashTable *before = listed_now(core);
-    unlist_all(core);
+    unlist(core);
     g_hash_table_remove_all(core->entry_hosts);
     for (guint i = 0; i < list->len; i++) {
         const cq_listed_t *row = &list->rows[i];
@@ -215,12 +208,9 @@
             add_row(core, row);
             continue;
         }
-        gboolean was_listed = g_hash_table_contains(before, upstream);
-        upstream->listed = was_listed;
         take_row(core, upstream, row);
     }
-    mark_unlisted_stale(core, before);
-    g_hash_table_unref(before);
+    compare_lists(core);
     choose_peers(core, list);
     choose_reader(core, list);
 }
--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -1,6 +1,7 @@
 #include "core/place.h"
 
 #include "core/load.h"
+#include "core/order.h"
 #include "core/table.h"
 #include "core/usage.h"
 
@@ -167,6 +168,9 @@
     if (upstream->id == request->last_failed) {
         return FALSE;
     }
+    if (request->model != 0 && !cq_order_has(upstream, request->model)) {
+        return FALSE;
+    }
     if (cq_load_streams(core, upstream) >= streams_max) {
         return FALSE;
     }
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -49,12 +49,16 @@
  * @leaving: the newest incarnation is leaving
  * @leaving_us: when this process heard of it
  * @listed: the platform's list has it
+ * @was_listed: the list before had it
  * @suspect_until_us: gets no new work before then
  * @slot: index within its service's candidate array, or -1
  * @load: combined work of this process and its peers
  * @own: this process's part of it
  * @reported_*: the last load report
  * @released_us: when this process last released memory there
+ * @models: hashes of the models that its last report names
+ * @loading: hash of the model that it is loading, or 0
+ * @ordered: hash of the model of an order that no report shows yet, or 0
  * @beliefs: prefix hash to the time at which it was last sent
  * @touched: own share changed since the last summary
  */
@@ -69,6 +73,7 @@
     gboolean leaving;
     gint64 leaving_us;
     gboolean listed;
+    gboolean was_listed;
     gint64 suspect_until_us;
     int slot;
     cq_load_t load;
@@ -82,6 +87,12 @@
     gint64 reported_prefill_tokens;
     gint64 reported_kv_tokens;
     gint64 released_us;
+    guint64 models[CQ_ENGINE_MODELS_MAX];
+    guint models_len;
+    guint64 loading;
+    gint64 models_at_us;
+    guint64 ordered;
+    gint64 ordered_us;
     GHashTable *beliefs;
     gboolean touched;
 } cq_upstream_t;
@@ -175,6 +186,7 @@
  * struct cq_request_t - a request without a final answer
  * @link: in the core's list
  * @queue: in its flow
+ * @model: hash of the model that an engine must have, or 0
  * @output_tokens: longest answer, guessed unless @output_known
  * @klass: its length class
  * @rank: the class by which engines order its prefill; the last one for a
@@ -195,6 +207,7 @@
     cq_class_t klass;
     cq_class_t rank;
     cq_phase_t phase;
+    guint64 model;
     cq_key_t key;
     gboolean claimed;
     gboolean repeatable;
@@ -252,6 +265,26 @@
     gint64 seen_us;
 } cq_claim_entry_t;
 
+/**
+ * struct cq_lease_state_t - the lease as the log tells it
+ * @fence: fencing number in force; only grows
+ * @host: its holder
+ * @incarnation: the holder's incarnation
+ * @released: the holder gave it up
+ * @seen_us: when this process read the last renewal
+ * @until_us: as the holder: when this process stops giving orders
+ * @asked_us: when this process last wrote a lease record
+ */
+typedef struct {
+    guint64 fence;
+    guint32 host;
+    guint64 incarnation;
+    gboolean released;
+    gint64 seen_us;
+    gint64 until_us;
+    gint64 asked_us;
+} cq_lease_state_t;
+
 /**
  * struct cq_core - the whole state
  * @entry_hosts: host ids of the other entry hosts on the list
@@ -280,6 +313,7 @@
     GArray *peers;
     gboolean reads_log;
     GHashTable *claims;
+    cq_lease_state_t lease;
     guint reserved;
     gboolean log_up;
     gboolean draining;
--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -129,6 +129,13 @@
     cq_plat_append(app->plat, &record);
 }
 
+static void
+append_lease(cq_app_t *app, const cq_lease_t *lease)
+{
+    cq_record_t record = {.kind = CQ_RECORD_LEASE, .lease = *lease};
+    cq_plat_append(app->plat, &record);
+}
+
 /* The last answers are still being written, and the claims' results are on
  * their way to the log. */
 static gboolean
@@ -174,6 +181,12 @@
     case CQ_AC_CLAIM:
         append_claim(app, &action->claim);
         break;
+    case CQ_AC_LEASE:
+        append_lease(app, &action->lease);
+        break;
+    case CQ_AC_ORDER:
+        cq_loads_order(app->loads, &action->order);
+        break;
     case CQ_AC_SUMMARY:
         cq_links_summary(app->links, action->summary);
         break;
--- a/packages/router/loads.c
+++ b/packages/router/loads.c
@@ -21,6 +21,7 @@
     cq_loads_t *loads;
     guint64 upstream;
     guint64 request;
+    guint64 fence;
     gboolean reserve;
 } asked_t;
 
@@ -67,6 +68,20 @@
     return g_ascii_strtoull(text, NULL, 16);
 }
 
+static guint
+take_models(JsonObject *object, guint64 models[CQ_ENGINE_MODELS_MAX])
+{
+    if (!json_object_has_member(object, "models")) {
+        return 0;
+    }
+    JsonArray *names = json_object_get_array_member(object, "models");
+    guint len = MIN(json_array_get_length(names), CQ_ENGINE_MODELS_MAX);
+    for (guint i = 0; i < len; i++) {
+        models[i] = cq_ident_hash(json_array_get_string_element(names, i));
+    }
+    return len;
+}
+
 static void
 take_load(cq_loads_t *loads, guint64 upstream, JsonObject *object)
 {
@@ -80,7 +95,13 @@
             g_array_append_val(holdings, holding);
         }
     }
+    guint64 models[CQ_ENGINE_MODELS_MAX];
     cq_event_t event = {.kind = CQ_EV_LOAD};
+    event.load.models = models;
+    event.load.models_len = take_models(object, models);
+    const char *loading =
+        json_object_get_string_member_with_default(object, "loading", "");
+    event.load.loading = loading[0] != '\0' ? cq_ident_hash(loading) : 0;
     event.load.upstream = upstream;
     event.load.at_us =
         cq_app_now_us(loads->app) - number(object, "age_ms") * CQ_MS_US;
@@ -262,3 +283,44 @@
     g_bytes_unref(body);
     g_free(url);
 }
+
+static void
+on_order(int status, GBytes *body, void *data)
+{
+    (void)body;
+    asked_t *asked = data;
+    cq_loads_t *loads = asked->loads;
+    loads->calls--;
+    if (status != 0 && !loads->stopped) {
+        cq_event_t event = {.kind = CQ_EV_ORDERED};
+        event.ordered.upstream = asked->upstream;
+        event.ordered.fence = asked->fence;
+        event.ordered.accepted = status == 200;
+        cq_app_post(loads->app, &event);
+    }
+    g_free(asked);
+    free_if_idle(loads);
+}
+
+void
+cq_loads_order(cq_loads_t *loads, const cq_ac_order_t *order)
+{
+    cq_upstream_view_t view;
+    if (!cq_core_upstream(cq_app_core(loads->app), order->upstream, &view)) {
+        return;
+    }
+    char *url = g_strdup_printf("http://%s/order", view.addr);
+    char *text =
+        g_strdup_printf("{\"model\":\"%s\",\"fence\":%" G_GUINT64_FORMAT "}",
+                        order->model, order->fence);
+    GBytes *body = g_bytes_new_take(text, strlen(text));
+    asked_t *asked = g_new0(asked_t, 1);
+    asked->loads = loads;
+    asked->upstream = order->upstream;
+    asked->fence = order->fence;
+    loads->calls++;
+    cq_http_call(loads->session, "POST", url, body, CALL_TIMEOUT_MS, on_order,
+                 asked);
+    g_bytes_unref(body);
+    g_free(url);
+}
--- a/packages/router/loads.h
+++ b/packages/router/loads.h
@@ -26,6 +26,10 @@
 cq_loads_memory(cq_loads_t *loads, cq_action_kind_t kind,
                 const cq_ac_memory_t *memory);
 
+/** cq_loads_order() - tell an engine which model it should have */
+void
+cq_loads_order(cq_loads_t *loads, const cq_ac_order_t *order);
+
 G_END_DECLS
 
 #endif
--- a/packages/router/plat.c
+++ b/packages/router/plat.c
@@ -94,6 +94,13 @@
         plat->anchor = offset;
         plat->checkpoint_due_us = 0;
         break;
+    case CQ_RECORD_LEASE: {
+        cq_event_t event = {.kind = CQ_EV_LEASE};
+        event.lease.record = record.lease;
+        event.lease.offset = (guint64)offset;
+        cq_app_post(plat->app, &event);
+        break;
+    }
     case CQ_RECORD_CLAIM: {
         cq_event_t event = {.kind = CQ_EV_CLAIM, .claim = record.claim};
         cq_app_post(plat->app, &event);
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -8,6 +8,7 @@
 #define TAG_BYTES 32
 #define OUTPUT_TOKENS 20
 #define BYTES_PER_TOKEN 4
+#define LOADING_MS 300
 
 typedef struct {
     SoupServerMessage *message;
@@ -30,6 +31,10 @@
 static const standin_options_t *options;
 static GHashTable *runs;     /* id to run_t */
 static GHashTable *holdings; /* request to holding_t */
+static GPtrArray *models;
+static char *loading;
+static gint64 fence;
+static int loads;
 static int arrived;
 static int completed;
 static int cancelled;
@@ -279,6 +284,55 @@
     g_free(text);
 }
 
+/* POST /order {"model":NAME,"fence":N}: states a model that the engine should
+ * have. This engine refuses a fencing number below the highest seen. */
+static gboolean
+on_loaded(gpointer data)
+{
+    g_ptr_array_add(models, data);
+    loading = NULL;
+    return G_SOURCE_REMOVE;
+}
+
+static void
+on_order(SoupServer *server, SoupServerMessage *message, const char *path,
+         GHashTable *query, gpointer data)
+{
+    (void)server;
+    (void)path;
+    (void)query;
+    (void)data;
+    char *text = standin_body(message);
+    JsonNode *root = json_from_string(text, NULL);
+    JsonObject *object = json_node_get_object(root);
+    const char *model = json_object_get_string_member(object, "model");
+    gint64 number = json_object_get_int_member(object, "fence");
+    guint status = number < fence ? 409 : 200;
+    gboolean has =
+        g_ptr_array_find_with_equal_func(models, model, g_str_equal, NULL);
+    if (status == 200 && !has && loading == NULL) {
+        loading = g_strdup(model);
+        loads++;
+        g_timeout_add(LOADING_MS, on_loaded, loading);
+    }
+    fence = MAX(fence, number);
+    json_node_unref(root);
+    g_free(text);
+    standin_reply(message, status, g_strdup("{}"));
+}
+
+static void
+add_models(GString *text)
+{
+    g_string_append(text, "\"models\":[");
+    for (guint i = 0; i < models->len; i++) {
+        g_string_append_printf(text, "%s\"%s\"", i > 0 ? "," : "",
+                               (char *)g_ptr_array_index(models, i));
+    }
+    g_string_append_printf(text, "],\"loading\":\"%s\",",
+                           loading != NULL ? loading : "");
+}
+
 static void
 on_load(SoupServer *server, SoupServerMessage *message, const char *path,
         GHashTable *query, gpointer data)
@@ -298,8 +352,10 @@
         const run_t *run = value;
         prefill += run->prefilled ? 0 : run->prefill_tokens;
     }
+    g_string_append(text, "{");
+    add_models(text);
     g_string_append_printf(text,
-                           "{\"age_ms\":0,\"running\":%u,\"waiting\":0,"
+                           "\"age_ms\":0,\"running\":%u,\"waiting\":0,"
                            "\"prefill_tokens\":%" G_GINT64_FORMAT
                            ",\"kv_tokens\":%" G_GINT64_FORMAT
                            ",\"holdings\":[",
@@ -360,23 +416,26 @@
     (void)path;
     (void)query;
     (void)data;
-    standin_reply(message, 200,
-                  g_strdup_printf("{\"arrived\":%d,\"completed\":%d,"
-                                  "\"cancelled\":%d,\"running\":%u,"
-                                  "\"held\":%" G_GINT64_FORMAT "}",
-                                  arrived, completed, cancelled,
-                                  g_hash_table_size(runs), held_tokens()));
+    standin_reply(
+        message, 200,
+        g_strdup_printf("{\"arrived\":%d,\"completed\":%d,"
+                        "\"cancelled\":%d,\"loads\":%d,\"running\":%u,"
+                        "\"held\":%" G_GINT64_FORMAT "}",
+                        arrived, completed, cancelled, loads,
+                        g_hash_table_size(runs), held_tokens()));
 }
 
 void
 standin_engine(SoupServer *server, const standin_options_t *from)
 {
     options = from;
+    models = g_ptr_array_new();
     runs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     holdings = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     soup_server_add_handler(server, "/v1", on_completion, NULL, NULL);
     soup_server_add_handler(server, "/requests", on_request, NULL, NULL);
     soup_server_add_handler(server, "/kv", on_memory, NULL, NULL);
+    soup_server_add_handler(server, "/order", on_order, NULL, NULL);
     soup_server_add_handler(server, "/load", on_load, NULL, NULL);
     soup_server_add_handler(server, "/cache-events", on_cache, NULL, NULL);
     soup_server_add_handler(server, "/cancel", on_cancel, NULL, NULL);
