--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -106,8 +106,8 @@
             if (upstream->leaving || !upstream->listed) {
                 continue;
             }
-            gboolean near = g_str_equal(upstream->zone, core->zone);
-            g_ptr_array_add(near ? service->nearby : service->remote,
+            upstream->near = g_str_equal(upstream->zone, core->zone);
+            g_ptr_array_add(upstream->near ? service->nearby : service->remote,
                             upstream);
         }
         keep_subset(core, service->nearby);
@@ -204,6 +204,9 @@
     if (service->nearby->len == 0 || upstreams == service->nearby) {
         return service->shared_len;
     }
+    if (service->shared_len == 0) {
+        return 0;
+    }
     guint scaled = service->shared_len * upstreams->len;
     guint len = (scaled + service->nearby->len - 1) / service->nearby->len;
     return MIN(len, upstreams->len);
@@ -212,13 +215,8 @@
 static gboolean
 is_shared(const cq_service_t *service, const cq_upstream_t *upstream)
 {
-    guint slot = (guint)upstream->slot;
-    const GPtrArray *in = service->remote;
-    if (slot < service->nearby->len &&
-        g_ptr_array_index(service->nearby, slot) == upstream) {
-        in = service->nearby;
-    }
-    return slot < shared_part(service, in);
+    const GPtrArray *in = upstream->near ? service->nearby : service->remote;
+    return (guint)upstream->slot < shared_part(service, in);
 }
 
 static cq_upstream_t *
@@ -265,7 +263,7 @@
     if (cq_load_wait_us(upstream, CQ_CLASS_GIANT, core->now_us) > 0) {
         first_us += BUSY_US;
     }
-    if (!g_str_equal(upstream->zone, core->zone)) {
+    if (!upstream->near) {
         first_us += REMOTE_US;
     }
     if (upstream == home) {
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -51,6 +51,7 @@
  * @listed: the platform's list has it
  * @was_listed: the list before had it
  * @suspect_until_us: gets no new work before then
+ * @near: it is in this host's zone
  * @slot: index within its service's candidate array, or -1
  * @load: combined work of this process and its peers
  * @own: this process's part of it
@@ -76,6 +77,7 @@
     gboolean was_listed;
     gint64 suspect_until_us;
     int slot;
+    gboolean near;
     cq_load_t load;
     gint64 own_placed_us[CQ_CLASSES];
     gint64 own_streams;
--- a/tests/standin/load.c
+++ b/tests/standin/load.c
@@ -21,15 +21,16 @@
     gint64 from_us;
 } call_t;
 
-static void start(load_t *load);
+static void
+start(load_t *load);
 
 static void
 on_done(GObject *source, GAsyncResult *result, gpointer data)
 {
     call_t *call = data;
     load_t *load = call->load;
-    GBytes *body = soup_session_send_and_read_finish(SOUP_SESSION(source),
-                                                     result, NULL);
+    GBytes *body =
+        soup_session_send_and_read_finish(SOUP_SESSION(source), result, NULL);
     gboolean good =
         body != NULL && soup_message_get_status(call->message) == 200;
     gint64 took_us = g_get_monotonic_time() - call->from_us;
