--- a/packages/base/rules.h
+++ b/packages/base/rules.h
@@ -79,7 +79,6 @@
  * @streams_max: streams on one engine
  * @group_max: engines that may hold one prompt together; 1: they cannot
  * @resume: whether engines resume a stream at a token
- * @fencing: whether upstreams refuse an old fencing number
  * @teams: array of cq_team_rule_t
  * @models: array of cq_model_rule_t
  * @calls: array of cq_call_rule_t
@@ -102,7 +101,6 @@
     gint64 streams_max;
     gint64 group_max;
     gboolean resume;
-    gboolean fencing;
     GArray *teams;
     GArray *models;
     GArray *calls;
--- a/packages/bench/slopes.c
+++ b/packages/bench/slopes.c
@@ -13,6 +13,8 @@
 #define STEP_US 1000
 #define ANSWER_AFTER 64
 #define TICKS 2000
+#define TOKENS 200000
+#define CLAIMS 100000
 #define PEERS_LISTED_ZONE "z0"
 
 static const guint upstream_counts[] = {20, 300, 4800};
@@ -164,6 +166,23 @@
     return (double)(processor_ns() - before) / TICKS;
 }
 
+/* A token of a stream that has begun. */
+static double
+token_ns(bed_t *bed)
+{
+    cq_event_t event = {.kind = CQ_EV_TOKENS};
+    event.attempt.request = bed->next;
+    event.attempt.attempt = 1;
+    event.attempt.tokens = 1;
+    gint64 before = processor_ns();
+    for (guint i = 0; i < TOKENS; i++) {
+        bed->now_us += 1;
+        step(bed, &event);
+    }
+    g_assert(bed->actions.items->len == 1);
+    return (double)(processor_ns() - before) / TOKENS;
+}
+
 static gsize
 allocated(void)
 {
@@ -179,16 +198,40 @@
     make_bed(&bed, upstreams, hosts);
     double decision = decision_ns(&bed);
     gsize bytes = allocated() - before;
+    double token = token_ns(&bed);
     double tick = tick_ns(&bed);
     free_bed(&bed);
     printf("slope.decision.%u_upstreams.%u_hosts %.0f ns\n", upstreams, hosts,
            decision);
+    printf("slope.token.%u_upstreams.%u_hosts %.0f ns\n", upstreams, hosts,
+           token);
     printf("slope.tick.%u_upstreams.%u_hosts %.0f ns\n", upstreams, hosts,
            tick);
     printf("slope.memory.%u_upstreams.%u_hosts %zu B\n", upstreams, hosts,
            bytes);
 }
 
+static void
+measure_claims(void)
+{
+    bed_t bed;
+    make_bed(&bed, 20, 4);
+    gsize before = allocated();
+    gint64 before_ns = processor_ns();
+    for (guint i = 0; i < CLAIMS; i++) {
+        cq_event_t event = {.kind = CQ_EV_CLAIM};
+        event.claim.key.hi = i + 1;
+        event.claim.key.lo = cq_ident_hash("key") * i;
+        event.claim.request = i + 1;
+        step(&bed, &event);
+    }
+    printf("slope.claim %.0f ns\n",
+           (double)(processor_ns() - before_ns) / CLAIMS);
+    printf("slope.claim_memory %.0f B\n",
+           (double)(allocated() - before) / CLAIMS);
+    free_bed(&bed);
+}
+
 static void
 print_message_sizes(void)
 {
@@ -219,5 +262,6 @@
     for (guint i = 0; i < G_N_ELEMENTS(upstream_counts); i++) {
         measure(upstream_counts[i], host_counts[i]);
     }
+    measure_claims();
     print_message_sizes();
 }
--- a/packages/config/service.c
+++ b/packages/config/service.c
@@ -48,8 +48,6 @@
      CQ_GROUP_MAX, FALSE, NULL},
     {"engines", "resume", CQ_FIELD_BOOLEAN, OFFSET(resume), 0, 0, 0, FALSE,
      NULL},
-    {"engines", "fencing", CQ_FIELD_BOOLEAN, OFFSET(fencing), 0, 0, 0, FALSE,
-     NULL},
 };
 
 static const cq_field_t team_fields[] = {
