Measure decisions that are decisions; keep configuration past expiry, tested

retention.sh lets 245 records expire: the checkpoints keep the configuration in the log, for an operator and for a host that starts alone.

Listening, addresses and JSON bodies stood two to four times in the router; each stands once now.

--- a/packages/bench/slopes.c
+++ b/packages/bench/slopes.c
@@ -10,7 +10,8 @@
 
 #define REQUESTS 20000
 #define WARM_REQUESTS 2000
-#define STEP_US 1000
+/* 11 requests a second, a host's part of the size to design for. */
+#define STEP_US (90 * CQ_MS_US)
 #define ANSWER_AFTER 64
 #define TICKS 2000
 #define TOKENS 200000
@@ -151,6 +152,9 @@
             finish(bed, bed->next - ANSWER_AFTER);
         }
     }
+    /* Every request was placed at once, or it would not be a decision. */
+    const cq_counters_t *counters = cq_core_counters(bed->core);
+    g_assert(counters->value[CQ_N_ATTEMPTS] == bed->next);
     return (double)spent_ns / REQUESTS;
 }
 
--- a/packages/router/front.c
+++ b/packages/router/front.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "router/caller.h"
+#include "router/http.h"
 #include "router/prompt.h"
 
 #define BEARER "Bearer "
@@ -310,37 +311,10 @@
     return front;
 }
 
-GSocketAddress *
-cq_front_parse_addr(const char *addr)
-{
-    GSocketConnectable *parsed = g_network_address_parse(addr, 0, NULL);
-    if (parsed == NULL) {
-        return NULL;
-    }
-    GNetworkAddress *network = G_NETWORK_ADDRESS(parsed);
-    GSocketAddress *address = g_inet_socket_address_new_from_string(
-        g_network_address_get_hostname(network),
-        g_network_address_get_port(network));
-    g_object_unref(parsed);
-    return address;
-}
-
 gboolean
 cq_front_listen(cq_front_t *front, const char *addr, cq_error_t *error)
 {
-    GSocketAddress *address = cq_front_parse_addr(addr);
-    GError *cause = NULL;
-    gboolean good = address != NULL &&
-                    soup_server_listen(front->server, address, 0, &cause);
-    if (!good) {
-        cq_error_set(error, CQ_ERROR_UNREACHABLE,
-                     "listen.callers: %s is not free (%s); write another "
-                     "address or stop the process that has it",
-                     addr, cause != NULL ? cause->message : "not an address");
-    }
-    g_clear_error(&cause);
-    g_clear_object(&address);
-    return good;
+    return cq_http_listen(front->server, "listen.callers", addr, error);
 }
 
 void
--- a/packages/router/front.h
+++ b/packages/router/front.h
@@ -45,10 +45,6 @@
 guint
 cq_front_open(const cq_front_t *front);
 
-/** cq_front_parse_addr() - Return: socket address of `ip:port`, or NULL */
-GSocketAddress *
-cq_front_parse_addr(const char *addr);
-
 G_END_DECLS
 
 #endif
--- a/packages/router/http.c
+++ b/packages/router/http.c
@@ -43,6 +43,64 @@
     return G_SOURCE_REMOVE;
 }
 
+GSocketAddress *
+cq_http_address(const char *addr)
+{
+    GSocketConnectable *parsed = g_network_address_parse(addr, 0, NULL);
+    if (parsed == NULL) {
+        return NULL;
+    }
+    GNetworkAddress *network = G_NETWORK_ADDRESS(parsed);
+    GSocketAddress *address = g_inet_socket_address_new_from_string(
+        g_network_address_get_hostname(network),
+        g_network_address_get_port(network));
+    g_object_unref(parsed);
+    return address;
+}
+
+gboolean
+cq_http_taken(cq_error_t *error, const char *key, const char *addr,
+              const GError *cause)
+{
+    return cq_error_set(error, CQ_ERROR_UNREACHABLE,
+                        "%s: %s is not free (%s); write another address or "
+                        "stop the process that has it",
+                        key, addr,
+                        cause != NULL ? cause->message : "not an address");
+}
+
+gboolean
+cq_http_listen(SoupServer *server, const char *key, const char *addr,
+               cq_error_t *error)
+{
+    GSocketAddress *address = cq_http_address(addr);
+    GError *cause = NULL;
+    gboolean good =
+        address != NULL && soup_server_listen(server, address, 0, &cause);
+    if (!good) {
+        cq_http_taken(error, key, addr, cause);
+    }
+    g_clear_error(&cause);
+    g_clear_object(&address);
+    return good;
+}
+
+JsonObject *
+cq_http_object(JsonParser *parser, GBytes *body)
+{
+    gsize len;
+    const char *text = g_bytes_get_data(body, &len);
+    if (text == NULL ||
+        !json_parser_load_from_data(parser, text, (gssize)len, NULL)) {
+        return NULL;
+    }
+    JsonNode *root = json_parser_get_root(parser);
+    if (root == NULL || !JSON_NODE_HOLDS_OBJECT(root)) {
+        return NULL;
+    }
+    return json_node_get_object(root);
+}
+
 SoupSession *
 cq_http_session(void)
 {
--- a/packages/router/http.h
+++ b/packages/router/http.h
@@ -7,14 +7,38 @@
 #ifndef CQ_HTTP_H
 #define CQ_HTTP_H
 
+#include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
 
+#include "base/error.h"
+
 G_BEGIN_DECLS
 
 /** typedef cq_http_done_t - hears the end of a call: @status is 0 when there
  * was no answer; @body is borrowed */
 typedef void (*cq_http_done_t)(int status, GBytes *body, void *data);
 
+/** cq_http_address() - Return: socket address of `ip:port`, or NULL */
+GSocketAddress *
+cq_http_address(const char *addr);
+
+/** cq_http_taken() - record that listener @key can't have @addr, for @cause;
+ * Return: FALSE */
+gboolean
+cq_http_taken(cq_error_t *error, const char *key, const char *addr,
+              const GError *cause);
+
+/** cq_http_listen() - make @server listen on @addr, which setting @key names;
+ * FALSE and @error when it can't */
+gboolean
+cq_http_listen(SoupServer *server, const char *key, const char *addr,
+               cq_error_t *error);
+
+/** cq_http_object() - Return: the JSON object in @body, owned by @parser, or
+ * NULL when it is none */
+JsonObject *
+cq_http_object(JsonParser *parser, GBytes *body);
+
 /** cq_http_session() - Return: a session without connection limits */
 SoupSession *
 cq_http_session(void);
--- a/packages/router/links.c
+++ b/packages/router/links.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "router/front.h"
+#include "router/http.h"
 #include "router/link.h"
 
 #define REDIAL_MS 500
@@ -236,7 +236,7 @@
 static void
 dial(cq_links_t *links, target_t *target)
 {
-    GSocketAddress *address = cq_front_parse_addr(target->addr);
+    GSocketAddress *address = cq_http_address(target->addr);
     if (address == NULL) {
         return;
     }
@@ -298,7 +298,7 @@
 gboolean
 cq_links_listen(cq_links_t *links, const char *addr, cq_error_t *error)
 {
-    GSocketAddress *address = cq_front_parse_addr(addr);
+    GSocketAddress *address = cq_http_address(addr);
     GError *cause = NULL;
     links->service = g_socket_service_new();
     gboolean good =
@@ -307,10 +307,7 @@
             G_SOCKET_LISTENER(links->service), address, G_SOCKET_TYPE_STREAM,
             G_SOCKET_PROTOCOL_TCP, NULL, NULL, &cause);
     if (!good) {
-        cq_error_set(error, CQ_ERROR_UNREACHABLE,
-                     "listen.peers: %s is not free (%s); write another "
-                     "address or stop the process that has it",
-                     addr, cause != NULL ? cause->message : "not an address");
+        cq_http_taken(error, "listen.peers", addr, cause);
     }
     g_clear_error(&cause);
     g_clear_object(&address);
--- a/packages/router/loads.c
+++ b/packages/router/loads.c
@@ -36,24 +36,6 @@
     g_free(loads);
 }
 
-static JsonObject *
-parse(JsonParser *parser, int status, GBytes *body)
-{
-    if (status != 200) {
-        return NULL;
-    }
-    gsize len;
-    const char *text = g_bytes_get_data(body, &len);
-    if (!json_parser_load_from_data(parser, text, (gssize)len, NULL)) {
-        return NULL;
-    }
-    JsonNode *root = json_parser_get_root(parser);
-    if (root == NULL || !JSON_NODE_HOLDS_OBJECT(root)) {
-        return NULL;
-    }
-    return json_node_get_object(root);
-}
-
 static gint64
 number(JsonObject *object, const char *key)
 {
@@ -121,7 +103,10 @@
     cq_loads_t *loads = asked->loads;
     loads->calls--;
     JsonParser *parser = json_parser_new();
-    JsonObject *object = parse(parser, status, body);
+    JsonObject *object = NULL;
+    if (status == 200) {
+        object = cq_http_object(parser, body);
+    }
     if (object != NULL && !loads->stopped) {
         cq_app_count(loads->app, CQ_N_CONTROL_BYTES, g_bytes_get_size(body));
         take_load(loads, asked->upstream, object);
@@ -165,7 +150,10 @@
     cq_loads_t *loads = asked->loads;
     loads->calls--;
     JsonParser *parser = json_parser_new();
-    JsonObject *object = parse(parser, status, body);
+    JsonObject *object = NULL;
+    if (status == 200) {
+        object = cq_http_object(parser, body);
+    }
     if (object != NULL && !loads->stopped) {
         cq_app_count(loads->app, CQ_N_CONTROL_BYTES, g_bytes_get_size(body));
         take_cache(loads, asked->upstream, object);
--- a/packages/router/oper.c
+++ b/packages/router/oper.c
@@ -3,7 +3,7 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
-#include "router/front.h"
+#include "router/http.h"
 
 struct cq_oper {
     cq_app_t *app;
@@ -210,19 +210,7 @@
 gboolean
 cq_oper_listen(cq_oper_t *oper, const char *addr, cq_error_t *error)
 {
-    GSocketAddress *address = cq_front_parse_addr(addr);
-    GError *cause = NULL;
-    gboolean good = address != NULL &&
-                    soup_server_listen(oper->server, address, 0, &cause);
-    if (!good) {
-        cq_error_set(error, CQ_ERROR_UNREACHABLE,
-                     "listen.operators: %s is not free (%s); write another "
-                     "address or stop the process that has it",
-                     addr, cause != NULL ? cause->message : "not an address");
-    }
-    g_clear_error(&cause);
-    g_clear_object(&address);
-    return good;
+    return cq_http_listen(oper->server, "listen.operators", addr, error);
 }
 
 void
--- a/packages/router/plat.c
+++ b/packages/router/plat.c
@@ -174,15 +174,9 @@
 static gboolean
 take_page(cq_plat_t *plat, GBytes *body)
 {
-    gsize len;
-    const char *text = g_bytes_get_data(body, &len);
     JsonParser *parser = json_parser_new();
-    gboolean good =
-        json_parser_load_from_data(parser, text, (gssize)len, NULL);
-    JsonNode *root = good ? json_parser_get_root(parser) : NULL;
-    good = root != NULL && JSON_NODE_HOLDS_OBJECT(root);
-    if (good) {
-        JsonObject *page = json_node_get_object(root);
+    JsonObject *page = cq_http_object(parser, body);
+    if (page != NULL) {
         gint64 first =
             json_object_get_int_member_with_default(page, "first", 0);
         gint64 end = json_object_get_int_member_with_default(page, "end", 0);
@@ -198,7 +192,7 @@
         watch_retention(plat, first, end);
     }
     g_object_unref(parser);
-    return good;
+    return page != NULL;
 }
 
 static gboolean
@@ -282,16 +276,11 @@
 static gint64
 offset_of(GBytes *body)
 {
-    gsize len;
-    const char *text = g_bytes_get_data(body, &len);
     JsonParser *parser = json_parser_new();
+    JsonObject *object = cq_http_object(parser, body);
     gint64 offset = 0;
-    if (json_parser_load_from_data(parser, text, (gssize)len, NULL)) {
-        JsonNode *root = json_parser_get_root(parser);
-        if (root != NULL && JSON_NODE_HOLDS_OBJECT(root)) {
-            offset = json_object_get_int_member_with_default(
-                json_node_get_object(root), "offset", 0);
-        }
+    if (object != NULL) {
+        offset = json_object_get_int_member_with_default(object, "offset", 0);
     }
     g_object_unref(parser);
     return offset;
@@ -393,19 +382,10 @@
         return;
     }
     if (status == 200) {
-        gsize len;
-        const char *text = g_bytes_get_data(body, &len);
         JsonParser *parser = json_parser_new();
-        JsonNode *root = NULL;
-        if (json_parser_load_from_data(parser, text, (gssize)len, NULL)) {
-            root = json_parser_get_root(parser);
-        }
-        if (root != NULL && JSON_NODE_HOLDS_OBJECT(root)) {
-            JsonObject *object = json_node_get_object(root);
-            if (json_object_has_member(object, "hosts")) {
-                take_hosts(plat,
-                           json_object_get_array_member(object, "hosts"));
-            }
+        JsonObject *object = cq_http_object(parser, body);
+        if (object != NULL && json_object_has_member(object, "hosts")) {
+            take_hosts(plat, json_object_get_array_member(object, "hosts"));
         }
         g_object_unref(parser);
     }
--- a/tests/proc/fleet.sh
+++ b/tests/proc/fleet.sh
@@ -9,7 +9,7 @@
 SEATS="Authorization: Bearer demo-despacho"
 
 start_fleet() {
-    platform
+    platform --retain "${RETAIN:-100000}"
     standin engine $E1 --step-ms "${STEP_MS:-10}"
     standin engine $E2 --step-ms "${STEP_MS:-10}"
     standin plain $P1
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -55,7 +55,7 @@
 for program in config wire scn soak targets; do
     run_unit "$BUILD/tests/${program}_test"
 done
-for script in demo badinput hangup operator drain holds giant orders; do
+for script in demo badinput hangup operator drain holds giant orders retention; do
     run_script "tests/proc/$script.sh"
 done
 
