Look for places after a report only when it names other models

Cause: each load report, 80 a second at 4 hosts, made the core look for places again, which let the flooding team's queue in more often. Reports now do so only when an engine's models change.

--- a/packages/core/order.c
+++ b/packages/core/order.c
@@ -15,13 +15,15 @@
     }
     upstream->models_at_us = report->at_us;
     upstream->loading = report->loading;
+    if (upstream->models_len != report->models_len) {
+        core->placeable = TRUE;
+    }
     upstream->models_len = MIN(report->models_len, CQ_ENGINE_MODELS_MAX);
     memcpy(upstream->models, report->models,
            upstream->models_len * sizeof *upstream->models);
     if (report->at_us > upstream->ordered_us + CQ_ORDER_SEEN_US) {
         upstream->ordered = 0;
     }
-    core->placeable = TRUE;
 }
 
 void
