--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -28,7 +28,6 @@
 /* What a caller may send. */
 #define CQ_BODY_BYTES_MAX (16 * 1024 * 1024)
 #define CQ_SERVICE_BYTES_MAX (128 * 1024)
-#define CQ_HEADER_BYTES_MAX (64 * 1024)
 #define CQ_KEY_BYTES_MAX 256
 #define CQ_TIMEOUT_MAX_MS (60 * 60 * 1000)
 #define CQ_BYTES_PER_TOKEN 4
@@ -82,8 +81,8 @@
 #define CQ_DECODE_STEP_US (37 * CQ_MS_US)
 #define CQ_STREAMS_TARGET 8
 #define CQ_STREAMS_MAX 12
+#define CQ_PLAIN_CALLS_MAX 256
 #define CQ_KV_TOKENS 400000
-#define CQ_RESERVATION_US (30 * CQ_SECOND_US)
 #define CQ_RESERVE_WAIT_US (2 * CQ_SECOND_US)
 
 /* Leases and orders. */
@@ -96,7 +95,6 @@
 
 /* Placement. */
 #define CQ_SAMPLES 16
-#define CQ_SCAN_MAX 24
 #define CQ_SUBSET_MAX 32
 #define CQ_CLASS_SHORT_TOKENS 4096
 #define CQ_CLASS_MIDDLE_TOKENS 32768
--- a/packages/core/intake.c
+++ b/packages/core/intake.c
@@ -154,6 +154,9 @@
     if (service->nearby->len + service->remote->len == 0) {
         return CQ_OUT_NO_UPSTREAM;
     }
+    if (g_hash_table_size(core->request_by_id) > CQ_REQUESTS_MAX) {
+        return CQ_OUT_OVERLOADED;
+    }
     if (core->policy != CQ_POLICY_COST) {
         return CQ_OUT_DONE;
     }
--- a/packages/core/load.c
+++ b/packages/core/load.c
@@ -202,7 +202,6 @@
     }
     upstream->reported_at_us = report->at_us;
     upstream->reported_streams = report->streams;
-    upstream->reported_prefill_tokens = report->prefill_tokens;
     upstream->reported_kv_tokens = report->kv_tokens;
     if (!blind(core, upstream) || upstream->service->rules == NULL) {
         return;
--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -193,7 +193,6 @@
     if (list->len == 0) {
         return;
     }
-    core->hosts_us = core->now_us;
     unlist(core);
     g_hash_table_remove_all(core->entry_hosts);
     for (guint i = 0; i < list->len; i++) {
--- a/packages/core/peer.c
+++ b/packages/core/peer.c
@@ -58,6 +58,10 @@
     if (peer != NULL && summary->incarnation < peer->incarnation) {
         return;
     }
+    if (peer == NULL &&
+        g_hash_table_size(core->peer_by_host) >= CQ_PEERS_MAX) {
+        return;
+    }
     if (peer == NULL) {
         peer = cq_table_need_peer(core, summary->host);
         touch_all(core);
--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -171,12 +171,12 @@
     if (request->model != 0 && !cq_order_has(upstream, request->model)) {
         return FALSE;
     }
+    if (rules->kind == CQ_SERVICE_PLAIN) {
+        return cq_load_streams(core, upstream) < CQ_PLAIN_CALLS_MAX;
+    }
     if (cq_load_streams(core, upstream) >= streams_max) {
         return FALSE;
     }
-    if (rules->kind == CQ_SERVICE_PLAIN) {
-        return TRUE;
-    }
     gint64 used = cq_load_kv(core, upstream);
     if (request->earmark == upstream) {
         used -= need;
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -86,7 +86,6 @@
     gint64 peer_kv_tokens;
     gint64 reported_at_us;
     gint64 reported_streams;
-    gint64 reported_prefill_tokens;
     gint64 reported_kv_tokens;
     gint64 released_us;
     guint64 models[CQ_ENGINE_MODELS_MAX];
@@ -326,11 +325,9 @@
     gint64 summary_credit;
     gboolean touched;
     gint64 sweep_us;
-    gint64 hosts_us;
     gint64 started_us;
     gint64 now_us;
     gboolean placeable;
-    guint leaving_turn;
     cq_actions_t *actions;
 };
 
