Try again when an engine answers with its own fault

Found by reading the adapter: a status of 500 or more from an engine was passed on as the caller's answer, also after tokens of an earlier attempt. Damaged records, service files and settings, 20,000 of each, are refused with a message or read.

--- a/packages/router/calls.c
+++ b/packages/router/calls.c
@@ -163,7 +163,9 @@
 static void
 on_end_of_stream(call_t *call)
 {
-    if (call->model && soup_message_get_status(call->message) == 200) {
+    guint status = soup_message_get_status(call->message);
+    /* A stream without its end mark, or an engine's own fault. */
+    if (call->model && (status == 200 || status >= 500)) {
         post_failed(call, CQ_FAIL_BROKEN);
         return;
     }
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -190,6 +190,10 @@
         refuse(message, "X-Not-Run");
         return;
     }
+    if (standin_fault_take("error_next")) {
+        standin_reply(message, 500, g_strdup("{}"));
+        return;
+    }
     if (standin_fault_take("close_next")) {
         standin_close(message);
         return;
--- a/tests/unit/config_test.cc
+++ b/tests/unit/config_test.cc
@@ -187,6 +187,53 @@
     }
 }
 
+// Replaces, drops or repeats a few bytes.
+std::string
+damage(GRand *rand, std::string text)
+{
+    for (int i = g_rand_int_range(rand, 1, 4); i > 0 && !text.empty(); i--) {
+        size_t at = g_rand_int_range(rand, 0, text.size());
+        switch (g_rand_int_range(rand, 0, 3)) {
+        case 0:
+            text[at] = static_cast<char>(g_rand_int_range(rand, 1, 256));
+            break;
+        case 1:
+            text.erase(at, g_rand_int_range(rand, 1, 20));
+            break;
+        default:
+            text.insert(at, text.substr(at, 12));
+            break;
+        }
+    }
+    return text;
+}
+
+// Damaged input is refused with a message or read, and never more than that.
+TEST(Damaged, RecordsAndFilesAreRefusedOrRead)
+{
+    GRand *rand = g_rand_new_with_seed(11);
+    cq_record_t record = {};
+    record.kind = CQ_RECORD_CONFIG;
+    record.config = entry(4, "x", kService);
+    char *text = cq_record_encode(&record);
+    for (int i = 0; i < 20000; i++) {
+        cq_record_t back;
+        cq_error_t error = {};
+        if (cq_record_decode(damage(rand, text).c_str(), &back, &error)) {
+            cq_record_clear(&back);
+        }
+        else {
+            EXPECT_NE('\0', error.text[0]);
+        }
+        std::string file = damage(rand, kService);
+        std::string settings = damage(rand, kSettings);
+        service_error(file);
+        settings_error(settings);
+    }
+    g_free(text);
+    g_rand_free(rand);
+}
+
 TEST(Fold, CountsAPublicationOnlyOnItsBase)
 {
     cq_fold_t *fold = cq_fold_new(nullptr, nullptr);
