--- a/packages/router/loads.c
+++ b/packages/router/loads.c
@@ -250,33 +250,42 @@
     free_if_idle(loads);
 }
 
-void
-cq_loads_memory(cq_loads_t *loads, cq_action_kind_t kind,
-                const cq_ac_memory_t *memory)
+/* Tells the engine of @asked something; takes @text. */
+static void
+tell(asked_t *asked, const char *path, char *text, cq_http_done_t done)
 {
+    cq_loads_t *loads = asked->loads;
     cq_upstream_view_t view;
-    if (!cq_core_upstream(cq_app_core(loads->app), memory->upstream, &view)) {
+    if (!cq_core_upstream(cq_app_core(loads->app), asked->upstream, &view)) {
+        g_free(text);
+        g_free(asked);
         return;
     }
-    gboolean reserve = kind == CQ_AC_RESERVE;
-    char *url = g_strdup_printf("http://%s/kv/%s", view.addr,
-                                reserve ? "reserve" : "release");
+    char *url = g_strdup_printf("http://%s%s", view.addr, path);
+    GBytes *body = g_bytes_new_take(text, strlen(text));
+    loads->calls++;
+    cq_http_call(loads->session, "POST", url, body, CALL_TIMEOUT_MS, done,
+                 asked);
+    g_bytes_unref(body);
+    g_free(url);
+}
+
+void
+cq_loads_memory(cq_loads_t *loads, cq_action_kind_t kind,
+                const cq_ac_memory_t *memory)
+{
     char *text = g_strdup_printf("{\"request\":\"%016" G_GINT64_MODIFIER
                                  "x\",\"tokens\":%" G_GINT64_FORMAT
                                  ",\"expiry_ms\":%" G_GINT64_FORMAT "}",
                                  memory->request, memory->tokens,
                                  memory->expiry_us / CQ_MS_US);
-    GBytes *body = g_bytes_new_take(text, strlen(text));
     asked_t *asked = g_new0(asked_t, 1);
     asked->loads = loads;
     asked->upstream = memory->upstream;
     asked->request = memory->request;
-    asked->reserve = reserve;
-    loads->calls++;
-    cq_http_call(loads->session, "POST", url, body, CALL_TIMEOUT_MS, on_memory,
-                 asked);
-    g_bytes_unref(body);
-    g_free(url);
+    asked->reserve = kind == CQ_AC_RESERVE;
+    tell(asked, asked->reserve ? "/kv/reserve" : "/kv/release", text,
+         on_memory);
 }
 
 static void
@@ -300,22 +309,12 @@
 void
 cq_loads_order(cq_loads_t *loads, const cq_ac_order_t *order)
 {
-    cq_upstream_view_t view;
-    if (!cq_core_upstream(cq_app_core(loads->app), order->upstream, &view)) {
-        return;
-    }
-    char *url = g_strdup_printf("http://%s/order", view.addr);
     char *text =
         g_strdup_printf("{\"model\":\"%s\",\"fence\":%" G_GUINT64_FORMAT "}",
                         order->model, order->fence);
-    GBytes *body = g_bytes_new_take(text, strlen(text));
     asked_t *asked = g_new0(asked_t, 1);
     asked->loads = loads;
     asked->upstream = order->upstream;
     asked->fence = order->fence;
-    loads->calls++;
-    cq_http_call(loads->session, "POST", url, body, CALL_TIMEOUT_MS, on_order,
-                 asked);
-    g_bytes_unref(body);
-    g_free(url);
+    tell(asked, "/order", text, on_order);
 }
