Let short work come back before long work, and a flooding team's last

Cause, from the time lines: they are refused after 8 s, when 500 tokens no longer fit their 30 s, and all refused work was booked into one row, with prompts of 100k between them.

--- a/packages/core/flow.c
+++ b/packages/core/flow.c
@@ -1,5 +1,7 @@
 #include "core/flow.h"
 
+#include "core/usage.h"
+
 #define DRAIN_WEIGHT 0.3
 #define DRAIN_MIN 0.02
 #define COME_BACK_SHARE 0.6
@@ -164,21 +166,26 @@
     return (gint64)(ahead / drain * (double)CQ_SECOND_US);
 }
 
-/* Refused work is booked one after another into a part of the capacity, so
- * that it comes back no faster than it can be served beside what arrives. */
+/* Refused work is booked into a part of the capacity, shorter classes before
+ * longer ones and a team above its share last, so that it comes back no faster
+ * than it can be served beside what arrives. */
 gint64
 cq_flow_come_back_us(cq_core_t *core, const cq_request_t *request)
 {
     cq_service_t *service = request->service;
     gint64 wait_us = cq_flow_wait_us(core, request);
-    gint64 first_us = core->now_us + MIN(wait_us, COME_BACK_WAIT_MAX_US);
-    gint64 slot_us = MAX(service->come_back_us, first_us);
     double rate = capacity(core, service) * COME_BACK_SHARE;
-    gint64 length_us = (gint64)(request->cost / rate * (double)CQ_SECOND_US);
-    service->come_back_us = slot_us + length_us;
+    gboolean exceeds = cq_usage_exceeds(request);
+    cq_class_t klass = exceeds ? CQ_CLASS_GIANT : request->klass;
+    double booked = 0;
+    for (cq_class_t i = CQ_CLASS_SHORT; i <= klass; i++) {
+        booked += service->lanes[i].booked;
+    }
+    service->lanes[klass].booked += request->cost;
+    gint64 slot_us = (gint64)(booked / rate * (double)CQ_SECOND_US);
     gint64 spread_us =
         g_rand_int_range(core->rand, 0, (gint32)COME_BACK_SPREAD_US);
-    gint64 at_us = slot_us + spread_us - core->now_us;
+    gint64 at_us = MIN(wait_us, COME_BACK_WAIT_MAX_US) + slot_us + spread_us;
     return CLAMP(at_us, CQ_RETRY_AFTER_MIN_US, CQ_RETRY_AFTER_MAX_US);
 }
 
@@ -200,10 +207,22 @@
     lane->waited = lane->count > 0;
 }
 
+/* Time passes over what is booked, shorter classes first. */
+static void
+pass_booked(const cq_core_t *core, cq_service_t *service, double seconds)
+{
+    double left = capacity(core, service) * COME_BACK_SHARE * seconds;
+    for (int i = 0; i < CQ_CLASSES; i++) {
+        double part = MIN(service->lanes[i].booked, left);
+        service->lanes[i].booked -= part;
+        left -= part;
+    }
+}
+
 void
 cq_flow_window(cq_core_t *core, cq_service_t *service, double seconds)
 {
-    (void)core;
+    pass_booked(core, service, seconds);
     for (int i = 0; i < CQ_CLASSES; i++) {
         update_lane(&service->lanes[i], seconds);
         service->demand[i] *= DEMAND_KEEP;
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -132,6 +132,7 @@
  * @drain: cost taken per second while work waits
  * @taken: cost taken in the current window
  * @waited: whether work waited throughout the current window
+ * @booked: cost refused and told to come back, not yet due
  * @count: requests waiting
  */
 typedef struct {
@@ -141,6 +142,7 @@
     double drain;
     double taken;
     gboolean waited;
+    double booked;
     guint count;
 } cq_lane_t;
 
@@ -158,7 +160,6 @@
  * @retry_tokens: retries that the budget still allows
  * @demand: recent demand for memory over time, by class
  * @output_high: tokens that hardly any answer exceeds
- * @come_back_us: up to then refused work is told to come back
  * @stale: the candidate arrays need rebuilding
  * @turn: round robin position
  */
@@ -175,7 +176,6 @@
     double running;
     double retry_tokens;
     double demand[CQ_CLASSES];
-    gint64 come_back_us;
     double output_high;
     gboolean stale;
     guint turn;
