Remove what nothing calls, and merge what stood twice

Six functions and a field had no caller. A digest offer no longer copies every service file every 2 s to send none of it. The end of a call to an engine, the merging of a checkpoint and its array stood two to four times and stand once.

--- a/packages/base/counters.c
+++ b/packages/base/counters.c
@@ -48,13 +48,6 @@
     counters->value[which] += n;
 }
 
-const char *
-cq_counters_name(cq_counter_t which)
-{
-    g_assert(which < CQ_N_COUNT);
-    return names[which];
-}
-
 void
 cq_counters_render(const cq_counters_t *counters, GString *out)
 {
--- a/packages/base/counters.h
+++ b/packages/base/counters.h
@@ -65,10 +65,6 @@
 void
 cq_counters_add(cq_counters_t *counters, cq_counter_t which, guint64 n);
 
-/** cq_counters_name() - Return: the metric name of counter @which */
-const char *
-cq_counters_name(cq_counter_t which);
-
 /** cq_counters_render() - append one `name value` line a counter to @out */
 void
 cq_counters_render(const cq_counters_t *counters, GString *out);
--- a/packages/base/ident.c
+++ b/packages/base/ident.c
@@ -41,12 +41,6 @@
     return (guint32)(request >> (INCARNATION_BITS + NUMBER_BITS));
 }
 
-gboolean
-cq_ident_same_process(guint64 a, guint64 b)
-{
-    return a >> NUMBER_BITS == b >> NUMBER_BITS;
-}
-
 cq_key_t
 cq_ident_key(const char *service, const char *team, const char *key)
 {
--- a/packages/base/ident.h
+++ b/packages/base/ident.h
@@ -45,11 +45,6 @@
 guint32
 cq_ident_owner(guint64 request);
 
-/** cq_ident_same_process() - Return: whether @a and @b have one owner and
- * incarnation */
-gboolean
-cq_ident_same_process(guint64 a, guint64 b);
-
 /** cq_ident_key() - Return: the SHA-256 based hash of an idempotency key */
 cq_key_t
 cq_ident_key(const char *service, const char *team, const char *key);
--- a/packages/bench/plat.c
+++ b/packages/bench/plat.c
@@ -327,10 +327,7 @@
         return;
     }
     cq_record_t state = cq_fold_checkpoint(from->fold);
-    for (guint i = 0; i < state.checkpoint->len; i++) {
-        cq_fold_merge(to->fold,
-                      &g_array_index(state.checkpoint, cq_config_entry_t, i));
-    }
+    cq_fold_merge_all(to->fold, &state);
     cq_record_clear(&state);
 }
 
--- a/packages/config/fold.c
+++ b/packages/config/fold.c
@@ -94,6 +94,15 @@
     return put_in_force(fold, entry);
 }
 
+void
+cq_fold_merge_all(cq_fold_t *fold, const cq_record_t *checkpoint)
+{
+    const GArray *entries = checkpoint->checkpoint;
+    for (guint i = 0; i < entries->len; i++) {
+        cq_fold_merge(fold, &g_array_index(entries, cq_config_entry_t, i));
+    }
+}
+
 const cq_config_entry_t *
 cq_fold_get(const cq_fold_t *fold, const char *service)
 {
@@ -108,18 +117,11 @@
     return strcmp(x->service, y->service);
 }
 
-static void
-clear_entry(gpointer data)
-{
-    g_free(((cq_config_entry_t *)data)->body);
-}
-
 cq_record_t
 cq_fold_checkpoint(const cq_fold_t *fold)
 {
     cq_record_t record = {.kind = CQ_RECORD_CHECKPOINT};
-    record.checkpoint = g_array_new(FALSE, TRUE, sizeof(cq_config_entry_t));
-    g_array_set_clear_func(record.checkpoint, clear_entry);
+    record.checkpoint = cq_record_entries();
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, fold->entries);
--- a/packages/config/fold.h
+++ b/packages/config/fold.h
@@ -53,6 +53,10 @@
 gboolean
 cq_fold_merge(cq_fold_t *fold, const cq_config_entry_t *entry);
 
+/** cq_fold_merge_all() - merge every service of the record @checkpoint */
+void
+cq_fold_merge_all(cq_fold_t *fold, const cq_record_t *checkpoint);
+
 /** cq_fold_get() - Return: the entry in force of @service, or NULL */
 const cq_config_entry_t *
 cq_fold_get(const cq_fold_t *fold, const char *service);
--- a/packages/config/record.c
+++ b/packages/config/record.c
@@ -16,6 +16,20 @@
     g_free(sum);
 }
 
+static void
+clear_entry(gpointer data)
+{
+    g_free(((cq_config_entry_t *)data)->body);
+}
+
+GArray *
+cq_record_entries(void)
+{
+    GArray *entries = g_array_new(FALSE, TRUE, sizeof(cq_config_entry_t));
+    g_array_set_clear_func(entries, clear_entry);
+    return entries;
+}
+
 static void
 add_text(JsonBuilder *builder, const char *key, const char *text)
 {
@@ -229,17 +243,10 @@
     return lacks(error, "verb", "write \"take\", \"renew\" or \"release\"");
 }
 
-static void
-clear_entry(gpointer data)
-{
-    g_free(((cq_config_entry_t *)data)->body);
-}
-
 static gboolean
 get_checkpoint(JsonObject *object, cq_record_t *record, cq_error_t *error)
 {
-    record->checkpoint = g_array_new(FALSE, TRUE, sizeof(cq_config_entry_t));
-    g_array_set_clear_func(record->checkpoint, clear_entry);
+    record->checkpoint = cq_record_entries();
     JsonNode *node = json_object_get_member(object, "services");
     if (node == NULL || !JSON_NODE_HOLDS_ARRAY(node)) {
         return lacks(error, "services", "missing; write an array");
--- a/packages/config/record.h
+++ b/packages/config/record.h
@@ -59,6 +59,11 @@
 void
 cq_record_hash(const char *body, char hash[CQ_TOKEN_HASH_BYTES * 2 + 1]);
 
+/** cq_record_entries() - Return: an empty array of cq_config_entry_t that
+ * frees the bodies of its rows */
+GArray *
+cq_record_entries(void);
+
 /** cq_record_encode() - Return: @record as JSON; free with g_free() */
 char *
 cq_record_encode(const cq_record_t *record);
--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -126,24 +126,6 @@
     return upstream->suspect_until_us <= core->now_us;
 }
 
-static gboolean
-any_usable(const cq_core_t *core, const GPtrArray *upstreams)
-{
-    for (guint i = 0; i < upstreams->len; i++) {
-        if (cq_place_usable(core, g_ptr_array_index(upstreams, i))) {
-            return TRUE;
-        }
-    }
-    return FALSE;
-}
-
-gboolean
-cq_place_any(const cq_core_t *core, const cq_service_t *service)
-{
-    return any_usable(core, service->nearby) ||
-           any_usable(core, service->remote);
-}
-
 gint64
 cq_place_need(const cq_request_t *request)
 {
--- a/packages/core/place.h
+++ b/packages/core/place.h
@@ -23,10 +23,6 @@
 gboolean
 cq_place_usable(const cq_core_t *core, const cq_upstream_t *upstream);
 
-/** cq_place_any() - Return: whether any upstream may get new work now */
-gboolean
-cq_place_any(const cq_core_t *core, const cq_service_t *service);
-
 /** cq_place_need() - Return: memory that @request needs, in tokens */
 gint64
 cq_place_need(const cq_request_t *request);
--- a/packages/ctl/net.c
+++ b/packages/ctl/net.c
@@ -77,10 +77,7 @@
         }
     }
     if (record.kind == CQ_RECORD_CHECKPOINT) {
-        for (guint i = 0; i < record.checkpoint->len; i++) {
-            cq_fold_merge(
-                fold, &g_array_index(record.checkpoint, cq_config_entry_t, i));
-        }
+        cq_fold_merge_all(fold, &record);
     }
     cq_record_clear(&record);
 }
--- a/packages/router/link.c
+++ b/packages/router/link.c
@@ -312,12 +312,6 @@
     }
 }
 
-gboolean
-cq_link_proved(const cq_link_t *link)
-{
-    return link->proved;
-}
-
 gboolean
 cq_link_dialled(const cq_link_t *link)
 {
--- a/packages/router/link.h
+++ b/packages/router/link.h
@@ -41,10 +41,6 @@
 void
 cq_link_send(cq_link_t *link, GBytes *frame);
 
-/** cq_link_proved() - Return: whether the other side has the peer key */
-gboolean
-cq_link_proved(const cq_link_t *link);
-
 /** cq_link_dialled() - Return: whether this side opened the connection */
 gboolean
 cq_link_dialled(const cq_link_t *link);
--- a/packages/router/links.c
+++ b/packages/router/links.c
@@ -23,7 +23,6 @@
 
 /* A peer to keep a connection to. */
 typedef struct {
-    cq_links_t *links;
     char addr[CQ_ADDR_BYTES];
     cq_link_t *link;
     gboolean dialling;
@@ -91,11 +90,23 @@
 }
 
 static GBytes *
-pack_offer(cq_links_t *links, gboolean versions)
+pack_offer(cq_links_t *links, Cq__Version **versions, gsize len)
+{
+    Cq__Offer offer = CQ__OFFER__INIT;
+    offer.n_versions = len;
+    offer.versions = versions;
+    offer.digest = cq_fold_digest(cq_app_fold(links->app));
+    Cq__Frame frame = CQ__FRAME__INIT;
+    frame.kind_case = CQ__FRAME__KIND_OFFER;
+    frame.offer = &offer;
+    return cq_codec_pack(&frame);
+}
+
+static GBytes *
+pack_versions(cq_links_t *links)
 {
-    cq_fold_t *fold = cq_app_fold(links->app);
-    cq_record_t state = cq_fold_checkpoint(fold);
-    guint len = versions ? state.checkpoint->len : 0;
+    cq_record_t state = cq_fold_checkpoint(cq_app_fold(links->app));
+    guint len = state.checkpoint->len;
     Cq__Version *rows = g_new0(Cq__Version, len + 1);
     Cq__Version **at = g_new0(Cq__Version *, len + 1);
     for (guint i = 0; i < len; i++) {
@@ -107,14 +118,7 @@
         rows[i].hash = entry->hash;
         at[i] = &rows[i];
     }
-    Cq__Offer offer = CQ__OFFER__INIT;
-    offer.n_versions = len;
-    offer.versions = at;
-    offer.digest = cq_fold_digest(fold);
-    Cq__Frame frame = CQ__FRAME__INIT;
-    frame.kind_case = CQ__FRAME__KIND_OFFER;
-    frame.offer = &offer;
-    GBytes *bytes = cq_codec_pack(&frame);
+    GBytes *bytes = pack_offer(links, at, len);
     g_free(at);
     g_free(rows);
     cq_record_clear(&state);
@@ -125,7 +129,7 @@
 take_want(cq_links_t *links, cq_link_t *link, const Cq__Want *want)
 {
     if (want->n_services == 0) {
-        GBytes *bytes = pack_offer(links, TRUE);
+        GBytes *bytes = pack_versions(links);
         cq_link_send(link, bytes);
         g_bytes_unref(bytes);
     }
@@ -394,7 +398,6 @@
         return;
     }
     target_t *target = g_new0(target_t, 1);
-    target->links = links;
     g_strlcpy(target->addr, addr, sizeof target->addr);
     g_hash_table_insert(links->targets, target->addr, target);
 }
@@ -423,7 +426,7 @@
 void
 cq_links_offer(cq_links_t *links)
 {
-    GBytes *bytes = pack_offer(links, FALSE);
+    GBytes *bytes = pack_offer(links, NULL, 0);
     broadcast(links, bytes, FALSE);
     links->offered_us = cq_app_now_us(links->app);
     g_bytes_unref(bytes);
--- a/packages/router/loads.c
+++ b/packages/router/loads.c
@@ -51,6 +51,15 @@
     return g_ascii_strtoull(text, NULL, 16);
 }
 
+static void
+end(asked_t *asked)
+{
+    cq_loads_t *loads = asked->loads;
+    loads->calls--;
+    g_free(asked);
+    free_if_idle(loads);
+}
+
 static guint
 take_models(JsonObject *object, guint64 models[CQ_ENGINE_MODELS_MAX])
 {
@@ -102,7 +111,6 @@
 {
     asked_t *asked = data;
     cq_loads_t *loads = asked->loads;
-    loads->calls--;
     JsonParser *parser = json_parser_new();
     JsonObject *object = NULL;
     if (status == 200) {
@@ -113,8 +121,7 @@
         take_load(loads, asked->upstream, object);
     }
     g_object_unref(parser);
-    g_free(asked);
-    free_if_idle(loads);
+    end(asked);
 }
 
 static void
@@ -149,7 +156,6 @@
 {
     asked_t *asked = data;
     cq_loads_t *loads = asked->loads;
-    loads->calls--;
     JsonParser *parser = json_parser_new();
     JsonObject *object = NULL;
     if (status == 200) {
@@ -160,8 +166,7 @@
         take_cache(loads, asked->upstream, object);
     }
     g_object_unref(parser);
-    g_free(asked);
-    free_if_idle(loads);
+    end(asked);
 }
 
 static void
@@ -238,7 +243,6 @@
     (void)body;
     asked_t *asked = data;
     cq_loads_t *loads = asked->loads;
-    loads->calls--;
     if (asked->reserve && !loads->stopped) {
         cq_event_t event = {.kind = CQ_EV_RESERVED};
         event.reserved.request = asked->request;
@@ -246,8 +250,7 @@
         event.reserved.granted = status == 200;
         cq_app_post(loads->app, &event);
     }
-    g_free(asked);
-    free_if_idle(loads);
+    end(asked);
 }
 
 /* Tells the engine of @asked something; takes @text. */
@@ -294,7 +297,6 @@
     (void)body;
     asked_t *asked = data;
     cq_loads_t *loads = asked->loads;
-    loads->calls--;
     if (status != 0 && !loads->stopped) {
         cq_event_t event = {.kind = CQ_EV_ORDERED};
         event.ordered.upstream = asked->upstream;
@@ -302,8 +304,7 @@
         event.ordered.accepted = status == 200;
         cq_app_post(loads->app, &event);
     }
-    g_free(asked);
-    free_if_idle(loads);
+    end(asked);
 }
 
 void
--- a/packages/router/logs.c
+++ b/packages/router/logs.c
@@ -88,12 +88,3 @@
     write_line(logs, LOG4C_PRIORITY_INFO, event, format, args);
     va_end(args);
 }
-
-void
-cq_logs_error(cq_logs_t *logs, const char *event, const char *format, ...)
-{
-    va_list args;
-    va_start(args, format);
-    write_line(logs, LOG4C_PRIORITY_ERROR, event, format, args);
-    va_end(args);
-}
--- a/packages/router/logs.h
+++ b/packages/router/logs.h
@@ -26,11 +26,6 @@
 cq_logs_info(cq_logs_t *logs, const char *event, const char *format, ...)
     G_GNUC_PRINTF(3, 4);
 
-/** cq_logs_error() - the same, as an error */
-void
-cq_logs_error(cq_logs_t *logs, const char *event, const char *format, ...)
-    G_GNUC_PRINTF(3, 4);
-
 G_END_DECLS
 
 #endif
--- a/packages/router/plat.c
+++ b/packages/router/plat.c
@@ -87,10 +87,7 @@
         }
         break;
     case CQ_RECORD_CHECKPOINT:
-        for (guint i = 0; i < record.checkpoint->len; i++) {
-            cq_fold_merge(
-                fold, &g_array_index(record.checkpoint, cq_config_entry_t, i));
-        }
+        cq_fold_merge_all(fold, &record);
         plat->anchor = offset;
         plat->checkpoint_due_us = 0;
         break;
@@ -455,9 +452,3 @@
 {
     return g_queue_get_length((GQueue *)&plat->pending);
 }
-
-gint64
-cq_plat_offset(const cq_plat_t *plat)
-{
-    return plat->next;
-}
--- a/packages/router/plat.h
+++ b/packages/router/plat.h
@@ -29,10 +29,6 @@
 guint
 cq_plat_pending(const cq_plat_t *plat);
 
-/** cq_plat_offset() - Return: offset of the next record to read */
-gint64
-cq_plat_offset(const cq_plat_t *plat);
-
 G_END_DECLS
 
 #endif
