--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -14,6 +14,7 @@
 /* Names and tables. */
 #define CQ_NAME_BYTES 64
 #define CQ_ADDR_BYTES 64
+#define CQ_HOST_NAME_BYTES 256
 #define CQ_TEAMS_MAX 1024
 #define CQ_MODELS_MAX 64
 #define CQ_CALLS_MAX 64
@@ -21,10 +22,18 @@
 #define CQ_UPSTREAMS_MAX 8192
 #define CQ_PEERS_MAX 512
 #define CQ_REQUESTS_MAX 65536
-#define CQ_GROUP_MAX 8
+#define CQ_GROUP_MAX 17
 #define CQ_PREFIX_LEVELS 6
 #define CQ_TOKEN_HASH_BYTES 32
 
+/* Connections. Waking callers all connect within one second, so the queue of
+ * connections that wait to be accepted is long. */
+#define CQ_LISTEN_QUEUE 4096
+#define CQ_TCP_IDLE_S 2
+#define CQ_TCP_PROBE_S 1
+#define CQ_TCP_PROBES 3
+#define CQ_TCP_UNACKED_MS 3000
+
 /* What a caller may send. */
 #define CQ_BODY_BYTES_MAX (16 * 1024 * 1024)
 #define CQ_SERVICE_BYTES_MAX (128 * 1024)
@@ -54,6 +63,7 @@
 #define CQ_OFFER_US (2 * CQ_SECOND_US)
 #define CQ_PEER_FRESH_US (2 * CQ_SECOND_US)
 #define CQ_WINDOW_US CQ_SECOND_US
+#define CQ_LAPSE_US (2 * CQ_SECOND_US)
 #define CQ_SWEEP_US (2 * CQ_SECOND_US)
 #define CQ_LEAVING_NEWS_US (60 * CQ_SECOND_US)
 #define CQ_OWNER_GONE_US (10 * CQ_SECOND_US)
@@ -104,6 +114,7 @@
 /* Time line. */
 #define CQ_RING_EVENTS 8192
 #define CQ_EVENT_TEXT_BYTES 160
+#define CQ_LOG_LINE_BYTES 1024
 
 /* Operator commands. */
 #define CQ_EXIT_DONE 0
--- a/packages/base/rules.c
+++ b/packages/base/rules.c
@@ -27,6 +27,8 @@
     rules->streams_target = CQ_STREAMS_TARGET;
     rules->streams_max = CQ_STREAMS_MAX;
     rules->group_max = 1;
+    rules->retry_burst = CQ_RETRY_BURST;
+    rules->connect_us = CQ_CONNECT_US;
     rules->teams = g_array_new(FALSE, TRUE, sizeof(cq_team_rule_t));
     rules->models = g_array_new(FALSE, TRUE, sizeof(cq_model_rule_t));
     rules->calls = g_array_new(FALSE, TRUE, sizeof(cq_call_rule_t));
--- a/packages/base/rules.h
+++ b/packages/base/rules.h
@@ -9,14 +9,16 @@
 
 #include <glib.h>
 
+#include "speed.h"
 #include "limits.h"
 
 G_BEGIN_DECLS
 
-/** enum cq_service_kind_t - a model service or a plain one */
+/** enum cq_service_kind_t - what stands behind a service */
 typedef enum {
-    CQ_SERVICE_MODEL,
-    CQ_SERVICE_PLAIN,
+    CQ_SERVICE_MODEL, /* engines of which only rate and memory are known */
+    CQ_SERVICE_PLAIN, /* plain calls */
+    CQ_SERVICE_BATCH, /* engines whose passes are known: cq_speed_t */
 } cq_service_kind_t;
 
 /** enum cq_auth_t - how a caller shows its team */
@@ -79,6 +81,11 @@
  * @streams_max: streams on one engine
  * @group_max: engines that may hold one prompt together; 1: they cannot
  * @resume: whether engines resume a stream at a token
+ * @retry_burst: retries that may be saved up
+ * @connect_us: an upstream that takes no connection for so long is left
+ * @quiet_us: a call that may be repeated and makes no progress for so long is
+ *   moved without asking the upstream; 0: it is asked first
+ * @speed: BATCH: speed of an engine
  * @teams: array of cq_team_rule_t
  * @models: array of cq_model_rule_t
  * @calls: array of cq_call_rule_t
@@ -101,6 +108,10 @@
     gint64 streams_max;
     gint64 group_max;
     gboolean resume;
+    gint64 retry_burst;
+    gint64 connect_us;
+    gint64 quiet_us;
+    cq_speed_t speed;
     GArray *teams;
     GArray *models;
     GArray *calls;
--- a/packages/bench/sim.c
+++ b/packages/bench/sim.c
@@ -86,7 +86,7 @@
     news->from = host->index;
     news->summary = *summary;
     cq_hlc_t clock = {cq_world_now(sim), 0};
-    GBytes *frame = cq_codec_summary(summary, clock);
+    GBytes *frame = cq_codec_summary(summary, clock, NULL, 0);
     sim->totals.summary_bytes += g_bytes_get_size(frame);
     g_bytes_unref(frame);
     cq_heap_add(&sim->heap, cq_world_now(sim) + CQ_WORLD_HOP_US, on_summary,
@@ -156,6 +156,8 @@
     case CQ_AC_SUMMARY:
         send_summary(sim, host, action->summary);
         break;
+    case CQ_AC_TASK:
+        break;
     case CQ_AC_STOPPED:
         host->stopped = TRUE;
         break;
--- a/packages/bench/slopes.c
+++ b/packages/bench/slopes.c
@@ -253,7 +253,7 @@
                 share->placed_us[klass] = 1000000000LL * (klass + 1);
             }
         }
-        GBytes *frame = cq_codec_summary(&summary, clock);
+        GBytes *frame = cq_codec_summary(&summary, clock, NULL, 0);
         printf("slope.summary.%u_shares %zu B\n", shares[i],
                g_bytes_get_size(frame));
         g_bytes_unref(frame);
--- /dev/null
+++ b/packages/config/routes.c
@@ -0,0 +1,150 @@
+#include "config/routes.h"
+
+#include <string.h>
+
+#define HEAD_BYTES_MAX 16384
+#define BODY_BYTES_MAX (4 * 1024 * 1024)
+#define HEAD_TIMEOUT_US (3 * CQ_SECOND_US)
+#define IDLE_TIMEOUT_US (15 * CQ_SECOND_US)
+
+static void
+free_route(gpointer data)
+{
+    cq_route_t *route = data;
+    g_free(route->host);
+    g_free(route->prefix);
+    g_array_unref(route->targets);
+    g_free(route);
+}
+
+static void
+free_rules(gpointer data)
+{
+    cq_rules_unref(data);
+}
+
+static void
+free_list(gpointer data)
+{
+    g_ptr_array_unref(data);
+}
+
+cq_routes_t *
+cq_routes_new(void)
+{
+    cq_routes_t *routes = g_new0(cq_routes_t, 1);
+    routes->all = g_ptr_array_new_with_free_func(free_route);
+    routes->by_host =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_list);
+    routes->team_by_key =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    routes->rules = g_ptr_array_new_with_free_func(free_rules);
+    routes->head_bytes_max = HEAD_BYTES_MAX;
+    routes->body_bytes_max = BODY_BYTES_MAX;
+    routes->head_timeout_us = HEAD_TIMEOUT_US;
+    routes->idle_timeout_us = IDLE_TIMEOUT_US;
+    return routes;
+}
+
+void
+cq_routes_free(cq_routes_t *routes)
+{
+    g_hash_table_unref(routes->by_host);
+    g_hash_table_unref(routes->team_by_key);
+    g_ptr_array_unref(routes->rules);
+    g_ptr_array_unref(routes->all);
+    g_free(routes);
+}
+
+cq_route_t *
+cq_route_new(const char *host, const char *prefix)
+{
+    cq_route_t *route = g_new0(cq_route_t, 1);
+    route->host = g_ascii_strdown(host, -1);
+    route->prefix = g_strdup(prefix);
+    route->targets = g_array_new(FALSE, TRUE, sizeof(cq_route_target_t));
+    route->attempts_max = 1;
+    return route;
+}
+
+void
+cq_routes_add(cq_routes_t *routes, cq_route_t *route)
+{
+    g_ptr_array_add(routes->all, route);
+    GPtrArray *list = g_hash_table_lookup(routes->by_host, route->host);
+    if (list == NULL) {
+        list = g_ptr_array_new();
+        g_hash_table_insert(routes->by_host, g_strdup(route->host), list);
+    }
+    g_ptr_array_add(list, route);
+}
+
+static gint
+by_prefix(gconstpointer a, gconstpointer b)
+{
+    const cq_route_t *x = *(cq_route_t *const *)a;
+    const cq_route_t *y = *(cq_route_t *const *)b;
+    gsize p = strlen(x->prefix);
+    gsize q = strlen(y->prefix);
+    return p > q ? -1 : p < q;
+}
+
+void
+cq_routes_seal(cq_routes_t *routes)
+{
+    GHashTableIter iter;
+    gpointer list;
+    g_hash_table_iter_init(&iter, routes->by_host);
+    while (g_hash_table_iter_next(&iter, NULL, &list)) {
+        g_ptr_array_sort(list, by_prefix);
+    }
+}
+
+const cq_route_t *
+cq_routes_find(const cq_routes_t *routes, const char *host, const char *target)
+{
+    char name[CQ_HOST_NAME_BYTES];
+    gsize len = strcspn(host, ":");
+    if (len >= sizeof name) {
+        return NULL;
+    }
+    for (gsize i = 0; i < len; i++) {
+        name[i] = g_ascii_tolower(host[i]);
+    }
+    name[len] = '\0';
+    const GPtrArray *list = g_hash_table_lookup(routes->by_host, name);
+    gsize path = strcspn(target, "?#");
+    for (guint i = 0; list != NULL && i < list->len; i++) {
+        const cq_route_t *route = g_ptr_array_index(list, i);
+        gsize prefix = strlen(route->prefix);
+        if (prefix <= path && memcmp(route->prefix, target, prefix) == 0) {
+            return route;
+        }
+    }
+    return NULL;
+}
+
+const char *
+cq_routes_team(const cq_routes_t *routes, const char *key)
+{
+    return g_hash_table_lookup(routes->team_by_key, key);
+}
+
+const char *
+cq_route_pick(const cq_route_t *route, double random)
+{
+    gint64 sum = 0;
+    const cq_route_target_t *target = NULL;
+    for (guint i = 0; i < route->targets->len; i++) {
+        sum += g_array_index(route->targets, cq_route_target_t, i).weight;
+    }
+    double left = random * (double)sum;
+    for (guint i = 0; i < route->targets->len; i++) {
+        target = &g_array_index(route->targets, cq_route_target_t, i);
+        left -= (double)target->weight;
+        if (left < 0) {
+            break;
+        }
+    }
+    return target != NULL ? target->service : "";
+}
--- a/packages/config/settings.c
+++ b/packages/config/settings.c
@@ -8,6 +8,9 @@
 #define SIZE(member) sizeof(((cq_settings_t *)NULL)->member)
 #define NOTICE_MS 2000
 #define LIMIT_MS 60000
+#define RETRIES_MAX 1000000
+#define RETRY_PERCENT 20
+#define RETRY_WINDOW_MS 10000
 
 static const char *const levels[] = {"debug", "info", "warn", "error", NULL};
 
@@ -32,6 +35,14 @@
      NULL},
     {"platform", "hosts", CQ_FIELD_ADDRESS, OFFSET(hosts), SIZE(hosts), 0, 0,
      TRUE, NULL},
+    {"platform", "store", CQ_FIELD_ADDRESS, OFFSET(store), SIZE(store), 0, 0,
+     FALSE, NULL},
+    {"retries", "burst", CQ_FIELD_INTEGER, OFFSET(retry_burst), 0, 0,
+     RETRIES_MAX, FALSE, NULL},
+    {"retries", "percent", CQ_FIELD_INTEGER, OFFSET(retry_percent), 0, 0, 100,
+     FALSE, NULL},
+    {"retries", "window_ms", CQ_FIELD_INTEGER, OFFSET(retry_window_ms), 0, 1,
+     CQ_TIMEOUT_MAX_MS, FALSE, NULL},
     {"drain", "notice_ms", CQ_FIELD_INTEGER, OFFSET(notice_ms), 0, 0,
      CQ_TIMEOUT_MAX_MS, FALSE, NULL},
     {"drain", "limit_ms", CQ_FIELD_INTEGER, OFFSET(limit_ms), 0, 1,
@@ -130,8 +141,10 @@
             return FALSE;
         }
     }
+    /* The store takes the place of the log and the host list. */
     static const char *const sections[] = {"host", "listen", "platform"};
-    for (guint i = 0; i < G_N_ELEMENTS(sections); i++) {
+    guint len = G_N_ELEMENTS(sections) - (settings->store[0] != '\0');
+    for (guint i = 0; i < len; i++) {
         if (!cq_schema_required(fields, G_N_ELEMENTS(fields), items,
                                 sections[i], 0, file, error)) {
             return FALSE;
@@ -148,6 +161,9 @@
         .notice_ms = NOTICE_MS,
         .limit_ms = LIMIT_MS,
         .log_level = 1,
+        .retry_burst = CQ_RETRY_BURST,
+        .retry_percent = RETRY_PERCENT,
+        .retry_window_ms = RETRY_WINDOW_MS,
     };
     GArray *items = g_array_new(FALSE, TRUE, sizeof(cq_toml_item_t));
     gboolean good = cq_toml_parse(text, file, items, error);
--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -27,6 +27,12 @@
  * @peer_key: secret shared by the processes; "" allows loopback only
  * @log: address of the platform's log service
  * @hosts: address of the platform's host list
+ * @store: address of the platform's store, which holds configuration,
+ *   upstreams and hosts; "" when @log and @hosts are used
+ * @retry_burst: retries beyond the shares of the services that all hosts
+ *   together may spend within @retry_window_ms
+ * @retry_percent: retries as a share of first attempts
+ * @retry_window_ms: span of time of the two
  * @notice_ms: new requests are still taken for so long after SIGTERM
  * @limit_ms: after so long every remaining request is answered
  * @seed: of the random number generator; 0 takes one from the clock
@@ -43,6 +49,10 @@
     char peer_key[256];
     char log[CQ_ADDR_BYTES];
     char hosts[CQ_ADDR_BYTES];
+    char store[CQ_ADDR_BYTES];
+    gint64 retry_burst;
+    gint64 retry_percent;
+    gint64 retry_window_ms;
     gint64 notice_ms;
     gint64 limit_ms;
     gint64 seed;
--- a/packages/core/action.h
+++ b/packages/core/action.h
@@ -24,6 +24,7 @@
     CQ_AC_LEASE,
     CQ_AC_ORDER,
     CQ_AC_SUMMARY,
+    CQ_AC_TASK,
     CQ_AC_STOPPED,
 } cq_action_kind_t;
 
@@ -59,7 +60,7 @@
  * @priority: 0 is the most urgent
  * @resume_from: tokens that the caller already has
  * @fresh: open a new connection and never repeat by itself
- * @group: ids of all engines that hold the prompt, or empty
+ * @group: ids of all engines that hold or read the prompt, or empty
  * @group_len: number of @group
  */
 typedef struct {
@@ -132,7 +133,8 @@
 /**
  * struct cq_action_t - one action
  * @kind: which member is set; STOP, FORWARD and PROBE use @attempt, RESERVE
- *   and RELEASE use @memory, CLAIM and LEASE are records to append
+ *   and RELEASE use @memory, CLAIM and LEASE are records to append, WORK is
+ *   news for every peer
  */
 typedef struct {
     cq_action_kind_t kind;
@@ -145,6 +147,7 @@
         cq_lease_t lease;
         cq_ac_order_t order;
         cq_summary_t *summary;
+        cq_task_news_t task;
     };
 } cq_action_t;
 
--- /dev/null
+++ b/packages/core/batch.h
@@ -0,0 +1,27 @@
+/**
+ * DOC: batch
+ *
+ * How long engines that work in passes take: the cost model behind the
+ * placement of BATCH services. Times are in microseconds.
+ */
+#ifndef CQ_BATCH_H
+#define CQ_BATCH_H
+
+#include "base/speed.h"
+
+G_BEGIN_DECLS
+
+/** cq_batch_read_us() - Return: time to read a prompt of @tokens alone. Each
+ * token also costs its pairs with all earlier ones, so that the time grows
+ * with the square of the length */
+gint64
+cq_batch_read_us(const cq_speed_t *engine, gint64 tokens);
+
+/** cq_batch_pass_us() - Return: time of a pass's token steps for @streams
+ * that write with @context tokens in all, without any reading */
+gint64
+cq_batch_pass_us(const cq_speed_t *engine, gint64 streams, gint64 context);
+
+G_END_DECLS
+
+#endif
--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -2,6 +2,7 @@
 
 #include "core/answer.h"
 #include "core/claim.h"
+#include "core/fit.h"
 #include "core/flow.h"
 #include "core/group.h"
 #include "core/intake.h"
@@ -16,6 +17,7 @@
 #include "core/table.h"
 #include "core/usage.h"
 #include "core/watch.h"
+#include "core/task.h"
 
 /* Requests of a class passed over because they do not fit anywhere. */
 static const int misses_max[CQ_CLASSES] = {
@@ -78,6 +80,16 @@
     }
 }
 
+static void
+place_lanes(cq_core_t *core, cq_service_t *service)
+{
+    for (int klass = 0; klass < CQ_CLASSES; klass++) {
+        if (service->lanes[klass].count > 0) {
+            place_lane(core, &service->lanes[klass], misses_max[klass]);
+        }
+    }
+}
+
 static void
 place(cq_core_t *core)
 {
@@ -89,10 +101,14 @@
         if (service->stale) {
             cq_place_refresh(core, service);
         }
-        for (int klass = 0; klass < CQ_CLASSES; klass++) {
-            if (service->lanes[klass].count > 0) {
-                place_lane(core, &service->lanes[klass], misses_max[klass]);
-            }
+        switch (service->rules->kind) {
+        case CQ_SERVICE_MODEL:
+        case CQ_SERVICE_PLAIN:
+            place_lanes(core, service);
+            break;
+        case CQ_SERVICE_BATCH:
+            cq_fit_place(core, service);
+            break;
         }
     }
     core->placeable = FALSE;
@@ -195,7 +211,10 @@
         return;
     }
     core->log_up = up;
-    if (!up) {
+    if (up) {
+        core->log_back_us = core->now_us;
+    }
+    else {
         cq_counters_add(&core->counters, CQ_N_LOG_OUTAGES, 1);
     }
     cq_ring_add(&core->ring, core->now_us, 0, 0, "log", "up=%s",
@@ -212,7 +231,8 @@
     {"estimate", estimate},   {"watch", cq_watch_tick},
     {"sweep", sweep},         {"place", place},
     {"lease", cq_lease_tick}, {"order", cq_order_tick},
-    {"peers", cq_peer_tick},  {"drain", drain},
+    {"peers", cq_peer_tick},  {"works", cq_task_tick},
+    {"drain", drain},
 };
 
 static void
@@ -260,6 +280,9 @@
     case CQ_EV_SUMMARY:
         cq_peer_summary(core, event->summary);
         break;
+    case CQ_EV_TASKS:
+        cq_task_news(core, &event->tasks);
+        break;
     case CQ_EV_RULES:
         configure(core, event->rules);
         break;
@@ -354,6 +377,7 @@
     view->addr = upstream->addr;
     view->zone = upstream->zone;
     view->service = upstream->service->name;
+    view->incarnation = upstream->incarnation;
     view->leaving = upstream->leaving;
     return TRUE;
 }
@@ -375,7 +399,7 @@
     for (guint i = 0; i < core->services->len; i++) {
         const cq_service_t *service = g_ptr_array_index(core->services, i);
         if (service->rules == NULL ||
-            service->rules->kind == CQ_SERVICE_PLAIN) {
+            service->rules->kind != CQ_SERVICE_MODEL) {
             continue;
         }
         len = add_ids(service->nearby, ids, len, max);
--- a/packages/core/core.h
+++ b/packages/core/core.h
@@ -46,6 +46,7 @@
  * @addr: `ip:port`
  * @zone: availability zone
  * @service: its service
+ * @incarnation: newest incarnation seen
  * @leaving: whether it gets no new work
  */
 typedef struct {
@@ -53,6 +54,7 @@
     const char *addr;
     const char *zone;
     const char *service;
+    guint64 incarnation;
     gboolean leaving;
 } cq_upstream_view_t;
 
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -32,6 +32,7 @@
     CQ_EV_CACHE,
     CQ_EV_HOSTS,
     CQ_EV_SUMMARY,
+    CQ_EV_TASKS,
     CQ_EV_RULES,
     CQ_EV_CLAIM,
     CQ_EV_LEASE,
@@ -61,6 +62,11 @@
  * @prompt_tokens: length of the prompt in tokens
  * @output_tokens: largest answer in tokens, or 0 when unknown
  * @timeout_us: the caller's limit, or 0 for the service's default
+ * @aim_us: time within which the first token, or the answer of a plain
+ *   service, is worth most; 0: not told
+ * @gap_us: longest pause between events of a stream that is on time
+ * @attempts_max: upstreams that may run it; 0: as the service's rules say
+ * @resumable: whether another upstream can go on with its stream
  * @prefixes: ascending prefixes of the prompt
  * @prefixes_len: number of @prefixes
  */
@@ -74,6 +80,10 @@
     gint64 prompt_tokens;
     gint64 output_tokens;
     gint64 timeout_us;
+    gint64 aim_us;
+    gint64 gap_us;
+    guint attempts_max;
+    gboolean resumable;
     cq_prefix_t prefixes[CQ_PREFIX_LEVELS];
     guint prefixes_len;
 } cq_ev_request_t;
@@ -84,6 +94,7 @@
     CQ_FAIL_REFUSED, /* the upstream says that it did not run */
     CQ_FAIL_LEAVING, /* the same, because the upstream is leaving */
     CQ_FAIL_BROKEN,  /* the connection ended; it may have run */
+    CQ_FAIL_FAULT,   /* the upstream answered with its own fault */
 } cq_failure_t;
 
 /** enum cq_probe_t - what an upstream says of an attempt */
@@ -267,6 +278,51 @@
     guint leaving_len;
 } cq_summary_t;
 
+/** enum cq_task_kind_t - what became of a piece of work on engines */
+typedef enum {
+    CQ_TASK_RESET,   /* the host has none but those that follow */
+    CQ_TASK_PLACED,  /* a request was sent to engines */
+    CQ_TASK_WRITING, /* its prompt is read */
+    CQ_TASK_ENDED,   /* it is over */
+} cq_task_kind_t;
+
+/**
+ * struct cq_task_news_t - news of one request on engines
+ * @kind: what became of it; RESET uses no other member, WRITING and ENDED
+ *   only @request
+ * @request: its id
+ * @tokens: prompt and longest answer
+ * @part_us: time that each engine reads
+ * @gap_us: longest pause between its events
+ * @age_us: time since it was placed
+ * @writing: whether its prompt is read
+ * @engines: ids of the engines that read it; the first one writes
+ * @engines_len: number of @engines
+ */
+typedef struct {
+    cq_task_kind_t kind;
+    guint64 request;
+    gint64 tokens;
+    gint64 part_us;
+    gint64 gap_us;
+    gint64 age_us;
+    gboolean writing;
+    guint64 engines[CQ_GROUP_MAX];
+    guint engines_len;
+} cq_task_news_t;
+
+/**
+ * struct cq_ev_tasks_t - news from a peer, in order
+ * @host: the peer's host id
+ * @rows: the news
+ * @len: number of @rows
+ */
+typedef struct {
+    guint32 host;
+    const cq_task_news_t *rows;
+    guint len;
+} cq_ev_tasks_t;
+
 /**
  * struct cq_ev_drain_t - a planned stop
  * @notice_us: how long new requests are still taken
@@ -301,6 +357,7 @@
         cq_ev_ordered_t ordered;
         gboolean log_up;
         cq_ev_drain_t drain;
+        cq_ev_tasks_t tasks;
     };
 } cq_event_t;
 
--- /dev/null
+++ b/packages/core/fit.c
@@ -0,0 +1,300 @@
+#include "core/fit.h"
+
+#include "core/answer.h"
+#include "core/batch.h"
+#include "core/flow.h"
+#include "core/place.h"
+#include "core/send.h"
+
+/* Part of a stream's longest pause that a pass may take. */
+#define GAP_PERCENT 85
+/* Time kept back from the aim for the way to and from the engine. */
+#define MARGIN_US (25 * CQ_MS_US)
+/* A prompt that is read within this time shares an engine with others. */
+#define SHORT_US (150 * CQ_MS_US)
+/* Part of the time left that the first token of a long prompt should take;
+ * more engines are asked to read it until it does. */
+#define AIM_PERCENT 80
+/* A late prompt is read in parts of at most this time. */
+#define LATE_PART_US (500 * CQ_MS_US)
+
+/**
+ * struct seat_t - an engine as a request finds it
+ * @streams: requests that write there or will
+ * @memory: tokens held there
+ * @steps_us: token steps of a pass once the request writes there
+ * @wait_us: time until it could begin to read
+ * @room_us: reading that its streams allow in the next pass
+ */
+typedef struct {
+    cq_upstream_t *engine;
+    gint64 streams;
+    gint64 memory;
+    gint64 steps_us;
+    gint64 wait_us;
+    gint64 room_us;
+} seat_t;
+
+typedef struct {
+    seat_t seats[2 * CQ_SUBSET_MAX];
+    guint len;
+} survey_t;
+
+static void
+look_at(const cq_core_t *core, const cq_request_t *request,
+        cq_upstream_t *engine, seat_t *seat)
+{
+    const cq_speed_t *speed = &request->service->rules->speed;
+    gint64 context = request->prompt_tokens;
+    gint64 gap_us = G_MAXINT64;
+    gboolean writes = FALSE;
+    *seat = (seat_t){.engine = engine};
+    for (guint i = 0; i < engine->tasks->len; i++) {
+        const cq_task_t *task = g_ptr_array_index(engine->tasks, i);
+        if (task->engines[0] != engine) {
+            continue;
+        }
+        seat->streams++;
+        seat->memory += task->tokens;
+        context += task->tokens / task->engines_len;
+        writes = writes || task->writing;
+        if (task->gap_us > 0) {
+            gap_us = MIN(gap_us, task->gap_us);
+        }
+    }
+    gint64 pending_us = MAX(engine->read_until_us - core->now_us, 0);
+    seat->steps_us = cq_batch_pass_us(speed, seat->streams + 1, context);
+    seat->wait_us = pending_us + (writes ? seat->steps_us / 2 : 0);
+    seat->room_us = G_MAXINT64;
+    if (gap_us != G_MAXINT64) {
+        gint64 pass_us = gap_us * GAP_PERCENT / 100;
+        seat->room_us = pass_us - seat->steps_us - pending_us;
+    }
+}
+
+static void
+look_at_all(const cq_core_t *core, const cq_request_t *request,
+            const GPtrArray *upstreams, survey_t *survey)
+{
+    for (guint i = 0; i < upstreams->len; i++) {
+        cq_upstream_t *engine = g_ptr_array_index(upstreams, i);
+        if (!cq_place_usable(core, engine) ||
+            engine->id == request->last_failed) {
+            continue;
+        }
+        look_at(core, request, engine, &survey->seats[survey->len++]);
+    }
+}
+
+static gint64
+first_us(const seat_t *seat, gint64 part_us)
+{
+    gint64 steps_us = seat->streams > 0 ? seat->steps_us : 0;
+    return seat->wait_us + part_us + steps_us;
+}
+
+static gboolean
+can_write(const cq_request_t *request, const seat_t *seat)
+{
+    const cq_speed_t *speed = &request->service->rules->speed;
+    gint64 need = cq_place_need(request);
+    return seat->streams < speed->slots &&
+           seat->memory + need <= speed->memory_tokens;
+}
+
+/* The fullest engine that keeps every stream's pause. */
+static gboolean
+pack(const cq_request_t *request, const survey_t *survey, gint64 read_us,
+     gint64 left_us, cq_task_plan_t *plan)
+{
+    const seat_t *best = NULL;
+    for (guint i = 0; i < survey->len; i++) {
+        const seat_t *seat = &survey->seats[i];
+        gint64 us = first_us(seat, read_us);
+        if (seat->room_us < read_us || us > left_us ||
+            !can_write(request, seat)) {
+            continue;
+        }
+        if (best == NULL || seat->streams > best->streams ||
+            (seat->streams == best->streams &&
+             us < first_us(best, read_us))) {
+            best = seat;
+        }
+    }
+    if (best == NULL) {
+        return FALSE;
+    }
+    plan->engines[0] = best->engine;
+    plan->engines_len = 1;
+    plan->part_us = read_us;
+    plan->first_us = first_us(best, read_us);
+    return TRUE;
+}
+
+static gint
+by_wait(gconstpointer a, gconstpointer b)
+{
+    const seat_t *x = a;
+    const seat_t *y = b;
+    gint64 p = first_us(x, 0);
+    gint64 q = first_us(y, 0);
+    if (p != q) {
+        return p < q ? -1 : 1;
+    }
+    return x->streams < y->streams ? -1 : x->streams > y->streams;
+}
+
+/* Fills @plan with the first @parts seats in order that allow a part; one of
+ * them must be able to write, and goes first. */
+static gboolean
+split(const cq_request_t *request, const survey_t *survey, guint parts,
+      gint64 read_us, cq_task_plan_t *plan)
+{
+    gboolean writer = FALSE;
+    plan->engines_len = 0;
+    plan->first_us = 0;
+    plan->part_us = read_us / parts;
+    for (guint i = 0; i < survey->len && plan->engines_len < parts; i++) {
+        const seat_t *seat = &survey->seats[i];
+        gboolean last = plan->engines_len + 1 == parts;
+        gboolean writes = !writer && can_write(request, seat);
+        if (seat->room_us < plan->part_us || (last && !writer && !writes)) {
+            continue;
+        }
+        guint at = plan->engines_len++;
+        plan->engines[at] = seat->engine;
+        if (writes) {
+            plan->engines[at] = plan->engines[0];
+            plan->engines[0] = seat->engine;
+            writer = TRUE;
+        }
+        plan->first_us = MAX(plan->first_us, first_us(seat, plan->part_us));
+    }
+    return plan->engines_len == parts;
+}
+
+/* As few engines as meet the aim comfortably, else as many as it takes. */
+static gboolean
+split_in_time(const cq_request_t *request, survey_t *survey, gint64 read_us,
+              gint64 left_us, cq_task_plan_t *plan)
+{
+    cq_task_plan_t best = {.first_us = G_MAXINT64};
+    qsort(survey->seats, survey->len, sizeof(seat_t), by_wait);
+    for (guint parts = 1; parts <= CQ_GROUP_MAX; parts++) {
+        cq_task_plan_t one;
+        if (!split(request, survey, parts, read_us, &one)) {
+            continue;
+        }
+        if (one.first_us < best.first_us) {
+            best = one;
+        }
+        if (one.first_us <= left_us * AIM_PERCENT / 100) {
+            break;
+        }
+    }
+    if (best.first_us > left_us) {
+        return FALSE;
+    }
+    *plan = best;
+    return TRUE;
+}
+
+/* Only engines that have nothing to read, in parts that are soon done. */
+static gboolean
+split_late(const cq_request_t *request, survey_t *survey, gint64 read_us,
+           cq_task_plan_t *plan)
+{
+    guint kept = 0;
+    for (guint i = 0; i < survey->len; i++) {
+        const seat_t *seat = &survey->seats[i];
+        if (seat->wait_us <= seat->steps_us) {
+            survey->seats[kept++] = *seat;
+        }
+    }
+    survey->len = kept;
+    guint least = (guint)(read_us / LATE_PART_US) + 1;
+    for (guint parts = least; parts <= CQ_GROUP_MAX; parts++) {
+        if (split(request, survey, parts, read_us, plan)) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+gboolean
+cq_fit_choose(cq_core_t *core, const cq_request_t *request, gboolean late,
+              cq_task_plan_t *plan)
+{
+    const cq_service_t *service = request->service;
+    survey_t survey = {.len = 0};
+    look_at_all(core, request, service->nearby, &survey);
+    look_at_all(core, request, service->remote, &survey);
+    gint64 read_us =
+        cq_batch_read_us(&service->rules->speed, request->prompt_tokens);
+    if (late) {
+        return split_late(request, &survey, read_us, plan);
+    }
+    gint64 left_us = request->aim_us - core->now_us - MARGIN_US;
+    if (read_us <= SHORT_US) {
+        return pack(request, &survey, read_us, left_us, plan);
+    }
+    return split_in_time(request, &survey, read_us, left_us, plan);
+}
+
+static gint
+by_aim(gconstpointer a, gconstpointer b)
+{
+    const cq_request_t *x = *(cq_request_t *const *)a;
+    const cq_request_t *y = *(cq_request_t *const *)b;
+    return x->aim_us < y->aim_us ? -1 : x->aim_us > y->aim_us;
+}
+
+static GPtrArray *
+waiting(const cq_core_t *core, const cq_service_t *service)
+{
+    GPtrArray *found = g_ptr_array_new();
+    cq_list_t *link = core->requests.next;
+    for (; link != &core->requests; link = link->next) {
+        cq_request_t *request = CQ_ENTRY(link, cq_request_t, link);
+        if (request->service == service &&
+            request->phase == CQ_PHASE_QUEUED) {
+            g_ptr_array_add(found, request);
+        }
+    }
+    g_ptr_array_sort(found, by_aim);
+    return found;
+}
+
+static gboolean
+try_one(cq_core_t *core, cq_request_t *request, gboolean late)
+{
+    cq_task_plan_t plan;
+    if (!cq_fit_choose(core, request, late, &plan)) {
+        return FALSE;
+    }
+    cq_flow_take(request);
+    cq_task_open(core, request, &plan);
+    cq_send_start(core, request, plan.engines[0]);
+    return TRUE;
+}
+
+void
+cq_fit_place(cq_core_t *core, cq_service_t *service)
+{
+    GPtrArray *found = waiting(core, service);
+    gboolean on_time_waits = FALSE;
+    for (guint i = 0; i < found->len; i++) {
+        cq_request_t *request = g_ptr_array_index(found, i);
+        gboolean can = request->aim_us > core->now_us + MARGIN_US;
+        if (can && !try_one(core, request, FALSE)) {
+            on_time_waits = TRUE;
+        }
+    }
+    for (guint i = 0; i < found->len && !on_time_waits; i++) {
+        cq_request_t *request = g_ptr_array_index(found, i);
+        if (request->phase == CQ_PHASE_QUEUED) {
+            try_one(core, request, TRUE);
+        }
+    }
+    g_ptr_array_unref(found);
+}
--- a/packages/core/intake.c
+++ b/packages/core/intake.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/answer.h"
+#include "core/batch.h"
 #include "core/claim.h"
 #include "core/flow.h"
 #include "core/load.h"
@@ -31,10 +32,6 @@
 static gint64
 alone_us(const cq_request_t *request)
 {
-    const cq_service_t *service = request->service;
-    if (service->rules->kind == CQ_SERVICE_PLAIN) {
-        return 0;
-    }
     gint64 decode_us = request->output_tokens * CQ_DECODE_STEP_US;
     return cq_load_prompt_us(request) + decode_us;
 }
@@ -43,12 +40,19 @@
 cost_of(const cq_request_t *request)
 {
     const cq_service_t *service = request->service;
-    if (service->rules->kind == CQ_SERVICE_PLAIN) {
+    gint64 decode = request->output_tokens * CQ_DECODE_STEP_US;
+    gint64 us = 0;
+    switch (service->rules->kind) {
+    case CQ_SERVICE_PLAIN:
         return PLAIN_COST;
+    case CQ_SERVICE_MODEL:
+        us = cq_load_prefill_us(service, request->prompt_tokens);
+        us += decode / CQ_STREAMS_TARGET;
+        break;
+    case CQ_SERVICE_BATCH:
+        us = cq_batch_read_us(&service->rules->speed, request->prompt_tokens);
+        break;
     }
-    gint64 prefill = cq_load_prefill_us(service, request->prompt_tokens);
-    gint64 decode = request->output_tokens * CQ_DECODE_STEP_US;
-    gint64 us = prefill + decode / CQ_STREAMS_TARGET;
     return (double)us / (double)CQ_SECOND_US;
 }
 
@@ -73,6 +77,9 @@
     request->prompt_tokens = MAX(event->prompt_tokens, 1);
     request->output_tokens = event->output_tokens;
     request->output_known = event->output_tokens > 0;
+    request->gap_us = event->gap_us;
+    request->attempts_max = event->attempts_max;
+    request->resumable = event->resumable;
     if (!request->output_known) {
         request->output_tokens = CQ_OUTPUT_TOKENS_GUESS;
     }
@@ -110,6 +117,14 @@
         request->model = cq_ident_hash(event->model);
     }
     request->deadline_us = core->now_us + timeout_us(rules, event);
+    request->aim_us = request->deadline_us;
+    if (event->aim_us > 0) {
+        request->aim_us = MIN(core->now_us + event->aim_us, request->aim_us);
+    }
+    if (request->attempts_max == 0) {
+        request->attempts_max = (guint)rules->attempts_max;
+    }
+    request->resumable = request->resumable || rules->resume;
     request->cost = cost_of(request);
     cq_usage_open(request);
     return TRUE;
@@ -151,13 +166,18 @@
     if (cq_place_group_size(request) > service->rules->group_max) {
         return CQ_OUT_TOO_LONG;
     }
+    if (service->rules->kind == CQ_SERVICE_BATCH &&
+        cq_place_need(request) > service->rules->speed.memory_tokens) {
+        return CQ_OUT_OVERLOADED;
+    }
     if (service->nearby->len + service->remote->len == 0) {
         return CQ_OUT_NO_UPSTREAM;
     }
     if (g_hash_table_size(core->request_by_id) > CQ_REQUESTS_MAX) {
         return CQ_OUT_OVERLOADED;
     }
-    if (core->policy != CQ_POLICY_COST) {
+    if (core->policy != CQ_POLICY_COST ||
+        service->rules->kind == CQ_SERVICE_BATCH) {
         return CQ_OUT_DONE;
     }
     if (waiting(service) >= service->rules->queue_max) {
@@ -170,7 +190,7 @@
 count_demand(const cq_request_t *request)
 {
     cq_service_t *service = request->service;
-    if (service->rules->kind == CQ_SERVICE_PLAIN) {
+    if (service->rules->kind != CQ_SERVICE_MODEL) {
         return;
     }
     gint64 need = cq_place_need(request);
@@ -183,7 +203,7 @@
 {
     double earned = (double)service->rules->retry_percent / 100.0;
     double tokens = service->retry_tokens + earned;
-    service->retry_tokens = MIN(tokens, CQ_RETRY_BURST);
+    service->retry_tokens = MIN(tokens, (double)service->rules->retry_burst);
 }
 
 void
--- a/packages/core/load.c
+++ b/packages/core/load.c
@@ -1,8 +1,10 @@
 #include "core/load.h"
 
+#include "core/batch.h"
 #include "core/place.h"
 #include "core/table.h"
 #include "core/usage.h"
+#include "core/task.h"
 
 /* A decode step costs STEP_BASE of the target time plus a part that grows
  * with the batch, so that it meets the target time at the target batch. */
@@ -51,6 +53,11 @@
 gint64
 cq_load_prompt_us(const cq_request_t *request)
 {
+    if (request->service->rules->kind == CQ_SERVICE_BATCH) {
+        return cq_batch_read_us(&request->service->rules->speed,
+                                request->prompt_tokens) /
+               CQ_GROUP_MAX;
+    }
     gint64 size = cq_place_group_size(request);
     return cq_load_prefill_us(request->service, request->prompt_tokens) / size;
 }
@@ -189,6 +196,7 @@
     cq_load_hold(core, upstream, -request->charged_kv);
     request->charged_kv = 0;
     request->charged_us = 0;
+    cq_task_close(core, request);
     request->upstream = NULL;
     core->placeable = TRUE;
 }
--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -29,6 +29,7 @@
         upstream->incarnation = row->incarnation;
         upstream->leaving = FALSE;
         upstream->suspect_until_us = 0;
+        upstream->strikes = 0;
         upstream->service->stale = TRUE;
         upstream->models_len = 0;
         upstream->loading = 0;
@@ -179,6 +180,7 @@
             }
             service->stale = TRUE;
             if (!upstream->listed) {
+                upstream->unlisted_us = core->now_us;
                 cq_ring_add(&core->ring, core->now_us, 0, 0, "unlisted",
                             "upstream=%s", upstream->name);
             }
@@ -219,7 +221,7 @@
 {
     return !upstream->listed && upstream->own_streams == 0 &&
            upstream->own_kv_tokens == 0 && upstream->peer_streams == 0 &&
-           upstream->peer_kv_tokens == 0;
+           upstream->peer_kv_tokens == 0 && upstream->tasks->len == 0;
 }
 
 void
--- a/packages/core/peer.c
+++ b/packages/core/peer.c
@@ -5,6 +5,7 @@
 #include "core/load.h"
 #include "core/member.h"
 #include "core/table.h"
+#include "core/task.h"
 
 static void
 touch(GPtrArray *upstreams)
@@ -65,6 +66,7 @@
     if (peer == NULL) {
         peer = cq_table_need_peer(core, summary->host);
         touch_all(core);
+        cq_task_tell_all(core);
     }
     if (summary->incarnation > peer->incarnation) {
         cq_load_forget_peer(core, peer);
--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -58,6 +58,20 @@
     return p < q ? -1 : p > q;
 }
 
+/* Entries that lapsed while the log was away are written anew once it is back,
+ * so that one which is missing just then may live. */
+static gboolean
+gone(const cq_core_t *core, const cq_upstream_t *upstream)
+{
+    if (upstream->listed) {
+        return FALSE;
+    }
+    gint64 back_us = core->log_back_us;
+    gboolean lapsed = back_us > 0 && upstream->unlisted_us >= back_us &&
+                      upstream->unlisted_us < back_us + CQ_LAPSE_US;
+    return !lapsed || core->now_us >= back_us + CQ_LAPSE_US;
+}
+
 /* Keeps the subset that this host watches; every host ranks differently, and
  * the kept ones are then put into the order that all hosts share. */
 static void
@@ -103,7 +117,7 @@
         for (; link != &service->upstreams; link = link->next) {
             cq_upstream_t *upstream = CQ_ENTRY(link, cq_upstream_t, link);
             upstream->slot = -1;
-            if (upstream->leaving || !upstream->listed) {
+            if (upstream->leaving || gone(core, upstream)) {
                 continue;
             }
             upstream->near = g_str_equal(upstream->zone, core->zone);
@@ -120,7 +134,7 @@
 gboolean
 cq_place_usable(const cq_core_t *core, const cq_upstream_t *upstream)
 {
-    if (upstream->leaving || !upstream->listed) {
+    if (upstream->leaving || gone(core, upstream)) {
         return FALSE;
     }
     return upstream->suspect_until_us <= core->now_us;
@@ -464,7 +478,7 @@
 cq_place_group_size(const cq_request_t *request)
 {
     const cq_rules_t *rules = request->service->rules;
-    if (rules->kind == CQ_SERVICE_PLAIN) {
+    if (rules->kind != CQ_SERVICE_MODEL) {
         return 1;
     }
     gint64 whole = usable_kv(rules);
--- a/packages/core/send.c
+++ b/packages/core/send.c
@@ -7,15 +7,20 @@
 #include "core/member.h"
 #include "core/place.h"
 #include "core/table.h"
+#include "core/task.h"
 
-#define PERCENT 100.0
+/* Attempts beyond the limit for those that never reached their upstream. */
+#define UNSENT_MAX 2
+/* An upstream that broke calls in a row is left alone for doubling times. */
+#define STRIKES_MAX 4
+#define FAULT_STATUS 500
 
 static void
 charge(cq_core_t *core, cq_request_t *request)
 {
     const cq_service_t *service = request->service;
     cq_upstream_t *upstream = request->upstream;
-    if (service->rules->kind == CQ_SERVICE_PLAIN) {
+    if (service->rules->kind != CQ_SERVICE_MODEL) {
         cq_load_charge(core, request, 0, 0);
         return;
     }
@@ -34,6 +39,11 @@
         send->group[i] = request->group[i]->id;
     }
     send->group_len = request->group_len;
+    const cq_task_t *task = request->task;
+    for (guint i = 0; task != NULL && i < task->engines_len; i++) {
+        send->group[i] = task->engines[i]->id;
+        send->group_len = task->engines_len;
+    }
 }
 
 void
@@ -89,12 +99,16 @@
 }
 
 static gboolean
-budget_allows(cq_core_t *core, cq_request_t *request)
+budget_allows(cq_core_t *core, cq_request_t *request, cq_failure_t failure)
 {
     cq_service_t *service = request->service;
-    if (request->attempt >= service->rules->attempts_max) {
+    if (request->attempt - request->unsent >= request->attempts_max ||
+        request->attempt >= request->attempts_max + UNSENT_MAX) {
         return FALSE;
     }
+    if (failure == CQ_FAIL_CONNECT) {
+        return TRUE;
+    }
     if (service->retry_tokens < 1) {
         cq_counters_add(&core->counters, CQ_N_RETRY_DENIED, 1);
         return FALSE;
@@ -107,13 +121,13 @@
 static gboolean
 may_run_again(const cq_request_t *request, cq_failure_t failure)
 {
-    if (failure != CQ_FAIL_BROKEN) {
+    if (failure != CQ_FAIL_BROKEN && failure != CQ_FAIL_FAULT) {
         return request->forwarded == 0 || request->repeatable;
     }
     if (!request->repeatable) {
         return FALSE;
     }
-    return request->forwarded == 0 || request->service->rules->resume;
+    return request->forwarded == 0 || request->resumable;
 }
 
 static void
@@ -141,7 +155,7 @@
 cq_send_fail(cq_core_t *core, cq_request_t *request, cq_failure_t failure)
 {
     static const char *const names[] = {"connect", "refused", "leaving",
-                                        "broken"};
+                                        "broken", "fault"};
     cq_upstream_t *upstream = request->upstream;
     /* A connection that failed after the request left may have run. */
     if (failure == CQ_FAIL_CONNECT && request->sent) {
@@ -159,18 +173,26 @@
     }
     if (failure == CQ_FAIL_CONNECT) {
         upstream->suspect_until_us = core->now_us + CQ_SUSPECT_US;
+        request->unsent++;
     }
     if (failure == CQ_FAIL_BROKEN) {
-        upstream->suspect_until_us = core->now_us + CQ_SECOND_US;
+        guint doublings = MIN(upstream->strikes, STRIKES_MAX);
+        upstream->strikes++;
+        upstream->suspect_until_us =
+            core->now_us + (CQ_SECOND_US << doublings);
     }
     request->last_failed = upstream->id;
     request->sent = FALSE;
     cq_load_release(core, request);
     cq_group_release(core, request);
-    if (may_run_again(request, failure) && budget_allows(core, request)) {
+    if (may_run_again(request, failure) && budget_allows(core, request, failure)) {
         queue_again(core, request);
         return;
     }
+    if (failure == CQ_FAIL_FAULT) {
+        cq_answer_done(core, request, FAULT_STATUS);
+        return;
+    }
     cq_answer_give(core, request, outcome_of(request));
 }
 
@@ -201,6 +223,7 @@
                       (core->now_us - request->arrived_us) / CQ_MS_US);
     }
     on_sent(core, request);
+    cq_task_first_token(core, request);
     request->progress_us = core->now_us;
     request->unanswered = 0;
     request->forwarded += tokens;
@@ -218,6 +241,7 @@
 on_done(cq_core_t *core, cq_request_t *request, int status)
 {
     on_sent(core, request);
+    request->upstream->strikes = 0;
     if (request->forwarded > 0) {
         cq_load_learn_output(request->service, request->forwarded);
     }
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -41,6 +41,34 @@
     gint64 kv_tokens;
 } cq_load_t;
 
+/**
+ * struct cq_task_t - a request on engines, of this process or of a peer
+ * @request: its id
+ * @host: who sent it
+ * @engines: those that read its prompt; the first one writes
+ * @engines_len: number of @engines
+ * @tokens: prompt and longest answer, held by the first engine
+ * @part_us: time that each engine reads
+ * @gap_us: longest pause between its events, or 0
+ * @placed_us: when it was sent
+ * @first_us: when its first token is expected
+ * @until_us: when it is forgotten if its end is never told
+ * @writing: its prompt is read
+ */
+typedef struct {
+    guint64 request;
+    guint32 host;
+    struct cq_upstream *engines[CQ_GROUP_MAX];
+    guint engines_len;
+    gint64 tokens;
+    gint64 part_us;
+    gint64 gap_us;
+    gint64 placed_us;
+    gint64 first_us;
+    gint64 until_us;
+    gboolean writing;
+} cq_task_t;
+
 /**
  * struct cq_upstream_t - an upstream
  * @link: in its service's list
@@ -62,8 +90,12 @@
  * @ordered: hash of the model of an order that no report shows yet, or 0
  * @beliefs: prefix hash to the time at which it was last sent
  * @touched: own share changed since the last summary
+ * @tasks: array of cq_task_t*: what is read or written there
+ * @read_until_us: when the reading placed there is done
+ * @strikes: calls that it broke in a row
+ * @unlisted_us: when the list lost it
  */
-typedef struct {
+typedef struct cq_upstream {
     cq_list_t link;
     guint64 id;
     char name[CQ_NAME_BYTES];
@@ -96,6 +128,10 @@
     gint64 ordered_us;
     GHashTable *beliefs;
     gboolean touched;
+    GPtrArray *tasks;
+    gint64 read_until_us;
+    guint strikes;
+    gint64 unlisted_us;
 } cq_upstream_t;
 
 /**
@@ -195,6 +231,10 @@
  * @sends: attempts of which a byte may have left and that were not refused
  * @forwarded: tokens that the caller has
  * @group: engines asked for memory; @granted counts those that agreed
+ * @aim_us: when its first token, or its answer, is worth most
+ * @gap_us: longest pause between its events
+ * @unsent: attempts that never reached their upstream
+ * @work: its entry in the ledger of engines
  */
 typedef struct {
     cq_list_t link;
@@ -241,6 +281,12 @@
     guint group_len;
     guint granted;
     guint backoffs;
+    gint64 aim_us;
+    gint64 gap_us;
+    guint attempts_max;
+    gboolean resumable;
+    guint unsent;
+    cq_task_t *task;
 } cq_request_t;
 
 /**
@@ -290,6 +336,9 @@
  * @peers: array of cq_listed_t: those that this process keeps links to
  * @reads_log: whether this process follows the log all the time
  * @claims: key to cq_claim_entry_t*
+ * @tasks: request id to cq_task_t*
+ * @tasks_told_us: when peers were last told all works of this process
+ * @log_back_us: when the platform's log last answered again
  * @reserved: reservations without a release
  * @touched: a share changed since the last summary
  */
@@ -313,8 +362,11 @@
     gboolean reads_log;
     GHashTable *claims;
     cq_lease_state_t lease;
+    GHashTable *tasks;
+    gint64 tasks_told_us;
     guint reserved;
     gboolean log_up;
+    gint64 log_back_us;
     gboolean draining;
     gint64 drain_notice_us;
     gint64 drain_limit_us;
--- a/packages/core/table.c
+++ b/packages/core/table.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "core/task.h"
+
 static guint
 key_hash(gconstpointer key)
 {
@@ -20,6 +22,7 @@
 {
     cq_upstream_t *upstream = data;
     g_hash_table_unref(upstream->beliefs);
+    g_ptr_array_unref(upstream->tasks);
     g_free(upstream);
 }
 
@@ -60,6 +63,8 @@
     core->peers = g_array_new(FALSE, FALSE, sizeof(cq_listed_t));
     core->reads_log = TRUE;
     core->entry_hosts = g_hash_table_new(g_direct_hash, g_direct_equal);
+    core->tasks = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+                                        cq_task_free);
     core->claims = g_hash_table_new_full(key_hash, key_equal, NULL, g_free);
 }
 
@@ -67,6 +72,7 @@
 cq_table_clear(cq_core_t *core)
 {
     g_hash_table_unref(core->claims);
+    g_hash_table_unref(core->tasks);
     g_hash_table_unref(core->entry_hosts);
     g_array_unref(core->peers);
     g_hash_table_unref(core->peer_by_host);
@@ -153,6 +159,7 @@
     upstream->service = service;
     upstream->beliefs =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    upstream->tasks = g_ptr_array_new();
     cq_list_init(&upstream->link);
     cq_list_append(&service->upstreams, &upstream->link);
     service->stale = TRUE;
--- /dev/null
+++ b/packages/core/task.c
@@ -0,0 +1,255 @@
+#include "core/task.h"
+
+#include <string.h>
+
+#include "core/table.h"
+
+/* A peer's task whose end was lost with its connection is forgotten then. */
+#define FORGET_US (20 * CQ_SECOND_US)
+/* News are sent once each; the whole is told again in case some were lost. */
+#define TELL_ALL_US (3 * CQ_SECOND_US)
+
+void
+cq_task_free(gpointer data)
+{
+    g_free(data);
+}
+
+static void
+tell(cq_core_t *core, const cq_task_news_t *news)
+{
+    cq_action_t action = {.kind = CQ_AC_TASK, .task = *news};
+    cq_actions_add(core->actions, &action);
+}
+
+static void
+tell_placed(cq_core_t *core, const cq_task_t *task)
+{
+    cq_task_news_t news = {
+        .kind = CQ_TASK_PLACED,
+        .request = task->request,
+        .tokens = task->tokens,
+        .part_us = task->part_us,
+        .gap_us = task->gap_us,
+        .age_us = core->now_us - task->placed_us,
+        .writing = task->writing,
+        .engines_len = task->engines_len,
+    };
+    for (guint i = 0; i < task->engines_len; i++) {
+        news.engines[i] = task->engines[i]->id;
+    }
+    tell(core, &news);
+}
+
+static void
+tell_change(cq_core_t *core, guint64 request, cq_task_kind_t kind)
+{
+    cq_task_news_t news = {.kind = kind, .request = request};
+    tell(core, &news);
+}
+
+/* An engine that has nothing left to read is free now, whatever was expected
+ * of it; one that has is done by the sum of it at the latest. */
+static void
+correct_reading(const cq_core_t *core, cq_upstream_t *engine)
+{
+    gint64 left_us = 0;
+    for (guint i = 0; i < engine->tasks->len; i++) {
+        const cq_task_t *task = g_ptr_array_index(engine->tasks, i);
+        left_us += task->writing ? 0 : task->part_us;
+    }
+    engine->read_until_us =
+        MIN(engine->read_until_us, core->now_us + left_us);
+}
+
+static void
+enter(cq_core_t *core, cq_task_t *task)
+{
+    g_hash_table_replace(core->tasks, &task->request, task);
+    for (guint i = 0; i < task->engines_len; i++) {
+        cq_upstream_t *engine = task->engines[i];
+        g_ptr_array_add(engine->tasks, task);
+        if (!task->writing) {
+            gint64 from_us = MAX(engine->read_until_us, task->placed_us);
+            engine->read_until_us = from_us + task->part_us;
+        }
+    }
+}
+
+static void
+set_writing(cq_core_t *core, cq_task_t *task)
+{
+    task->writing = TRUE;
+    for (guint i = 0; i < task->engines_len; i++) {
+        correct_reading(core, task->engines[i]);
+    }
+    core->placeable = TRUE;
+}
+
+static void
+leave(cq_core_t *core, cq_task_t *task)
+{
+    for (guint i = 0; i < task->engines_len; i++) {
+        g_ptr_array_remove_fast(task->engines[i]->tasks, task);
+        correct_reading(core, task->engines[i]);
+    }
+    g_hash_table_remove(core->tasks, &task->request);
+    core->placeable = TRUE;
+}
+
+void
+cq_task_open(cq_core_t *core, cq_request_t *request,
+             const cq_task_plan_t *plan)
+{
+    cq_task_t *task = g_new0(cq_task_t, 1);
+    task->request = request->id;
+    task->host = core->host;
+    task->engines_len = plan->engines_len;
+    memcpy(task->engines, plan->engines, sizeof task->engines);
+    task->tokens = request->prompt_tokens + request->output_tokens;
+    task->part_us = plan->part_us;
+    task->gap_us = request->gap_us;
+    task->placed_us = core->now_us;
+    task->first_us = core->now_us + plan->first_us;
+    task->until_us = request->deadline_us + CQ_SECOND_US;
+    enter(core, task);
+    request->task = task;
+    tell_placed(core, task);
+}
+
+void
+cq_task_first_token(cq_core_t *core, cq_request_t *request)
+{
+    if (request->task == NULL || request->task->writing) {
+        return;
+    }
+    set_writing(core, request->task);
+    tell_change(core, request->id, CQ_TASK_WRITING);
+}
+
+void
+cq_task_close(cq_core_t *core, cq_request_t *request)
+{
+    if (request->task == NULL) {
+        return;
+    }
+    leave(core, request->task);
+    request->task = NULL;
+    tell_change(core, request->id, CQ_TASK_ENDED);
+}
+
+static void
+forget_host(cq_core_t *core, guint32 host)
+{
+    GPtrArray *gone = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, core->tasks);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const cq_task_t *task = value;
+        if (task->host == host) {
+            g_ptr_array_add(gone, value);
+        }
+    }
+    for (guint i = 0; i < gone->len; i++) {
+        leave(core, g_ptr_array_index(gone, i));
+    }
+    g_ptr_array_unref(gone);
+}
+
+static void
+take_placed(cq_core_t *core, guint32 host, const cq_task_news_t *news)
+{
+    cq_task_t *task = g_new0(cq_task_t, 1);
+    task->request = news->request;
+    task->host = host;
+    task->tokens = news->tokens;
+    task->part_us = news->part_us;
+    task->gap_us = news->gap_us;
+    task->placed_us = core->now_us - news->age_us;
+    task->until_us = task->placed_us + FORGET_US;
+    task->writing = news->writing;
+    for (guint i = 0; i < news->engines_len; i++) {
+        cq_upstream_t *engine = cq_table_upstream(core, news->engines[i]);
+        if (engine != NULL) {
+            task->engines[task->engines_len++] = engine;
+        }
+    }
+    enter(core, task);
+}
+
+void
+cq_task_news(cq_core_t *core, const cq_ev_tasks_t *event)
+{
+    if (event->host == core->host) {
+        return;
+    }
+    for (guint i = 0; i < event->len; i++) {
+        const cq_task_news_t *news = &event->rows[i];
+        cq_task_t *task = g_hash_table_lookup(core->tasks, &news->request);
+        if (task != NULL && task->host != event->host) {
+            continue;
+        }
+        switch (news->kind) {
+        case CQ_TASK_RESET:
+            forget_host(core, event->host);
+            break;
+        case CQ_TASK_PLACED:
+            if (task != NULL) {
+                leave(core, task);
+            }
+            take_placed(core, event->host, news);
+            break;
+        case CQ_TASK_WRITING:
+            if (task != NULL) {
+                set_writing(core, task);
+            }
+            break;
+        case CQ_TASK_ENDED:
+            if (task != NULL) {
+                leave(core, task);
+            }
+            break;
+        }
+    }
+}
+
+void
+cq_task_tell_all(cq_core_t *core)
+{
+    gboolean any = g_hash_table_size(core->tasks) > 0;
+    core->tasks_told_us = core->now_us;
+    if (!any) {
+        return;
+    }
+    tell_change(core, 0, CQ_TASK_RESET);
+    const cq_list_t *link = core->requests.next;
+    for (; link != &core->requests; link = link->next) {
+        const cq_request_t *request = CQ_ENTRY(link, cq_request_t, link);
+        if (request->task != NULL) {
+            tell_placed(core, request->task);
+        }
+    }
+}
+
+void
+cq_task_tick(cq_core_t *core)
+{
+    GPtrArray *gone = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, core->tasks);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const cq_task_t *task = value;
+        if (task->host != core->host && task->until_us < core->now_us) {
+            g_ptr_array_add(gone, value);
+        }
+    }
+    for (guint i = 0; i < gone->len; i++) {
+        leave(core, g_ptr_array_index(gone, i));
+    }
+    g_ptr_array_unref(gone);
+    if (core->now_us - core->tasks_told_us >= TELL_ALL_US) {
+        cq_task_tell_all(core);
+    }
+}
--- a/packages/core/watch.c
+++ b/packages/core/watch.c
@@ -8,6 +8,10 @@
 
 #define UNANSWERED_MAX 2
 #define WAITED_US CQ_SECOND_US
+/* Part of its aim after which a plain call is tried elsewhere. */
+#define PLAIN_PERCENT 75
+/* Part of its time that a request may spend waiting for engines. */
+#define LATE_PERCENT 70
 
 static void
 stop_and_fail(cq_core_t *core, cq_request_t *request, cq_failure_t failure)
@@ -45,14 +49,48 @@
     cq_actions_add(core->actions, &action);
 }
 
+/* When a call that may be repeated should have shown something by. */
+static gint64
+overdue_us(const cq_request_t *request)
+{
+    const cq_rules_t *rules = request->service->rules;
+    if (rules->kind == CQ_SERVICE_PLAIN) {
+        gint64 aim_us = request->aim_us - request->arrived_us;
+        return request->phase_us + MIN(aim_us * PLAIN_PERCENT / 100,
+                                       rules->quiet_us);
+    }
+    gint64 from_us = request->progress_us;
+    if (request->task != NULL && !request->task->writing) {
+        from_us = MAX(from_us, request->task->first_us);
+    }
+    return from_us + rules->quiet_us;
+}
+
+static void
+watch_quiet(cq_core_t *core, cq_request_t *request)
+{
+    gboolean may_move =
+        request->repeatable &&
+        (request->forwarded == 0 || request->resumable) &&
+        request->attempt - request->unsent < request->attempts_max;
+    if (may_move && request->sent && core->now_us > overdue_us(request)) {
+        fail_silent(core, request, "no_progress");
+    }
+}
+
 static void
 watch_running(cq_core_t *core, cq_request_t *request)
 {
     gint64 now_us = core->now_us;
-    if (!request->sent && now_us - request->phase_us > CQ_CONNECT_US) {
+    const cq_rules_t *rules = request->service->rules;
+    if (!request->sent && now_us - request->phase_us > rules->connect_us) {
         stop_and_fail(core, request, CQ_FAIL_CONNECT);
         return;
     }
+    if (rules->quiet_us > 0) {
+        watch_quiet(core, request);
+        return;
+    }
     gboolean quiet = now_us - request->progress_us > CQ_SILENT_US;
     gboolean due = now_us - request->probed_us > CQ_PROBE_US;
     if (request->sent && quiet && due) {
@@ -60,6 +98,19 @@
     }
 }
 
+/* A prompt whose aim is past waits for idle engines, but not until the caller
+ * is better served by coming back. */
+static void
+watch_late(cq_core_t *core, cq_request_t *request)
+{
+    gint64 least_us = cq_load_prompt_us(request);
+    gint64 time_us = request->deadline_us - request->arrived_us;
+    gint64 give_up_us = request->arrived_us + time_us * LATE_PERCENT / 100;
+    if (core->now_us + least_us > give_up_us) {
+        cq_answer_give(core, request, CQ_OUT_OVERLOADED);
+    }
+}
+
 /* A request that waited and can't finish any more is given up at once. One
  * that the caller has begun to read is tried to the end. */
 static void
@@ -68,6 +119,10 @@
     if (core->policy != CQ_POLICY_COST || request->forwarded > 0) {
         return;
     }
+    if (request->service->rules->kind == CQ_SERVICE_BATCH) {
+        watch_late(core, request);
+        return;
+    }
     gboolean waited = core->now_us - request->arrived_us > WAITED_US;
     gint64 needed_us =
         waited ? cq_load_run_us(request) : cq_load_least_us(request);
--- /dev/null
+++ b/packages/http/h1.c
@@ -0,0 +1,319 @@
+#include "http/h1.h"
+
+#include <http_parser.h>
+#include <string.h>
+
+struct cq_h1 {
+    cq_h1_options_t options;
+    http_parser parser;
+    http_parser_settings callbacks;
+    cq_h1_head_t head;
+    GString *target;
+    GString *name;
+    GString *value;
+    gboolean in_value;
+    gboolean begun;
+    gboolean ended;
+    gboolean headless; /* the answer to a HEAD has no body */
+    gboolean head_done;
+    gsize head_bytes;
+    cq_h1_fault_t fault;
+};
+
+static void
+clear_field(gpointer data)
+{
+    cq_h1_field_t *field = data;
+    g_free(field->name);
+    g_free(field->value);
+}
+
+static void
+add_field(cq_h1_t *reader)
+{
+    if (reader->name->len > 0) {
+        cq_h1_field_t field = {
+            .name = g_strdup(reader->name->str),
+            .value = g_strstrip(g_strdup(reader->value->str)),
+        };
+        g_array_append_val(reader->head.fields, field);
+    }
+    g_string_truncate(reader->name, 0);
+    g_string_truncate(reader->value, 0);
+    reader->in_value = FALSE;
+}
+
+static int
+on_begin(http_parser *parser)
+{
+    cq_h1_t *reader = parser->data;
+    g_array_set_size(reader->head.fields, 0);
+    g_string_truncate(reader->target, 0);
+    g_string_truncate(reader->name, 0);
+    g_string_truncate(reader->value, 0);
+    reader->in_value = FALSE;
+    reader->head_done = FALSE;
+    reader->head_bytes = 0;
+    reader->begun = TRUE;
+    return 0;
+}
+
+static int
+on_target(http_parser *parser, const char *at, size_t len)
+{
+    cq_h1_t *reader = parser->data;
+    g_string_append_len(reader->target, at, (gssize)len);
+    return 0;
+}
+
+static int
+on_name(http_parser *parser, const char *at, size_t len)
+{
+    cq_h1_t *reader = parser->data;
+    if (reader->in_value) {
+        add_field(reader);
+    }
+    g_string_append_len(reader->name, at, (gssize)len);
+    return 0;
+}
+
+static int
+on_value(http_parser *parser, const char *at, size_t len)
+{
+    cq_h1_t *reader = parser->data;
+    reader->in_value = TRUE;
+    g_string_append_len(reader->value, at, (gssize)len);
+    return 0;
+}
+
+static gboolean
+interim(const cq_h1_t *reader)
+{
+    return reader->options.answers && reader->parser.status_code < 200;
+}
+
+static int
+on_head(http_parser *parser)
+{
+    cq_h1_t *reader = parser->data;
+    add_field(reader);
+    reader->head_done = TRUE;
+    cq_h1_head_t *head = &reader->head;
+    head->target = reader->target->str;
+    head->status = reader->options.answers ? (int)parser->status_code : 0;
+    head->method = reader->options.answers
+                       ? ""
+                       : http_method_str((enum http_method)parser->method);
+    head->sized = (parser->flags & F_CHUNKED) != 0 ||
+                  parser->content_length != ULLONG_MAX;
+    head->keep = http_should_keep_alive(parser) != 0;
+    head->old = parser->http_major == 1 && parser->http_minor == 0;
+    const char *expect = cq_h1_get(head, "Expect");
+    head->expects =
+        expect != NULL && g_ascii_strcasecmp(expect, "100-continue") == 0;
+    if (interim(reader)) {
+        return 0;
+    }
+    reader->options.ops.head(reader->options.ops.data, head);
+    return reader->headless ? 1 : 0;
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t len)
+{
+    cq_h1_t *reader = parser->data;
+    reader->options.ops.body(reader->options.ops.data, at, len);
+    return 0;
+}
+
+static int
+on_done(http_parser *parser)
+{
+    cq_h1_t *reader = parser->data;
+    reader->begun = FALSE;
+    if (!interim(reader)) {
+        reader->ended = TRUE;
+        http_parser_pause(parser, 1);
+    }
+    return 0;
+}
+
+cq_h1_t *
+cq_h1_new(const cq_h1_options_t *options)
+{
+    cq_h1_t *reader = g_new0(cq_h1_t, 1);
+    reader->options = *options;
+    http_parser_init(&reader->parser,
+                     options->answers ? HTTP_RESPONSE : HTTP_REQUEST);
+    http_parser_settings_init(&reader->callbacks);
+    reader->callbacks.on_message_begin = on_begin;
+    reader->callbacks.on_url = on_target;
+    reader->callbacks.on_header_field = on_name;
+    reader->callbacks.on_header_value = on_value;
+    reader->callbacks.on_headers_complete = on_head;
+    reader->callbacks.on_body = on_body;
+    reader->callbacks.on_message_complete = on_done;
+    reader->parser.data = reader;
+    reader->head.fields = g_array_new(FALSE, FALSE, sizeof(cq_h1_field_t));
+    g_array_set_clear_func(reader->head.fields, clear_field);
+    reader->target = g_string_new("");
+    reader->name = g_string_new("");
+    reader->value = g_string_new("");
+    return reader;
+}
+
+void
+cq_h1_free(cq_h1_t *reader)
+{
+    g_array_unref(reader->head.fields);
+    g_string_free(reader->target, TRUE);
+    g_string_free(reader->name, TRUE);
+    g_string_free(reader->value, TRUE);
+    g_free(reader);
+}
+
+void
+cq_h1_expect(cq_h1_t *reader, const char *method)
+{
+    reader->headless = strcmp(method, "HEAD") == 0;
+}
+
+static void
+finish_message(cq_h1_t *reader)
+{
+    if (!reader->ended) {
+        return;
+    }
+    reader->ended = FALSE;
+    http_parser_pause(&reader->parser, 0);
+    /* The parser refuses to go on after a message that closes. */
+    http_parser_init(&reader->parser, reader->options.answers
+                                          ? HTTP_RESPONSE
+                                          : HTTP_REQUEST);
+    reader->parser.data = reader;
+    reader->options.ops.done(reader->options.ops.data);
+}
+
+gsize
+cq_h1_feed(cq_h1_t *reader, const char *bytes, gsize len)
+{
+    if (reader->fault != CQ_H1_FINE) {
+        return 0;
+    }
+    gboolean in_head = !reader->head_done || !reader->begun;
+    gsize used = http_parser_execute(&reader->parser, &reader->callbacks,
+                                     bytes, len);
+    enum http_errno code = HTTP_PARSER_ERRNO(&reader->parser);
+    if (in_head) {
+        reader->head_bytes += used;
+    }
+    gsize most = reader->options.head_bytes_max;
+    if (most > 0 && reader->begun && !reader->head_done &&
+        reader->head_bytes > most) {
+        reader->fault = CQ_H1_HEAD_TOO_LONG;
+        return used;
+    }
+    if (code == HPE_HEADER_OVERFLOW) {
+        reader->fault = CQ_H1_HEAD_TOO_LONG;
+        return used;
+    }
+    if (code != HPE_OK && code != HPE_PAUSED) {
+        reader->fault = CQ_H1_SYNTAX;
+        return used;
+    }
+    /* A paused parser stands on the last byte of the message. */
+    finish_message(reader);
+    return used;
+}
+
+gboolean
+cq_h1_end(cq_h1_t *reader)
+{
+    if (!reader->begun) {
+        return TRUE;
+    }
+    if (reader->fault != CQ_H1_FINE) {
+        return FALSE;
+    }
+    http_parser_execute(&reader->parser, &reader->callbacks, NULL, 0);
+    gboolean whole = reader->ended;
+    finish_message(reader);
+    return whole;
+}
+
+cq_h1_fault_t
+cq_h1_fault(const cq_h1_t *reader)
+{
+    return reader->fault;
+}
+
+gboolean
+cq_h1_begun(const cq_h1_t *reader)
+{
+    return reader->begun;
+}
+
+const char *
+cq_h1_get(const cq_h1_head_t *head, const char *name)
+{
+    for (guint i = 0; i < head->fields->len; i++) {
+        const cq_h1_field_t *field =
+            &g_array_index(head->fields, cq_h1_field_t, i);
+        if (g_ascii_strcasecmp(field->name, name) == 0) {
+            return field->value;
+        }
+    }
+    return NULL;
+}
+
+static gboolean
+names_field(const char *list, const char *name)
+{
+    gsize len = strlen(name);
+    while (*list != '\0') {
+        list += strspn(list, " \t,");
+        gsize word = strcspn(list, " \t,");
+        if (word == len && g_ascii_strncasecmp(list, name, len) == 0) {
+            return TRUE;
+        }
+        list += word;
+    }
+    return FALSE;
+}
+
+gboolean
+cq_h1_hop(const cq_h1_head_t *head, const char *name)
+{
+    static const char *const hops[] = {
+        "Connection", "Keep-Alive", "Proxy-Connection", "TE",
+        "Trailer",    "Upgrade",    "Transfer-Encoding"};
+    for (guint i = 0; i < G_N_ELEMENTS(hops); i++) {
+        if (g_ascii_strcasecmp(name, hops[i]) == 0) {
+            return TRUE;
+        }
+    }
+    const char *named = cq_h1_get(head, "Connection");
+    return named != NULL && names_field(named, name);
+}
+
+const char *
+cq_h1_reason(int status)
+{
+    switch (status) {
+#define REASON(number, name, text)                                            \
+    case number:                                                              \
+        return #text;
+        HTTP_STATUS_MAP(REASON)
+#undef REASON
+    default:
+        return "Unknown";
+    }
+}
+
+void
+cq_h1_chunk(GString *out, const char *bytes, gsize len)
+{
+    g_string_append_printf(out, "%zx\r\n", len);
+    g_string_append_len(out, bytes, (gssize)len);
+    g_string_append(out, "\r\n");
+}
--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -1,17 +1,29 @@
 #include "router/app.h"
 
 #include <string.h>
+#include <time.h>
 
 #include "router/calls.h"
+#include "router/follow.h"
 #include "router/front.h"
 #include "router/links.h"
 #include "router/loads.h"
 #include "router/logs.h"
 #include "router/oper.h"
 #include "router/plat.h"
+#include "router/relay.h"
 
 #define LINGER_MS 20
 #define FLUSH_TRIES 100
+/* Part of the notice of a stop after which idle connections are closed. */
+#define CLOSE_IDLE_PERCENT 90
+#define STANDSTILL_US (1500 * CQ_MS_US)
+
+/* What this process serves. */
+typedef enum {
+    MODE_API,   /* calls of the product's own interface */
+    MODE_RELAY, /* requests routed by the configuration in the store */
+} app_mode_t;
 
 struct cq_app {
     cq_settings_t settings;
@@ -25,6 +37,11 @@
     cq_calls_t *calls;
     cq_oper_t *oper;
     cq_plat_t *plat;
+    app_mode_t mode;
+    cq_relay_t *relay;
+    cq_follow_t *follow;
+    gint64 ticked_us;
+    guint64 logged;
     cq_loads_t *loads;
     cq_links_t *links;
     cq_logs_t *logs;
@@ -39,10 +56,36 @@
 static void
 carry_out(cq_app_t *app, const cq_action_t *action);
 
+/* Goes on while the host is suspended, unlike the monotonic clock. */
+static gint64
+boot_us(void)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return (gint64)now.tv_sec * CQ_SECOND_US + now.tv_nsec / 1000;
+}
+
 gint64
 cq_app_now_us(const cq_app_t *app)
 {
-    return app->base_us + g_get_monotonic_time();
+    return app->base_us + boot_us();
+}
+
+/* The core's time line, as it grows, is this process's log. */
+static void
+log_events(cq_app_t *app)
+{
+    const cq_ring_t *ring = cq_core_ring(app->core);
+    if (app->mode != MODE_RELAY) {
+        return;
+    }
+    app->logged = MAX(app->logged, cq_ring_first(ring));
+    for (; app->logged < ring->count; app->logged++) {
+        const cq_ring_event_t *event = cq_ring_at(ring, app->logged);
+        cq_logs_info(app->logs, event->kind,
+                     "request=%016" G_GINT64_MODIFIER "x try=%u %s",
+                     event->request, event->attempt, event->text);
+    }
 }
 
 static void
@@ -54,6 +97,7 @@
         cq_action_t action = *cq_actions_at(&app->actions, i);
         carry_out(app, &action);
     }
+    log_events(app);
 }
 
 /* An event that comes up while actions are carried out waits its turn; only
@@ -73,6 +117,7 @@
         g_free(next);
     }
     app->stepping = FALSE;
+    cq_links_flush(app->links);
 }
 
 static const cq_upstream_view_t *
@@ -84,6 +129,10 @@
 static void
 send(cq_app_t *app, const cq_ac_send_t *send)
 {
+    if (app->mode == MODE_RELAY) {
+        cq_relay_send(app->relay, send);
+        return;
+    }
     cq_upstream_view_t view;
     cq_call_target_t target;
     if (view_of(app, send->upstream, &view) != NULL &&
@@ -106,6 +155,10 @@
 static void
 forward(cq_app_t *app, const cq_ac_attempt_t *attempt)
 {
+    if (app->mode == MODE_RELAY) {
+        cq_relay_forward(app->relay, attempt);
+        return;
+    }
     GBytes *bytes = cq_calls_take(app->calls, attempt->request);
     if (cq_front_write(app->front, attempt->request, bytes)) {
         cq_calls_hold(app->calls, attempt->request, TRUE);
@@ -113,9 +166,24 @@
     g_bytes_unref(bytes);
 }
 
+static void
+stop(cq_app_t *app, const cq_ac_attempt_t *attempt)
+{
+    cq_upstream_view_t view;
+    if (app->mode == MODE_RELAY) {
+        cq_relay_stop(app->relay, attempt);
+        return;
+    }
+    cq_calls_stop(app->calls, attempt, view_of(app, attempt->upstream, &view));
+}
+
 static void
 answer(cq_app_t *app, const cq_ac_answer_t *answer)
 {
+    if (app->mode == MODE_RELAY) {
+        cq_relay_answer(app->relay, answer);
+        return;
+    }
     cq_call_result_t result;
     gboolean whole = cq_calls_result(app->calls, answer->request, &result);
     cq_front_answer(app->front, answer, whole ? &result : NULL);
@@ -136,19 +204,31 @@
     cq_plat_append(app->plat, &record);
 }
 
+static guint
+open_answers(const cq_app_t *app)
+{
+    switch (app->mode) {
+    case MODE_RELAY:
+        return cq_relay_open(app->relay);
+    case MODE_API:
+        break;
+    }
+    return cq_front_open(app->front);
+}
+
 /* The last answers are still being written, and the claims' results are on
  * their way to the log. */
 static gboolean
 on_linger(gpointer data)
 {
     cq_app_t *app = data;
-    gboolean open = cq_front_open(app->front) > 0;
-    gboolean pending = cq_plat_pending(app->plat) > 0;
-    if ((open || pending) && app->flush_tries++ < FLUSH_TRIES) {
+    guint open = open_answers(app);
+    guint pending = app->plat != NULL ? cq_plat_pending(app->plat) : 0;
+    if ((open > 0 || pending > 0) && app->flush_tries++ < FLUSH_TRIES) {
         return G_SOURCE_CONTINUE;
     }
-    cq_logs_info(app->logs, "stopped", "unwritten=%u unappended=%u",
-                 cq_front_open(app->front), cq_plat_pending(app->plat));
+    cq_logs_info(app->logs, "stopped", "unwritten=%u unappended=%u", open,
+                 pending);
     g_main_loop_quit(app->loop);
     return G_SOURCE_REMOVE;
 }
@@ -156,14 +236,12 @@
 static void
 carry_out(cq_app_t *app, const cq_action_t *action)
 {
-    cq_upstream_view_t view;
     switch (action->kind) {
     case CQ_AC_SEND:
         send(app, &action->send);
         break;
     case CQ_AC_STOP:
-        cq_calls_stop(app->calls, &action->attempt,
-                      view_of(app, action->attempt.upstream, &view));
+        stop(app, &action->attempt);
         break;
     case CQ_AC_FORWARD:
         forward(app, &action->attempt);
@@ -190,16 +268,37 @@
     case CQ_AC_SUMMARY:
         cq_links_summary(app->links, action->summary);
         break;
+    case CQ_AC_TASK:
+        cq_links_task(app->links, &action->task);
+        break;
     case CQ_AC_STOPPED:
         g_timeout_add(LINGER_MS, on_linger, app);
         break;
     }
 }
 
+/* After a standstill, whether of the process or of its host, everything that
+ * it believes is old. */
+static void
+watch_standstill(cq_app_t *app)
+{
+    gint64 now_us = cq_app_now_us(app);
+    gint64 gap_us = now_us - app->ticked_us;
+    gboolean stood = app->ticked_us > 0 && gap_us > STANDSTILL_US;
+    app->ticked_us = now_us;
+    if (stood && app->mode == MODE_RELAY) {
+        cq_logs_info(app->logs, "standstill", "gap_ms=%" G_GINT64_FORMAT,
+                     gap_us / CQ_MS_US);
+        cq_relay_distrust(app->relay);
+        cq_follow_distrust(app->follow);
+    }
+}
+
 static gboolean
 on_tick(gpointer data)
 {
     cq_event_t event = {.kind = CQ_EV_TICK};
+    watch_standstill(data);
     cq_app_post(data, &event);
     return G_SOURCE_CONTINUE;
 }
@@ -221,7 +320,7 @@
     cq_app_t *app = g_new0(cq_app_t, 1);
     app->settings = *settings;
     app->loop = g_main_loop_new(NULL, FALSE);
-    app->base_us = g_get_real_time() - g_get_monotonic_time();
+    app->base_us = g_get_real_time() - boot_us();
     app->incarnation = (guint64)(g_get_real_time() / CQ_MS_US);
     cq_core_options_t options = {
         .host = settings->host,
@@ -239,17 +338,37 @@
     g_queue_init(&app->posted);
     app->logs =
         cq_logs_new(settings->host, cq_settings_level(settings->log_level));
-    app->front = cq_front_new(app);
-    app->calls = cq_calls_new(app);
+    app->mode = settings->store[0] != '\0' ? MODE_RELAY : MODE_API;
+    switch (app->mode) {
+    case MODE_API:
+        app->front = cq_front_new(app);
+        app->calls = cq_calls_new(app);
+        break;
+    case MODE_RELAY:
+        app->relay = cq_relay_new(app);
+        break;
+    }
     app->oper = cq_oper_new(app);
     app->links = cq_links_new(app);
     return app;
 }
 
+static gboolean
+listen_callers(cq_app_t *app, cq_error_t *error)
+{
+    switch (app->mode) {
+    case MODE_RELAY:
+        return cq_relay_listen(app->relay, app->settings.callers, error);
+    case MODE_API:
+        break;
+    }
+    return cq_front_listen(app->front, app->settings.callers, error);
+}
+
 gboolean
 cq_app_start(cq_app_t *app, cq_error_t *error)
 {
-    if (!cq_front_listen(app->front, app->settings.callers, error) ||
+    if (!listen_callers(app, error) ||
         !cq_oper_listen(app->oper, app->settings.operators, error) ||
         !cq_links_listen(app->links, app->settings.peers, error)) {
         return FALSE;
@@ -257,8 +376,15 @@
     for (guint i = 0; i < app->settings.seeds_len; i++) {
         cq_links_dial(app->links, app->settings.seeds[i]);
     }
-    app->plat = cq_plat_new(app);
-    app->loads = cq_loads_new(app);
+    switch (app->mode) {
+    case MODE_API:
+        app->plat = cq_plat_new(app);
+        app->loads = cq_loads_new(app);
+        break;
+    case MODE_RELAY:
+        app->follow = cq_follow_new(app);
+        break;
+    }
     app->tick = g_timeout_add(CQ_TICK_US / CQ_MS_US, on_tick, app);
     cq_logs_info(app->logs, "started", "zone=%s callers=%s operators=%s",
                  app->settings.zone, app->settings.callers,
@@ -271,13 +397,15 @@
 {
     if (app->tick != 0) {
         g_source_remove(app->tick);
-        cq_loads_free(app->loads);
-        cq_plat_free(app->plat);
+        g_clear_pointer(&app->loads, cq_loads_free);
+        g_clear_pointer(&app->plat, cq_plat_free);
+        g_clear_pointer(&app->follow, cq_follow_free);
     }
     cq_links_free(app->links);
     cq_oper_free(app->oper);
-    cq_calls_free(app->calls);
-    cq_front_free(app->front);
+    g_clear_pointer(&app->calls, cq_calls_free);
+    g_clear_pointer(&app->front, cq_front_free);
+    g_clear_pointer(&app->relay, cq_relay_free);
     while (g_main_context_iteration(NULL, FALSE)) {
     }
     g_queue_clear_full(&app->posted, g_free);
@@ -296,6 +424,15 @@
     return CQ_EXIT_DONE;
 }
 
+/* The balancer sends no new connections any more. */
+static gboolean
+on_notice(gpointer data)
+{
+    cq_app_t *app = data;
+    cq_relay_close_idle(app->relay);
+    return G_SOURCE_REMOVE;
+}
+
 void
 cq_app_drain(cq_app_t *app)
 {
@@ -304,6 +441,12 @@
         event.drain.notice_us = app->settings.notice_ms * CQ_MS_US;
         event.drain.limit_us = app->settings.limit_ms * CQ_MS_US;
     }
+    if (app->mode == MODE_RELAY && !app->draining) {
+        cq_relay_drain(app->relay);
+        cq_follow_leave(app->follow);
+        g_timeout_add(app->settings.notice_ms * CLOSE_IDLE_PERCENT / 100,
+                      on_notice, app);
+    }
     app->draining = TRUE;
     cq_logs_info(app->logs, "drain", "limit_ms=%" G_GINT64_FORMAT,
                  event.drain.limit_us / CQ_MS_US);
@@ -341,6 +484,50 @@
                             app->incarnation, ++app->next_request);
 }
 
+struct cq_follow *
+cq_app_follow(cq_app_t *app)
+{
+    return app->follow;
+}
+
+void
+cq_app_routes(cq_app_t *app, const cq_routes_t *routes)
+{
+    const cq_settings_t *settings = &app->settings;
+    for (guint i = 0; i < routes->rules->len; i++) {
+        cq_rules_t *rules = g_ptr_array_index(routes->rules, i);
+        rules->retry_burst = settings->retry_burst;
+        rules->retry_percent = settings->retry_percent;
+    }
+    cq_relay_routes(app->relay, routes);
+}
+
+gboolean
+cq_app_ready(const cq_app_t *app)
+{
+    if (app->draining) {
+        return FALSE;
+    }
+    switch (app->mode) {
+    case MODE_RELAY:
+        return cq_follow_ready(app->follow);
+    case MODE_API:
+        break;
+    }
+    return cq_core_stats(app->core).services > 0;
+}
+
+void
+cq_app_log(cq_app_t *app, const char *event, const char *format, ...)
+{
+    char fields[CQ_LOG_LINE_BYTES];
+    va_list args;
+    va_start(args, format);
+    g_vsnprintf(fields, sizeof fields, format, args);
+    va_end(args);
+    cq_logs_info(app->logs, event, "%s", fields);
+}
+
 gboolean
 cq_app_draining(const cq_app_t *app)
 {
--- a/packages/router/app.h
+++ b/packages/router/app.h
@@ -11,6 +11,7 @@
 #include <libsoup/soup.h>
 
 #include "config/fold.h"
+#include "config/routes.h"
 #include "config/settings.h"
 #include "core/core.h"
 
@@ -68,6 +69,23 @@
 guint64
 cq_app_request_id(cq_app_t *app);
 
+/** cq_app_follow() - Return: the follower of the platform's store, or NULL */
+struct cq_follow *
+cq_app_follow(cq_app_t *app);
+
+/** cq_app_routes() - route callers by @routes from now on; borrowed */
+void
+cq_app_routes(cq_app_t *app, const cq_routes_t *routes);
+
+/** cq_app_ready() - Return: whether new callers should come here */
+gboolean
+cq_app_ready(const cq_app_t *app);
+
+/** cq_app_log() - write the line @event with the formatted fields */
+void
+cq_app_log(cq_app_t *app, const char *event, const char *format, ...)
+    G_GNUC_PRINTF(3, 4);
+
 /** cq_app_draining() - Return: whether a planned stop has begun */
 gboolean
 cq_app_draining(const cq_app_t *app);
--- a/packages/router/links.c
+++ b/packages/router/links.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "router/follow.h"
 #include "router/http.h"
 #include "router/link.h"
 
@@ -18,6 +19,7 @@
     guint timer;
     guint refs;
     gint64 offered_us;
+    GArray *tasks;
     gboolean stopped;
 };
 
@@ -36,6 +38,7 @@
     }
     g_hash_table_unref(links->targets);
     g_ptr_array_unref(links->open);
+    g_array_unref(links->tasks);
     g_object_unref(links->cancellable);
     g_free(links);
 }
@@ -157,7 +160,57 @@
 }
 
 static void
-take_summary(cq_links_t *links, const Cq__Summary *message)
+send_records(cq_link_t *link, Cq__Records *records)
+{
+    Cq__Frame frame = CQ__FRAME__INIT;
+    frame.kind_case = CQ__FRAME__KIND_RECORDS;
+    frame.records = records;
+    GBytes *bytes = cq_codec_pack(&frame);
+    cq_link_send(link, bytes);
+    g_bytes_unref(bytes);
+}
+
+/* One frame a record: together they may exceed the longest frame. */
+static void
+tell_record(cq_topic_t topic, const cq_store_record_t *record, void *data)
+{
+    Cq__Record row = CQ__RECORD__INIT;
+    Cq__Record *rows[] = {&row};
+    row.topic = topic;
+    row.offset = record->offset;
+    row.key = record->key;
+    row.dropped = record->value == NULL;
+    if (record->value != NULL) {
+        row.value.data = (guint8 *)g_bytes_get_data(record->value,
+                                                    &row.value.len);
+    }
+    Cq__Records records = CQ__RECORDS__INIT;
+    records.topic = topic;
+    records.n_rows = 1;
+    records.rows = rows;
+    send_records(data, &records);
+}
+
+/* A peer that the store does not answer is told what it lacks. */
+static void
+tell_lacking(cq_links_t *links, cq_link_t *link, const Cq__Summary *message)
+{
+    cq_follow_t *follow = cq_app_follow(links->app);
+    gsize len = MIN(message->n_topics_at, CQ_TOPIC_COUNT);
+    for (gsize i = 0; follow != NULL && i < len; i++) {
+        cq_topic_t topic = (cq_topic_t)i;
+        if (cq_follow_lacks(follow, topic, message->topics_at[i], tell_record,
+                            link)) {
+            Cq__Records records = CQ__RECORDS__INIT;
+            records.topic = topic;
+            records.at = cq_follow_at(follow, topic);
+            send_records(link, &records);
+        }
+    }
+}
+
+static void
+take_summary(cq_links_t *links, cq_link_t *link, const Cq__Summary *message)
 {
     cq_summary_t summary;
     if (!cq_codec_read_summary(message, &summary)) {
@@ -168,6 +221,48 @@
     cq_ring_observe(cq_core_ring(cq_app_core(links->app)), clock);
     cq_event_t event = {.kind = CQ_EV_SUMMARY, .summary = &summary};
     cq_app_post(links->app, &event);
+    tell_lacking(links, link, message);
+}
+
+static void
+take_tasks(cq_links_t *links, const Cq__Tasks *message)
+{
+    GArray *rows = g_array_new(FALSE, FALSE, sizeof(cq_task_news_t));
+    if (cq_codec_read_tasks(message, rows)) {
+        cq_event_t event = {.kind = CQ_EV_TASKS};
+        event.tasks.host = message->host;
+        event.tasks.rows = (const cq_task_news_t *)(const void *)rows->data;
+        event.tasks.len = rows->len;
+        cq_app_post(links->app, &event);
+    }
+    else {
+        cq_app_count(links->app, CQ_N_FRAME_BAD, 1);
+    }
+    g_array_unref(rows);
+}
+
+/* Records that a peer read from the store. */
+static void
+take_told(cq_links_t *links, const Cq__Records *message)
+{
+    cq_follow_t *follow = cq_app_follow(links->app);
+    if (follow == NULL || message->topic >= CQ_TOPIC_COUNT) {
+        cq_app_count(links->app, CQ_N_FRAME_BAD, 1);
+        return;
+    }
+    cq_topic_t topic = (cq_topic_t)message->topic;
+    for (gsize i = 0; i < message->n_rows; i++) {
+        const Cq__Record *row = message->rows[i];
+        cq_store_record_t record = {.offset = row->offset, .key = row->key};
+        if (!row->dropped) {
+            record.value = g_bytes_new(row->value.data, row->value.len);
+        }
+        cq_follow_take(follow, topic, &record);
+        g_clear_pointer(&record.value, g_bytes_unref);
+    }
+    if (message->at > 0) {
+        cq_follow_reached(follow, topic, message->at);
+    }
 }
 
 static void
@@ -176,7 +271,7 @@
     cq_links_t *links = data;
     switch (frame->kind_case) {
     case CQ__FRAME__KIND_SUMMARY:
-        take_summary(links, frame->summary);
+        take_summary(links, link, frame->summary);
         break;
     case CQ__FRAME__KIND_OFFER:
         take_offer(links, link, frame->offer);
@@ -184,6 +279,12 @@
     case CQ__FRAME__KIND_WANT:
         take_want(links, link, frame->want);
         break;
+    case CQ__FRAME__KIND_TASKS:
+        take_tasks(links, frame->tasks);
+        break;
+    case CQ__FRAME__KIND_RECORDS:
+        take_told(links, frame->records);
+        break;
     case CQ__FRAME__KIND_ENTRY:
         take_entry(links, frame->entry);
         break;
@@ -345,6 +446,7 @@
     links->targets =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     links->open = g_ptr_array_new();
+    links->tasks = g_array_new(FALSE, FALSE, sizeof(cq_task_news_t));
     links->cancellable = g_cancellable_new();
     links->timer = g_timeout_add(CHECK_MS, on_timer, links);
     return links;
@@ -417,12 +519,39 @@
 cq_links_summary(cq_links_t *links, const cq_summary_t *summary)
 {
     cq_hlc_t clock = cq_core_ring(cq_app_core(links->app))->clock;
-    GBytes *frame = cq_codec_summary(summary, clock);
+    guint64 at[CQ_TOPIC_COUNT] = {0};
+    cq_follow_t *follow = cq_app_follow(links->app);
+    for (guint i = 0; follow != NULL && i < CQ_TOPIC_COUNT; i++) {
+        at[i] = cq_follow_at(follow, (cq_topic_t)i);
+    }
+    GBytes *frame = cq_codec_summary(summary, clock, at,
+                                     follow != NULL ? CQ_TOPIC_COUNT : 0);
     /* A pair of processes with a connection each way hears it once. */
     broadcast(links, frame, TRUE);
     g_bytes_unref(frame);
 }
 
+void
+cq_links_task(cq_links_t *links, const cq_task_news_t *news)
+{
+    g_array_append_val(links->tasks, *news);
+}
+
+void
+cq_links_flush(cq_links_t *links)
+{
+    if (links->tasks->len == 0) {
+        return;
+    }
+    guint32 host = cq_ident_host(cq_app_settings(links->app)->host);
+    const cq_task_news_t *rows =
+        (const cq_task_news_t *)(const void *)links->tasks->data;
+    GBytes *frame = cq_codec_tasks(host, rows, links->tasks->len);
+    broadcast(links, frame, TRUE);
+    g_bytes_unref(frame);
+    g_array_set_size(links->tasks, 0);
+}
+
 void
 cq_links_offer(cq_links_t *links)
 {
--- a/packages/router/links.h
+++ b/packages/router/links.h
@@ -33,6 +33,14 @@
 void
 cq_links_summary(cq_links_t *links, const cq_summary_t *summary);
 
+/** cq_links_task() - gather @news for every peer */
+void
+cq_links_task(cq_links_t *links, const cq_task_news_t *news);
+
+/** cq_links_flush() - send what cq_links_task() has gathered */
+void
+cq_links_flush(cq_links_t *links);
+
 /** cq_links_offer() - tell every peer a digest of what is in force here, so
  * that those who differ ask for more */
 void
--- a/packages/router/logs.c
+++ b/packages/router/logs.c
@@ -6,7 +6,9 @@
 #include <stdio.h>
 #include <string.h>
 
-#define LINE_BYTES 1024
+#include "base/limits.h"
+
+#define LINE_BYTES CQ_LOG_LINE_BYTES
 
 struct cq_logs {
     log4c_category_t *category;
--- a/packages/router/oper.c
+++ b/packages/router/oper.c
@@ -57,7 +57,7 @@
         reply(message, 503, "text/plain", g_strdup("draining\n"));
         return;
     }
-    if (cq_core_stats(cq_app_core(oper->app)).services == 0) {
+    if (!cq_app_ready(oper->app)) {
         reply(message, 503, "text/plain", g_strdup("no configuration\n"));
         return;
     }
--- a/packages/wire/codec.c
+++ b/packages/wire/codec.c
@@ -27,7 +27,8 @@
 }
 
 GBytes *
-cq_codec_summary(const cq_summary_t *summary, cq_hlc_t clock)
+cq_codec_summary(const cq_summary_t *summary, cq_hlc_t clock,
+                 const guint64 *topics_at, guint topics_len)
 {
     cq_summary_t copy = *summary;
     Cq__Share shares[CQ_SUBSET_MAX];
@@ -54,12 +55,88 @@
     message.leaving = leaving_at;
     message.clock_us = clock.wall_us;
     message.clock_logical = clock.logical;
+    message.n_topics_at = topics_len;
+    message.topics_at = (uint64_t *)topics_at;
     Cq__Frame frame = CQ__FRAME__INIT;
     frame.kind_case = CQ__FRAME__KIND_SUMMARY;
     frame.summary = &message;
     return cq_codec_pack(&frame);
 }
 
+static void
+fill_task(Cq__Task *to, const cq_task_news_t *news)
+{
+    cq__task__init(to);
+    to->kind = (guint32)news->kind;
+    to->request = news->request;
+    to->tokens = (guint64)news->tokens;
+    to->part_us = (guint64)news->part_us;
+    to->gap_us = (guint64)news->gap_us;
+    to->age_us = (guint64)news->age_us;
+    to->writing = news->writing;
+    to->n_engines = news->engines_len;
+    to->engines = (uint64_t *)news->engines;
+}
+
+GBytes *
+cq_codec_tasks(guint32 host, const cq_task_news_t *rows, guint len)
+{
+    Cq__Task *tasks = g_new(Cq__Task, len);
+    Cq__Task **at = g_new(Cq__Task *, len);
+    for (guint i = 0; i < len; i++) {
+        fill_task(&tasks[i], &rows[i]);
+        at[i] = &tasks[i];
+    }
+    Cq__Tasks message = CQ__TASKS__INIT;
+    message.host = host;
+    message.n_rows = len;
+    message.rows = at;
+    Cq__Frame frame = CQ__FRAME__INIT;
+    frame.kind_case = CQ__FRAME__KIND_TASKS;
+    frame.tasks = &message;
+    GBytes *bytes = cq_codec_pack(&frame);
+    g_free(at);
+    g_free(tasks);
+    return bytes;
+}
+
+static gboolean
+read_task(const Cq__Task *from, cq_task_news_t *news)
+{
+    *news = (cq_task_news_t){
+        .kind = (cq_task_kind_t)from->kind,
+        .request = from->request,
+        .tokens = (gint64)from->tokens,
+        .part_us = (gint64)from->part_us,
+        .gap_us = (gint64)from->gap_us,
+        .age_us = (gint64)from->age_us,
+        .writing = from->writing,
+    };
+    if (from->kind > CQ_TASK_ENDED || from->n_engines > CQ_GROUP_MAX ||
+        news->tokens < 0 || news->part_us < 0 || news->gap_us < 0 ||
+        news->age_us < 0) {
+        return FALSE;
+    }
+    for (gsize i = 0; i < from->n_engines; i++) {
+        news->engines[i] = from->engines[i];
+    }
+    news->engines_len = (guint)from->n_engines;
+    return TRUE;
+}
+
+gboolean
+cq_codec_read_tasks(const Cq__Tasks *from, GArray *rows)
+{
+    for (gsize i = 0; i < from->n_rows; i++) {
+        cq_task_news_t news;
+        if (!read_task(from->rows[i], &news)) {
+            return FALSE;
+        }
+        g_array_append_val(rows, news);
+    }
+    return TRUE;
+}
+
 GBytes *
 cq_codec_entry(const cq_config_entry_t *entry)
 {
--- a/packages/wire/codec.h
+++ b/packages/wire/codec.h
@@ -17,9 +17,20 @@
 GBytes *
 cq_codec_pack(const Cq__Frame *frame);
 
-/** cq_codec_summary() - Return: a framed summary stamped with @clock */
+/** cq_codec_summary() - Return: a framed summary stamped with @clock, with
+ * the offsets up to which the sender knows each of @topics_len topics */
 GBytes *
-cq_codec_summary(const cq_summary_t *summary, cq_hlc_t clock);
+cq_codec_summary(const cq_summary_t *summary, cq_hlc_t clock,
+                 const guint64 *topics_at, guint topics_len);
+
+/** cq_codec_tasks() - Return: framed news of @len works of @host */
+GBytes *
+cq_codec_tasks(guint32 host, const cq_task_news_t *rows, guint len);
+
+/** cq_codec_read_tasks() - append the rows of @from to @rows, an array of
+ * cq_task_news_t; FALSE when one breaks a limit */
+gboolean
+cq_codec_read_tasks(const Cq__Tasks *from, GArray *rows);
 
 /** cq_codec_entry() - Return: a framed configuration entry */
 GBytes *
