--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -353,6 +353,14 @@
     return app;
 }
 
+static void
+dial_seeds(cq_app_t *app)
+{
+    for (guint i = 0; i < app->settings.seeds_len; i++) {
+        cq_links_dial(app->links, app->settings.seeds[i]);
+    }
+}
+
 static gboolean
 listen_callers(cq_app_t *app, cq_error_t *error)
 {
@@ -373,9 +381,7 @@
         !cq_links_listen(app->links, app->settings.peers, error)) {
         return FALSE;
     }
-    for (guint i = 0; i < app->settings.seeds_len; i++) {
-        cq_links_dial(app->links, app->settings.seeds[i]);
-    }
+    dial_seeds(app);
     switch (app->mode) {
     case MODE_API:
         app->plat = cq_plat_new(app);
@@ -417,6 +423,24 @@
     g_free(app);
 }
 
+void
+cq_app_reload(cq_app_t *app, const cq_settings_t *settings)
+{
+    cq_settings_t *held = &app->settings;
+    memcpy(held->seeds, settings->seeds, sizeof held->seeds);
+    held->seeds_len = settings->seeds_len;
+    held->notice_ms = settings->notice_ms;
+    held->limit_ms = settings->limit_ms;
+    held->retry_burst = settings->retry_burst;
+    held->retry_percent = settings->retry_percent;
+    held->retry_window_ms = settings->retry_window_ms;
+    held->log_level = settings->log_level;
+    cq_logs_level(app->logs, cq_settings_level(held->log_level));
+    dial_seeds(app);
+    cq_logs_info(app->logs, "reloaded", "seeds=%u retry_burst=%"
+                 G_GINT64_FORMAT, held->seeds_len, held->retry_burst);
+}
+
 int
 cq_app_run(cq_app_t *app)
 {
--- a/packages/router/app.h
+++ b/packages/router/app.h
@@ -35,6 +35,11 @@
 int
 cq_app_run(cq_app_t *app);
 
+/** cq_app_reload() - take what may change while serving from @settings: peers,
+ * retries, the times of a stop and the log level; addresses and names stay */
+void
+cq_app_reload(cq_app_t *app, const cq_settings_t *settings);
+
 /** cq_app_drain() - begin a planned stop; a second call ends it now */
 void
 cq_app_drain(cq_app_t *app);
--- a/packages/router/logs.c
+++ b/packages/router/logs.c
@@ -53,18 +53,24 @@
     log4c_layout_type_set(&line_type);
     log4c_layout_t *layout = log4c_layout_get("cq_line");
     log4c_layout_set_type(layout, &line_type);
-    log4c_appender_t *appender = log4c_appender_get("stderr");
+    log4c_appender_t *appender = log4c_appender_get("stdout");
     log4c_appender_set_type(appender, &log4c_appender_type_stream);
     log4c_appender_set_layout(appender, layout);
-    log4c_appender_set_udata(appender, stderr);
+    log4c_appender_set_udata(appender, stdout);
     log4c_appender_open(appender);
     logs->category = log4c_category_get("cuminquay");
     log4c_category_set_appender(logs->category, appender);
-    log4c_category_set_priority(logs->category, priority_of(level));
+    cq_logs_level(logs, level);
     log4c_category_set_additivity(logs->category, 0);
     return logs;
 }
 
+void
+cq_logs_level(cq_logs_t *logs, const char *level)
+{
+    log4c_category_set_priority(logs->category, priority_of(level));
+}
+
 void
 cq_logs_free(cq_logs_t *logs)
 {
--- a/packages/router/logs.h
+++ b/packages/router/logs.h
@@ -12,11 +12,15 @@
 
 typedef struct cq_logs cq_logs_t;
 
-/** cq_logs_new() - Return: a log to standard error of lines at @level
+/** cq_logs_new() - Return: a log to standard output of lines at @level
  * ("debug", "info", "warn" or "error") and above, each with host=@host */
 cq_logs_t *
 cq_logs_new(const char *host, const char *level);
 
+/** cq_logs_level() - write lines at @level and above from now on */
+void
+cq_logs_level(cq_logs_t *logs, const char *level);
+
 /** cq_logs_free() - close the log */
 void
 cq_logs_free(cq_logs_t *logs);
--- a/packages/router/main.c
+++ b/packages/router/main.c
@@ -2,6 +2,7 @@
 #include <glib-unix.h>
 #include <signal.h>
 #include <stdio.h>
+#include <sys/stat.h>
 
 #include "base/version.h"
 #include "router/app.h"
@@ -13,13 +14,38 @@
     gboolean version;
 } options_t;
 
+/* How often the settings file is looked at for a change without a signal. */
+#define LOOK_MS 1000
+
+/**
+ * struct serving_t - a process and the file that it was set up from
+ * @changed_us: when the file was last changed, as far as it was read
+ */
+typedef struct {
+    cq_app_t *app;
+    const options_t *options;
+    gint64 changed_us;
+} serving_t;
+
 static gboolean
 on_term(gpointer data)
 {
-    cq_app_drain(data);
+    serving_t *serving = data;
+    cq_app_drain(serving->app);
     return G_SOURCE_CONTINUE;
 }
 
+static gint64
+changed_us(const char *file)
+{
+    struct stat info;
+    if (stat(file, &info) != 0) {
+        return 0;
+    }
+    return (gint64)info.st_mtim.tv_sec * CQ_SECOND_US +
+           info.st_mtim.tv_nsec / 1000;
+}
+
 static gboolean
 parse_options(int *argc, char ***argv, options_t *options)
 {
@@ -90,17 +116,62 @@
     return FALSE;
 }
 
+/* A file that can't be used leaves what is in force as it is. */
+static void
+reload(serving_t *serving)
+{
+    cq_settings_t settings;
+    serving->changed_us = changed_us(serving->options->settings);
+    if (read_settings(serving->options, &settings) &&
+        override_level(serving->options, &settings)) {
+        cq_app_reload(serving->app, &settings);
+    }
+    else {
+        cq_app_log(serving->app, "reload_refused", "file=%s",
+                   serving->options->settings);
+    }
+}
+
+static gboolean
+on_hup(gpointer data)
+{
+    reload(data);
+    return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_look(gpointer data)
+{
+    serving_t *serving = data;
+    gint64 now_us = changed_us(serving->options->settings);
+    if (now_us != 0 && now_us != serving->changed_us) {
+        reload(serving);
+    }
+    return G_SOURCE_CONTINUE;
+}
+
 static int
-serve(const cq_settings_t *settings)
+serve(const cq_settings_t *settings, const options_t *options)
 {
     cq_app_t *app = cq_app_new(settings);
+    serving_t serving = {
+        .app = app,
+        .options = options,
+        .changed_us = changed_us(options->settings),
+    };
     cq_error_t error = {0};
     int code = CQ_EXIT_USAGE;
     signal(SIGPIPE, SIG_IGN);
     if (cq_app_start(app, &error)) {
-        guint term = g_unix_signal_add(SIGTERM, on_term, app);
+        guint sources[] = {
+            g_unix_signal_add(SIGTERM, on_term, &serving),
+            g_unix_signal_add(SIGHUP, on_hup, &serving),
+            g_timeout_add(LOOK_MS, on_look, &serving),
+        };
         code = cq_app_run(app);
-        g_source_remove(term);
+        for (guint i = 0; i < G_N_ELEMENTS(sources); i++) {
+            g_source_remove(sources[i]);
+        }
     }
     else {
         fprintf(stderr, "cuminquay: %s\n", error.text);
@@ -129,5 +200,5 @@
         printf("%s: right\n", options.settings);
         return CQ_EXIT_DONE;
     }
-    return serve(&settings);
+    return serve(&settings, &options);
 }
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -66,7 +66,7 @@
 notice_ms = ${NOTICE_MS:-200}
 limit_ms = ${LIMIT_MS:-20000}
 EOF
-    "$BUILD/cuminquay" --settings "$DIR/$name.toml" 2>>"$DIR/$name.log" &
+    "$BUILD/cuminquay" --settings "$DIR/$name.toml" >>"$DIR/$name.log" 2>&1 &
     PIDS="$PIDS $!"
     eval "PID_$name=$!"
 }
--- a/tests/proc/badinput.sh
+++ b/tests/proc/badinput.sh
@@ -62,7 +62,7 @@
 
 # A peer with another key is turned away.
 sed "s/a key only for this trial/another key of the same length/; s/name = \"a\"/name = \"c\"/; s/127.0.0.1:$A\"/127.0.0.1:$((BASE + 50))\"/; s/127.0.0.1:$((A + 1))\"/127.0.0.1:$((BASE + 51))\"/; s/127.0.0.1:$((A + 2))\"/127.0.0.1:$((BASE + 52))\"/" "$DIR/a.toml" >"$DIR/c.toml"
-"$BUILD/cuminquay" --settings "$DIR/c.toml" 2>>"$DIR/c.log" &
+"$BUILD/cuminquay" --settings "$DIR/c.toml" >>"$DIR/c.log" 2>&1 &
 PIDS="$PIDS $!"
 wait_until '^[1-9]' count $A peers_rejected_total
 say "ok a peer without the key"
