Read long prompts on all idle engines together, one after the other

Cause: a read placed on an engine that still reads another delays the older one (trace: 263k tokens in two parts of 2.1 s came after 4.6 s, since a later part went first), and requests were then cut as silent 1.2 s after their expected first token. Ruled out: hosts that do not know of each other, passes with writers, the reading cost itself (alone it is right within 60 ms).

--- a/packages/core/fit.c
+++ b/packages/core/fit.c
@@ -12,17 +12,21 @@
 #define MARGIN_US (25 * CQ_MS_US)
 /* A prompt that is read within this time shares an engine with others. */
 #define SHORT_US (150 * CQ_MS_US)
-/* Part of the time left that the first token of a long prompt should take;
- * more engines are asked to read it until it does. */
-#define AIM_PERCENT 80
-/* A late prompt is read in parts of at most this time. */
-#define LATE_PART_US (500 * CQ_MS_US)
+/* The time of one part of a long prompt, and the longest one. */
+#define PART_US (250 * CQ_MS_US)
+#define PART_MAX_US (600 * CQ_MS_US)
+/* So many engines are enough to begin with the very longest prompts. */
+#define GROUP_LEAST 8U
+/* An engine that has more to read than this is not asked to read a part: the
+ * newest reading goes first there, and would delay what was placed before. */
+#define PENDING_US (30 * CQ_MS_US)
 
 /**
  * struct seat_t - an engine as a request finds it
  * @streams: requests that write there or will
  * @memory: tokens held there
  * @steps_us: token steps of a pass once the request writes there
+ * @pending_us: reading placed there and not yet done
  * @wait_us: time until it could begin to read
  * @room_us: reading that its streams allow in the next pass
  */
@@ -31,6 +35,7 @@
     gint64 streams;
     gint64 memory;
     gint64 steps_us;
+    gint64 pending_us;
     gint64 wait_us;
     gint64 room_us;
 } seat_t;
@@ -63,6 +68,7 @@
         }
     }
     gint64 pending_us = MAX(engine->read_until_us - core->now_us, 0);
+    seat->pending_us = pending_us;
     seat->steps_us = cq_batch_pass_us(speed, seat->streams + 1, context);
     seat->wait_us = pending_us + (writes ? seat->steps_us / 2 : 0);
     seat->room_us = G_MAXINT64;
@@ -131,90 +137,72 @@
     return TRUE;
 }
 
+static gboolean
+idle(const seat_t *seat)
+{
+    return seat->pending_us <= PENDING_US;
+}
+
+/* Engines without streams first: on them nothing comes between the parts. */
 static gint
-by_wait(gconstpointer a, gconstpointer b)
+by_streams(gconstpointer a, gconstpointer b)
 {
     const seat_t *x = a;
     const seat_t *y = b;
-    gint64 p = first_us(x, 0);
-    gint64 q = first_us(y, 0);
-    if (p != q) {
-        return p < q ? -1 : 1;
+    if (x->streams != y->streams) {
+        return x->streams < y->streams ? -1 : 1;
     }
-    return x->streams < y->streams ? -1 : x->streams > y->streams;
+    return x->pending_us < y->pending_us ? -1 : x->pending_us > y->pending_us;
 }
 
-/* Fills @plan with the first @parts seats in order that allow a part; one of
- * them must be able to write, and goes first. */
+/* Fills @plan with the first @parts seats in order that allow a part. The one
+ * that can write and has most streams already goes first. */
 static gboolean
 split(const cq_request_t *request, const survey_t *survey, guint parts,
       gint64 read_us, cq_task_plan_t *plan)
 {
-    gboolean writer = FALSE;
+    const seat_t *writer = NULL;
+    guint writer_at = 0;
     plan->engines_len = 0;
     plan->first_us = 0;
     plan->part_us = read_us / parts;
     for (guint i = 0; i < survey->len && plan->engines_len < parts; i++) {
         const seat_t *seat = &survey->seats[i];
         gboolean last = plan->engines_len + 1 == parts;
-        gboolean writes = !writer && can_write(request, seat);
-        if (seat->room_us < plan->part_us || (last && !writer && !writes)) {
+        gboolean writes = can_write(request, seat);
+        if (!idle(seat) || seat->room_us < plan->part_us ||
+            (last && writer == NULL && !writes)) {
             continue;
         }
-        guint at = plan->engines_len++;
-        plan->engines[at] = seat->engine;
-        if (writes) {
-            plan->engines[at] = plan->engines[0];
-            plan->engines[0] = seat->engine;
-            writer = TRUE;
+        if (writes && (writer == NULL || seat->streams > writer->streams)) {
+            writer = seat;
+            writer_at = plan->engines_len;
         }
+        plan->engines[plan->engines_len++] = seat->engine;
         plan->first_us = MAX(plan->first_us, first_us(seat, plan->part_us));
     }
-    return plan->engines_len == parts;
-}
-
-/* As few engines as meet the aim comfortably, else as many as it takes. */
-static gboolean
-split_in_time(const cq_request_t *request, survey_t *survey, gint64 read_us,
-              gint64 left_us, cq_task_plan_t *plan)
-{
-    cq_task_plan_t best = {.first_us = G_MAXINT64};
-    qsort(survey->seats, survey->len, sizeof(seat_t), by_wait);
-    for (guint parts = 1; parts <= CQ_GROUP_MAX; parts++) {
-        cq_task_plan_t one;
-        if (!split(request, survey, parts, read_us, &one)) {
-            continue;
-        }
-        if (one.first_us < best.first_us) {
-            best = one;
-        }
-        if (one.first_us <= left_us * AIM_PERCENT / 100) {
-            break;
-        }
-    }
-    if (best.first_us > left_us) {
+    if (plan->engines_len < parts) {
         return FALSE;
     }
-    *plan = best;
+    plan->engines[writer_at] = plan->engines[0];
+    plan->engines[0] = writer->engine;
     return TRUE;
 }
 
-/* Only engines that have nothing to read, in parts that are soon done. */
+/* All engines together are one fast reader: a long prompt takes as many as
+ * keep its parts long enough to be worth the passes that they interrupt, so
+ * that it is soon done and the next one has its turn. */
 static gboolean
-split_late(const cq_request_t *request, survey_t *survey, gint64 read_us,
-           cq_task_plan_t *plan)
+split_up(const cq_request_t *request, survey_t *survey, gint64 read_us,
+         gint64 left_us, cq_task_plan_t *plan)
 {
-    guint kept = 0;
-    for (guint i = 0; i < survey->len; i++) {
-        const seat_t *seat = &survey->seats[i];
-        if (seat->wait_us <= seat->steps_us) {
-            survey->seats[kept++] = *seat;
-        }
-    }
-    survey->len = kept;
-    guint least = (guint)(read_us / LATE_PART_US) + 1;
-    for (guint parts = least; parts <= CQ_GROUP_MAX; parts++) {
-        if (split(request, survey, parts, read_us, plan)) {
+    guint most = (guint)CLAMP(read_us / PART_US, 1, CQ_GROUP_MAX);
+    guint least = (guint)(read_us / PART_MAX_US + 1);
+    least = MIN(least, GROUP_LEAST);
+    qsort(survey->seats, survey->len, sizeof(seat_t), by_streams);
+    for (guint parts = most; parts >= least && parts > 0; parts--) {
+        if (split(request, survey, parts, read_us, plan) &&
+            plan->first_us <= left_us) {
             return TRUE;
         }
     }
@@ -231,14 +219,12 @@
     look_at_all(core, request, service->remote, &survey);
     gint64 read_us =
         cq_batch_read_us(&service->rules->speed, request->prompt_tokens);
-    if (late) {
-        return split_late(request, &survey, read_us, plan);
-    }
-    gint64 left_us = request->aim_us - core->now_us - MARGIN_US;
+    gint64 until_us = late ? request->deadline_us : request->aim_us;
+    gint64 left_us = until_us - core->now_us - MARGIN_US;
     if (read_us <= SHORT_US) {
         return pack(request, &survey, read_us, left_us, plan);
     }
-    return split_in_time(request, &survey, read_us, left_us, plan);
+    return split_up(request, &survey, read_us, left_us, plan);
 }
 
 static gint
--- a/packages/core/fit.h
+++ b/packages/core/fit.h
@@ -17,8 +17,7 @@
  * cq_fit_choose() - choose engines for @request
  * @core: the core
  * @request: the request
- * @late: its first token may come after its aim; it then takes only engines
- *   that have nothing to read
+ * @late: its first token may come after its aim
  * @plan: gets the engines
  *
  * Return: whether there are such engines now.
--- a/packages/core/watch.c
+++ b/packages/core/watch.c
@@ -59,11 +59,13 @@
         return request->phase_us + MIN(aim_us * PLAIN_PERCENT / 100,
                                        rules->quiet_us);
     }
-    gint64 from_us = request->progress_us;
-    if (request->task != NULL && !request->task->writing) {
-        from_us = MAX(from_us, request->task->first_us);
+    const cq_task_t *task = request->task;
+    if (task == NULL || task->writing) {
+        return request->progress_us + rules->quiet_us;
     }
-    return from_us + rules->quiet_us;
+    /* Reading waits for reading that is placed after it, by any host. */
+    gint64 expected_us = task->first_us - task->placed_us;
+    return task->first_us + expected_us + rules->quiet_us;
 }
 
 static void
--- a/packages/router/relay.c
+++ b/packages/router/relay.c
@@ -294,6 +294,11 @@
         .last_event = passage->last_event >= 0 ? last_event : NULL,
         .helpers = helpers[0] != '\0' ? helpers : NULL,
     };
+    cq_app_log(relay->app, "sent",
+               "request=%016" G_GINT64_MODIFIER "x try=%u upstream=%s "
+               "addr=%s left_ms=%" G_GINT64_FORMAT " helpers=%s",
+               send->request, send->attempt, view.name, view.addr,
+               forward.time_left_us / CQ_MS_US, helpers);
     GString *out = g_string_new("");
     cq_heads_forward(out, &forward);
     cq_outbound_call_t call = {
