--- a/packages/core/answer.c
+++ b/packages/core/answer.c
@@ -6,6 +6,7 @@
 #include "core/place.h"
 #include "core/send.h"
 #include "core/table.h"
+#include "core/task.h"
 #include "core/usage.h"
 
 #define SPREAD_US (4 * CQ_SECOND_US)
@@ -75,6 +76,7 @@
     cq_place_unmark(core, request);
     cq_send_abandon(core, request);
     cq_group_release(core, request);
+    cq_task_close(core, request);
     cq_claim_settle(core, request, answer);
     cq_counters_add(&core->counters, counter_of(answer->outcome), 1);
     cq_table_note(core, request, "answer",
--- a/packages/core/check.c
+++ b/packages/core/check.c
@@ -1,4 +1,5 @@
 /* The invariants of the core's tables. */
+#include "core/group.h"
 #include "core/state.h"
 #include "core/table.h"
 
@@ -47,7 +48,7 @@
     }
     for (guint i = 0; i < request->group_len; i++) {
         if (request->group[i] == upstream) {
-            sums->kv_tokens += need / request->group_len + 1;
+            sums->kv_tokens += cq_group_part(request);
         }
     }
 }
--- a/packages/core/fit.c
+++ b/packages/core/fit.c
@@ -1,8 +1,11 @@
 #include "core/fit.h"
 
+#include <string.h>
+
 #include "core/answer.h"
 #include "core/batch.h"
 #include "core/flow.h"
+#include "core/group.h"
 #include "core/place.h"
 #include "core/send.h"
 
@@ -12,6 +15,9 @@
 #define MARGIN_US (25 * CQ_MS_US)
 /* A prompt that is read within this time shares an engine with others. */
 #define SHORT_US (150 * CQ_MS_US)
+/* Part of an engine's memory that one prompt takes there, when it needs the
+ * memory of several engines. */
+#define HOLD_PERCENT 60
 /* The time of one part of a long prompt, and the longest one. */
 #define PART_US (250 * CQ_MS_US)
 #define PART_MAX_US (600 * CQ_MS_US)
@@ -99,13 +105,34 @@
     return seat->wait_us + part_us + steps_us;
 }
 
+/* Engines among which the memory of @request is divided. */
+static guint
+holders(const cq_request_t *request)
+{
+    const cq_speed_t *speed = &request->service->rules->speed;
+    gint64 need = cq_place_need(request);
+    if (need <= speed->memory_tokens) {
+        return 1;
+    }
+    gint64 part = speed->memory_tokens * HOLD_PERCENT / 100;
+    return (guint)MIN((need + part - 1) / part, CQ_GROUP_MAX);
+}
+
+static gboolean
+can_hold(const cq_request_t *request, const seat_t *seat)
+{
+    const cq_speed_t *speed = &request->service->rules->speed;
+    gint64 part = cq_place_need(request) / holders(request) + 1;
+    gint64 held = seat->memory + seat->engine->own_kv_tokens +
+                  seat->engine->peer_kv_tokens;
+    return held + part <= speed->memory_tokens;
+}
+
 static gboolean
 can_write(const cq_request_t *request, const seat_t *seat)
 {
     const cq_speed_t *speed = &request->service->rules->speed;
-    gint64 need = cq_place_need(request);
-    return seat->streams < speed->slots &&
-           seat->memory + need <= speed->memory_tokens;
+    return seat->streams < speed->slots && can_hold(request, seat);
 }
 
 /* The fullest engine that keeps every stream's pause. */
@@ -163,9 +190,8 @@
 {
     const seat_t *writer = NULL;
     guint writer_at = 0;
-    plan->engines_len = 0;
-    plan->first_us = 0;
-    plan->part_us = read_us / parts;
+    guint hold = holders(request) - 1;
+    *plan = (cq_task_plan_t){.part_us = read_us / parts};
     for (guint i = 0; i < survey->len && plan->engines_len < parts; i++) {
         const seat_t *seat = &survey->seats[i];
         gboolean last = plan->engines_len + 1 == parts;
@@ -178,10 +204,13 @@
             writer = seat;
             writer_at = plan->engines_len;
         }
+        else if (can_hold(request, seat) && plan->holders_len < hold) {
+            plan->holders[plan->holders_len++] = seat->engine;
+        }
         plan->engines[plan->engines_len++] = seat->engine;
         plan->first_us = MAX(plan->first_us, first_us(seat, plan->part_us));
     }
-    if (plan->engines_len < parts) {
+    if (plan->engines_len < parts || plan->holders_len < hold) {
         return FALSE;
     }
     plan->engines[writer_at] = plan->engines[0];
@@ -198,7 +227,7 @@
 {
     guint most = (guint)CLAMP(read_us / PART_US, 1, CQ_GROUP_MAX);
     guint least = (guint)(read_us / PART_MAX_US + 1);
-    least = MIN(least, GROUP_LEAST);
+    least = MAX(MIN(least, GROUP_LEAST), holders(request));
     qsort(survey->seats, survey->len, sizeof(seat_t), by_streams);
     for (guint parts = most; parts >= least && parts > 0; parts--) {
         if (split(request, survey, parts, read_us, plan) &&
@@ -254,13 +283,19 @@
 static gboolean
 try_one(cq_core_t *core, cq_request_t *request, gboolean late)
 {
-    cq_task_plan_t plan;
+    cq_task_plan_t plan = {.engines_len = 0};
     if (!cq_fit_choose(core, request, late, &plan)) {
         return FALSE;
     }
     cq_flow_take(request);
     cq_task_open(core, request, &plan);
-    cq_send_start(core, request, plan.engines[0]);
+    if (plan.holders_len == 0) {
+        cq_send_start(core, request, plan.engines[0]);
+        return TRUE;
+    }
+    memcpy(request->group, plan.holders, sizeof request->group);
+    request->group_len = plan.holders_len;
+    cq_group_begin(core, request);
     return TRUE;
 }
 
--- a/packages/core/group.c
+++ b/packages/core/group.c
@@ -5,15 +5,20 @@
 #include "core/place.h"
 #include "core/send.h"
 #include "core/table.h"
+#include "core/task.h"
 
 #define BACK_OFF_US (100 * CQ_MS_US)
 #define BACK_OFFS_MAX 5
 #define EXPIRY_MARGIN_US (2 * CQ_SECOND_US)
 
-static gint64
-part_of(const cq_request_t *request)
+
+gint64
+cq_group_part(const cq_request_t *request)
 {
-    return cq_place_need(request) / request->group_len + 1;
+    /* Beside the group, the engine that writes has a part of its own. */
+    gboolean batch = request->service->rules->kind == CQ_SERVICE_BATCH;
+    guint engines = request->group_len + (batch ? 1 : 0);
+    return cq_place_need(request) / engines + 1;
 }
 
 static void
@@ -25,7 +30,7 @@
         .kind = kind,
         .memory = {.request = request->id,
                    .upstream = upstream->id,
-                   .tokens = part_of(request),
+                   .tokens = cq_group_part(request),
                    .expiry_us = left_us + EXPIRY_MARGIN_US},
     };
     cq_actions_add(core->actions, &action);
@@ -34,17 +39,17 @@
 void
 cq_group_begin(cq_core_t *core, cq_request_t *request)
 {
-    g_assert(request->group_len > 1);
+    g_assert(request->group_len > 0);
     request->phase = CQ_PHASE_RESERVING;
     request->phase_us = core->now_us;
     request->granted = 0;
     cq_counters_add(&core->counters, CQ_N_GROUPS, 1);
     cq_table_note(core, request, "reserve",
                   "engines=%u tokens_each=%" G_GINT64_FORMAT,
-                  request->group_len, part_of(request));
+                  request->group_len, cq_group_part(request));
     for (guint i = 0; i < request->group_len; i++) {
         request->group_granted[i] = FALSE;
-        cq_load_hold(core, request->group[i], part_of(request));
+        cq_load_hold(core, request->group[i], cq_group_part(request));
         memory_action(core, request, CQ_AC_RESERVE, request->group[i]);
         core->reserved++;
     }
@@ -54,7 +59,7 @@
 cq_group_release(cq_core_t *core, cq_request_t *request)
 {
     for (guint i = 0; i < request->group_len; i++) {
-        cq_load_hold(core, request->group[i], -part_of(request));
+        cq_load_hold(core, request->group[i], -cq_group_part(request));
         memory_action(core, request, CQ_AC_RELEASE, request->group[i]);
         request->group[i]->released_us = core->now_us;
         cq_counters_add(&core->counters, CQ_N_RELEASES, 1);
@@ -69,6 +74,7 @@
 cq_group_back_off(cq_core_t *core, cq_request_t *request)
 {
     cq_group_release(core, request);
+    cq_task_close(core, request);
     cq_counters_add(&core->counters, CQ_N_GROUP_BACKOFFS, 1);
     request->backoffs++;
     guint doublings = MIN(request->backoffs, BACK_OFFS_MAX);
@@ -109,6 +115,8 @@
     request->group_granted[index] = TRUE;
     request->granted++;
     if (request->granted == request->group_len) {
-        cq_send_start(core, request, request->group[0]);
+        const cq_task_t *task = request->task;
+        cq_send_start(core, request,
+                      task != NULL ? task->engines[0] : request->group[0]);
     }
 }
--- a/packages/core/group.h
+++ b/packages/core/group.h
@@ -12,6 +12,11 @@
 
 G_BEGIN_DECLS
 
+/** cq_group_part() - Return: memory that each engine of the group holds for
+ * @request, in tokens */
+gint64
+cq_group_part(const cq_request_t *request);
+
 /** cq_group_begin() - ask the engines in request->group for memory */
 void
 cq_group_begin(cq_core_t *core, cq_request_t *request);
--- a/packages/core/intake.c
+++ b/packages/core/intake.c
@@ -166,10 +166,6 @@
     if (cq_place_group_size(request) > service->rules->group_max) {
         return CQ_OUT_TOO_LONG;
     }
-    if (service->rules->kind == CQ_SERVICE_BATCH &&
-        cq_place_need(request) > service->rules->speed.memory_tokens) {
-        return CQ_OUT_OVERLOADED;
-    }
     if (service->nearby->len + service->remote->len == 0) {
         return CQ_OUT_NO_UPSTREAM;
     }
--- a/packages/core/task.c
+++ b/packages/core/task.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "core/place.h"
 #include "core/table.h"
 
 /* A peer's task whose end was lost with its connection is forgotten then. */
@@ -106,7 +107,7 @@
     task->host = core->host;
     task->engines_len = plan->engines_len;
     memcpy(task->engines, plan->engines, sizeof task->engines);
-    task->tokens = request->prompt_tokens + request->output_tokens;
+    task->tokens = cq_place_need(request) / (plan->holders_len + 1);
     task->part_us = plan->part_us;
     task->gap_us = request->gap_us;
     task->placed_us = core->now_us;
--- a/packages/core/task.h
+++ b/packages/core/task.h
@@ -16,12 +16,16 @@
  * struct cq_task_plan_t - where a request goes
  * @engines: those that read its prompt; the first one writes
  * @engines_len: number of @engines
+ * @holders: engines besides the first that must hold part of the prompt
+ * @holders_len: number of @holders
  * @part_us: time that each engine reads
  * @first_us: time until its first token is expected
  */
 typedef struct {
     cq_upstream_t *engines[CQ_GROUP_MAX];
     guint engines_len;
+    cq_upstream_t *holders[CQ_GROUP_MAX];
+    guint holders_len;
     gint64 part_us;
     gint64 first_us;
 } cq_task_plan_t;
--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -204,6 +204,20 @@
     cq_plat_append(app->plat, &record);
 }
 
+static void
+order_memory(cq_app_t *app, cq_action_kind_t kind,
+             const cq_ac_memory_t *order)
+{
+    switch (app->mode) {
+    case MODE_API:
+        cq_loads_memory(app->loads, kind, order);
+        break;
+    case MODE_RELAY:
+        cq_relay_memory(app->relay, kind, order);
+        break;
+    }
+}
+
 static guint
 open_answers(const cq_app_t *app)
 {
@@ -251,7 +265,7 @@
         break;
     case CQ_AC_RESERVE:
     case CQ_AC_RELEASE:
-        cq_loads_memory(app->loads, action->kind, &action->memory);
+        order_memory(app, action->kind, &action->memory);
         break;
     case CQ_AC_PROBE:
         probe(app, &action->attempt);
--- a/packages/router/relay.c
+++ b/packages/router/relay.c
@@ -4,15 +4,17 @@
 
 #include "platform/heads.h"
 #include "router/inbound.h"
+#include "router/memory.h"
 #include "router/outbound.h"
 
 #define CHECK_MS 200
-#define HELPERS_BYTES (CQ_GROUP_MAX * (CQ_ADDR_BYTES + 1))
+#define HELPERS_BYTES (CQ_GROUP_MAX * (CQ_ADDR_BYTES + CQ_NAME_BYTES))
 
 struct cq_relay {
     cq_app_t *app;
     cq_inbound_t *inbound;
     cq_outbound_t *outbound;
+    cq_memory_t *memory;
     const cq_routes_t *routes;
     GHashTable *passages;
     GRand *rand;
@@ -223,6 +225,8 @@
     cq_outbound_ops_t out = {.post = on_news, .data = relay};
     relay->inbound = cq_inbound_new(&in);
     relay->outbound = cq_outbound_new(&out);
+    cq_memory_ops_t memory = {.post = on_news, .data = relay};
+    relay->memory = cq_memory_new(&memory);
     relay->passages = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                             free_passage);
     relay->rand = g_rand_new();
@@ -242,6 +246,7 @@
     g_source_remove(relay->timer);
     cq_inbound_free(relay->inbound);
     cq_outbound_free(relay->outbound);
+    cq_memory_free(relay->memory);
     g_hash_table_unref(relay->passages);
     g_rand_free(relay->rand);
     g_free(relay);
@@ -265,6 +270,12 @@
                 g_strlcat(to, ",", HELPERS_BYTES);
             }
             g_strlcat(to, view.addr, HELPERS_BYTES);
+            const char *ticket = cq_memory_ticket(relay->memory, send->request,
+                                                  send->group[i]);
+            if (ticket != NULL) {
+                g_strlcat(to, "/", HELPERS_BYTES);
+                g_strlcat(to, ticket, HELPERS_BYTES);
+            }
         }
     }
 }
@@ -344,6 +355,20 @@
     }
 }
 
+void
+cq_relay_memory(cq_relay_t *relay, cq_action_kind_t kind,
+                const cq_ac_memory_t *order)
+{
+    cq_upstream_view_t view;
+    if (kind == CQ_AC_RELEASE) {
+        cq_memory_release(relay->memory, order);
+    }
+    else if (cq_core_upstream(cq_app_core(relay->app), order->upstream,
+                              &view)) {
+        cq_memory_reserve(relay->memory, order, &view);
+    }
+}
+
 void
 cq_relay_forward(cq_relay_t *relay, const cq_ac_attempt_t *attempt)
 {
@@ -420,7 +445,7 @@
 guint
 cq_relay_open(const cq_relay_t *relay)
 {
-    return cq_inbound_busy(relay->inbound);
+    return cq_inbound_busy(relay->inbound) + cq_memory_open(relay->memory);
 }
 
 void
--- a/packages/router/relay.h
+++ b/packages/router/relay.h
@@ -39,6 +39,11 @@
 void
 cq_relay_stop(cq_relay_t *relay, const cq_ac_attempt_t *attempt);
 
+/** cq_relay_memory() - reserve or release an engine's memory */
+void
+cq_relay_memory(cq_relay_t *relay, cq_action_kind_t kind,
+                const cq_ac_memory_t *order);
+
 /** cq_relay_forward() - pass on what has come of a stream */
 void
 cq_relay_forward(cq_relay_t *relay, const cq_ac_attempt_t *attempt);
@@ -55,7 +60,8 @@
 void
 cq_relay_close_idle(cq_relay_t *relay);
 
-/** cq_relay_open() - Return: exchanges without a whole answer */
+/** cq_relay_open() - Return: exchanges without a whole answer, and
+ * reservations not yet released */
 guint
 cq_relay_open(const cq_relay_t *relay);
 
