Follow an engine's passes by the events that it sends

Cause: the ledger took reading to begin when it was placed, but a pass that is under way ends first, so shorts were placed on passes that grew over their aim (trace: 100 ms expected, 230 to 290 seen as a burst began).

--- a/packages/core/fit.c
+++ b/packages/core/fit.c
@@ -6,6 +6,7 @@
 #include "core/batch.h"
 #include "core/flow.h"
 #include "core/group.h"
+#include "core/pass.h"
 #include "core/place.h"
 #include "core/send.h"
 
@@ -29,19 +30,15 @@
 
 /**
  * struct seat_t - an engine as a request finds it
- * @streams: requests that write there or will
- * @memory: tokens held there
+ * @pass: where it stands
  * @steps_us: token steps of a pass once the request writes there
- * @pending_us: reading placed there and not yet done
- * @wait_us: time until it could begin to read
+ * @wait_us: time until its reading could begin
  * @room_us: reading that its streams allow in the next pass
  */
 typedef struct {
     cq_upstream_t *engine;
-    gint64 streams;
-    gint64 memory;
+    cq_pass_t pass;
     gint64 steps_us;
-    gint64 pending_us;
     gint64 wait_us;
     gint64 room_us;
 } seat_t;
@@ -56,31 +53,16 @@
         cq_upstream_t *engine, seat_t *seat)
 {
     const cq_speed_t *speed = &request->service->rules->speed;
-    gint64 context = request->prompt_tokens;
-    gint64 gap_us = G_MAXINT64;
-    gboolean writes = FALSE;
-    *seat = (seat_t){.engine = engine};
-    for (guint i = 0; i < engine->tasks->len; i++) {
-        const cq_task_t *task = g_ptr_array_index(engine->tasks, i);
-        if (task->engines[0] != engine) {
-            continue;
-        }
-        seat->streams++;
-        seat->memory += task->tokens;
-        context += task->tokens / task->engines_len;
-        writes = writes || task->writing;
-        if (task->gap_us > 0) {
-            gap_us = MIN(gap_us, task->gap_us);
-        }
-    }
-    gint64 pending_us = MAX(engine->read_until_us - core->now_us, 0);
-    seat->pending_us = pending_us;
-    seat->steps_us = cq_batch_pass_us(speed, seat->streams + 1, context);
-    seat->wait_us = pending_us + (writes ? seat->steps_us / 2 : 0);
-    seat->room_us = G_MAXINT64;
-    if (gap_us != G_MAXINT64) {
-        gint64 pass_us = gap_us * GAP_PERCENT / 100;
-        seat->room_us = pass_us - seat->steps_us - pending_us;
+    *seat = (seat_t){.engine = engine, .room_us = G_MAXINT64};
+    cq_pass_t *pass = &seat->pass;
+    cq_pass_look(core, engine, pass);
+    seat->steps_us = cq_batch_pass_us(speed, pass->streams + 1,
+                                      pass->context + request->prompt_tokens);
+    seat->wait_us = pass->left_us + pass->queued_us;
+    if (pass->gap_us != G_MAXINT64) {
+        gint64 pass_us = pass->gap_us * GAP_PERCENT / 100;
+        gint64 reading_us = pass->writes ? pass->queued_us : pass->pending_us;
+        seat->room_us = pass_us - seat->steps_us - reading_us;
     }
 }
 
@@ -101,7 +83,7 @@
 static gint64
 first_us(const seat_t *seat, gint64 part_us)
 {
-    gint64 steps_us = seat->streams > 0 ? seat->steps_us : 0;
+    gint64 steps_us = seat->pass.streams > 0 ? seat->steps_us : 0;
     return seat->wait_us + part_us + steps_us;
 }
 
@@ -123,7 +105,7 @@
 {
     const cq_speed_t *speed = &request->service->rules->speed;
     gint64 part = cq_place_need(request) / holders(request) + 1;
-    gint64 held = seat->memory + seat->engine->own_kv_tokens +
+    gint64 held = seat->pass.memory + seat->engine->own_kv_tokens +
                   seat->engine->peer_kv_tokens;
     return held + part <= speed->memory_tokens;
 }
@@ -132,7 +114,7 @@
 can_write(const cq_request_t *request, const seat_t *seat)
 {
     const cq_speed_t *speed = &request->service->rules->speed;
-    return seat->streams < speed->slots && can_hold(request, seat);
+    return seat->pass.streams < speed->slots && can_hold(request, seat);
 }
 
 /* The fullest engine that keeps every stream's pause. */
@@ -148,8 +130,8 @@
             !can_write(request, seat)) {
             continue;
         }
-        if (best == NULL || seat->streams > best->streams ||
-            (seat->streams == best->streams &&
+        if (best == NULL || seat->pass.streams > best->pass.streams ||
+            (seat->pass.streams == best->pass.streams &&
              us < first_us(best, read_us))) {
             best = seat;
         }
@@ -167,7 +149,7 @@
 static gboolean
 idle(const seat_t *seat)
 {
-    return seat->pending_us <= PENDING_US;
+    return seat->pass.pending_us <= PENDING_US;
 }
 
 /* Engines without streams first: on them nothing comes between the parts. */
@@ -176,10 +158,10 @@
 {
     const seat_t *x = a;
     const seat_t *y = b;
-    if (x->streams != y->streams) {
-        return x->streams < y->streams ? -1 : 1;
+    if (x->pass.streams != y->pass.streams) {
+        return x->pass.streams < y->pass.streams ? -1 : 1;
     }
-    return x->pending_us < y->pending_us ? -1 : x->pending_us > y->pending_us;
+    return x->pass.pending_us < y->pass.pending_us ? -1 : x->pass.pending_us > y->pass.pending_us;
 }
 
 /* Fills @plan with the first @parts seats in order that allow a part. The one
@@ -200,7 +182,7 @@
             (last && writer == NULL && !writes)) {
             continue;
         }
-        if (writes && (writer == NULL || seat->streams > writer->streams)) {
+        if (writes && (writer == NULL || seat->pass.streams > writer->pass.streams)) {
             writer = seat;
             writer_at = plan->engines_len;
         }
--- /dev/null
+++ b/packages/core/pass.c
@@ -0,0 +1,94 @@
+#include "core/pass.h"
+
+#include "core/batch.h"
+
+/* Events of one pass arrive within this time of each other. */
+#define SAME_PASS_US (15 * CQ_MS_US)
+/* A pass that should have ended is given this time for its events to come. */
+#define GRACE_US (8 * CQ_MS_US)
+/* Passes of which nothing was seen for so long are not worked out. */
+#define UNSEEN_US CQ_SECOND_US
+
+static void
+sum_up(const cq_upstream_t *engine, cq_pass_t *pass)
+{
+    *pass = (cq_pass_t){.gap_us = G_MAXINT64};
+    for (guint i = 0; i < engine->tasks->len; i++) {
+        const cq_task_t *task = g_ptr_array_index(engine->tasks, i);
+        if (task->engines[0] != engine) {
+            continue;
+        }
+        pass->streams++;
+        pass->memory += task->tokens;
+        pass->context += task->tokens / task->engines_len;
+        pass->writes = pass->writes || task->writing;
+        if (task->gap_us > 0) {
+            pass->gap_us = MIN(pass->gap_us, task->gap_us);
+        }
+    }
+}
+
+/* Reading of what was placed in a span of time. */
+static gint64
+reading_us(const cq_upstream_t *engine, gint64 from_us, gint64 until_us)
+{
+    gint64 sum_us = 0;
+    for (guint i = 0; i < engine->tasks->len; i++) {
+        const cq_task_t *task = g_ptr_array_index(engine->tasks, i);
+        gboolean within =
+            task->placed_us >= from_us && task->placed_us < until_us;
+        if (!task->writing && within) {
+            sum_us += task->part_us;
+        }
+    }
+    return sum_us;
+}
+
+static gint64
+end_us(const cq_upstream_t *engine, gint64 steps_us)
+{
+    return engine->pass_us + steps_us +
+           reading_us(engine, engine->pass_before_us, engine->pass_us);
+}
+
+static void
+begin(cq_upstream_t *engine, gint64 at_us)
+{
+    engine->pass_before_us = engine->pass_us;
+    engine->pass_us = at_us;
+}
+
+void
+cq_pass_seen(const cq_core_t *core, cq_upstream_t *engine)
+{
+    if (core->now_us - engine->pass_us > SAME_PASS_US) {
+        begin(engine, core->now_us);
+    }
+}
+
+void
+cq_pass_look(const cq_core_t *core, cq_upstream_t *engine, cq_pass_t *pass)
+{
+    const cq_speed_t *speed = &engine->service->rules->speed;
+    sum_up(engine, pass);
+    pass->steps_us =
+        cq_batch_pass_us(speed, pass->streams, pass->context);
+    if (!pass->writes) {
+        /* Without a stream there are no passes to wait for. */
+        pass->pending_us = MAX(engine->read_until_us - core->now_us, 0);
+        pass->left_us = pass->pending_us;
+        return;
+    }
+    if (core->now_us - engine->pass_us > UNSEEN_US) {
+        begin(engine, core->now_us);
+    }
+    gint64 until_us = end_us(engine, pass->steps_us);
+    while (until_us + GRACE_US < core->now_us) {
+        begin(engine, until_us);
+        until_us = end_us(engine, pass->steps_us);
+    }
+    pass->left_us = MAX(until_us - core->now_us, 0);
+    pass->queued_us = reading_us(engine, engine->pass_us, G_MAXINT64);
+    pass->pending_us =
+        pass->queued_us + MAX(pass->left_us - pass->steps_us, 0);
+}
--- a/packages/core/send.c
+++ b/packages/core/send.c
@@ -5,6 +5,7 @@
 #include "core/group.h"
 #include "core/load.h"
 #include "core/member.h"
+#include "core/pass.h"
 #include "core/place.h"
 #include "core/table.h"
 #include "core/task.h"
@@ -223,7 +224,10 @@
                       (core->now_us - request->arrived_us) / CQ_MS_US);
     }
     on_sent(core, request);
-    cq_task_first_token(core, request);
+    if (request->task != NULL) {
+        cq_pass_seen(core, request->upstream);
+        cq_task_first_token(core, request);
+    }
     request->progress_us = core->now_us;
     request->unanswered = 0;
     request->forwarded += tokens;
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -92,6 +92,8 @@
  * @touched: own share changed since the last summary
  * @tasks: array of cq_task_t*: what is read or written there
  * @read_until_us: when the reading placed there is done
+ * @pass_us: when its pass began, as seen or expected
+ * @pass_before_us: when the pass before that one began
  * @strikes: calls that it broke in a row
  * @unlisted_us: when the list lost it
  */
@@ -130,6 +132,8 @@
     gboolean touched;
     GPtrArray *tasks;
     gint64 read_until_us;
+    gint64 pass_us;
+    gint64 pass_before_us;
     guint strikes;
     gint64 unlisted_us;
 } cq_upstream_t;
