--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -294,7 +294,8 @@
  * @tokens: prompt and longest answer
  * @part_us: time that each engine reads
  * @gap_us: longest pause between its events
- * @age_us: time since it was placed
+ * @age_us: time since its reading began; negative while it is booked
+ * @wait_us: time between that and its turn at the slowest engine
  * @writing: whether its prompt is read
  * @engines: ids of the engines that read it; the first one writes
  * @engines_len: number of @engines
@@ -306,6 +307,7 @@
     gint64 part_us;
     gint64 gap_us;
     gint64 age_us;
+    gint64 wait_us;
     gboolean writing;
     guint64 engines[CQ_GROUP_MAX];
     guint engines_len;
--- a/packages/core/fit.c
+++ b/packages/core/fit.c
@@ -27,6 +27,13 @@
 /* An engine that has more to read than this is not asked to read a part: the
  * newest reading goes first there, and would delay what was placed before. */
 #define PENDING_US (30 * CQ_MS_US)
+/* A booking that begins within this time is sent at once. */
+#define SOON_US (10 * CQ_MS_US)
+/* Engines are booked at most this far ahead: long enough for many of them to
+ * get free together, and no longer than shorter prompts can wait. */
+#define AHEAD_US (300 * CQ_MS_US)
+/* A booked request is sent this long after its time at the latest. */
+#define TURN_US (150 * CQ_MS_US)
 
 /**
  * struct seat_t - an engine as a request finds it
@@ -61,8 +68,7 @@
     seat->wait_us = pass->left_us + pass->queued_us;
     if (pass->gap_us != G_MAXINT64) {
         gint64 pass_us = pass->gap_us * GAP_PERCENT / 100;
-        gint64 reading_us = pass->writes ? pass->queued_us : pass->pending_us;
-        seat->room_us = pass_us - seat->steps_us - reading_us;
+        seat->room_us = pass_us - seat->steps_us - pass->queued_us;
     }
 }
 
@@ -117,6 +123,18 @@
     return seat->pass.streams < speed->slots && can_hold(request, seat);
 }
 
+/* Whether a part that is booked on the engine would break the pauses of
+ * @request, or has to wait for it. */
+static gboolean
+disturbed(const cq_request_t *request, const seat_t *seat, gint64 done_us)
+{
+    const cq_pass_t *pass = &seat->pass;
+    gint64 pass_us = seat->steps_us + pass->booked_us;
+    return pass->next_us != G_MAXINT64 &&
+           (done_us > pass->next_us ||
+            pass_us > request->gap_us * GAP_PERCENT / 100);
+}
+
 /* The fullest engine that keeps every stream's pause. */
 static gboolean
 pack(const cq_request_t *request, const survey_t *survey, gint64 read_us,
@@ -127,7 +145,7 @@
         const seat_t *seat = &survey->seats[i];
         gint64 us = first_us(seat, read_us);
         if (seat->room_us < read_us || us > left_us ||
-            !can_write(request, seat)) {
+            !can_write(request, seat) || disturbed(request, seat, us)) {
             continue;
         }
         if (best == NULL || seat->pass.streams > best->pass.streams ||
@@ -142,30 +160,58 @@
     plan->engines[0] = best->engine;
     plan->engines_len = 1;
     plan->part_us = read_us;
+    plan->wait_us = best->wait_us;
     plan->first_us = first_us(best, read_us);
     return TRUE;
 }
 
-static gboolean
-idle(const seat_t *seat)
+/* Time until an engine can begin a part: now, when it is done before the
+ * first booking, else after the last one. */
+static gint64
+begin_us(const seat_t *seat, gint64 part_us)
 {
-    return seat->pass.pending_us <= PENDING_US;
+    const cq_pass_t *pass = &seat->pass;
+    gint64 now_us = pass->busy_us <= PENDING_US ? 0 : pass->busy_us;
+    gint64 done_us = now_us + first_us(seat, part_us);
+    return done_us <= pass->next_us ? now_us : pass->free_us;
 }
 
+typedef struct {
+    const seat_t *seat;
+    gint64 begin_us;
+} offer_t;
+
 /* Engines without streams first: on them nothing comes between the parts. */
 static gint
-by_streams(gconstpointer a, gconstpointer b)
+by_begin(gconstpointer a, gconstpointer b)
 {
-    const seat_t *x = a;
-    const seat_t *y = b;
-    if (x->pass.streams != y->pass.streams) {
-        return x->pass.streams < y->pass.streams ? -1 : 1;
+    const offer_t *x = a;
+    const offer_t *y = b;
+    if (x->begin_us != y->begin_us) {
+        return x->begin_us < y->begin_us ? -1 : 1;
     }
-    return x->pass.pending_us < y->pass.pending_us ? -1 : x->pass.pending_us > y->pass.pending_us;
+    gint64 p = x->seat->pass.streams;
+    gint64 q = y->seat->pass.streams;
+    return p < q ? -1 : p > q;
 }
 
-/* Fills @plan with the first @parts seats in order that allow a part. The one
- * that can write and has most streams already goes first. */
+static guint
+list_offers(const survey_t *survey, gint64 part_us, offer_t *offers)
+{
+    guint len = 0;
+    for (guint i = 0; i < survey->len; i++) {
+        const seat_t *seat = &survey->seats[i];
+        if (seat->room_us >= part_us) {
+            offers[len].seat = seat;
+            offers[len++].begin_us = begin_us(seat, part_us);
+        }
+    }
+    qsort(offers, len, sizeof(offer_t), by_begin);
+    return len;
+}
+
+/* Gives the first engines in order a part each. The one that can write and
+ * has most streams already goes first. */
 static gboolean
 split(const cq_request_t *request, const survey_t *survey, guint parts,
       gint64 read_us, cq_task_plan_t *plan)
@@ -174,15 +220,18 @@
     guint writer_at = 0;
     guint hold = holders(request) - 1;
     *plan = (cq_task_plan_t){.part_us = read_us / parts};
-    for (guint i = 0; i < survey->len && plan->engines_len < parts; i++) {
-        const seat_t *seat = &survey->seats[i];
+    offer_t offers[2 * CQ_SUBSET_MAX];
+    guint len = list_offers(survey, plan->part_us, offers);
+    gint64 after_us = 0;
+    for (guint i = 0; i < len && plan->engines_len < parts; i++) {
+        const seat_t *seat = offers[i].seat;
         gboolean last = plan->engines_len + 1 == parts;
         gboolean writes = can_write(request, seat);
-        if (!idle(seat) || seat->room_us < plan->part_us ||
-            (last && writer == NULL && !writes)) {
+        if (last && writer == NULL && !writes) {
             continue;
         }
-        if (writes && (writer == NULL || seat->pass.streams > writer->pass.streams)) {
+        if (writes && (writer == NULL ||
+                       seat->pass.streams > writer->pass.streams)) {
             writer = seat;
             writer_at = plan->engines_len;
         }
@@ -190,34 +239,40 @@
             plan->holders[plan->holders_len++] = seat->engine;
         }
         plan->engines[plan->engines_len++] = seat->engine;
-        plan->first_us = MAX(plan->first_us, first_us(seat, plan->part_us));
+        plan->start_us = MAX(plan->start_us, offers[i].begin_us);
+        gint64 pass_us = seat->pass.writes ? seat->steps_us : 0;
+        plan->wait_us = MAX(plan->wait_us, pass_us / 2);
+        after_us = MAX(after_us, pass_us);
     }
     if (plan->engines_len < parts || plan->holders_len < hold) {
         return FALSE;
     }
     plan->engines[writer_at] = plan->engines[0];
     plan->engines[0] = writer->engine;
+    plan->first_us =
+        plan->start_us + plan->wait_us + plan->part_us + after_us;
     return TRUE;
 }
 
-/* All engines together are one fast reader: a long prompt takes as many as
- * keep its parts long enough to be worth the passes that they interrupt, so
- * that it is soon done and the next one has its turn. */
+/* All engines together are one fast reader: a long prompt takes the engines
+ * with which it is read soonest, now or booked for when they are free, in
+ * parts that are long enough to be worth the passes that they interrupt. */
 static gboolean
-split_up(const cq_request_t *request, survey_t *survey, gint64 read_us,
+split_up(const cq_request_t *request, const survey_t *survey, gint64 read_us,
          gint64 left_us, cq_task_plan_t *plan)
 {
     guint most = (guint)CLAMP(read_us / PART_US, 1, CQ_GROUP_MAX);
     guint least = (guint)(read_us / PART_MAX_US + 1);
     least = MAX(MIN(least, GROUP_LEAST), holders(request));
-    qsort(survey->seats, survey->len, sizeof(seat_t), by_streams);
-    for (guint parts = most; parts >= least && parts > 0; parts--) {
-        if (split(request, survey, parts, read_us, plan) &&
-            plan->first_us <= left_us) {
-            return TRUE;
+    plan->first_us = G_MAXINT64;
+    for (guint parts = MAX(most, least); parts >= least; parts--) {
+        cq_task_plan_t one;
+        if (split(request, survey, parts, read_us, &one) &&
+            one.start_us <= AHEAD_US && one.first_us < plan->first_us) {
+            *plan = one;
         }
     }
-    return FALSE;
+    return plan->first_us <= left_us;
 }
 
 gboolean
@@ -262,6 +317,19 @@
     return found;
 }
 
+static void
+start(cq_core_t *core, cq_request_t *request)
+{
+    cq_flow_take(request);
+    cq_task_start(core, request);
+    if (request->holders_len == 0) {
+        cq_send_start(core, request, request->task->engines[0]);
+        return;
+    }
+    request->group_len = request->holders_len;
+    cq_group_begin(core, request);
+}
+
 static gboolean
 try_one(cq_core_t *core, cq_request_t *request, gboolean late)
 {
@@ -269,18 +337,61 @@
     if (!cq_fit_choose(core, request, late, &plan)) {
         return FALSE;
     }
-    cq_flow_take(request);
     cq_task_open(core, request, &plan);
-    if (plan.holders_len == 0) {
-        cq_send_start(core, request, plan.engines[0]);
+    memcpy(request->group, plan.holders, sizeof request->group);
+    request->holders_len = plan.holders_len;
+    if (plan.start_us <= SOON_US) {
+        start(core, request);
+    }
+    return TRUE;
+}
+
+/* Whether the engines of a booked request have read what came before it. */
+static gboolean
+its_turn(const cq_core_t *core, const cq_task_t *own)
+{
+    gint64 late_us = core->now_us - own->placed_us;
+    if (late_us > TURN_US) {
         return TRUE;
     }
-    memcpy(request->group, plan.holders, sizeof request->group);
-    request->group_len = plan.holders_len;
-    cq_group_begin(core, request);
+    for (guint i = 0; i < own->engines_len; i++) {
+        const GPtrArray *tasks = own->engines[i]->tasks;
+        for (guint k = 0; k < tasks->len; k++) {
+            const cq_task_t *task = g_ptr_array_index(tasks, k);
+            gboolean before = task->placed_us < own->placed_us;
+            if (task != own && before && !task->writing &&
+                task->read_us > core->now_us - TURN_US) {
+                return FALSE;
+            }
+        }
+    }
+    return TRUE;
+}
+
+static gboolean
+usable(const cq_core_t *core, const cq_task_t *task)
+{
+    for (guint i = 0; i < task->engines_len; i++) {
+        if (!cq_place_usable(core, task->engines[i])) {
+            return FALSE;
+        }
+    }
     return TRUE;
 }
 
+/* A booked request is sent when its engines are free, and booked again when
+ * one of them is lost. */
+static void
+follow_booking(cq_core_t *core, cq_request_t *request)
+{
+    if (!usable(core, request->task)) {
+        cq_task_close(core, request);
+    }
+    else if (its_turn(core, request->task)) {
+        start(core, request);
+    }
+}
+
 void
 cq_fit_place(cq_core_t *core, cq_service_t *service)
 {
@@ -288,14 +399,22 @@
     gboolean on_time_waits = FALSE;
     for (guint i = 0; i < found->len; i++) {
         cq_request_t *request = g_ptr_array_index(found, i);
+        if (request->task != NULL) {
+            follow_booking(core, request);
+        }
+    }
+    for (guint i = 0; i < found->len; i++) {
+        cq_request_t *request = g_ptr_array_index(found, i);
+        gboolean open = request->phase == CQ_PHASE_QUEUED &&
+                        request->task == NULL;
         gboolean can = request->aim_us > core->now_us + MARGIN_US;
-        if (can && !try_one(core, request, FALSE)) {
+        if (open && can && !try_one(core, request, FALSE)) {
             on_time_waits = TRUE;
         }
     }
     for (guint i = 0; i < found->len && !on_time_waits; i++) {
         cq_request_t *request = g_ptr_array_index(found, i);
-        if (request->phase == CQ_PHASE_QUEUED) {
+        if (request->phase == CQ_PHASE_QUEUED && request->task == NULL) {
             try_one(core, request, TRUE);
         }
     }
--- a/packages/core/pass.c
+++ b/packages/core/pass.c
@@ -8,22 +8,45 @@
 #define GRACE_US (8 * CQ_MS_US)
 /* Passes of which nothing was seen for so long are not worked out. */
 #define UNSEEN_US CQ_SECOND_US
+/* Reading that should be done and is not is expected within this time. */
+#define OVERDUE_US (10 * CQ_MS_US)
 
 static void
-sum_up(const cq_upstream_t *engine, cq_pass_t *pass)
+add_stream(cq_pass_t *pass, const cq_task_t *task)
 {
-    *pass = (cq_pass_t){.gap_us = G_MAXINT64};
+    pass->streams++;
+    pass->memory += task->tokens;
+    pass->context += task->tokens / task->engines_len;
+    pass->writes = pass->writes || task->writing;
+    if (task->gap_us > 0) {
+        pass->gap_us = MIN(pass->gap_us, task->gap_us);
+    }
+}
+
+static void
+add_reading(cq_pass_t *pass, const cq_task_t *task, gint64 now_us)
+{
+    gint64 left_us = MAX(task->read_us - now_us, OVERDUE_US);
+    pass->free_us = MAX(pass->free_us, left_us);
+    if (task->placed_us <= now_us) {
+        pass->busy_us = MAX(pass->busy_us, left_us);
+        return;
+    }
+    pass->next_us = MIN(pass->next_us, task->placed_us - now_us);
+    pass->booked_us = MAX(pass->booked_us, task->part_us);
+}
+
+static void
+sum_up(const cq_upstream_t *engine, gint64 now_us, cq_pass_t *pass)
+{
+    *pass = (cq_pass_t){.gap_us = G_MAXINT64, .next_us = G_MAXINT64};
     for (guint i = 0; i < engine->tasks->len; i++) {
         const cq_task_t *task = g_ptr_array_index(engine->tasks, i);
-        if (task->engines[0] != engine) {
-            continue;
+        if (task->engines[0] == engine) {
+            add_stream(pass, task);
         }
-        pass->streams++;
-        pass->memory += task->tokens;
-        pass->context += task->tokens / task->engines_len;
-        pass->writes = pass->writes || task->writing;
-        if (task->gap_us > 0) {
-            pass->gap_us = MIN(pass->gap_us, task->gap_us);
+        if (!task->writing) {
+            add_reading(pass, task, now_us);
         }
     }
 }
@@ -70,13 +93,11 @@
 cq_pass_look(const cq_core_t *core, cq_upstream_t *engine, cq_pass_t *pass)
 {
     const cq_speed_t *speed = &engine->service->rules->speed;
-    sum_up(engine, pass);
-    pass->steps_us =
-        cq_batch_pass_us(speed, pass->streams, pass->context);
+    sum_up(engine, core->now_us, pass);
+    pass->steps_us = cq_batch_pass_us(speed, pass->streams, pass->context);
     if (!pass->writes) {
         /* Without a stream there are no passes to wait for. */
-        pass->pending_us = MAX(engine->read_until_us - core->now_us, 0);
-        pass->left_us = pass->pending_us;
+        pass->left_us = pass->busy_us;
         return;
     }
     if (core->now_us - engine->pass_us > UNSEEN_US) {
@@ -88,7 +109,7 @@
         until_us = end_us(engine, pass->steps_us);
     }
     pass->left_us = MAX(until_us - core->now_us, 0);
-    pass->queued_us = reading_us(engine, engine->pass_us, G_MAXINT64);
-    pass->pending_us =
-        pass->queued_us + MAX(pass->left_us - pass->steps_us, 0);
+    pass->queued_us =
+        reading_us(engine, engine->pass_us, core->now_us + 1);
+    pass->busy_us = pass->queued_us + MAX(pass->left_us - pass->steps_us, 0);
 }
--- a/packages/core/pass.h
+++ b/packages/core/pass.h
@@ -23,7 +23,10 @@
  * @steps_us: token steps of a pass
  * @left_us: time until the next pass begins
  * @queued_us: reading that waits for the next pass
- * @pending_us: reading that is not done
+ * @busy_us: time until what is being read or queued is read
+ * @next_us: time until the first booking begins, or G_MAXINT64
+ * @booked_us: longest booked part
+ * @free_us: time until everything placed or booked is read
  */
 typedef struct {
     gint64 streams;
@@ -34,7 +37,10 @@
     gint64 steps_us;
     gint64 left_us;
     gint64 queued_us;
-    gint64 pending_us;
+    gint64 busy_us;
+    gint64 next_us;
+    gint64 booked_us;
+    gint64 free_us;
 } cq_pass_t;
 
 /** cq_pass_seen() - an event of @engine arrived just now */
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -50,7 +50,8 @@
  * @tokens: prompt and longest answer, held by the first engine
  * @part_us: time that each engine reads
  * @gap_us: longest pause between its events, or 0
- * @placed_us: when it was sent
+ * @placed_us: when its reading begins or began
+ * @read_us: when its reading is expected to be done
  * @first_us: when its first token is expected
  * @until_us: when it is forgotten if its end is never told
  * @writing: its prompt is read
@@ -64,6 +65,7 @@
     gint64 part_us;
     gint64 gap_us;
     gint64 placed_us;
+    gint64 read_us;
     gint64 first_us;
     gint64 until_us;
     gboolean writing;
@@ -91,7 +93,6 @@
  * @beliefs: prefix hash to the time at which it was last sent
  * @touched: own share changed since the last summary
  * @tasks: array of cq_task_t*: what is read or written there
- * @read_until_us: when the reading placed there is done
  * @pass_us: when its pass began, as seen or expected
  * @pass_before_us: when the pass before that one began
  * @strikes: calls that it broke in a row
@@ -131,7 +132,6 @@
     GHashTable *beliefs;
     gboolean touched;
     GPtrArray *tasks;
-    gint64 read_until_us;
     gint64 pass_us;
     gint64 pass_before_us;
     guint strikes;
@@ -238,7 +238,9 @@
  * @aim_us: when its first token, or its answer, is worth most
  * @gap_us: longest pause between its events
  * @unsent: attempts that never reached their upstream
- * @work: its entry in the ledger of engines
+ * @work: its entry in the ledger of engines; with it, a queued request is
+ *   booked
+ * @holders_len: engines of @group that a booked request asks for memory
  */
 typedef struct {
     cq_list_t link;
@@ -291,6 +293,7 @@
     gboolean resumable;
     guint unsent;
     cq_task_t *task;
+    guint holders_len;
 } cq_request_t;
 
 /**
--- a/packages/core/task.c
+++ b/packages/core/task.c
@@ -33,6 +33,7 @@
         .part_us = task->part_us,
         .gap_us = task->gap_us,
         .age_us = core->now_us - task->placed_us,
+        .wait_us = task->read_us - task->placed_us - task->part_us,
         .writing = task->writing,
         .engines_len = task->engines_len,
     };
@@ -49,52 +50,29 @@
     tell(core, &news);
 }
 
-/* An engine that has nothing left to read is free now, whatever was expected
- * of it; one that has is done by the sum of it at the latest. */
-static void
-correct_reading(const cq_core_t *core, cq_upstream_t *engine)
-{
-    gint64 left_us = 0;
-    for (guint i = 0; i < engine->tasks->len; i++) {
-        const cq_task_t *task = g_ptr_array_index(engine->tasks, i);
-        left_us += task->writing ? 0 : task->part_us;
-    }
-    engine->read_until_us =
-        MIN(engine->read_until_us, core->now_us + left_us);
-}
-
 static void
 enter(cq_core_t *core, cq_task_t *task)
 {
     g_hash_table_replace(core->tasks, &task->request, task);
     for (guint i = 0; i < task->engines_len; i++) {
-        cq_upstream_t *engine = task->engines[i];
-        g_ptr_array_add(engine->tasks, task);
-        if (!task->writing) {
-            gint64 from_us = MAX(engine->read_until_us, task->placed_us);
-            engine->read_until_us = from_us + task->part_us;
-        }
+        g_ptr_array_add(task->engines[i]->tasks, task);
     }
 }
 
 static void
-set_writing(cq_core_t *core, cq_task_t *task)
+leave(cq_core_t *core, cq_task_t *task)
 {
-    task->writing = TRUE;
     for (guint i = 0; i < task->engines_len; i++) {
-        correct_reading(core, task->engines[i]);
+        g_ptr_array_remove_fast(task->engines[i]->tasks, task);
     }
+    g_hash_table_remove(core->tasks, &task->request);
     core->placeable = TRUE;
 }
 
 static void
-leave(cq_core_t *core, cq_task_t *task)
+set_writing(cq_core_t *core, cq_task_t *task)
 {
-    for (guint i = 0; i < task->engines_len; i++) {
-        g_ptr_array_remove_fast(task->engines[i]->tasks, task);
-        correct_reading(core, task->engines[i]);
-    }
-    g_hash_table_remove(core->tasks, &task->request);
+    task->writing = TRUE;
     core->placeable = TRUE;
 }
 
@@ -110,20 +88,35 @@
     task->tokens = cq_place_need(request) / (plan->holders_len + 1);
     task->part_us = plan->part_us;
     task->gap_us = request->gap_us;
-    task->placed_us = core->now_us;
+    task->placed_us = core->now_us + plan->start_us;
+    task->read_us = task->placed_us + plan->wait_us + plan->part_us;
     task->first_us = core->now_us + plan->first_us;
     task->until_us = request->deadline_us + CQ_SECOND_US;
     enter(core, task);
     request->task = task;
     cq_table_note(core, request, "read_by",
                   "engines=%u part_ms=%" G_GINT64_FORMAT
+                  " start_ms=%" G_GINT64_FORMAT
                   " first_ms=%" G_GINT64_FORMAT " late=%s",
                   plan->engines_len, plan->part_us / CQ_MS_US,
-                  plan->first_us / CQ_MS_US,
+                  plan->start_us / CQ_MS_US, plan->first_us / CQ_MS_US,
                   request->aim_us < core->now_us ? "yes" : "no");
     tell_placed(core, task);
 }
 
+void
+cq_task_start(cq_core_t *core, cq_request_t *request)
+{
+    cq_task_t *task = request->task;
+    gint64 later_us = core->now_us - task->placed_us;
+    task->placed_us += later_us;
+    task->read_us += later_us;
+    task->first_us += later_us;
+    if (later_us != 0) {
+        tell_placed(core, task);
+    }
+}
+
 void
 cq_task_first_token(cq_core_t *core, cq_request_t *request)
 {
@@ -174,6 +167,7 @@
     task->part_us = news->part_us;
     task->gap_us = news->gap_us;
     task->placed_us = core->now_us - news->age_us;
+    task->read_us = task->placed_us + news->wait_us + news->part_us;
     task->until_us = task->placed_us + FORGET_US;
     task->writing = news->writing;
     for (guint i = 0; i < news->engines_len; i++) {
--- a/packages/core/task.h
+++ b/packages/core/task.h
@@ -19,6 +19,9 @@
  * @holders: engines besides the first that must hold part of the prompt
  * @holders_len: number of @holders
  * @part_us: time that each engine reads
+ * @start_us: time until all engines can begin to read; the request is sent
+ *   then
+ * @wait_us: time from there until the slowest engine begins
  * @first_us: time until its first token is expected
  */
 typedef struct {
@@ -27,6 +30,8 @@
     cq_upstream_t *holders[CQ_GROUP_MAX];
     guint holders_len;
     gint64 part_us;
+    gint64 start_us;
+    gint64 wait_us;
     gint64 first_us;
 } cq_task_plan_t;
 
@@ -35,6 +40,10 @@
 cq_task_open(cq_core_t *core, cq_request_t *request,
              const cq_task_plan_t *plan);
 
+/** cq_task_start() - @request, which was booked, is sent now */
+void
+cq_task_start(cq_core_t *core, cq_request_t *request);
+
 /** cq_task_first_token() - the prompt of @request is read */
 void
 cq_task_first_token(cq_core_t *core, cq_request_t *request);
--- a/packages/wire/codec.c
+++ b/packages/wire/codec.c
@@ -72,7 +72,8 @@
     to->tokens = (guint64)news->tokens;
     to->part_us = (guint64)news->part_us;
     to->gap_us = (guint64)news->gap_us;
-    to->age_us = (guint64)news->age_us;
+    to->age_us = news->age_us;
+    to->wait_us = (guint64)news->wait_us;
     to->writing = news->writing;
     to->n_engines = news->engines_len;
     to->engines = (uint64_t *)news->engines;
@@ -109,12 +110,13 @@
         .tokens = (gint64)from->tokens,
         .part_us = (gint64)from->part_us,
         .gap_us = (gint64)from->gap_us,
-        .age_us = (gint64)from->age_us,
+        .age_us = from->age_us,
+        .wait_us = (gint64)from->wait_us,
         .writing = from->writing,
     };
     if (from->kind > CQ_TASK_ENDED || from->n_engines > CQ_GROUP_MAX ||
         news->tokens < 0 || news->part_us < 0 || news->gap_us < 0 ||
-        news->age_us < 0) {
+        news->wait_us < 0) {
         return FALSE;
     }
     for (gsize i = 0; i < from->n_engines; i++) {
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -1239,7 +1239,7 @@
   (ProtobufCMessageInit) cq__entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cq__task__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cq__task__field_descriptors[9] =
 {
   {
     "kind",
@@ -1305,7 +1305,7 @@
     "age_us",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_SINT64,
     0,   /* quantifier_offset */
     offsetof(Cq__Task, age_us),
     NULL,
@@ -1337,6 +1337,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wait_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Task, wait_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cq__task__field_indices_by_name[] = {
   5,   /* field[5] = age_us */
@@ -1346,12 +1358,13 @@
   3,   /* field[3] = part_us */
   1,   /* field[1] = request */
   2,   /* field[2] = tokens */
+  8,   /* field[8] = wait_us */
   6,   /* field[6] = writing */
 };
 static const ProtobufCIntRange cq__task__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cq__task__descriptor =
 {
@@ -1361,7 +1374,7 @@
   "Cq__Task",
   "cq",
   sizeof(Cq__Task),
-  8,
+  9,
   cq__task__field_descriptors,
   cq__task__field_indices_by_name,
   1,  cq__task__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -172,14 +172,15 @@
   uint64_t tokens;
   uint64_t part_us;
   uint64_t gap_us;
-  uint64_t age_us;
+  int64_t age_us;
   protobuf_c_boolean writing;
   size_t n_engines;
   uint64_t *engines;
+  uint64_t wait_us;
 };
 #define CQ__TASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cq__task__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Cq__Tasks
