Settle bookings of the same engines by several hosts

Ruled out by a trial with one and two engines: the order of reading, which is first come first served, and the cost of parts. Bookings begin 4 ms ahead at the soonest; of two that overlap, each host finds the same one to give way. Log lines go out whole through a bounded buffer that never blocks (they had been torn by the stream's blocks).

--- a/packages/core/fit.c
+++ b/packages/core/fit.c
@@ -27,8 +27,11 @@
 /* An engine that has more to read than this is not asked to read a part: the
  * newest reading goes first there, and would delay what was placed before. */
 #define PENDING_US (30 * CQ_MS_US)
-/* A booking that begins within this time is sent at once. */
-#define SOON_US (10 * CQ_MS_US)
+/* Hosts that hear of a free engine at the same moment book it at the same
+ * moment. Bookings begin no sooner than each host knows of the others'. */
+#define SETTLE_US (4 * CQ_MS_US)
+/* Bookings this close to each other are ordered by the request's id. */
+#define TIE_US (8 * CQ_MS_US)
 /* Engines are booked at most this far ahead: long enough for many of them to
  * get free together, and no longer than shorter prompts can wait. */
 #define AHEAD_US (300 * CQ_MS_US)
@@ -239,7 +242,8 @@
             plan->holders[plan->holders_len++] = seat->engine;
         }
         plan->engines[plan->engines_len++] = seat->engine;
-        plan->start_us = MAX(plan->start_us, offers[i].begin_us);
+        plan->start_us =
+            MAX(plan->start_us, MAX(offers[i].begin_us, SETTLE_US));
         gint64 pass_us = seat->pass.writes ? seat->steps_us : 0;
         plan->wait_us = MAX(plan->wait_us, pass_us / 2);
         after_us = MAX(after_us, pass_us);
@@ -340,17 +344,56 @@
     cq_task_open(core, request, &plan);
     memcpy(request->group, plan.holders, sizeof request->group);
     request->holders_len = plan.holders_len;
-    if (plan.start_us <= SOON_US) {
+    if (plan.start_us == 0) {
         start(core, request);
     }
     return TRUE;
 }
 
+static gboolean
+goes_before(const cq_task_t *task, const cq_task_t *other)
+{
+    gint64 sooner_us = other->placed_us - task->placed_us;
+    if (ABS(sooner_us) > TIE_US) {
+        return sooner_us > 0;
+    }
+    return task->request < other->request;
+}
+
+static gboolean
+overlaps(const cq_task_t *task, const cq_task_t *other)
+{
+    return task->read_us > other->placed_us + PENDING_US &&
+           task->placed_us < other->read_us;
+}
+
+/* Whether another request has an engine of a booked one at the same time.
+ * Every host comes to the same result, and the loser books anew. */
+static gboolean
+beaten(const cq_task_t *own)
+{
+    for (guint i = 0; i < own->engines_len; i++) {
+        const GPtrArray *tasks = own->engines[i]->tasks;
+        for (guint k = 0; k < tasks->len; k++) {
+            const cq_task_t *task = g_ptr_array_index(tasks, k);
+            if (task != own && !task->writing &&
+                task->part_us > PENDING_US && overlaps(task, own) &&
+                goes_before(task, own)) {
+                return TRUE;
+            }
+        }
+    }
+    return FALSE;
+}
+
 /* Whether the engines of a booked request have read what came before it. */
 static gboolean
 its_turn(const cq_core_t *core, const cq_task_t *own)
 {
     gint64 late_us = core->now_us - own->placed_us;
+    if (late_us < 0) {
+        return FALSE;
+    }
     if (late_us > TURN_US) {
         return TRUE;
     }
@@ -384,7 +427,7 @@
 static void
 follow_booking(cq_core_t *core, cq_request_t *request)
 {
-    if (!usable(core, request->task)) {
+    if (!usable(core, request->task) || beaten(request->task)) {
         cq_task_close(core, request);
     }
     else if (its_turn(core, request->task)) {
--- a/packages/router/links.c
+++ b/packages/router/links.c
@@ -397,6 +397,7 @@
         return;
     }
     GSocketClient *client = g_socket_client_new();
+    g_socket_client_set_enable_proxy(client, FALSE);
     dial_t *dial = g_new0(dial_t, 1);
     dial->links = links;
     g_strlcpy(dial->addr, target->addr, sizeof dial->addr);
--- a/packages/router/logs.c
+++ b/packages/router/logs.c
@@ -1,18 +1,87 @@
 #include "router/logs.h"
 
+#include <errno.h>
+#include <glib-unix.h>
 #include <log4c.h>
-#include <log4c/appender_type_stream.h>
 #include <stdarg.h>
-#include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base/limits.h"
 
 #define LINE_BYTES CQ_LOG_LINE_BYTES
+/* Lines wait for so long, so that one write takes several. */
+#define FLUSH_MS 20
+/* Lines beyond this many bytes are dropped while the reader is slow. */
+#define WAITING_BYTES_MAX (256 * 1024)
 
 struct cq_logs {
     log4c_category_t *category;
     char *host;
+    GString *waiting;
+    guint timer;
+    guint64 dropped;
+    guint64 dropped_told;
+};
+
+/* Writes whole lines as far as the reader takes them. */
+static void
+flush(cq_logs_t *logs)
+{
+    while (logs->waiting->len > 0) {
+        gssize n = write(STDOUT_FILENO, logs->waiting->str,
+                         logs->waiting->len);
+        if (n < 0 && errno == EINTR) {
+            continue;
+        }
+        if (n <= 0) {
+            return;
+        }
+        g_string_erase(logs->waiting, 0, n);
+    }
+}
+
+static gboolean
+on_flush(gpointer data)
+{
+    cq_logs_t *logs = data;
+    logs->timer = 0;
+    if (logs->dropped > logs->dropped_told &&
+        logs->waiting->len < WAITING_BYTES_MAX / 2) {
+        g_string_append_printf(logs->waiting,
+                               "time_us=%" G_GINT64_FORMAT
+                               " level=WARN host=%s event=lines_dropped "
+                               "count=%" G_GUINT64_FORMAT "\n",
+                               g_get_real_time(), logs->host,
+                               logs->dropped - logs->dropped_told);
+        logs->dropped_told = logs->dropped;
+    }
+    flush(logs);
+    if (logs->waiting->len > 0) {
+        logs->timer = g_timeout_add(FLUSH_MS, on_flush, logs);
+    }
+    return G_SOURCE_REMOVE;
+}
+
+static int
+append_line(log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+    cq_logs_t *logs = log4c_appender_get_udata(appender);
+    gsize len = strlen(event->evt_rendered_msg);
+    if (logs->waiting->len + len > WAITING_BYTES_MAX) {
+        logs->dropped++;
+        return 0;
+    }
+    g_string_append_len(logs->waiting, event->evt_rendered_msg, (gssize)len);
+    if (logs->timer == 0) {
+        logs->timer = g_timeout_add(FLUSH_MS, on_flush, logs);
+    }
+    return 0;
+}
+
+static const log4c_appender_type_t waiting_type = {
+    .name = "cq_waiting",
+    .append = append_line,
 };
 
 static const char *
@@ -53,10 +122,13 @@
     log4c_layout_type_set(&line_type);
     log4c_layout_t *layout = log4c_layout_get("cq_line");
     log4c_layout_set_type(layout, &line_type);
-    log4c_appender_t *appender = log4c_appender_get("stdout");
-    log4c_appender_set_type(appender, &log4c_appender_type_stream);
+    logs->waiting = g_string_new("");
+    g_unix_set_fd_nonblocking(STDOUT_FILENO, TRUE, NULL);
+    log4c_appender_type_set(&waiting_type);
+    log4c_appender_t *appender = log4c_appender_get("cq_waiting");
+    log4c_appender_set_type(appender, &waiting_type);
     log4c_appender_set_layout(appender, layout);
-    log4c_appender_set_udata(appender, stdout);
+    log4c_appender_set_udata(appender, logs);
     log4c_appender_open(appender);
     logs->category = log4c_category_get("cuminquay");
     log4c_category_set_appender(logs->category, appender);
@@ -74,10 +146,21 @@
 void
 cq_logs_free(cq_logs_t *logs)
 {
+    if (logs->timer != 0) {
+        g_source_remove(logs->timer);
+    }
+    flush(logs);
+    g_string_free(logs->waiting, TRUE);
     g_free(logs->host);
     g_free(logs);
 }
 
+guint64
+cq_logs_dropped(const cq_logs_t *logs)
+{
+    return logs->dropped;
+}
+
 static void
 write_line(cq_logs_t *logs, int priority, const char *event,
            const char *format, va_list args)
--- a/packages/router/logs.h
+++ b/packages/router/logs.h
@@ -1,7 +1,8 @@
 /**
  * DOC: logs
  *
- * Log lines by log4c, as key=value, for changes of state only.
+ * Log lines by log4c, as key=value, on standard output. Writing never blocks:
+ * lines wait in a bounded buffer, and what does not fit is counted and told.
  */
 #ifndef CQ_LOGS_H
 #define CQ_LOGS_H
@@ -12,8 +13,8 @@
 
 typedef struct cq_logs cq_logs_t;
 
-/** cq_logs_new() - Return: a log to standard output of lines at @level
- * ("debug", "info", "warn" or "error") and above, each with host=@host */
+/** cq_logs_new() - Return: a log of lines at @level ("debug", "info", "warn"
+ * or "error") and above, each with host=@host; only one may be open */
 cq_logs_t *
 cq_logs_new(const char *host, const char *level);
 
@@ -21,7 +22,7 @@
 void
 cq_logs_level(cq_logs_t *logs, const char *level);
 
-/** cq_logs_free() - close the log */
+/** cq_logs_free() - write what waits, as far as nothing blocks, and close */
 void
 cq_logs_free(cq_logs_t *logs);
 
@@ -30,6 +31,10 @@
 cq_logs_info(cq_logs_t *logs, const char *event, const char *format, ...)
     G_GNUC_PRINTF(3, 4);
 
+/** cq_logs_dropped() - Return: lines that did not fit */
+guint64
+cq_logs_dropped(const cq_logs_t *logs);
+
 G_END_DECLS
 
 #endif
