--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -283,6 +283,9 @@
     case CQ_EV_TASKS:
         cq_task_news(core, &event->tasks);
         break;
+    case CQ_EV_PEER_LINKED:
+        cq_peer_linked(core);
+        break;
     case CQ_EV_RULES:
         configure(core, event->rules);
         break;
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -33,6 +33,7 @@
     CQ_EV_HOSTS,
     CQ_EV_SUMMARY,
     CQ_EV_TASKS,
+    CQ_EV_PEER_LINKED,
     CQ_EV_RULES,
     CQ_EV_CLAIM,
     CQ_EV_LEASE,
@@ -338,7 +339,7 @@
 /**
  * struct cq_event_t - one event
  * @kind: which member is set; SENT, TOKENS, DONE, FAILED, PROBED and HANGUP
- *   use @attempt; TICK uses none
+ *   use @attempt; TICK and PEER_LINKED use none
  * @summary: borrowed, for SUMMARY
  * @rules: borrowed, for RULES
  * @log_up: LOG: whether the log answers
--- a/packages/core/peer.c
+++ b/packages/core/peer.c
@@ -28,6 +28,13 @@
     }
 }
 
+void
+cq_peer_linked(cq_core_t *core)
+{
+    touch_all(core);
+    cq_task_tell_all(core);
+}
+
 static void
 take_share(cq_core_t *core, cq_peer_t *peer, const cq_share_t *share)
 {
@@ -65,12 +72,15 @@
     }
     if (peer == NULL) {
         peer = cq_table_need_peer(core, summary->host);
-        touch_all(core);
-        cq_task_tell_all(core);
+        cq_peer_linked(core);
     }
     if (summary->incarnation > peer->incarnation) {
+        gboolean restarted = peer->incarnation != 0;
         cq_load_forget_peer(core, peer);
         peer->incarnation = summary->incarnation;
+        if (restarted) {
+            cq_peer_linked(core);
+        }
     }
     peer->heard_us = core->now_us;
     peer->draining = summary->draining;
--- a/packages/core/peer.h
+++ b/packages/core/peer.h
@@ -15,6 +15,10 @@
 void
 cq_peer_summary(cq_core_t *core, const cq_summary_t *summary);
 
+/** cq_peer_linked() - a connection to a peer is new: tell everything */
+void
+cq_peer_linked(cq_core_t *core);
+
 /** cq_peer_tick() - forget silent peers; send a summary when one is due */
 void
 cq_peer_tick(cq_core_t *core);
--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -17,6 +17,8 @@
 #define FLUSH_TRIES 100
 /* Part of the notice of a stop after which idle connections are closed. */
 #define CLOSE_IDLE_PERCENT 90
+/* A process that has just started waits so long for what its peers know. */
+#define SETTLE_US (1200 * CQ_MS_US)
 #define STANDSTILL_US (1500 * CQ_MS_US)
 
 /* What this process serves. */
@@ -41,6 +43,7 @@
     cq_relay_t *relay;
     cq_follow_t *follow;
     gint64 ticked_us;
+    gint64 started_us;
     guint64 logged;
     cq_loads_t *loads;
     cq_links_t *links;
@@ -286,6 +289,9 @@
         cq_links_task(app->links, &action->task);
         break;
     case CQ_AC_STOPPED:
+        if (app->follow != NULL) {
+            cq_follow_leave(app->follow);
+        }
         g_timeout_add(LINGER_MS, on_linger, app);
         break;
     }
@@ -395,6 +401,7 @@
         !cq_links_listen(app->links, app->settings.peers, error)) {
         return FALSE;
     }
+    app->started_us = cq_app_now_us(app);
     dial_seeds(app);
     switch (app->mode) {
     case MODE_API:
@@ -481,7 +488,6 @@
     }
     if (app->mode == MODE_RELAY && !app->draining) {
         cq_relay_drain(app->relay);
-        cq_follow_leave(app->follow);
         g_timeout_add(app->settings.notice_ms * CLOSE_IDLE_PERCENT / 100,
                       on_notice, app);
     }
@@ -548,7 +554,9 @@
     }
     switch (app->mode) {
     case MODE_RELAY:
-        return cq_follow_ready(app->follow);
+        return cq_follow_ready(app->follow) &&
+               (cq_links_settled(app->links) ||
+                cq_app_now_us(app) - app->started_us > SETTLE_US);
     case MODE_API:
         break;
     }
--- a/packages/router/link.c
+++ b/packages/router/link.c
@@ -10,13 +10,17 @@
 #define CHALLENGE_BYTES 32
 #define MAC_BYTES 32
 #define UNSENT_BYTES_MAX (4 * CQ_FRAME_BYTES_MAX)
-#define QUIET_US (3 * CQ_OFFER_US)
+/* The side that dialled sends heartbeats; the other one only its offers. */
+#define QUIET_US (3 * CQ_HEARTBEAT_US + CQ_HEARTBEAT_US / 4)
+#define QUIET_DIALLED_US (3 * CQ_OFFER_US)
+#define UNACKED_MS 1500
 
 struct cq_link {
     cq_link_options_t options;
     GCancellable *cancellable;
     cq_frame_reader_t reader;
     guint8 challenge[CHALLENGE_BYTES];
+    char addr[CQ_ADDR_BYTES];
     gboolean helloed;
     gboolean proved;
     gboolean closed;
@@ -142,6 +146,7 @@
 static void
 take_hello(cq_link_t *link, const Cq__Hello *hello)
 {
+    g_strlcpy(link->addr, hello->addr, sizeof link->addr);
     if (link->helloed || hello->challenge.len != CHALLENGE_BYTES) {
         reject(link, CQ_N_FRAME_BAD);
         return;
@@ -178,6 +183,7 @@
         return;
     }
     link->proved = TRUE;
+    link->options.proved(link, link->addr, link->options.data);
 }
 
 static void
@@ -278,6 +284,7 @@
     }
     Cq__Hello hello = CQ__HELLO__INIT;
     hello.host = (char *)cq_app_settings(link->options.app)->host;
+    hello.addr = (char *)cq_app_settings(link->options.app)->peers;
     hello.challenge.data = link->challenge;
     hello.challenge.len = CHALLENGE_BYTES;
     Cq__Frame frame = CQ__FRAME__INIT;
@@ -299,6 +306,11 @@
     g_queue_init(&link->unsent);
     g_socket_set_option(g_socket_connection_get_socket(options->connection),
                         IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+    g_socket_set_option(g_socket_connection_get_socket(options->connection),
+                        IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKED_MS, NULL);
+    /* The time limit of the dial is not one of the connection. */
+    g_socket_set_timeout(g_socket_connection_get_socket(options->connection),
+                         0);
     send_hello(link);
     read_next(link);
     return link;
@@ -318,6 +330,12 @@
     return link->options.dialled;
 }
 
+gboolean
+cq_link_proved(const cq_link_t *link)
+{
+    return link->proved;
+}
+
 void
 cq_link_check(cq_link_t *link, gint64 now_us)
 {
@@ -328,7 +346,8 @@
         return;
     }
     /* Both sides send heartbeats, so a quiet connection is a lost one. */
-    if (silent_us > QUIET_US) {
+    gint64 quiet_us = link->options.dialled ? QUIET_DIALLED_US : QUIET_US;
+    if (silent_us > quiet_us) {
         reject(link, CQ_N_SILENT);
     }
 }
--- a/packages/router/link.h
+++ b/packages/router/link.h
@@ -19,6 +19,7 @@
  * @app: the process
  * @connection: the open connection; a reference is taken
  * @dialled: whether this side opened it
+ * @proved: called when the other side is proved, with its address
  * @heard: called with each frame after both sides are proved
  * @closed: called once at the end; the link is freed after it
  * @data: for the callbacks
@@ -27,6 +28,7 @@
     cq_app_t *app;
     GSocketConnection *connection;
     gboolean dialled;
+    void (*proved)(cq_link_t *link, const char *addr, void *data);
     void (*heard)(cq_link_t *link, const Cq__Frame *frame, void *data);
     void (*closed)(cq_link_t *link, void *data);
     void *data;
@@ -45,6 +47,10 @@
 gboolean
 cq_link_dialled(const cq_link_t *link);
 
+/** cq_link_proved() - Return: whether the other side is proved */
+gboolean
+cq_link_proved(const cq_link_t *link);
+
 /** cq_link_check() - close the link when part of a frame, or the other
  * side's proof, is overdue */
 void
--- a/packages/router/links.c
+++ b/packages/router/links.c
@@ -6,8 +6,11 @@
 #include "router/http.h"
 #include "router/link.h"
 
-#define REDIAL_MS 500
-#define CHECK_MS 500
+#define CHECK_MS 100
+/* A peer that does not answer is dialled again after doubling pauses. */
+#define REDIAL_MIN_US (100 * CQ_MS_US)
+#define REDIAL_MAX_US (400 * CQ_MS_US)
+#define DIAL_TIMEOUT_S 1
 #define LINKS_MAX 256
 
 struct cq_links {
@@ -28,6 +31,8 @@
     char addr[CQ_ADDR_BYTES];
     cq_link_t *link;
     gboolean dialling;
+    gint64 pause_us;
+    gint64 due_us;
 } target_t;
 
 static void
@@ -294,6 +299,18 @@
     }
 }
 
+/* A peer that dials is dialled back, and told all that is under way here. */
+static void
+on_proved(cq_link_t *link, const char *addr, void *data)
+{
+    cq_links_t *links = data;
+    cq_event_t event = {.kind = CQ_EV_PEER_LINKED};
+    if (addr[0] != '\0' && !cq_link_dialled(link)) {
+        cq_links_dial(links, addr);
+    }
+    cq_app_post(links->app, &event);
+}
+
 static void
 forget_link(cq_links_t *links, const cq_link_t *link)
 {
@@ -324,6 +341,7 @@
         .app = links->app,
         .connection = connection,
         .dialled = dialled,
+        .proved = on_proved,
         .heard = on_frame,
         .closed = on_closed,
         .data = links,
@@ -383,6 +401,7 @@
     }
     if (connection != NULL && target != NULL && !links->stopped) {
         target->link = add_link(links, connection, TRUE);
+        target->pause_us = 0;
     }
     g_clear_object(&connection);
     g_free(dial);
@@ -398,10 +417,14 @@
     }
     GSocketClient *client = g_socket_client_new();
     g_socket_client_set_enable_proxy(client, FALSE);
+    g_socket_client_set_timeout(client, DIAL_TIMEOUT_S);
     dial_t *dial = g_new0(dial_t, 1);
     dial->links = links;
     g_strlcpy(dial->addr, target->addr, sizeof dial->addr);
     target->dialling = TRUE;
+    target->pause_us =
+        CLAMP(target->pause_us * 2, REDIAL_MIN_US, REDIAL_MAX_US);
+    target->due_us = cq_app_now_us(links->app) + target->pause_us;
     links->refs++;
     g_socket_client_connect_async(client, G_SOCKET_CONNECTABLE(address),
                                   links->cancellable, on_connected, dial);
@@ -428,7 +451,8 @@
     g_hash_table_iter_init(&iter, links->targets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         target_t *target = value;
-        if (target->link == NULL && !target->dialling) {
+        gboolean due = cq_app_now_us(links->app) >= target->due_us;
+        if (target->link == NULL && !target->dialling && due) {
             dial(links, target);
         }
     }
@@ -503,6 +527,22 @@
     target_t *target = g_new0(target_t, 1);
     g_strlcpy(target->addr, addr, sizeof target->addr);
     g_hash_table_insert(links->targets, target->addr, target);
+    dial(links, target);
+}
+
+gboolean
+cq_links_settled(const cq_links_t *links)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, links->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const target_t *target = value;
+        if (target->link == NULL || !cq_link_proved(target->link)) {
+            return FALSE;
+        }
+    }
+    return TRUE;
 }
 
 static void
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -637,7 +637,7 @@
   assert(message->base.descriptor == &cq__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor cq__hello__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cq__hello__field_descriptors[3] =
 {
   {
     "host",
@@ -663,15 +663,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "addr",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Hello, addr),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cq__hello__field_indices_by_name[] = {
+  2,   /* field[2] = addr */
   1,   /* field[1] = challenge */
   0,   /* field[0] = host */
 };
 static const ProtobufCIntRange cq__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor cq__hello__descriptor =
 {
@@ -681,7 +694,7 @@
   "Cq__Hello",
   "cq",
   sizeof(Cq__Hello),
-  2,
+  3,
   cq__hello__field_descriptors,
   cq__hello__field_indices_by_name,
   1,  cq__hello__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -41,10 +41,14 @@
   ProtobufCMessage base;
   char *host;
   ProtobufCBinaryData challenge;
+  /*
+   * Where the sender listens to peers.
+   */
+  char *addr;
 };
 #define CQ__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cq__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, {0,NULL} }
+    , (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string }
 
 
 struct  Cq__Proof
