Leave a cut zone alone, and place with care after a start

Broken streams were moved to the fullest engine. Two connections that fail within a second make a zone suspect while its hosts are not heard; a new host scatters shorts and holds long prompts until its peers have told it their tasks, a second at most; moved streams go where they begin soonest.

--- a/packages/core/answer.c
+++ b/packages/core/answer.c
@@ -79,10 +79,16 @@
     cq_task_close(core, request);
     cq_claim_settle(core, request, answer);
     cq_counters_add(&core->counters, counter_of(answer->outcome), 1);
+    char pause[32] = "";
+    if (request->gap_us > 0 && request->forwarded > 0) {
+        g_snprintf(pause, sizeof pause, " pause_ms=%" G_GINT64_FORMAT,
+                   request->pause_us / CQ_MS_US);
+    }
     cq_table_note(core, request, "answer",
-                  "code=%s ran=%s status=%d retry_after_ms=%" G_GINT64_FORMAT,
+                  "code=%s ran=%s status=%d retry_after_ms=%" G_GINT64_FORMAT
+                  "%s",
                   cq_outcome_code(answer->outcome), cq_ran_text(answer->ran),
-                  answer->status, answer->retry_after_us / CQ_MS_US);
+                  answer->status, answer->retry_after_us / CQ_MS_US, pause);
     cq_action_t action = {.kind = CQ_AC_ANSWER, .answer = *answer};
     cq_actions_add(core->actions, &action);
     if (request->service != NULL) {
--- a/packages/core/fit.c
+++ b/packages/core/fit.c
@@ -6,6 +6,7 @@
 #include "core/batch.h"
 #include "core/flow.h"
 #include "core/group.h"
+#include "core/load.h"
 #include "core/pass.h"
 #include "core/place.h"
 #include "core/send.h"
@@ -32,6 +33,8 @@
 #define SETTLE_US (4 * CQ_MS_US)
 /* Bookings this close to each other are ordered by the request's id. */
 #define TIE_US (8 * CQ_MS_US)
+/* A new process waits so long to hear its peers. */
+#define LEARN_US CQ_SECOND_US
 /* Engines are booked at most this far ahead: long enough for many of them to
  * get free together, and no longer than shorter prompts can wait. */
 #define AHEAD_US (300 * CQ_MS_US)
@@ -138,7 +141,21 @@
             pass_us > request->gap_us * GAP_PERCENT / 100);
 }
 
-/* The fullest engine that keeps every stream's pause. */
+/* A stream that was broken off, or a request that failed elsewhere, goes where
+ * it begins soonest; any other to the fullest engine. */
+static gboolean
+better(const cq_request_t *request, const seat_t *seat, const seat_t *best,
+       gint64 read_us)
+{
+    gint64 sooner_us = first_us(best, read_us) - first_us(seat, read_us);
+    gint64 fuller = seat->pass.streams - best->pass.streams;
+    if (request->attempt > 0 || fuller == 0) {
+        return sooner_us > 0;
+    }
+    return fuller > 0;
+}
+
+/* The best engine that keeps every stream's pause. */
 static gboolean
 pack(const cq_request_t *request, const survey_t *survey, gint64 read_us,
      gint64 left_us, cq_task_plan_t *plan)
@@ -151,9 +168,7 @@
             !can_write(request, seat) || disturbed(request, seat, us)) {
             continue;
         }
-        if (best == NULL || seat->pass.streams > best->pass.streams ||
-            (seat->pass.streams == best->pass.streams &&
-             us < first_us(best, read_us))) {
+        if (best == NULL || better(request, seat, best, read_us)) {
             best = seat;
         }
     }
@@ -279,6 +294,40 @@
     return plan->first_us <= left_us;
 }
 
+/* A process that has just started does not know what its peers have on the
+ * engines before they have told it. */
+static gboolean
+settled(const cq_core_t *core)
+{
+    if (core->now_us - core->started_us > LEARN_US) {
+        return TRUE;
+    }
+    return core->listed && !cq_load_blind(core);
+}
+
+/* Without that knowledge, short prompts are spread at random, so that none of
+ * the engines gets many of them. */
+static gboolean
+scatter(cq_core_t *core, const cq_request_t *request, const survey_t *survey,
+        gint64 read_us, cq_task_plan_t *plan)
+{
+    if (survey->len == 0) {
+        return FALSE;
+    }
+    guint at =
+        (guint)g_rand_int_range(core->rand, 0, (gint32)survey->len);
+    const seat_t *seat = &survey->seats[at];
+    if (!can_write(request, seat)) {
+        return FALSE;
+    }
+    plan->engines[0] = seat->engine;
+    plan->engines_len = 1;
+    plan->part_us = read_us;
+    plan->wait_us = seat->wait_us;
+    plan->first_us = first_us(seat, read_us);
+    return TRUE;
+}
+
 gboolean
 cq_fit_choose(cq_core_t *core, const cq_request_t *request, gboolean late,
               cq_task_plan_t *plan)
@@ -291,6 +340,12 @@
         cq_batch_read_us(&service->rules->speed, request->prompt_tokens);
     gint64 until_us = late ? request->deadline_us : request->aim_us;
     gint64 left_us = until_us - core->now_us - MARGIN_US;
+    if (read_us <= SHORT_US && !settled(core)) {
+        return scatter(core, request, &survey, read_us, plan);
+    }
+    if (read_us > SHORT_US && !settled(core)) {
+        return FALSE;
+    }
     if (read_us <= SHORT_US) {
         return pack(request, &survey, read_us, left_us, plan);
     }
--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -3,6 +3,13 @@
 #include "core/place.h"
 #include "core/table.h"
 
+/* Two upstreams of a zone that can't be reached within this time make the
+ * zone suspect, for so long at first, and for so long at most while its entry
+ * hosts are not heard either. */
+#define ZONE_FAILS_US CQ_SECOND_US
+#define ZONE_SUSPECT_US (1500 * CQ_MS_US)
+#define ZONE_SILENT_US (20 * CQ_SECOND_US)
+
 void
 cq_member_leaving(cq_core_t *core, cq_upstream_t *upstream,
                   guint64 incarnation)
@@ -63,7 +70,8 @@
 {
     guint32 host = cq_ident_host(row->name);
     if (!row->leaving && host != core->host) {
-        g_hash_table_add(core->entry_hosts, GUINT_TO_POINTER(host));
+        g_hash_table_insert(core->entry_hosts, GUINT_TO_POINTER(host),
+                            g_strdup(row->zone));
     }
 }
 
@@ -195,6 +203,7 @@
     if (list->len == 0) {
         return;
     }
+    core->listed = TRUE;
     unlist(core);
     g_hash_table_remove_all(core->entry_hosts);
     for (guint i = 0; i < list->len; i++) {
@@ -216,6 +225,81 @@
     choose_reader(core, list);
 }
 
+static cq_zone_t *
+zone_of(const cq_core_t *core, const cq_upstream_t *upstream)
+{
+    return g_hash_table_lookup(core->zones, upstream->zone);
+}
+
+void
+cq_member_unreachable(cq_core_t *core, const cq_upstream_t *upstream)
+{
+    if (g_str_equal(upstream->zone, core->zone)) {
+        return;
+    }
+    cq_zone_t *zone = zone_of(core, upstream);
+    if (zone == NULL) {
+        zone = g_new0(cq_zone_t, 1);
+        g_hash_table_insert(core->zones, g_strdup(upstream->zone), zone);
+    }
+    gboolean again = core->now_us - zone->failed_us < ZONE_FAILS_US &&
+                     zone->upstream != upstream->id;
+    zone->failed_us = core->now_us;
+    zone->upstream = upstream->id;
+    if (again && zone->suspect_until_us <= core->now_us) {
+        cq_ring_add(&core->ring, core->now_us, 0, 0, "zone_suspect",
+                    "zone=%s after=%s", upstream->zone, upstream->name);
+    }
+    if (again) {
+        zone->suspect_until_us = core->now_us + ZONE_SUSPECT_US;
+    }
+}
+
+void
+cq_member_reached(cq_core_t *core, const cq_upstream_t *upstream)
+{
+    cq_zone_t *zone = zone_of(core, upstream);
+    if (zone != NULL) {
+        zone->suspect_until_us = 0;
+        zone->failed_us = 0;
+    }
+}
+
+/* Whether entry hosts of @zone should be heard and none is. */
+static gboolean
+silent(const cq_core_t *core, const char *zone)
+{
+    gboolean any = FALSE;
+    GHashTableIter iter;
+    gpointer host;
+    gpointer in;
+    g_hash_table_iter_init(&iter, core->entry_hosts);
+    while (g_hash_table_iter_next(&iter, &host, &in)) {
+        if (g_str_equal(in, zone)) {
+            any = TRUE;
+            if (g_hash_table_contains(core->peer_by_host, host)) {
+                return FALSE;
+            }
+        }
+    }
+    return any;
+}
+
+gboolean
+cq_member_cut_off(const cq_core_t *core, const cq_upstream_t *upstream)
+{
+    const cq_zone_t *zone = zone_of(core, upstream);
+    if (zone == NULL) {
+        return FALSE;
+    }
+    if (core->now_us < zone->suspect_until_us) {
+        return TRUE;
+    }
+    return zone->suspect_until_us > 0 &&
+           core->now_us < zone->suspect_until_us + ZONE_SILENT_US &&
+           silent(core, upstream->zone);
+}
+
 static gboolean
 unused(const cq_upstream_t *upstream)
 {
--- a/packages/core/member.h
+++ b/packages/core/member.h
@@ -12,6 +12,19 @@
 
 G_BEGIN_DECLS
 
+/** cq_member_unreachable() - @upstream could not be reached */
+void
+cq_member_unreachable(cq_core_t *core, const cq_upstream_t *upstream);
+
+/** cq_member_reached() - @upstream answers, so its zone is not cut off */
+void
+cq_member_reached(cq_core_t *core, const cq_upstream_t *upstream);
+
+/** cq_member_cut_off() - Return: whether the zone of @upstream is taken to be
+ * cut off from this host */
+gboolean
+cq_member_cut_off(const cq_core_t *core, const cq_upstream_t *upstream);
+
 /** cq_member_list() - take the platform's whole list */
 void
 cq_member_list(cq_core_t *core, const cq_ev_hosts_t *list);
--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -1,6 +1,7 @@
 #include "core/place.h"
 
 #include "core/load.h"
+#include "core/member.h"
 #include "core/order.h"
 #include "core/table.h"
 #include "core/usage.h"
@@ -134,7 +135,8 @@
 gboolean
 cq_place_usable(const cq_core_t *core, const cq_upstream_t *upstream)
 {
-    if (upstream->leaving || gone(core, upstream)) {
+    if (upstream->leaving || gone(core, upstream) ||
+        cq_member_cut_off(core, upstream)) {
         return FALSE;
     }
     return upstream->suspect_until_us <= core->now_us;
--- a/packages/core/send.c
+++ b/packages/core/send.c
@@ -174,6 +174,7 @@
     }
     if (failure == CQ_FAIL_CONNECT) {
         upstream->suspect_until_us = core->now_us + CQ_SUSPECT_US;
+        cq_member_unreachable(core, upstream);
         request->unsent++;
     }
     if (failure == CQ_FAIL_BROKEN) {
@@ -226,8 +227,13 @@
     on_sent(core, request);
     if (request->task != NULL) {
         cq_pass_seen(core, request->upstream);
+        cq_member_reached(core, request->upstream);
         cq_task_first_token(core, request);
     }
+    if (request->forwarded > 0) {
+        gint64 pause_us = core->now_us - request->progress_us;
+        request->pause_us = MAX(request->pause_us, pause_us);
+    }
     request->progress_us = core->now_us;
     request->unanswered = 0;
     request->forwarded += tokens;
@@ -246,6 +252,7 @@
 {
     on_sent(core, request);
     request->upstream->strikes = 0;
+    cq_member_reached(core, request->upstream);
     if (request->forwarded > 0) {
         cq_load_learn_output(request->service, request->forwarded);
     }
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -240,6 +240,7 @@
  * @unsent: attempts that never reached their upstream
  * @work: its entry in the ledger of engines; with it, a queued request is
  *   booked
+ * @pause_us: longest pause between its events so far
  * @holders_len: engines of @group that a booked request asks for memory
  */
 typedef struct {
@@ -294,6 +295,7 @@
     guint unsent;
     cq_task_t *task;
     guint holders_len;
+    gint64 pause_us;
 } cq_request_t;
 
 /**
@@ -337,9 +339,23 @@
     gint64 asked_us;
 } cq_lease_state_t;
 
+/**
+ * struct cq_zone_t - another availability zone, as seen from here
+ * @failed_us: when one of its upstreams could not be reached
+ * @upstream: the id of that one
+ * @suspect_until_us: its upstreams get no work before then
+ */
+typedef struct {
+    gint64 failed_us;
+    guint64 upstream;
+    gint64 suspect_until_us;
+} cq_zone_t;
+
 /**
  * struct cq_core - the whole state
- * @entry_hosts: host ids of the other entry hosts on the list
+ * @entry_hosts: host ids of the other entry hosts on the list, to zones
+ * @zones: zone name to cq_zone_t*
+ * @listed: a host list has come
  * @peers: array of cq_listed_t: those that this process keeps links to
  * @reads_log: whether this process follows the log all the time
  * @claims: key to cq_claim_entry_t*
@@ -365,6 +381,8 @@
     GPtrArray *services;
     GHashTable *peer_by_host;
     GHashTable *entry_hosts;
+    GHashTable *zones;
+    gboolean listed;
     GArray *peers;
     gboolean reads_log;
     GHashTable *claims;
--- a/packages/core/table.c
+++ b/packages/core/table.c
@@ -62,7 +62,10 @@
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_peer);
     core->peers = g_array_new(FALSE, FALSE, sizeof(cq_listed_t));
     core->reads_log = TRUE;
-    core->entry_hosts = g_hash_table_new(g_direct_hash, g_direct_equal);
+    core->entry_hosts =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+    core->zones =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     core->tasks = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                         cq_task_free);
     core->claims = g_hash_table_new_full(key_hash, key_equal, NULL, g_free);
@@ -74,6 +77,7 @@
     g_hash_table_unref(core->claims);
     g_hash_table_unref(core->tasks);
     g_hash_table_unref(core->entry_hosts);
+    g_hash_table_unref(core->zones);
     g_array_unref(core->peers);
     g_hash_table_unref(core->peer_by_host);
     g_hash_table_unref(core->service_by_name);
