Tell late prompts to come back after 1.5 s of waiting for idle engines

Cause: prompts past their aim were held to 70 of 100 parts of their time and then refused (charged as held, and of no use to their callers).

--- a/packages/core/flow.c
+++ b/packages/core/flow.c
@@ -186,6 +186,10 @@
     gint64 spread_us =
         g_rand_int_range(core->rand, 0, (gint32)COME_BACK_SPREAD_US);
     gint64 at_us = MIN(wait_us, COME_BACK_WAIT_MAX_US) + slot_us + spread_us;
+    if (service->rules->kind == CQ_SERVICE_BATCH) {
+        /* Callers take it up to a third of the time that they have left. */
+        at_us = MIN(at_us, (request->deadline_us - core->now_us) / 3);
+    }
     return CLAMP(at_us, CQ_RETRY_AFTER_MIN_US, CQ_RETRY_AFTER_MAX_US);
 }
 
--- a/packages/core/watch.c
+++ b/packages/core/watch.c
@@ -10,8 +10,8 @@
 #define WAITED_US CQ_SECOND_US
 /* Part of its aim after which a plain call is tried elsewhere. */
 #define PLAIN_PERCENT 75
-/* Part of its time that a request may spend waiting for engines. */
-#define LATE_PERCENT 70
+/* Time past its aim that a prompt may wait for idle engines. */
+#define LATE_WAIT_US (1500 * CQ_MS_US)
 
 static void
 stop_and_fail(cq_core_t *core, cq_request_t *request, cq_failure_t failure)
@@ -105,10 +105,8 @@
 static void
 watch_late(cq_core_t *core, cq_request_t *request)
 {
-    gint64 least_us = cq_load_prompt_us(request);
-    gint64 time_us = request->deadline_us - request->arrived_us;
-    gint64 give_up_us = request->arrived_us + time_us * LATE_PERCENT / 100;
-    if (core->now_us + least_us > give_up_us) {
+    if (request->task == NULL &&
+        core->now_us > request->aim_us + LATE_WAIT_US) {
         cq_answer_give(core, request, CQ_OUT_OVERLOADED);
     }
 }
