--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -113,6 +113,8 @@
  * @tokens: TOKENS: new tokens; PROBED: tokens the upstream has sent
  * @status: DONE: HTTP status
  * @failure: FAILED: how
+ * @at_fault: FAILED: address of the upstream that another one names as the
+ *   cause, or ""
  * @probe: PROBED: what the upstream says
  */
 typedef struct {
@@ -121,6 +123,7 @@
     gint64 tokens;
     int status;
     cq_failure_t failure;
+    char at_fault[CQ_ADDR_BYTES];
     cq_probe_t probe;
 } cq_ev_attempt_t;
 
--- a/packages/core/send.c
+++ b/packages/core/send.c
@@ -184,6 +184,10 @@
             core->now_us + (CQ_SECOND_US << doublings);
     }
     request->last_failed = upstream->id;
+    if (request->blamed != 0) {
+        request->last_failed = request->blamed;
+        request->blamed = 0;
+    }
     request->sent = FALSE;
     cq_load_release(core, request);
     cq_group_release(core, request);
@@ -260,6 +264,25 @@
     cq_answer_done(core, request, status);
 }
 
+/* An engine that can't reach one that helps it names that one, which is then
+ * left alone in its place. */
+static void
+blame(cq_core_t *core, cq_request_t *request, const char *addr)
+{
+    const cq_task_t *task = request->task;
+    for (guint i = 1; task != NULL && i < task->engines_len; i++) {
+        cq_upstream_t *engine = task->engines[i];
+        if (g_str_equal(engine->addr, addr)) {
+            cq_table_note(core, request, "at_fault", "upstream=%s",
+                          engine->name);
+            engine->suspect_until_us = core->now_us + CQ_SUSPECT_US;
+            cq_member_unreachable(core, engine);
+            request->blamed = engine->id;
+            return;
+        }
+    }
+}
+
 void
 cq_send_event(cq_core_t *core, const cq_event_t *event)
 {
@@ -287,6 +310,7 @@
         on_done(core, request, news->status);
         break;
     case CQ_EV_FAILED:
+        blame(core, request, news->at_fault);
         cq_send_fail(core, request, news->failure);
         break;
     default:
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -240,6 +240,7 @@
  * @unsent: attempts that never reached their upstream
  * @work: its entry in the ledger of engines; with it, a queued request is
  *   booked
+ * @blamed: id of the engine because of which the attempt did not run, or 0
  * @pause_us: longest pause between its events so far
  * @holders_len: engines of @group that a booked request asks for memory
  */
@@ -296,6 +297,7 @@
     cq_task_t *task;
     guint holders_len;
     gint64 pause_us;
+    guint64 blamed;
 } cq_request_t;
 
 /**
--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -141,6 +141,25 @@
     post(call, CQ_EV_FAILED, &event);
 }
 
+/* The upstream did not run it, because of itself or of one that helps it. */
+static void
+refused(call_t *call, const cq_reply_t *reply)
+{
+    conn_t *conn = detach(call);
+    if (conn != NULL) {
+        conn_drop(conn);
+    }
+    cq_event_t event = {.attempt = {.failure = CQ_FAIL_REFUSED}};
+    if (reply->stranger) {
+        event.attempt.failure = CQ_FAIL_LEAVING;
+    }
+    if (reply->at_fault != NULL) {
+        g_strlcpy(event.attempt.at_fault, reply->at_fault,
+                  sizeof event.attempt.at_fault);
+    }
+    post(call, CQ_EV_FAILED, &event);
+}
+
 static void
 post_sent(call_t *call)
 {
@@ -188,12 +207,8 @@
         fail(call, CQ_FAIL_BROKEN);
         return;
     }
-    if (reply.stranger) {
-        fail(call, CQ_FAIL_LEAVING);
-        return;
-    }
-    if (reply.not_run) {
-        fail(call, CQ_FAIL_REFUSED);
+    if (reply.stranger || reply.not_run) {
+        refused(call, &reply);
         return;
     }
     if (succeeds(head) && (!reply.sealed || reply.coded)) {
