--- a/packages/core/fit.c
+++ b/packages/core/fit.c
@@ -17,8 +17,8 @@
 #define MARGIN_US (25 * CQ_MS_US)
 /* A prompt that is read within this time shares an engine with others. */
 #define SHORT_US (150 * CQ_MS_US)
-/* Part of an engine's memory that one prompt takes there, when it needs the
- * memory of several engines. */
+/* Part of an engine's memory that one prompt takes there; a longer one is
+ * held by several engines, since hardly any has all of its memory free. */
 #define HOLD_PERCENT 60
 /* The time of one part of a long prompt, and the longest one. */
 #define PART_US (250 * CQ_MS_US)
@@ -105,9 +105,6 @@
 {
     const cq_speed_t *speed = &request->service->rules->speed;
     gint64 need = cq_place_need(request);
-    if (need <= speed->memory_tokens) {
-        return 1;
-    }
     gint64 part = speed->memory_tokens * HOLD_PERCENT / 100;
     return (guint)MIN((need + part - 1) / part, CQ_GROUP_MAX);
 }
