--- a/packages/core/fit.c
+++ b/packages/core/fit.c
@@ -25,6 +25,11 @@
 #define PART_MAX_US (600 * CQ_MS_US)
 /* So many engines are enough to begin with the very longest prompts. */
 #define GROUP_LEAST 8U
+/* A long prompt that has waited so long may break one stream's pause for each
+ * such time of its reading, and no more than a few. */
+#define HARM_WAIT_US (150 * CQ_MS_US)
+#define HARM_US (300 * CQ_MS_US)
+#define HARM_MAX 6
 /* An engine that has more to read than this is not asked to read a part: the
  * newest reading goes first there, and would delay what was placed before. */
 #define PENDING_US (30 * CQ_MS_US)
@@ -191,8 +196,14 @@
     return done_us <= pass->next_us ? now_us : pass->free_us;
 }
 
+/**
+ * struct offer_t - an engine that can take a part
+ * @broken: streams whose pauses the part breaks
+ * @begin_us: time until it can begin
+ */
 typedef struct {
     const seat_t *seat;
+    guint broken;
     gint64 begin_us;
 } offer_t;
 
@@ -202,6 +213,9 @@
 {
     const offer_t *x = a;
     const offer_t *y = b;
+    if (x->broken != y->broken) {
+        return x->broken < y->broken ? -1 : 1;
+    }
     if (x->begin_us != y->begin_us) {
         return x->begin_us < y->begin_us ? -1 : 1;
     }
@@ -210,14 +224,19 @@
     return p < q ? -1 : p > q;
 }
 
+/* Engines that allow a part, or have at most @harm streams whose pauses it
+ * breaks. */
 static guint
-list_offers(const survey_t *survey, gint64 part_us, offer_t *offers)
+list_offers(const survey_t *survey, gint64 part_us, guint harm,
+            offer_t *offers)
 {
     guint len = 0;
     for (guint i = 0; i < survey->len; i++) {
         const seat_t *seat = &survey->seats[i];
-        if (seat->room_us >= part_us) {
+        guint broken = seat->room_us < part_us ? seat->pass.tight : 0;
+        if (broken <= harm) {
             offers[len].seat = seat;
+            offers[len].broken = broken;
             offers[len++].begin_us = begin_us(seat, part_us);
         }
     }
@@ -229,15 +248,16 @@
  * has most streams already goes first. */
 static gboolean
 split(const cq_request_t *request, const survey_t *survey, guint parts,
-      gint64 read_us, cq_task_plan_t *plan)
+      gint64 read_us, guint harm, cq_task_plan_t *plan)
 {
     const seat_t *writer = NULL;
     guint writer_at = 0;
     guint hold = holders(request) - 1;
     *plan = (cq_task_plan_t){.part_us = read_us / parts};
     offer_t offers[2 * CQ_SUBSET_MAX];
-    guint len = list_offers(survey, plan->part_us, offers);
+    guint len = list_offers(survey, plan->part_us, harm, offers);
     gint64 after_us = 0;
+    guint broken = 0;
     for (guint i = 0; i < len && plan->engines_len < parts; i++) {
         const seat_t *seat = offers[i].seat;
         gboolean last = plan->engines_len + 1 == parts;
@@ -254,13 +274,15 @@
             plan->holders[plan->holders_len++] = seat->engine;
         }
         plan->engines[plan->engines_len++] = seat->engine;
+        broken += offers[i].broken;
         plan->start_us =
             MAX(plan->start_us, MAX(offers[i].begin_us, SETTLE_US));
         gint64 pass_us = seat->pass.writes ? seat->steps_us : 0;
         plan->wait_us = MAX(plan->wait_us, pass_us / 2);
         after_us = MAX(after_us, pass_us);
     }
-    if (plan->engines_len < parts || plan->holders_len < hold) {
+    if (plan->engines_len < parts || plan->holders_len < hold ||
+        broken > harm) {
         return FALSE;
     }
     plan->engines[writer_at] = plan->engines[0];
@@ -275,7 +297,7 @@
  * parts that are long enough to be worth the passes that they interrupt. */
 static gboolean
 split_up(const cq_request_t *request, const survey_t *survey, gint64 read_us,
-         gint64 left_us, cq_task_plan_t *plan)
+         gint64 left_us, guint harm, cq_task_plan_t *plan)
 {
     guint most = (guint)CLAMP(read_us / PART_US, 1, CQ_GROUP_MAX);
     guint least = (guint)(read_us / PART_MAX_US + 1);
@@ -283,7 +305,7 @@
     plan->first_us = G_MAXINT64;
     for (guint parts = MAX(most, least); parts >= least; parts--) {
         cq_task_plan_t one;
-        if (split(request, survey, parts, read_us, &one) &&
+        if (split(request, survey, parts, read_us, harm, &one) &&
             one.start_us <= AHEAD_US && one.first_us < plan->first_us) {
             *plan = one;
         }
@@ -346,7 +368,15 @@
     if (read_us <= SHORT_US) {
         return pack(request, &survey, read_us, left_us, plan);
     }
-    return split_up(request, &survey, read_us, left_us, plan);
+    if (split_up(request, &survey, read_us, left_us, 0, plan)) {
+        return TRUE;
+    }
+    /* A hiccup of a few short streams is less than a long prompt that comes
+     * seconds late; the longer the prompt, the more of them. */
+    gint64 waited_us = core->now_us - request->arrived_us;
+    guint harm = (guint)MIN(read_us / HARM_US, HARM_MAX);
+    return !late && harm > 0 && waited_us > HARM_WAIT_US &&
+           split_up(request, &survey, read_us, left_us, harm, plan);
 }
 
 static gint
--- a/packages/core/pass.c
+++ b/packages/core/pass.c
@@ -8,6 +8,8 @@
 #define GRACE_US (8 * CQ_MS_US)
 /* Passes of which nothing was seen for so long are not worked out. */
 #define UNSEEN_US CQ_SECOND_US
+/* A stream counts as one more for each so many tokens of its prompt. */
+#define TIGHT_TOKENS 15000
 /* Reading that should be done and is not is expected within this time. */
 #define OVERDUE_US (10 * CQ_MS_US)
 
@@ -18,8 +20,12 @@
     pass->memory += task->tokens;
     pass->context += task->tokens / task->engines_len;
     pass->writes = pass->writes || task->writing;
-    if (task->gap_us > 0) {
-        pass->gap_us = MIN(pass->gap_us, task->gap_us);
+    if (task->gap_us > 0 && task->gap_us < pass->gap_us) {
+        pass->gap_us = task->gap_us;
+        pass->tight = 0;
+    }
+    if (task->gap_us == pass->gap_us) {
+        pass->tight += (guint)(1 + task->tokens / TIGHT_TOKENS);
     }
 }
 
--- a/packages/core/pass.h
+++ b/packages/core/pass.h
@@ -19,6 +19,8 @@
  * @memory: tokens held there
  * @context: context of the streams, as far as a step depends on it
  * @gap_us: shortest pause that one of them allows, or G_MAXINT64
+ * @tight: streams that allow no longer one; a longer prompt counts as more
+ *   than one
  * @writes: whether a stream writes
  * @steps_us: token steps of a pass
  * @left_us: time until the next pass begins
@@ -33,6 +35,7 @@
     gint64 memory;
     gint64 context;
     gint64 gap_us;
+    guint tight;
     gboolean writes;
     gint64 steps_us;
     gint64 left_us;
