--- a/packages/core/watch.c
+++ b/packages/core/watch.c
@@ -11,7 +11,7 @@
 /* Part of its aim after which a plain call is tried elsewhere. */
 #define PLAIN_PERCENT 75
 /* Time past its aim that a prompt may wait for idle engines. */
-#define LATE_WAIT_US (300 * CQ_MS_US)
+#define LATE_WAIT_US (100 * CQ_MS_US)
 
 static void
 stop_and_fail(cq_core_t *core, cq_request_t *request, cq_failure_t failure)
