--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	@bash tests/lint.sh $(BUILD)
 
 format:
-	@clang-format -i $$(git ls-files 'packages/*.[ch]' 'tests/*.[ch]' \
+	@clang-format -i $$(git ls-files 'packages/*.[ch]' 'platform/*.[ch]' 'tests/*.[ch]' \
 	    'packages/*.cc' 'tests/*.cc' | grep -v pb-c)
 
 clean:
--- a/packages/core/fit.c
+++ b/packages/core/fit.c
@@ -265,8 +265,8 @@
         if (last && writer == NULL && !writes) {
             continue;
         }
-        if (writes && (writer == NULL ||
-                       seat->pass.streams > writer->pass.streams)) {
+        if (writes &&
+            (writer == NULL || seat->pass.streams > writer->pass.streams)) {
             writer = seat;
             writer_at = plan->engines_len;
         }
@@ -281,14 +281,13 @@
         plan->wait_us = MAX(plan->wait_us, pass_us / 2);
         after_us = MAX(after_us, pass_us);
     }
-    if (plan->engines_len < parts || plan->holders_len < hold ||
-        broken > harm) {
+    if (writer == NULL || plan->engines_len < parts ||
+        plan->holders_len < hold || broken > harm) {
         return FALSE;
     }
     plan->engines[writer_at] = plan->engines[0];
     plan->engines[0] = writer->engine;
-    plan->first_us =
-        plan->start_us + plan->wait_us + plan->part_us + after_us;
+    plan->first_us = plan->start_us + plan->wait_us + plan->part_us + after_us;
     return TRUE;
 }
 
@@ -333,8 +332,7 @@
     if (survey->len == 0) {
         return FALSE;
     }
-    guint at =
-        (guint)g_rand_int_range(core->rand, 0, (gint32)survey->len);
+    guint at = (guint)g_rand_int_range(core->rand, 0, (gint32)survey->len);
     const seat_t *seat = &survey->seats[at];
     if (!can_write(request, seat)) {
         return FALSE;
@@ -394,8 +392,7 @@
     cq_list_t *link = core->requests.next;
     for (; link != &core->requests; link = link->next) {
         cq_request_t *request = CQ_ENTRY(link, cq_request_t, link);
-        if (request->service == service &&
-            request->phase == CQ_PHASE_QUEUED) {
+        if (request->service == service && request->phase == CQ_PHASE_QUEUED) {
             g_ptr_array_add(found, request);
         }
     }
@@ -458,9 +455,8 @@
         const GPtrArray *tasks = own->engines[i]->tasks;
         for (guint k = 0; k < tasks->len; k++) {
             const cq_task_t *task = g_ptr_array_index(tasks, k);
-            if (task != own && !task->writing &&
-                task->part_us > PENDING_US && overlaps(task, own) &&
-                goes_before(task, own)) {
+            if (task != own && !task->writing && task->part_us > PENDING_US &&
+                overlaps(task, own) && goes_before(task, own)) {
                 return TRUE;
             }
         }
@@ -530,8 +526,8 @@
     }
     for (guint i = 0; i < found->len; i++) {
         cq_request_t *request = g_ptr_array_index(found, i);
-        gboolean open = request->phase == CQ_PHASE_QUEUED &&
-                        request->task == NULL;
+        gboolean open =
+            request->phase == CQ_PHASE_QUEUED && request->task == NULL;
         gboolean can = request->aim_us > core->now_us + MARGIN_US;
         if (open && can && !try_one(core, request, FALSE)) {
             on_time_waits = TRUE;
--- a/packages/core/group.c
+++ b/packages/core/group.c
@@ -11,7 +11,6 @@
 #define BACK_OFFS_MAX 5
 #define EXPIRY_MARGIN_US (2 * CQ_SECOND_US)
 
-
 gint64
 cq_group_part(const cq_request_t *request)
 {
--- a/packages/core/pass.c
+++ b/packages/core/pass.c
@@ -115,7 +115,6 @@
         until_us = end_us(engine, pass->steps_us);
     }
     pass->left_us = MAX(until_us - core->now_us, 0);
-    pass->queued_us =
-        reading_us(engine, engine->pass_us, core->now_us + 1);
+    pass->queued_us = reading_us(engine, engine->pass_us, core->now_us + 1);
     pass->busy_us = pass->queued_us + MAX(pass->left_us - pass->steps_us, 0);
 }
--- a/packages/core/send.c
+++ b/packages/core/send.c
@@ -191,7 +191,8 @@
     request->sent = FALSE;
     cq_load_release(core, request);
     cq_group_release(core, request);
-    if (may_run_again(request, failure) && budget_allows(core, request, failure)) {
+    if (may_run_again(request, failure) &&
+        budget_allows(core, request, failure)) {
         queue_again(core, request);
         return;
     }
--- a/packages/core/task.c
+++ b/packages/core/task.c
@@ -96,8 +96,8 @@
     request->task = task;
     cq_table_note(core, request, "read_by",
                   "engines=%u part_ms=%" G_GINT64_FORMAT
-                  " start_ms=%" G_GINT64_FORMAT
-                  " first_ms=%" G_GINT64_FORMAT " late=%s",
+                  " start_ms=%" G_GINT64_FORMAT " first_ms=%" G_GINT64_FORMAT
+                  " late=%s",
                   plan->engines_len, plan->part_us / CQ_MS_US,
                   plan->start_us / CQ_MS_US, plan->first_us / CQ_MS_US,
                   request->aim_us < core->now_us ? "yes" : "no");
--- a/packages/core/watch.c
+++ b/packages/core/watch.c
@@ -56,8 +56,8 @@
     const cq_rules_t *rules = request->service->rules;
     if (rules->kind == CQ_SERVICE_PLAIN) {
         gint64 aim_us = request->aim_us - request->arrived_us;
-        return request->phase_us + MIN(aim_us * PLAIN_PERCENT / 100,
-                                       rules->quiet_us);
+        return request->phase_us +
+               MIN(aim_us * PLAIN_PERCENT / 100, rules->quiet_us);
     }
     const cq_task_t *task = request->task;
     if (task == NULL || task->writing) {
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -219,14 +219,13 @@
     g_byte_array_set_size(line->body, 0);
     line->timer = g_timeout_add(call->timeout_ms, on_timeout, line);
     GString *out = g_string_new("");
-    g_string_append_printf(out, "%s %s HTTP/1.1\r\nHost: %s\r\n",
-                           call->method, call->path, call->addr);
+    g_string_append_printf(out, "%s %s HTTP/1.1\r\nHost: %s\r\n", call->method,
+                           call->path, call->addr);
     if (call->type != NULL) {
         g_string_append_printf(out, "Content-Type: %s\r\n", call->type);
     }
     if (call->body != NULL) {
-        g_string_append_printf(out, "Content-Length: %zu\r\n",
-                               call->body_len);
+        g_string_append_printf(out, "Content-Length: %zu\r\n", call->body_len);
     }
     g_string_append(out, "\r\n");
     g_string_append_len(out, call->body, (gssize)call->body_len);
--- a/packages/http/h1.c
+++ b/packages/http/h1.c
@@ -187,9 +187,8 @@
     reader->ended = FALSE;
     http_parser_pause(&reader->parser, 0);
     /* The parser refuses to go on after a message that closes. */
-    http_parser_init(&reader->parser, reader->options.answers
-                                          ? HTTP_RESPONSE
-                                          : HTTP_REQUEST);
+    http_parser_init(&reader->parser,
+                     reader->options.answers ? HTTP_RESPONSE : HTTP_REQUEST);
     reader->parser.data = reader;
     reader->options.ops.done(reader->options.ops.data);
 }
@@ -201,8 +200,8 @@
         return 0;
     }
     gboolean in_head = !reader->head_done || !reader->begun;
-    gsize used = http_parser_execute(&reader->parser, &reader->callbacks,
-                                     bytes, len);
+    gsize used =
+        http_parser_execute(&reader->parser, &reader->callbacks, bytes, len);
     enum http_errno code = HTTP_PARSER_ERRNO(&reader->parser);
     if (in_head) {
         reader->head_bytes += used;
--- a/packages/http/sock.c
+++ b/packages/http/sock.c
@@ -128,8 +128,8 @@
     char bytes[READ_BYTES];
     for (int i = 0; i < READS_AT_ONCE && !sock->closed && !sock->held; i++) {
         gssize n = recv(sock->fd, bytes, sizeof bytes, 0);
-        if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK ||
-                      errno == EINTR)) {
+        if (n < 0 &&
+            (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
             return;
         }
         if (n <= 0) {
--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -1,9 +1,9 @@
 #include "router/app.h"
 
 #include <string.h>
-#include <time.h>
 
 #include "router/calls.h"
+#include "router/clock.h"
 #include "router/follow.h"
 #include "router/front.h"
 #include "router/links.h"
@@ -42,13 +42,12 @@
     app_mode_t mode;
     cq_relay_t *relay;
     cq_follow_t *follow;
-    gint64 ticked_us;
     gint64 started_us;
     guint64 logged;
     cq_loads_t *loads;
     cq_links_t *links;
     cq_logs_t *logs;
-    gint64 base_us;
+    cq_clock_t clock;
     guint64 incarnation;
     guint64 next_request;
     guint tick;
@@ -59,19 +58,10 @@
 static void
 carry_out(cq_app_t *app, const cq_action_t *action);
 
-/* Goes on while the host is suspended, unlike the monotonic clock. */
-static gint64
-boot_us(void)
-{
-    struct timespec now;
-    clock_gettime(CLOCK_BOOTTIME, &now);
-    return (gint64)now.tv_sec * CQ_SECOND_US + now.tv_nsec / 1000;
-}
-
 gint64
 cq_app_now_us(const cq_app_t *app)
 {
-    return app->base_us + boot_us();
+    return cq_clock_now(&app->clock);
 }
 
 /* The core's time line, as it grows, is this process's log. */
@@ -208,8 +198,7 @@
 }
 
 static void
-order_memory(cq_app_t *app, cq_action_kind_t kind,
-             const cq_ac_memory_t *order)
+order_memory(cq_app_t *app, cq_action_kind_t kind, const cq_ac_memory_t *order)
 {
     switch (app->mode) {
     case MODE_API:
@@ -302,11 +291,8 @@
 static void
 watch_standstill(cq_app_t *app)
 {
-    gint64 now_us = cq_app_now_us(app);
-    gint64 gap_us = now_us - app->ticked_us;
-    gboolean stood = app->ticked_us > 0 && gap_us > STANDSTILL_US;
-    app->ticked_us = now_us;
-    if (stood && app->mode == MODE_RELAY) {
+    gint64 gap_us = cq_clock_gap(&app->clock);
+    if (gap_us > STANDSTILL_US && app->mode == MODE_RELAY) {
         cq_logs_info(app->logs, "standstill", "gap_ms=%" G_GINT64_FORMAT,
                      gap_us / CQ_MS_US);
         cq_relay_distrust(app->relay);
@@ -340,7 +326,7 @@
     cq_app_t *app = g_new0(cq_app_t, 1);
     app->settings = *settings;
     app->loop = g_main_loop_new(NULL, FALSE);
-    app->base_us = g_get_real_time() - boot_us();
+    cq_clock_init(&app->clock);
     app->incarnation = (guint64)(g_get_real_time() / CQ_MS_US);
     cq_core_options_t options = {
         .host = settings->host,
@@ -458,8 +444,9 @@
     held->log_level = settings->log_level;
     cq_logs_level(app->logs, cq_settings_level(held->log_level));
     dial_seeds(app);
-    cq_logs_info(app->logs, "reloaded", "seeds=%u retry_burst=%"
-                 G_GINT64_FORMAT, held->seeds_len, held->retry_burst);
+    cq_logs_info(app->logs, "reloaded",
+                 "seeds=%u retry_burst=%" G_GINT64_FORMAT, held->seeds_len,
+                 held->retry_burst);
 }
 
 int
--- a/packages/router/follow.c
+++ b/packages/router/follow.c
@@ -98,19 +98,28 @@
         cq_app_post(follow->app, &event);
     }
     cq_app_log(follow->app, "config",
-               "version=%" G_GUINT64_FORMAT " routes=%u offset=%"
-               G_GUINT64_FORMAT,
+               "version=%" G_GUINT64_FORMAT
+               " routes=%u offset=%" G_GUINT64_FORMAT,
                routes->version, routes->all->len, record->offset);
     if (old != NULL) {
         cq_routes_free(old);
     }
 }
 
+static gboolean
+same_listed(const cq_listed_t *a, const cq_listed_t *b)
+{
+    return strcmp(a->addr, b->addr) == 0 && strcmp(a->zone, b->zone) == 0 &&
+           strcmp(a->service, b->service) == 0 &&
+           a->incarnation == b->incarnation && a->leaving == b->leaving;
+}
+
+/* Upstreams write their entries often, and mostly the same again. */
 static gboolean
 same_row(const entry_t *a, const entry_t *b)
 {
     return a != NULL && a->usable == b->usable &&
-           (!a->usable || memcmp(&a->row, &b->row, sizeof a->row) == 0);
+           (!a->usable || same_listed(&a->row, &b->row));
 }
 
 static void
@@ -121,11 +130,11 @@
         gsize len;
         const char *text = g_bytes_get_data(entry->record.value, &len);
         gboolean upstream = table->topic == CQ_TOPIC_UPSTREAMS;
-        entry->usable =
-            upstream ? cq_records_upstream(entry->record.key, text, len,
-                                           &entry->row, &error)
-                     : cq_records_host(entry->record.key, text, len,
-                                       &entry->row, &error);
+        entry->usable = upstream
+                            ? cq_records_upstream(entry->record.key, text, len,
+                                                  &entry->row, &error)
+                            : cq_records_host(entry->record.key, text, len,
+                                              &entry->row, &error);
         if (!entry->usable) {
             note_bad(table, &entry->record, &error);
         }
@@ -141,8 +150,8 @@
         old->seen = TRUE;
         return;
     }
-    if (table->topic == CQ_TOPIC_CONFIG &&
-        cq_records_is_routes(record->key) && record->value != NULL) {
+    if (table->topic == CQ_TOPIC_CONFIG && cq_records_is_routes(record->key) &&
+        record->value != NULL) {
         take_config(table, record);
     }
     entry_t *entry = g_new0(entry_t, 1);
@@ -454,8 +463,7 @@
 gboolean
 cq_follow_ready(const cq_follow_t *follow)
 {
-    return follow->routes != NULL &&
-           follow->tables[CQ_TOPIC_UPSTREAMS].known;
+    return follow->routes != NULL && follow->tables[CQ_TOPIC_UPSTREAMS].known;
 }
 
 static void
--- a/packages/router/inbound.c
+++ b/packages/router/inbound.c
@@ -232,16 +232,15 @@
     }
     conn->feeding = TRUE;
     conn->refs++;
-    while (!conn->gone && conn->ahead->len > 0 &&
-           conn->state < STATE_ASKED) {
+    while (!conn->gone && conn->ahead->len > 0 && conn->state < STATE_ASKED) {
         if (conn->state == STATE_IDLE) {
             set_state(conn, STATE_HEAD);
         }
         /* The reader may be asked for more by what it calls. */
         GByteArray *bytes = conn->ahead;
         conn->ahead = g_byte_array_new();
-        gsize used = cq_h1_feed(conn->reader, (const char *)bytes->data,
-                                bytes->len);
+        gsize used =
+            cq_h1_feed(conn->reader, (const char *)bytes->data, bytes->len);
         int status = 0;
         const char *text = conn->gone ? NULL : fault_of(conn, &status);
         if (text != NULL) {
--- a/packages/router/links.c
+++ b/packages/router/links.c
@@ -5,6 +5,7 @@
 #include "router/follow.h"
 #include "router/http.h"
 #include "router/link.h"
+#include "router/news.h"
 
 #define CHECK_MS 100
 /* A peer that does not answer is dialled again after doubling pauses. */
@@ -164,56 +165,6 @@
     g_free(entry.body);
 }
 
-static void
-send_records(cq_link_t *link, Cq__Records *records)
-{
-    Cq__Frame frame = CQ__FRAME__INIT;
-    frame.kind_case = CQ__FRAME__KIND_RECORDS;
-    frame.records = records;
-    GBytes *bytes = cq_codec_pack(&frame);
-    cq_link_send(link, bytes);
-    g_bytes_unref(bytes);
-}
-
-/* One frame a record: together they may exceed the longest frame. */
-static void
-tell_record(cq_topic_t topic, const cq_store_record_t *record, void *data)
-{
-    Cq__Record row = CQ__RECORD__INIT;
-    Cq__Record *rows[] = {&row};
-    row.topic = topic;
-    row.offset = record->offset;
-    row.key = record->key;
-    row.dropped = record->value == NULL;
-    if (record->value != NULL) {
-        row.value.data = (guint8 *)g_bytes_get_data(record->value,
-                                                    &row.value.len);
-    }
-    Cq__Records records = CQ__RECORDS__INIT;
-    records.topic = topic;
-    records.n_rows = 1;
-    records.rows = rows;
-    send_records(data, &records);
-}
-
-/* A peer that the store does not answer is told what it lacks. */
-static void
-tell_lacking(cq_links_t *links, cq_link_t *link, const Cq__Summary *message)
-{
-    cq_follow_t *follow = cq_app_follow(links->app);
-    gsize len = MIN(message->n_topics_at, CQ_TOPIC_COUNT);
-    for (gsize i = 0; follow != NULL && i < len; i++) {
-        cq_topic_t topic = (cq_topic_t)i;
-        if (cq_follow_lacks(follow, topic, message->topics_at[i], tell_record,
-                            link)) {
-            Cq__Records records = CQ__RECORDS__INIT;
-            records.topic = topic;
-            records.at = cq_follow_at(follow, topic);
-            send_records(link, &records);
-        }
-    }
-}
-
 static void
 take_summary(cq_links_t *links, cq_link_t *link, const Cq__Summary *message)
 {
@@ -226,7 +177,7 @@
     cq_ring_observe(cq_core_ring(cq_app_core(links->app)), clock);
     cq_event_t event = {.kind = CQ_EV_SUMMARY, .summary = &summary};
     cq_app_post(links->app, &event);
-    tell_lacking(links, link, message);
+    cq_news_tell(links->app, link, message);
 }
 
 static void
@@ -246,30 +197,6 @@
     g_array_unref(rows);
 }
 
-/* Records that a peer read from the store. */
-static void
-take_told(cq_links_t *links, const Cq__Records *message)
-{
-    cq_follow_t *follow = cq_app_follow(links->app);
-    if (follow == NULL || message->topic >= CQ_TOPIC_COUNT) {
-        cq_app_count(links->app, CQ_N_FRAME_BAD, 1);
-        return;
-    }
-    cq_topic_t topic = (cq_topic_t)message->topic;
-    for (gsize i = 0; i < message->n_rows; i++) {
-        const Cq__Record *row = message->rows[i];
-        cq_store_record_t record = {.offset = row->offset, .key = row->key};
-        if (!row->dropped) {
-            record.value = g_bytes_new(row->value.data, row->value.len);
-        }
-        cq_follow_take(follow, topic, &record);
-        g_clear_pointer(&record.value, g_bytes_unref);
-    }
-    if (message->at > 0) {
-        cq_follow_reached(follow, topic, message->at);
-    }
-}
-
 static void
 on_frame(cq_link_t *link, const Cq__Frame *frame, void *data)
 {
@@ -288,7 +215,9 @@
         take_tasks(links, frame->tasks);
         break;
     case CQ__FRAME__KIND_RECORDS:
-        take_told(links, frame->records);
+        if (!cq_news_take(links->app, frame->records)) {
+            cq_app_count(links->app, CQ_N_FRAME_BAD, 1);
+        }
         break;
     case CQ__FRAME__KIND_ENTRY:
         take_entry(links, frame->entry);
--- a/packages/router/logs.c
+++ b/packages/router/logs.c
@@ -29,8 +29,8 @@
 flush(cq_logs_t *logs)
 {
     while (logs->waiting->len > 0) {
-        gssize n = write(STDOUT_FILENO, logs->waiting->str,
-                         logs->waiting->len);
+        gssize n =
+            write(STDOUT_FILENO, logs->waiting->str, logs->waiting->len);
         if (n < 0 && errno == EINTR) {
             continue;
         }
--- a/packages/router/relay.c
+++ b/packages/router/relay.c
@@ -56,11 +56,10 @@
         g_snprintf(extra, sizeof extra, "Retry-After: %.2f\r\n",
                    (double)retry_after_us / (double)CQ_SECOND_US);
     }
-    char *text =
-        g_strdup_printf("{\"code\":\"%s\",\"ran\":\"%s\",\"retry_after_ms\":%"
-                        G_GINT64_FORMAT ",\"remedy\":\"%s\"}",
-                        code, cq_ran_text(ran), retry_after_us / CQ_MS_US,
-                        remedy);
+    char *text = g_strdup_printf(
+        "{\"code\":\"%s\",\"ran\":\"%s\",\"retry_after_ms\":%" G_GINT64_FORMAT
+        ",\"remedy\":\"%s\"}",
+        code, cq_ran_text(ran), retry_after_us / CQ_MS_US, remedy);
     cq_exchange_refuse(exchange, status, extra, text);
     g_free(text);
 }
@@ -88,8 +87,8 @@
     if (ask->key != NULL) {
         team = cq_routes_team(relay->routes, ask->key);
     }
-    if (team == NULL && (route->open ||
-                         g_hash_table_size(relay->routes->team_by_key) == 0)) {
+    if (team == NULL &&
+        (route->open || g_hash_table_size(relay->routes->team_by_key) == 0)) {
         return "";
     }
     return team;
@@ -227,8 +226,8 @@
     relay->outbound = cq_outbound_new(&out);
     cq_memory_ops_t memory = {.post = on_news, .data = relay};
     relay->memory = cq_memory_new(&memory);
-    relay->passages = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-                                            free_passage);
+    relay->passages =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_passage);
     relay->rand = g_rand_new();
     relay->timer = g_timeout_add(CHECK_MS, on_check, relay);
     return relay;
@@ -270,8 +269,8 @@
                 g_strlcat(to, ",", HELPERS_BYTES);
             }
             g_strlcat(to, view.addr, HELPERS_BYTES);
-            const char *ticket = cq_memory_ticket(relay->memory, send->request,
-                                                  send->group[i]);
+            const char *ticket =
+                cq_memory_ticket(relay->memory, send->request, send->group[i]);
             if (ticket != NULL) {
                 g_strlcat(to, "/", HELPERS_BYTES);
                 g_strlcat(to, ticket, HELPERS_BYTES);
