--- a/packages/core/fit.c
+++ b/packages/core/fit.c
@@ -345,6 +345,18 @@
     return TRUE;
 }
 
+/* What the bench compares with: one engine, whatever it has. */
+static gboolean
+baseline(cq_core_t *core, const cq_request_t *request, gint64 read_us,
+         cq_task_plan_t *plan)
+{
+    plan->engines[0] = cq_place_baseline(core, request);
+    plan->engines_len = 1;
+    plan->part_us = read_us;
+    plan->first_us = read_us;
+    return plan->engines[0] != NULL;
+}
+
 gboolean
 cq_fit_choose(cq_core_t *core, const cq_request_t *request, gboolean late,
               cq_task_plan_t *plan)
@@ -355,6 +367,9 @@
     look_at_all(core, request, service->remote, &survey);
     gint64 read_us =
         cq_batch_read_us(&service->rules->speed, request->prompt_tokens);
+    if (core->policy != CQ_POLICY_COST) {
+        return baseline(core, request, read_us, plan);
+    }
     gint64 until_us = late ? request->deadline_us : request->aim_us;
     gint64 left_us = until_us - core->now_us - MARGIN_US;
     if (read_us <= SHORT_US && !settled(core)) {
--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -368,7 +368,7 @@
 }
 
 static cq_upstream_t *
-choose_in_turn(cq_core_t *core, cq_request_t *request)
+choose_in_turn(cq_core_t *core, const cq_request_t *request)
 {
     cq_service_t *service = request->service;
     guint near = service->nearby->len;
@@ -386,7 +386,7 @@
 }
 
 static cq_upstream_t *
-choose_least(cq_core_t *core, cq_request_t *request)
+choose_least(cq_core_t *core, const cq_request_t *request)
 {
     cq_upstream_t *best = NULL;
     cq_service_t *service = request->service;
@@ -452,7 +452,7 @@
 }
 
 cq_upstream_t *
-cq_place_choose(cq_core_t *core, cq_request_t *request)
+cq_place_baseline(cq_core_t *core, const cq_request_t *request)
 {
     switch (core->policy) {
     case CQ_POLICY_ROUND_ROBIN:
@@ -462,6 +462,15 @@
     case CQ_POLICY_COST:
         break;
     }
+    return NULL;
+}
+
+cq_upstream_t *
+cq_place_choose(cq_core_t *core, cq_request_t *request)
+{
+    if (core->policy != CQ_POLICY_COST) {
+        return cq_place_baseline(core, request);
+    }
     gboolean old = request->earmark_until_us <= core->now_us;
     if (request->earmark != NULL &&
         (old || !cq_place_usable(core, request->earmark))) {
--- a/packages/core/place.h
+++ b/packages/core/place.h
@@ -32,6 +32,11 @@
 cq_upstream_t *
 cq_place_choose(cq_core_t *core, cq_request_t *request);
 
+/** cq_place_baseline() - Return: the upstream that the core's policy, which
+ * is one of the bench's baselines, gives @request; NULL when there is none */
+cq_upstream_t *
+cq_place_baseline(cq_core_t *core, const cq_request_t *request);
+
 /** cq_place_group() - choose engines that hold @request together: fills
  * request->group; FALSE when too few have room */
 gboolean
