--- a/packages/bench/passes.c
+++ b/packages/bench/passes.c
@@ -202,9 +202,10 @@
 void
 cq_passes_end(cq_passes_t *engine)
 {
-    engine->busy = FALSE;
     end_writings(engine);
     end_readings(engine);
+    /* Not before: what hears of it may ask for the next pass. */
+    engine->busy = FALSE;
 }
 
 guint
--- a/packages/core/fit.c
+++ b/packages/core/fit.c
@@ -76,7 +76,7 @@
     cq_pass_look(core, engine, pass);
     seat->steps_us = cq_batch_pass_us(speed, pass->streams + 1,
                                       pass->context + request->prompt_tokens);
-    seat->wait_us = pass->left_us + pass->queued_us;
+    seat->wait_us = pass->left_us + (pass->writes ? pass->queued_us : 0);
     if (pass->gap_us != G_MAXINT64) {
         gint64 pass_us = pass->gap_us * GAP_PERCENT / 100;
         seat->room_us = pass_us - seat->steps_us - pass->queued_us;
--- a/packages/core/pass.c
+++ b/packages/core/pass.c
@@ -5,7 +5,7 @@
 /* Events of one pass arrive within this time of each other. */
 #define SAME_PASS_US (15 * CQ_MS_US)
 /* A pass that should have ended is given this time for its events to come. */
-#define GRACE_US (8 * CQ_MS_US)
+#define GRACE_US (25 * CQ_MS_US)
 /* Passes of which nothing was seen for so long are not worked out. */
 #define UNSEEN_US CQ_SECOND_US
 /* A stream counts as one more for each so many tokens of its prompt. */
@@ -73,17 +73,29 @@
     return sum_us;
 }
 
+static gint64
+oldest_us(const cq_upstream_t *engine)
+{
+    gint64 at_us = G_MAXINT64 - 1;
+    for (guint i = 0; i < engine->tasks->len; i++) {
+        const cq_task_t *task = g_ptr_array_index(engine->tasks, i);
+        if (!task->writing) {
+            at_us = MIN(at_us, task->placed_us);
+        }
+    }
+    return at_us;
+}
+
 static gint64
 end_us(const cq_upstream_t *engine, gint64 steps_us)
 {
     return engine->pass_us + steps_us +
-           reading_us(engine, engine->pass_before_us, engine->pass_us);
+           reading_us(engine, G_MININT64, engine->pass_us);
 }
 
 static void
 begin(cq_upstream_t *engine, gint64 at_us)
 {
-    engine->pass_before_us = engine->pass_us;
     engine->pass_us = at_us;
 }
 
@@ -104,6 +116,8 @@
     if (!pass->writes) {
         /* Without a stream there are no passes to wait for. */
         pass->left_us = pass->busy_us;
+        pass->queued_us =
+            reading_us(engine, oldest_us(engine) + 1, core->now_us + 1);
         return;
     }
     if (core->now_us - engine->pass_us > UNSEEN_US) {
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -94,7 +94,6 @@
  * @touched: own share changed since the last summary
  * @tasks: array of cq_task_t*: what is read or written there
  * @pass_us: when its pass began, as seen or expected
- * @pass_before_us: when the pass before that one began
  * @strikes: calls that it broke in a row
  * @unlisted_us: when the list lost it
  */
@@ -133,7 +132,6 @@
     gboolean touched;
     GPtrArray *tasks;
     gint64 pass_us;
-    gint64 pass_before_us;
     guint strikes;
     gint64 unlisted_us;
 } cq_upstream_t;
--- a/packages/core/task.c
+++ b/packages/core/task.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "core/pass.h"
 #include "core/place.h"
 #include "core/table.h"
 
@@ -203,6 +204,10 @@
             break;
         case CQ_TASK_WRITING:
             if (task != NULL) {
+                /* A first token shows where a pass ended. */
+                if (task->engines_len > 0) {
+                    cq_pass_seen(core, task->engines[0]);
+                }
                 set_writing(core, task);
             }
             break;
