--- a/packages/core/fit.c
+++ b/packages/core/fit.c
@@ -20,9 +20,11 @@
 /* Part of an engine's memory that one prompt takes there; a longer one is
  * held by several engines, since hardly any has all of its memory free. */
 #define HOLD_PERCENT 60
-/* The time of one part of a long prompt, and the longest one. */
+/* The usual time of one part of a long prompt, and the longest one. */
 #define PART_US (250 * CQ_MS_US)
 #define PART_MAX_US (600 * CQ_MS_US)
+/* Smaller parts are not worth the coordination. */
+#define PART_MIN_US (60 * CQ_MS_US)
 /* So many engines are enough to begin with the very longest prompts. */
 #define GROUP_LEAST 8U
 /* A long prompt that has waited so long may break one stream's pause for each
@@ -291,6 +293,17 @@
     return TRUE;
 }
 
+static void
+try_parts(const cq_request_t *request, const survey_t *survey, guint parts,
+          gint64 read_us, guint harm, cq_task_plan_t *plan)
+{
+    cq_task_plan_t one;
+    if (split(request, survey, parts, read_us, harm, &one) &&
+        one.start_us <= AHEAD_US && one.first_us < plan->first_us) {
+        *plan = one;
+    }
+}
+
 /* All engines together are one fast reader: a long prompt takes the engines
  * with which it is read soonest, now or booked for when they are free, in
  * parts that are long enough to be worth the passes that they interrupt. */
@@ -301,13 +314,15 @@
     guint most = (guint)CLAMP(read_us / PART_US, 1, CQ_GROUP_MAX);
     guint least = (guint)(read_us / PART_MAX_US + 1);
     least = MAX(MIN(least, GROUP_LEAST), holders(request));
+    most = MAX(most, least);
     plan->first_us = G_MAXINT64;
-    for (guint parts = MAX(most, least); parts >= least; parts--) {
-        cq_task_plan_t one;
-        if (split(request, survey, parts, read_us, harm, &one) &&
-            one.start_us <= AHEAD_US && one.first_us < plan->first_us) {
-            *plan = one;
-        }
+    for (guint parts = most; parts >= least; parts--) {
+        try_parts(request, survey, parts, read_us, harm, plan);
+    }
+    /* Where every engine has short streams, in parts that fit beside them. */
+    guint small = (guint)MIN(read_us / PART_MIN_US, CQ_GROUP_MAX);
+    while (plan->first_us > left_us && most < small) {
+        try_parts(request, survey, ++most, read_us, harm, plan);
     }
     return plan->first_us <= left_us;
 }
