--- a/packages/http/h1.c
+++ b/packages/http/h1.c
@@ -101,9 +101,8 @@
     cq_h1_head_t *head = &reader->head;
     head->target = reader->target->str;
     head->status = reader->options.answers ? (int)parser->status_code : 0;
-    head->method = reader->options.answers
-                       ? ""
-                       : http_method_str((enum http_method)parser->method);
+    const char *method = http_method_str((enum http_method)parser->method);
+    head->method = reader->options.answers ? "" : (char *)method;
     head->sized = (parser->flags & F_CHUNKED) != 0 ||
                   parser->content_length != ULLONG_MAX;
     head->keep = http_should_keep_alive(parser) != 0;
@@ -252,6 +251,31 @@
     return reader->begun;
 }
 
+void
+cq_h1_copy(cq_h1_head_t *to, const cq_h1_head_t *head)
+{
+    *to = *head;
+    to->method = g_strdup(head->method);
+    to->target = g_strdup(head->target);
+    to->fields = g_array_sized_new(FALSE, FALSE, sizeof(cq_h1_field_t),
+                                   head->fields->len);
+    g_array_set_clear_func(to->fields, clear_field);
+    for (guint i = 0; i < head->fields->len; i++) {
+        const cq_h1_field_t *from =
+            &g_array_index(head->fields, cq_h1_field_t, i);
+        cq_h1_field_t field = {g_strdup(from->name), g_strdup(from->value)};
+        g_array_append_val(to->fields, field);
+    }
+}
+
+void
+cq_h1_clear(cq_h1_head_t *head)
+{
+    g_clear_pointer(&head->fields, g_array_unref);
+    g_clear_pointer(&head->method, g_free);
+    g_clear_pointer(&head->target, g_free);
+}
+
 const char *
 cq_h1_get(const cq_h1_head_t *head, const char *name)
 {
--- a/packages/http/h1.h
+++ b/packages/http/h1.h
@@ -34,7 +34,7 @@
  * @expects: the sender waits for `100 Continue`
  */
 typedef struct {
-    const char *method;
+    char *method;
     char *target;
     int status;
     GArray *fields;
@@ -109,6 +109,14 @@
 gboolean
 cq_h1_begun(const cq_h1_t *reader);
 
+/** cq_h1_copy() - make @to a copy of @head; end it with cq_h1_clear() */
+void
+cq_h1_copy(cq_h1_head_t *to, const cq_h1_head_t *head);
+
+/** cq_h1_clear() - free what a copy holds; harmless for an empty head */
+void
+cq_h1_clear(cq_h1_head_t *head);
+
 /** cq_h1_get() - Return: the value of field @name, or NULL */
 const char *
 cq_h1_get(const cq_h1_head_t *head, const char *name);
--- a/packages/router/inbound.c
+++ b/packages/router/inbound.c
@@ -38,8 +38,6 @@
 struct cq_exchange {
     conn_t *conn;
     cq_h1_head_t head;
-    char *method;
-    char *target;
     GByteArray *body;
     gboolean too_long;
     gboolean chunked;
@@ -63,14 +61,6 @@
 static void
 feed(conn_t *conn);
 
-static void
-clear_field(gpointer data)
-{
-    cq_h1_field_t *field = data;
-    g_free(field->name);
-    g_free(field->value);
-}
-
 static void
 exchange_free(cq_exchange_t *exchange)
 {
@@ -78,10 +68,8 @@
     if (exchange->asked) {
         exchange->conn->inbound->busy--;
     }
-    g_array_unref(exchange->head.fields);
+    cq_h1_clear(&exchange->head);
     g_byte_array_unref(exchange->body);
-    g_free(exchange->method);
-    g_free(exchange->target);
     g_free(exchange);
 }
 
@@ -155,20 +143,7 @@
     conn_t *conn = data;
     cq_exchange_t *exchange = g_new0(cq_exchange_t, 1);
     exchange->conn = conn;
-    exchange->head = *head;
-    exchange->method = g_strdup(head->method);
-    exchange->target = g_strdup(head->target);
-    exchange->head.method = exchange->method;
-    exchange->head.target = exchange->target;
-    exchange->head.fields = g_array_sized_new(
-        FALSE, FALSE, sizeof(cq_h1_field_t), head->fields->len);
-    g_array_set_clear_func(exchange->head.fields, clear_field);
-    for (guint i = 0; i < head->fields->len; i++) {
-        const cq_h1_field_t *from =
-            &g_array_index(head->fields, cq_h1_field_t, i);
-        cq_h1_field_t field = {g_strdup(from->name), g_strdup(from->value)};
-        g_array_append_val(exchange->head.fields, field);
-    }
+    cq_h1_copy(&exchange->head, head);
     exchange->body = g_byte_array_new();
     conn->exchange = exchange;
     set_state(conn, STATE_BODY);
--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -83,14 +83,6 @@
     conn_unref(conn);
 }
 
-static void
-clear_field(gpointer data)
-{
-    cq_h1_field_t *field = data;
-    g_free(field->name);
-    g_free(field->value);
-}
-
 static void
 call_free(gpointer data)
 {
@@ -98,7 +90,7 @@
     if (call->conn != NULL) {
         conn_drop(call->conn);
     }
-    g_clear_pointer(&call->head.fields, g_array_unref);
+    cq_h1_clear(&call->head);
     g_byte_array_unref(call->partial);
     g_byte_array_unref(call->body);
     g_free(call->attempt_id);
@@ -168,23 +160,6 @@
     post(call, CQ_EV_SENT, &event);
 }
 
-static void
-copy_head(call_t *call, const cq_h1_head_t *head)
-{
-    call->head = *head;
-    call->head.method = "";
-    call->head.target = NULL;
-    call->head.fields = g_array_new(FALSE, FALSE, sizeof(cq_h1_field_t));
-    g_array_set_clear_func(call->head.fields, clear_field);
-    for (guint i = 0; i < head->fields->len; i++) {
-        const cq_h1_field_t *from =
-            &g_array_index(head->fields, cq_h1_field_t, i);
-        cq_h1_field_t field = {g_strdup(from->name), g_strdup(from->value)};
-        g_array_append_val(call->head.fields, field);
-    }
-    call->headed = TRUE;
-}
-
 static gboolean
 succeeds(const cq_h1_head_t *head)
 {
@@ -215,7 +190,8 @@
         fail(call, CQ_FAIL_BROKEN);
         return;
     }
-    copy_head(call, head);
+    cq_h1_copy(&call->head, head);
+    call->headed = TRUE;
     call->reply = reply;
     call->reply.attempt_id = NULL;
 }
--- /dev/null
+++ b/tests/unit/platform_test.cc
@@ -0,0 +1,331 @@
+// The platform's records and header fields, whole and torn.
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+
+#include "platform/heads.h"
+#include "platform/records.h"
+
+namespace {
+
+const char *const kConfig =
+    R"({"version":7,
+ "routes":[
+  {"name":"a","host":"One.example","path_prefix":"/x/","type":"streaming",
+   "timeout_ms":10000,"goal_ms":300,"gap_aim_ms":200,"attempts":2,
+   "priority":1,"public":false,"resumable":true,
+   "split":[{"service":"m","weight":90},{"service":"n","weight":10}]},
+  {"name":"b","host":"one.example","path_prefix":"/x/y/","type":"unsafe",
+   "timeout_ms":1500,"goal_ms":300,"attempts":1,"public":true,
+   "service":"n"},
+  {"name":"c","host":"one.example","path_prefix":"/s/","type":"safe",
+   "timeout_ms":1500,"goal_ms":300,"attempts":2,"public":false,
+   "service":"n"}],
+ "services":[
+  {"name":"m","engine":{"slots":16,"kv_tokens":450000,"stride":46,
+   "step_ms":0.925,"per_seq_ms":0.005,"context_per_k":0.0025,
+   "read_per_s":256000.0,"pairs_per_m":0.0917,"hop_ms":0.1}},
+  {"name":"n"}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
+  "header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1}],
+ "later":{"field":1}})";
+
+cq_routes_t *
+read(const std::string &text, cq_error_t *error)
+{
+    return cq_records_routes(text.data(), text.size(), error);
+}
+
+TEST(Routes, LongestPrefixWins)
+{
+    cq_error_t error = {};
+    cq_routes_t *routes = read(kConfig, &error);
+    ASSERT_NE(routes, nullptr) << error.text;
+    EXPECT_EQ(routes->version, 7u);
+    const cq_route_t *wide = cq_routes_find(routes, "one.example", "/x/z");
+    const cq_route_t *deep =
+        cq_routes_find(routes, "ONE.example:80", "/x/y/z?q=/s/");
+    ASSERT_NE(wide, nullptr);
+    ASSERT_NE(deep, nullptr);
+    EXPECT_EQ(wide->repeat, CQ_REPEAT_RESUME);
+    EXPECT_EQ(wide->aim_us, 300000);
+    EXPECT_EQ(wide->gap_us, 200000);
+    EXPECT_EQ(wide->attempts_max, 2u);
+    EXPECT_EQ(deep->repeat, CQ_REPEAT_NEVER);
+    EXPECT_TRUE(deep->open);
+    EXPECT_EQ(cq_routes_find(routes, "one.example", "/s/")->repeat,
+              CQ_REPEAT_ALWAYS);
+    EXPECT_EQ(cq_routes_find(routes, "one.example", "/x"), nullptr);
+    EXPECT_EQ(cq_routes_find(routes, "two.example", "/x/"), nullptr);
+    EXPECT_EQ(cq_routes_find(routes, "one.example", "/q?/x/"), nullptr);
+    cq_routes_free(routes);
+}
+
+TEST(Routes, WeightsDivideRequests)
+{
+    cq_error_t error = {};
+    cq_routes_t *routes = read(kConfig, &error);
+    const cq_route_t *route = cq_routes_find(routes, "one.example", "/x/");
+    EXPECT_STREQ(cq_route_pick(route, 0), "m");
+    EXPECT_STREQ(cq_route_pick(route, 0.899), "m");
+    EXPECT_STREQ(cq_route_pick(route, 0.901), "n");
+    EXPECT_STREQ(cq_route_pick(route, 0.999), "n");
+    cq_routes_free(routes);
+}
+
+TEST(Routes, KeysBelongToTeams)
+{
+    cq_error_t error = {};
+    cq_routes_t *routes = read(kConfig, &error);
+    EXPECT_STREQ(cq_routes_team(routes, "k2"), "t");
+    EXPECT_EQ(cq_routes_team(routes, "k3"), nullptr);
+    cq_routes_free(routes);
+}
+
+TEST(Routes, EnginesTellTheirSpeed)
+{
+    cq_error_t error = {};
+    cq_routes_t *routes = read(kConfig, &error);
+    const cq_rules_t *model =
+        (const cq_rules_t *)g_ptr_array_index(routes->rules, 0);
+    const cq_rules_t *plain =
+        (const cq_rules_t *)g_ptr_array_index(routes->rules, 1);
+    EXPECT_EQ(model->kind, CQ_SERVICE_BATCH);
+    EXPECT_EQ(plain->kind, CQ_SERVICE_PLAIN);
+    EXPECT_EQ(model->speed.stride, 46);
+    EXPECT_DOUBLE_EQ(model->speed.step_us, 925);
+    EXPECT_NEAR(model->speed.read_us, 3.906, 0.001);
+    EXPECT_NEAR(model->speed.pair_us, 9.17e-5, 1e-9);
+    EXPECT_NEAR(model->speed.context_us, 0.0025, 1e-9);
+    cq_routes_free(routes);
+}
+
+TEST(Routes, AnythingElseIsRefusedWithAReason)
+{
+    const char *const bad[] = {
+        "",
+        "[]",
+        "{\"version\":1",
+        "{\"routes\":[]}",
+        "{\"version\":1,\"routes\":[{\"host\":\"a\"}]}",
+        "{\"version\":1,\"routes\":[7]}",
+        "{\"version\":1,\"services\":[{}]}",
+        "{\"version\":1,\"tenants\":[{\"name\":5}]}",
+    };
+    for (const char *text : bad) {
+        cq_error_t error = {};
+        EXPECT_EQ(read(text, &error), nullptr) << text;
+        EXPECT_STRNE(error.text, "") << text;
+    }
+}
+
+TEST(Routes, KeysOfAnotherTypeArePassedOver)
+{
+    cq_error_t error = {};
+    cq_routes_t *routes = read("{\"version\":1,\"tenants\":[{\"name\":\"t\","
+                               "\"api_keys\":[5,\"k\",null,{}]}]}",
+                               &error);
+    ASSERT_NE(routes, nullptr) << error.text;
+    EXPECT_STREQ(cq_routes_team(routes, "k"), "t");
+    cq_routes_free(routes);
+}
+
+gboolean
+upstream(const std::string &text, cq_listed_t *row)
+{
+    cq_error_t error = {};
+    gboolean good = cq_records_upstream("i-1", text.data(), text.size(), row,
+                                        &error);
+    EXPECT_EQ(good, error.text[0] == '\0') << error.text;
+    return good;
+}
+
+TEST(Upstreams, WholeEntriesAreRead)
+{
+    cq_listed_t row;
+    ASSERT_TRUE(upstream("{\"service\":\"m\",\"address\":\"10.0.0.9:80\","
+                         "\"zone\":\"a\",\"slots\":16,\"state\":\"ready\","
+                         "\"born\":1700000000123,\"new\":[]}",
+                         &row));
+    EXPECT_STREQ(row.name, "i-1");
+    EXPECT_STREQ(row.service, "m");
+    EXPECT_STREQ(row.addr, "10.0.0.9:80");
+    EXPECT_EQ(row.incarnation, 1700000000123u);
+    EXPECT_FALSE(row.leaving);
+}
+
+TEST(Upstreams, LeavingIsRead)
+{
+    cq_listed_t row;
+    ASSERT_TRUE(upstream("{\"service\":\"m\",\"address\":\"10.0.0.9:80\","
+                         "\"zone\":\"a\",\"slots\":16,"
+                         "\"state\":\"draining\"}",
+                         &row));
+    EXPECT_TRUE(row.leaving);
+}
+
+TEST(Upstreams, TornOrStrangeEntriesNameNone)
+{
+    const char *const bad[] = {
+        "",
+        "\xff\xfe",
+        "{\"service\":\"m\"}",
+        "{\"service\":5,\"address\":\"1.2.3.4:5\",\"zone\":\"a\","
+        "\"slots\":1,\"state\":\"ready\"}",
+        "{\"service\":\"m\",\"address\":\"1.2.3.4:5\",\"zone\":\"a\","
+        "\"slots\":1,\"state\":\"dancing\"}",
+        "{\"service\":\"m\",\"address\":\"1.2.3.4:5\",\"zone\":\"a\","
+        "\"slots\":\"1\",\"state\":\"ready\"}",
+        "{\"service\":\"\",\"address\":\"1.2.3.4:5\",\"zone\":\"a\","
+        "\"slots\":1,\"state\":\"ready\"}",
+        "{\"service\":\"m\",\"address\":\"1.2.3.4:5\",\"zone\":\"a\","
+        "\"slots\":1,\"state\":\"ready\"",
+    };
+    for (const char *text : bad) {
+        cq_listed_t row;
+        EXPECT_FALSE(upstream(text, &row)) << text;
+    }
+}
+
+TEST(Hosts, EntriesComeBackAsTheyWereWritten)
+{
+    cq_listed_t row = {};
+    g_strlcpy(row.addr, "10.1.0.4:9", sizeof row.addr);
+    g_strlcpy(row.zone, "a", sizeof row.zone);
+    row.incarnation = 1700000000456;
+    char *text = cq_records_host_text(&row);
+    cq_listed_t back;
+    cq_error_t error = {};
+    ASSERT_TRUE(cq_records_host("h", text, strlen(text), &back, &error));
+    EXPECT_STREQ(back.addr, row.addr);
+    EXPECT_EQ(back.incarnation, row.incarnation);
+    EXPECT_STREQ(back.service, "");
+    g_free(text);
+}
+
+// A head read from a text.
+struct head_t {
+    cq_h1_head_t head = {};
+};
+
+void
+keep_head(void *data, const cq_h1_head_t *head)
+{
+    cq_h1_copy(&((head_t *)data)->head, head);
+}
+
+void
+no_body(void *data, const char *bytes, gsize len)
+{
+    (void)data;
+    (void)bytes;
+    (void)len;
+}
+
+void
+no_done(void *data)
+{
+    (void)data;
+}
+
+head_t
+head_of(const std::string &text, gboolean answers)
+{
+    head_t got;
+    cq_h1_options_t options = {};
+    options.answers = answers;
+    options.ops = {keep_head, no_body, no_done, &got};
+    cq_h1_t *reader = cq_h1_new(&options);
+    cq_h1_feed(reader, text.data(), text.size());
+    cq_h1_free(reader);
+    return got;
+}
+
+TEST(Heads, ACallersAskIsRead)
+{
+    head_t got = head_of("POST /a HTTP/1.1\r\nHost: h\r\n"
+                         "Cuminquay-Attempt-Id: 9c\r\n"
+                         "Cuminquay-Token-Count: 1460,80\r\n"
+                         "Cuminquay-Deadline-Ms: 900\r\n"
+                         "Cuminquay-Credential: k1\r\n\r\n",
+                         FALSE);
+    cq_ask_t ask = cq_heads_ask(&got.head);
+    EXPECT_STREQ(ask.host, "h");
+    EXPECT_STREQ(ask.attempt_id, "9c");
+    EXPECT_STREQ(ask.key, "k1");
+    EXPECT_EQ(ask.prompt_tokens, 1460);
+    EXPECT_EQ(ask.answer_tokens, 80);
+    EXPECT_EQ(ask.time_left_us, 900000);
+    cq_h1_clear(&got.head);
+}
+
+TEST(Heads, NonsenseCountsAsNotTold)
+{
+    head_t got = head_of("POST /a HTTP/1.1\r\n"
+                         "Cuminquay-Token-Count: many\r\n"
+                         "Cuminquay-Deadline-Ms: -5\r\n\r\n",
+                         FALSE);
+    cq_ask_t ask = cq_heads_ask(&got.head);
+    EXPECT_EQ(ask.prompt_tokens, 0);
+    EXPECT_EQ(ask.time_left_us, 0);
+    EXPECT_EQ(ask.host, nullptr);
+    cq_h1_clear(&got.head);
+}
+
+TEST(Heads, AnUpstreamGetsTheCallersFieldsButNotItsKey)
+{
+    head_t got = head_of("POST /a?b HTTP/1.1\r\nHost: h\r\n"
+                         "Cuminquay-Attempt-Id: 9c\r\n"
+                         "Cuminquay-Credential: secret\r\n"
+                         "Cuminquay-Tenant: forged\r\n"
+                         "Cuminquay-Expect-Replica: forged\r\n"
+                         "Cuminquay-Helpers: forged\r\n"
+                         "Cuminquay-Deadline-Ms: 99999\r\n"
+                         "Last-Event-Id: 3\r\n"
+                         "Connection: x-hop\r\nX-Hop: 1\r\nX-Other: 2\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                         FALSE);
+    cq_forward_t forward = {};
+    forward.head = &got.head;
+    forward.body_len = 0;
+    forward.upstream = "i-1";
+    forward.team = "t";
+    forward.time_left_us = 800000;
+    forward.last_event = "12";
+    forward.helpers = "10.0.0.1:80/x";
+    GString *out = g_string_new("");
+    cq_heads_forward(out, &forward);
+    EXPECT_STREQ(out->str, "POST /a?b HTTP/1.1\r\n"
+                           "Host: h\r\n"
+                           "Cuminquay-Attempt-Id: 9c\r\n"
+                           "X-Other: 2\r\n"
+                           "Content-Length: 0\r\n"
+                           "Cuminquay-Deadline-Ms: 800\r\n"
+                           "Cuminquay-Expect-Replica: i-1\r\n"
+                           "Cuminquay-Tenant: t\r\n"
+                           "Last-Event-Id: 12\r\n"
+                           "Cuminquay-Helpers: 10.0.0.1:80/x\r\n"
+                           "\r\n");
+    g_string_free(out, TRUE);
+    cq_h1_clear(&got.head);
+}
+
+TEST(Heads, AReplyIsRead)
+{
+    head_t got = head_of("HTTP/1.1 503 X\r\nContent-Length: 0\r\n"
+                         "Cuminquay-Not-Executed: 1\r\n"
+                         "At-Server: 10.0.0.2:80\r\n"
+                         "Keep-Alive: max=5, timeout=7\r\n\r\n",
+                         TRUE);
+    cq_reply_t reply = cq_heads_reply(&got.head);
+    EXPECT_TRUE(reply.not_run);
+    EXPECT_FALSE(reply.stranger);
+    EXPECT_FALSE(reply.sealed);
+    EXPECT_STREQ(reply.at_fault, "10.0.0.2:80");
+    EXPECT_EQ(reply.keep_us, 7 * 1000000);
+    cq_h1_clear(&got.head);
+}
+
+} // namespace
