Test the relay with real processes and a stand-in of the platform

Found and mended, each with its check in the scripts: a long head that came at once was taken (431 now); two Host fields were taken (400); the core was never told that the store answers, so the entries that lapse with it were not given their time.

--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -211,10 +211,11 @@
         return;
     }
     core->log_up = up;
-    if (up) {
+    gboolean lost = core->counters.value[CQ_N_LOG_OUTAGES] > 0;
+    if (up && lost) {
         core->log_back_us = core->now_us;
     }
-    else {
+    if (!up) {
         cq_counters_add(&core->counters, CQ_N_LOG_OUTAGES, 1);
     }
     cq_ring_add(&core->ring, core->now_us, 0, 0, "log", "up=%s",
--- a/packages/http/h1.c
+++ b/packages/http/h1.c
@@ -15,7 +15,6 @@
     gboolean begun;
     gboolean ended;
     gboolean headless; /* the answer to a HEAD has no body */
-    gboolean head_done;
     gsize head_bytes;
     cq_h1_fault_t fault;
 };
@@ -52,18 +51,30 @@
     g_string_truncate(reader->name, 0);
     g_string_truncate(reader->value, 0);
     reader->in_value = FALSE;
-    reader->head_done = FALSE;
     reader->head_bytes = 0;
     reader->begun = TRUE;
     return 0;
 }
 
+/* Counts a part of the head; not 0 when the head gets too long. */
+static int
+count_head(cq_h1_t *reader, gsize len)
+{
+    gsize most = reader->options.head_bytes_max;
+    reader->head_bytes += len;
+    if (most == 0 || reader->head_bytes <= most) {
+        return 0;
+    }
+    reader->fault = CQ_H1_HEAD_TOO_LONG;
+    return 1;
+}
+
 static int
 on_target(http_parser *parser, const char *at, size_t len)
 {
     cq_h1_t *reader = parser->data;
     g_string_append_len(reader->target, at, (gssize)len);
-    return 0;
+    return count_head(reader, len);
 }
 
 static int
@@ -74,7 +85,7 @@
         add_field(reader);
     }
     g_string_append_len(reader->name, at, (gssize)len);
-    return 0;
+    return count_head(reader, len);
 }
 
 static int
@@ -83,7 +94,7 @@
     cq_h1_t *reader = parser->data;
     reader->in_value = TRUE;
     g_string_append_len(reader->value, at, (gssize)len);
-    return 0;
+    return count_head(reader, len);
 }
 
 static gboolean
@@ -97,7 +108,6 @@
 {
     cq_h1_t *reader = parser->data;
     add_field(reader);
-    reader->head_done = TRUE;
     cq_h1_head_t *head = &reader->head;
     head->target = reader->target->str;
     head->status = reader->options.answers ? (int)parser->status_code : 0;
@@ -198,17 +208,10 @@
     if (reader->fault != CQ_H1_FINE) {
         return 0;
     }
-    gboolean in_head = !reader->head_done || !reader->begun;
     gsize used =
         http_parser_execute(&reader->parser, &reader->callbacks, bytes, len);
     enum http_errno code = HTTP_PARSER_ERRNO(&reader->parser);
-    if (in_head) {
-        reader->head_bytes += used;
-    }
-    gsize most = reader->options.head_bytes_max;
-    if (most > 0 && reader->begun && !reader->head_done &&
-        reader->head_bytes > most) {
-        reader->fault = CQ_H1_HEAD_TOO_LONG;
+    if (reader->fault != CQ_H1_FINE) {
         return used;
     }
     if (code == HPE_HEADER_OVERFLOW) {
@@ -289,6 +292,18 @@
     return NULL;
 }
 
+guint
+cq_h1_count(const cq_h1_head_t *head, const char *name)
+{
+    guint count = 0;
+    for (guint i = 0; i < head->fields->len; i++) {
+        const cq_h1_field_t *field =
+            &g_array_index(head->fields, cq_h1_field_t, i);
+        count += g_ascii_strcasecmp(field->name, name) == 0;
+    }
+    return count;
+}
+
 static gboolean
 names_field(const char *list, const char *name)
 {
--- a/packages/http/h1.h
+++ b/packages/http/h1.h
@@ -121,6 +121,10 @@
 const char *
 cq_h1_get(const cq_h1_head_t *head, const char *name);
 
+/** cq_h1_count() - Return: how many fields are called @name */
+guint
+cq_h1_count(const cq_h1_head_t *head, const char *name);
+
 /** cq_h1_hop() - Return: whether field @name concerns one connection only:
  * RFC 9110, section 7.6.1, and what the Connection field of @head names */
 gboolean
--- a/packages/router/follow.c
+++ b/packages/router/follow.c
@@ -48,6 +48,7 @@
     gboolean rows_changed;
     guint write_timer;
     gboolean left;
+    gboolean told; /* the core knows whether the store answers */
 };
 
 static void
@@ -255,7 +256,8 @@
     for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
         is = is || follow->tables[i].failing;
     }
-    if (was != is) {
+    if (was != is || !follow->told) {
+        follow->told = TRUE;
         cq_event_t event = {.kind = CQ_EV_LOG, .log_up = !is};
         cq_app_post(follow->app, &event);
     }
--- a/packages/router/relay.c
+++ b/packages/router/relay.c
@@ -149,8 +149,8 @@
                   "send it again after retry_after_ms");
         return;
     }
-    if (ask.host == NULL) {
-        turn_away(relay, exchange, 400, "no_host", "send a Host field");
+    if (cq_h1_count(head, "Host") != 1) {
+        turn_away(relay, exchange, 400, "bad_host", "send one Host field");
         return;
     }
     const cq_route_t *route =
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -4,14 +4,16 @@
 set -u
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
-cp -r packages tests meson.build "$scratch/"
+cp -r packages platform tests meson.build "$scratch/"
 meson setup "$scratch/build" "$scratch" >/dev/null || exit 1
 ninja -C "$scratch/build" --quiet >/dev/null || exit 1
 noticed=0 missed=0
 
 # fails TEST: does the test fail in the scratch copy?
 fails() {
-    if [ "$1" = soak ]; then
+    if [ "${1#fit:}" != "$1" ]; then
+        ! timeout 60 "$scratch/build/tests/fit_test" --gtest_filter="${1#fit:}" >/dev/null 2>&1
+    elif [ "$1" = soak ]; then
         ! timeout 60 "$scratch/build/packages/cqsoak" 1 400 40 >/dev/null 2>&1
     else
         ! timeout 60 "$scratch/build/packages/cqscn" "tests/scn/$1.scn" >/dev/null 2>&1
@@ -27,7 +29,7 @@
     test=$(awk -F ' ; ' '{ print $5 }' <<<"$line")
     path="$scratch/packages/$file"
     cp "$path" "$scratch/kept"
-    FROM="$from" TO="$to" perl -0pi -e 's/\Q$ENV{FROM}\E/$ENV{TO}/' "$path"
+    FROM="$(printf '%b' "$from")" TO="$(printf '%b' "$to")" perl -0pi -e 's/\Q$ENV{FROM}\E/$ENV{TO}/' "$path"
     if cmp -s "$path" "$scratch/kept"; then
         echo "not found in $file: $from"
         missed=$((missed + 1))
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -55,7 +55,8 @@
 for program in config wire h1 platform fit replay scn soak targets; do
     run_unit "$BUILD/tests/${program}_test"
 done
-for script in demo badinput hangup operator drain holds giant orders retention; do
+for script in demo badinput hangup operator drain holds giant orders retention \
+    relay relaywake relaypeers; do
     run_script "tests/proc/$script.sh"
 done
 
--- /dev/null
+++ b/tests/standin/fleetmain.c
@@ -0,0 +1,47 @@
+/* Starts one stand-in of the users' platform. */
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "fleet.h"
+
+typedef struct {
+    const char *name;
+    gboolean (*serve)(const fleet_options_t *options);
+} fleet_mode_t;
+
+static const fleet_mode_t modes[] = {
+    {"store", fleet_store},
+    {"replica", fleet_replica},
+    {"wake", fleet_wake},
+};
+
+int
+main(int argc, char **argv)
+{
+    static fleet_options_t options;
+    GOptionEntry entries[] = {
+        {"listen", 0, 0, G_OPTION_ARG_STRING, &options.listen_addr, "", NULL},
+        {"name", 0, 0, G_OPTION_ARG_STRING, &options.name, "", NULL},
+        {"log", 0, 0, G_OPTION_ARG_FILENAME, &options.log, "", NULL},
+        {NULL, 0, 0, 0, NULL, NULL, NULL},
+    };
+    GOptionContext *context = g_option_context_new("MODE");
+    g_option_context_add_main_entries(context, entries, NULL);
+    if (!g_option_context_parse(context, &argc, &argv, NULL) || argc < 2 ||
+        options.listen_addr == NULL) {
+        fprintf(stderr, "fleetstandin: give --listen IP:PORT and a mode\n");
+        return 2;
+    }
+    g_option_context_free(context);
+    signal(SIGPIPE, SIG_IGN);
+    for (guint i = 0; i < G_N_ELEMENTS(modes); i++) {
+        if (strcmp(modes[i].name, argv[1]) == 0 &&
+            modes[i].serve(&options)) {
+            GMainLoop *loop = g_main_loop_new(NULL, FALSE);
+            g_main_loop_run(loop);
+            return 0;
+        }
+    }
+    return 1;
+}
--- /dev/null
+++ b/tests/standin/store.c
@@ -0,0 +1,271 @@
+/* Stands in for the platform's store: keyed topics of one partition. */
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+#include "fleet.h"
+
+#define LENGTH_BYTES 4
+#define OFFSET_BYTES 8
+
+typedef struct {
+    char *key;
+    GBytes *value; /* NULL: the key is dropped */
+} record_t;
+
+typedef struct {
+    char *name;
+    GPtrArray *records;
+    guint64 first;
+} topic_t;
+
+/* A read that waits for a record. */
+typedef struct {
+    standin_conn_t *conn;
+    topic_t *topic;
+    guint64 from;
+    guint timer;
+} waiter_t;
+
+typedef struct {
+    GHashTable *topics;
+    GList *waiters;
+    gboolean refusing;
+} store_t;
+
+static topic_t *
+need_topic(store_t *store, const char *name)
+{
+    topic_t *topic = g_hash_table_lookup(store->topics, name);
+    if (topic == NULL) {
+        topic = g_new0(topic_t, 1);
+        topic->name = g_strdup(name);
+        topic->records = g_ptr_array_new();
+        g_hash_table_insert(store->topics, topic->name, topic);
+    }
+    return topic;
+}
+
+static void
+add_number(GByteArray *out, guint64 number, int bytes)
+{
+    for (int i = bytes - 1; i >= 0; i--) {
+        guint8 byte = (guint8)(number >> (8 * i));
+        g_byte_array_append(out, &byte, 1);
+    }
+}
+
+static void
+give_records(standin_conn_t *conn, const topic_t *topic, guint64 from)
+{
+    GByteArray *out = g_byte_array_new();
+    add_number(out, topic->records->len, OFFSET_BYTES);
+    add_number(out, topic->first, OFFSET_BYTES);
+    for (guint64 i = from; i < topic->records->len; i++) {
+        const record_t *record = g_ptr_array_index(topic->records, i);
+        gsize value_len = 0;
+        const void *value = record->value != NULL
+                                ? g_bytes_get_data(record->value, &value_len)
+                                : NULL;
+        gsize key_len = strlen(record->key);
+        guint8 key_byte = (guint8)key_len;
+        add_number(out, 1 + key_len + value_len, LENGTH_BYTES);
+        g_byte_array_append(out, &key_byte, 1);
+        g_byte_array_append(out, (const guint8 *)record->key, (guint)key_len);
+        g_byte_array_append(out, value, (guint)value_len);
+    }
+    standin_answer(conn, 200, "", out->data, out->len);
+    g_byte_array_unref(out);
+}
+
+static void
+end_waiter(store_t *store, waiter_t *waiter)
+{
+    store->waiters = g_list_remove(store->waiters, waiter);
+    if (waiter->timer != 0) {
+        g_source_remove(waiter->timer);
+    }
+    give_records(waiter->conn, waiter->topic, waiter->from);
+    standin_unref(waiter->conn);
+    g_free(waiter);
+}
+
+static store_t *the_store;
+
+static gboolean
+on_waited(gpointer data)
+{
+    waiter_t *waiter = data;
+    waiter->timer = 0;
+    end_waiter(the_store, waiter);
+    return G_SOURCE_REMOVE;
+}
+
+static void
+add_record(store_t *store, topic_t *topic, const char *key, GBytes *value)
+{
+    record_t *record = g_new0(record_t, 1);
+    record->key = g_strdup(key);
+    record->value = value;
+    g_ptr_array_add(topic->records, record);
+    GList *link = store->waiters;
+    while (link != NULL) {
+        waiter_t *waiter = link->data;
+        link = link->next;
+        if (waiter->topic == topic) {
+            end_waiter(store, waiter);
+        }
+    }
+}
+
+static void
+serve_newest(standin_conn_t *conn, const topic_t *topic)
+{
+    JsonBuilder *builder = json_builder_new();
+    json_builder_begin_object(builder);
+    json_builder_set_member_name(builder, "items");
+    json_builder_begin_array(builder);
+    for (guint i = 0; i < topic->records->len; i++) {
+        const record_t *record = g_ptr_array_index(topic->records, i);
+        gboolean newest = record->value != NULL;
+        for (guint k = i + 1; k < topic->records->len; k++) {
+            const record_t *later = g_ptr_array_index(topic->records, k);
+            newest = newest && strcmp(later->key, record->key) != 0;
+        }
+        if (!newest) {
+            continue;
+        }
+        gsize len;
+        const guchar *bytes = g_bytes_get_data(record->value, &len);
+        char *coded = g_base64_encode(bytes, len);
+        json_builder_begin_object(builder);
+        json_builder_set_member_name(builder, "key");
+        json_builder_add_string_value(builder, record->key);
+        json_builder_set_member_name(builder, "value");
+        json_builder_add_string_value(builder, coded);
+        json_builder_set_member_name(builder, "offset");
+        json_builder_add_int_value(builder, i);
+        json_builder_end_object(builder);
+        g_free(coded);
+    }
+    json_builder_end_array(builder);
+    json_builder_set_member_name(builder, "has_more");
+    json_builder_add_boolean_value(builder, FALSE);
+    json_builder_set_member_name(builder, "end");
+    json_builder_add_int_value(builder, topic->records->len);
+    json_builder_end_object(builder);
+    JsonNode *root = json_builder_get_root(builder);
+    char *text = json_to_string(root, FALSE);
+    standin_answer(conn, 200, "Content-Type: application/json\r\n", text,
+                   strlen(text));
+    g_free(text);
+    json_node_unref(root);
+    g_object_unref(builder);
+}
+
+static void
+serve_read(store_t *store, standin_conn_t *conn, topic_t *topic,
+           const char *query)
+{
+    guint64 from = (guint64)standin_query(query, "from", 0);
+    gint64 wait_ms = standin_query(query, "wait_ms", 0);
+    if (from < topic->first) {
+        standin_answer(conn, 410, "", "{}", 2);
+        return;
+    }
+    if (from < topic->records->len || wait_ms == 0) {
+        give_records(conn, topic, from);
+        return;
+    }
+    waiter_t *waiter = g_new0(waiter_t, 1);
+    waiter->conn = standin_ref(conn);
+    waiter->topic = topic;
+    waiter->from = from;
+    waiter->timer = g_timeout_add((guint)wait_ms, on_waited, waiter);
+    store->waiters = g_list_prepend(store->waiters, waiter);
+}
+
+static void
+serve_append(store_t *store, standin_conn_t *conn, topic_t *topic,
+             const GByteArray *body)
+{
+    guint at = 0;
+    while (at + LENGTH_BYTES < body->len) {
+        const guint8 *bytes = body->data + at;
+        guint len = (guint)bytes[0] << 24 | (guint)bytes[1] << 16 |
+                    (guint)bytes[2] << 8 | bytes[3];
+        guint key_len = bytes[LENGTH_BYTES];
+        char *key =
+            g_strndup((const char *)bytes + LENGTH_BYTES + 1, key_len);
+        GBytes *value = NULL;
+        if (len > key_len + 1) {
+            value = g_bytes_new(bytes + LENGTH_BYTES + 1 + key_len,
+                                len - key_len - 1);
+        }
+        add_record(store, topic, key, value);
+        g_free(key);
+        at += LENGTH_BYTES + len;
+    }
+    standin_answer(conn, 200, "", "{}", 2);
+}
+
+/* What the tests do to it: put and drop a record, forget the history, refuse
+ * every call. */
+static void
+serve_control(store_t *store, standin_conn_t *conn, const char *path,
+              const char *query, topic_t *topic, const GByteArray *body)
+{
+    char *key = standin_query_text(query, "key");
+    if (strcmp(path, "/put") == 0) {
+        add_record(store, topic, key, g_bytes_new(body->data, body->len));
+    }
+    if (strcmp(path, "/drop") == 0) {
+        add_record(store, topic, key, NULL);
+    }
+    if (strcmp(path, "/forget") == 0) {
+        topic->first = topic->records->len;
+    }
+    if (strcmp(path, "/refuse") == 0) {
+        store->refusing = standin_query(query, "on", 0) != 0;
+    }
+    g_free(key);
+    standin_answer(conn, 200, "", "{}", 2);
+}
+
+static void
+on_ask(standin_conn_t *conn, const cq_h1_head_t *head, const char *path,
+       const char *query, const GByteArray *body, void *data)
+{
+    (void)head;
+    store_t *store = data;
+    char *name = standin_query_text(query, "topic");
+    topic_t *topic = need_topic(store, name != NULL ? name : "");
+    g_free(name);
+    if (!g_str_has_prefix(path, "/v1/")) {
+        serve_control(store, conn, path, query, topic, body);
+        return;
+    }
+    if (store->refusing) {
+        standin_answer(conn, 503, "", "{}", 2);
+        return;
+    }
+    if (strcmp(path, "/v1/log-newest") == 0) {
+        serve_newest(conn, topic);
+    }
+    else if (strcmp(path, "/v1/log-read") == 0) {
+        serve_read(store, conn, topic, query);
+    }
+    else if (strcmp(path, "/v1/log-append") == 0) {
+        serve_append(store, conn, topic, body);
+    }
+    else {
+        standin_answer(conn, 404, "", "{}", 2);
+    }
+}
+
+gboolean
+fleet_store(const fleet_options_t *options)
+{
+    the_store = g_new0(store_t, 1);
+    the_store->topics = g_hash_table_new(g_str_hash, g_str_equal);
+    return standin_serve(options->listen_addr, on_ask, the_store);
+}
--- a/tests/unit/fit_test.cc
+++ b/tests/unit/fit_test.cc
@@ -649,10 +649,10 @@
     start(1);
     cq_event_t event = {};
     event.kind = CQ_EV_LOG;
-    event.log_up = FALSE;
-    step(event);
-    event.log_up = TRUE;
-    step(event);
+    for (int up : {1, 0, 1}) {
+        event.log_up = up;
+        step(event);
+    }
     rows[0].name[0] = 'x';
     list();
     guint64 id = ask_short();
--- a/tests/unit/h1_test.cc
+++ b/tests/unit/h1_test.cc
@@ -125,6 +125,14 @@
     EXPECT_EQ(cq_h1_fault(reader), CQ_H1_HEAD_TOO_LONG);
 }
 
+TEST_F(H1, AHeadThatComesAtOnceIsCountedToo)
+{
+    open(FALSE, 1000);
+    feed("GET /a HTTP/1.1\r\nX: " + std::string(2000, 'x') + "\r\n\r\n");
+    EXPECT_EQ(cq_h1_fault(reader), CQ_H1_HEAD_TOO_LONG);
+    EXPECT_EQ(heard.done, 0);
+}
+
 TEST_F(H1, ALongBodyDoesNotCountAsHead)
 {
     open(FALSE, 1000);
