--- a/packages/router/link.c
+++ b/packages/router/link.c
@@ -341,13 +341,10 @@
 {
     gint64 silent_us = now_us - link->heard_us;
     gboolean partial = cq_frame_partial(&link->reader) || !link->proved;
-    if (partial && silent_us > CQ_FRAME_STALL_US) {
-        reject(link, CQ_N_FRAME_STALLED);
-        return;
-    }
     /* Both sides send heartbeats, so a quiet connection is a lost one. */
     gint64 quiet_us = link->options.dialled ? QUIET_DIALLED_US : QUIET_US;
+    quiet_us = partial ? MIN(quiet_us, CQ_FRAME_STALL_US) : quiet_us;
     if (silent_us > quiet_us) {
-        reject(link, CQ_N_SILENT);
+        reject(link, partial ? CQ_N_FRAME_STALLED : CQ_N_SILENT);
     }
 }
