Divide the budget of retries among the hosts

The share is a setting that the platform fills in; the window, which a token bucket does not need, is gone.

--- a/packages/base/rules.h
+++ b/packages/base/rules.h
@@ -82,6 +82,7 @@
  * @group_max: engines that may hold one prompt together; 1: they cannot
  * @resume: whether engines resume a stream at a token
  * @retry_burst: retries that may be saved up
+ * @retry_shared: @retry_burst is for all hosts together, not for each
  * @connect_us: an upstream that takes no connection for so long is left
  * @quiet_us: a call that may be repeated and makes no progress for so long is
  *   moved without asking the upstream; 0: it is asked first
@@ -109,6 +110,7 @@
     gint64 group_max;
     gboolean resume;
     gint64 retry_burst;
+    gboolean retry_shared;
     gint64 connect_us;
     gint64 quiet_us;
     cq_speed_t speed;
--- a/packages/config/settings.c
+++ b/packages/config/settings.c
@@ -10,7 +10,6 @@
 #define LIMIT_MS 60000
 #define RETRIES_MAX 1000000
 #define RETRY_PERCENT 20
-#define RETRY_WINDOW_MS 10000
 
 static const char *const levels[] = {"debug", "info", "warn", "error", NULL};
 
@@ -39,10 +38,8 @@
      FALSE, NULL},
     {"retries", "burst", CQ_FIELD_INTEGER, OFFSET(retry_burst), 0, 0,
      RETRIES_MAX, FALSE, NULL},
-    {"retries", "percent", CQ_FIELD_INTEGER, OFFSET(retry_percent), 0, 0, 100,
-     FALSE, NULL},
-    {"retries", "window_ms", CQ_FIELD_INTEGER, OFFSET(retry_window_ms), 0, 1,
-     CQ_TIMEOUT_MAX_MS, FALSE, NULL},
+    {"retries", "share", CQ_FIELD_TEXT, OFFSET(retry_share),
+     SIZE(retry_share), 0, 0, FALSE, NULL},
     {"drain", "notice_ms", CQ_FIELD_INTEGER, OFFSET(notice_ms), 0, 0,
      CQ_TIMEOUT_MAX_MS, FALSE, NULL},
     {"drain", "limit_ms", CQ_FIELD_INTEGER, OFFSET(limit_ms), 0, 1,
@@ -93,6 +90,24 @@
     return cq_schema_store(field, item, file, settings, error);
 }
 
+static gboolean
+read_share(cq_settings_t *settings, const char *file, cq_error_t *error)
+{
+    if (settings->retry_share[0] == '\0') {
+        return TRUE;
+    }
+    char *end = NULL;
+    double share = g_ascii_strtod(settings->retry_share, &end);
+    if (*end != '\0' || !(share >= 0 && share <= 1)) {
+        return cq_error_set(error, CQ_ERROR_VALUE,
+                            "%s:1: retries.share: found %s; write a number "
+                            "from 0 to 1 in quotes",
+                            file, settings->retry_share);
+    }
+    settings->retry_percent = (gint64)(share * 100 + 0.5);
+    return TRUE;
+}
+
 static gboolean
 check_whole(const cq_settings_t *settings, const char *file, cq_error_t *error)
 {
@@ -150,7 +165,8 @@
             return FALSE;
         }
     }
-    return check_whole(settings, file, error);
+    return read_share(settings, file, error) &&
+           check_whole(settings, file, error);
 }
 
 gboolean
@@ -163,7 +179,6 @@
         .log_level = 1,
         .retry_burst = CQ_RETRY_BURST,
         .retry_percent = RETRY_PERCENT,
-        .retry_window_ms = RETRY_WINDOW_MS,
     };
     GArray *items = g_array_new(FALSE, TRUE, sizeof(cq_toml_item_t));
     gboolean good = cq_toml_parse(text, file, items, error);
--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -29,10 +29,9 @@
  * @hosts: address of the platform's host list
  * @store: address of the platform's store, which holds configuration,
  *   upstreams and hosts; "" when @log and @hosts are used
- * @retry_burst: retries beyond the shares of the services that all hosts
- *   together may spend within @retry_window_ms
- * @retry_percent: retries as a share of first attempts
- * @retry_window_ms: span of time of the two
+ * @retry_burst: retries that all hosts together may save up
+ * @retry_share: retries as a share of first attempts, as written
+ * @retry_percent: the same in hundredths
  * @notice_ms: new requests are still taken for so long after SIGTERM
  * @limit_ms: after so long every remaining request is answered
  * @seed: of the random number generator; 0 takes one from the clock
@@ -51,8 +50,8 @@
     char hosts[CQ_ADDR_BYTES];
     char store[CQ_ADDR_BYTES];
     gint64 retry_burst;
+    char retry_share[16];
     gint64 retry_percent;
-    gint64 retry_window_ms;
     gint64 notice_ms;
     gint64 limit_ms;
     gint64 seed;
--- a/packages/core/intake.c
+++ b/packages/core/intake.c
@@ -194,12 +194,21 @@
     service->demand[request->klass] += (double)need * seconds;
 }
 
+/* The budget is one for all hosts: each saves up its part of it. */
+static double
+retries_max(const cq_core_t *core, const cq_rules_t *rules)
+{
+    double most = (double)rules->retry_burst;
+    guint others = g_hash_table_size(core->entry_hosts);
+    return rules->retry_shared ? most / (others + 1) : most;
+}
+
 static void
-earn_retries(cq_service_t *service)
+earn_retries(const cq_core_t *core, cq_service_t *service)
 {
     double earned = (double)service->rules->retry_percent / 100.0;
     double tokens = service->retry_tokens + earned;
-    service->retry_tokens = MIN(tokens, (double)service->rules->retry_burst);
+    service->retry_tokens = MIN(tokens, retries_max(core, service->rules));
 }
 
 void
@@ -223,7 +232,7 @@
         return;
     }
     cq_counters_add(&core->counters, CQ_N_ADMITTED, 1);
-    earn_retries(request->service);
+    earn_retries(core, request->service);
     if (cq_claim_needed(request)) {
         cq_claim_begin(core, request);
         return;
--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -440,7 +440,6 @@
     held->limit_ms = settings->limit_ms;
     held->retry_burst = settings->retry_burst;
     held->retry_percent = settings->retry_percent;
-    held->retry_window_ms = settings->retry_window_ms;
     held->log_level = settings->log_level;
     cq_logs_level(app->logs, cq_settings_level(held->log_level));
     dial_seeds(app);
@@ -528,6 +527,7 @@
     for (guint i = 0; i < routes->rules->len; i++) {
         cq_rules_t *rules = g_ptr_array_index(routes->rules, i);
         rules->retry_burst = settings->retry_burst;
+        rules->retry_shared = TRUE;
         rules->retry_percent = settings->retry_percent;
     }
     cq_relay_routes(app->relay, routes);
--- a/tests/unit/config_test.cc
+++ b/tests/unit/config_test.cc
@@ -51,6 +51,26 @@
     EXPECT_EQ("", settings_error(kSettings));
 }
 
+TEST(Settings, AStoreTakesThePlaceOfLogAndHosts)
+{
+    cq_settings_t settings;
+    cq_error_t error = {};
+    const char *good = "[host]\nname = \"h\"\nzone = \"a\"\n[listen]\n"
+                       "callers = \"127.0.0.1:1\"\n"
+                       "operators = \"127.0.0.1:2\"\n"
+                       "peers = \"127.0.0.1:3\"\n[platform]\n"
+                       "store = \"127.0.0.1:4\"\n[retries]\n"
+                       "share = \"0.25\"\n";
+    ASSERT_TRUE(cq_settings_parse(good, "f.toml", &settings, &error))
+        << error.text;
+    EXPECT_EQ(settings.retry_percent, 25);
+    std::string bad = std::string(good) + "burst = 9\n";
+    bad.replace(bad.find("0.25"), 4, "many");
+    EXPECT_FALSE(cq_settings_parse(bad.c_str(), "f.toml", &settings, &error));
+    EXPECT_STREQ(error.text, "f.toml:1: retries.share: found many; write a "
+                             "number from 0 to 1 in quotes");
+}
+
 TEST(Settings, NamesFileLineKeyFoundAndRemedy)
 {
     EXPECT_EQ("f.toml:2: host.nam: unknown key, found a; write one of: name "
--- a/tests/unit/fit_test.cc
+++ b/tests/unit/fit_test.cc
@@ -531,6 +531,23 @@
     EXPECT_EQ(answered(id)->status, 502);
 }
 
+// Three other hosts share the budget.
+TEST_F(Fit, AHostSpendsItsPartOfTheRetriesOnly)
+{
+    start(0, 3, 3);
+    rules[1]->retry_shared = TRUE;
+    rules[1]->retry_burst = 8;
+    rules[1]->retry_percent = 0;
+    guint retried = 0;
+    for (int i = 0; i < 6; i++) {
+        guint64 id = ask(1, 300 * kMs, 0, "p");
+        news(id, CQ_EV_SENT);
+        news(id, CQ_EV_FAILED, CQ_FAIL_FAULT);
+        retried += sent(id)->attempt == 2;
+    }
+    EXPECT_EQ(retried, 2u);
+}
+
 TEST_F(Fit, ACallThatMayHaveRunIsNotRepeated)
 {
     start(0, 3);
