--- a/packages/bench/passes.c
+++ b/packages/bench/passes.c
@@ -65,8 +65,7 @@
         drop_reading(CQ_ENTRY(engine->readings.next, reading_t, link));
     }
     while (!cq_list_empty(&engine->writings)) {
-        drop_writing(engine,
-                     CQ_ENTRY(engine->writings.next, writing_t, link));
+        drop_writing(engine, CQ_ENTRY(engine->writings.next, writing_t, link));
     }
     g_free(engine);
 }
--- a/packages/bench/replay.c
+++ b/packages/bench/replay.c
@@ -31,8 +31,8 @@
                          10 * CQ_SECOND_US, 35},
     [CQ_REPLAY_MIDDLE] = {45000, 0.5, 110000, 1500 * CQ_MS_US, 500 * CQ_MS_US,
                           10 * CQ_SECOND_US, 21},
-    [CQ_REPLAY_LONG] = {210000, 0.55, 440000, 3 * CQ_SECOND_US,
-                        800 * CQ_MS_US, 15 * CQ_SECOND_US, 17},
+    [CQ_REPLAY_LONG] = {210000, 0.55, 440000, 3 * CQ_SECOND_US, 800 * CQ_MS_US,
+                        15 * CQ_SECOND_US, 17},
 };
 
 typedef struct replay replay_t;
@@ -129,9 +129,8 @@
                 (const cq_task_news_t *)(const void *)letter->rows->data;
             letter->event.tasks.len = letter->rows->len;
         }
-        letter->event.summary = letter->summary != NULL
-                                    ? letter->summary
-                                    : letter->event.summary;
+        letter->event.summary =
+            letter->summary != NULL ? letter->summary : letter->event.summary;
         post(host, &letter->event);
     }
     g_clear_pointer(&letter->rows, g_array_unref);
@@ -197,8 +196,8 @@
 {
     gint64 now_us = replay->heap.now_us + 2 * (gint64)HOP_US;
     gint64 since_us = ask->begun ? ask->event_us : ask->asked_us;
-    gint64 limit_us = ask->begun ? kinds[ask->kind].gap_us
-                                 : kinds[ask->kind].aim_us;
+    gint64 limit_us =
+        ask->begun ? kinds[ask->kind].gap_us : kinds[ask->kind].aim_us;
     ask->late = ask->late || now_us - since_us > limit_us;
     ask->begun = TRUE;
     ask->event_us = now_us;
@@ -313,8 +312,8 @@
         letter_t *letter = mail(&replay->hosts[i], HOP_US, 0);
         letter->event.kind = CQ_EV_TASKS;
         letter->event.tasks.host = cq_ident_host(host->name);
-        letter->rows = g_array_sized_new(FALSE, FALSE, sizeof(cq_task_news_t),
-                                         news->len);
+        letter->rows =
+            g_array_sized_new(FALSE, FALSE, sizeof(cq_task_news_t), news->len);
         g_array_append_vals(letter->rows, news->data, news->len);
     }
 }
@@ -404,8 +403,8 @@
         cq_event_t event = {.kind = CQ_EV_TICK};
         post(host, &event);
     }
-    cq_heap_add(&replay->heap, replay->heap.now_us + CQ_TICK_US, on_tick,
-                host, 0);
+    cq_heap_add(&replay->heap, replay->heap.now_us + CQ_TICK_US, on_tick, host,
+                0);
 }
 
 static void
--- a/packages/router/follow.c
+++ b/packages/router/follow.c
@@ -367,6 +367,7 @@
     }
     take_page(table, page);
     table->next = MAX(table->next, page->next);
+    table->known = TRUE;
     answered(table);
     read_after(table, pause_ms(table->topic));
 }
--- a/tests/proc/relay.sh
+++ b/tests/proc/relay.sh
@@ -90,6 +90,12 @@
 for i in $(seq 10); do
     expect_ask "p1 is leaving, $i" "200 from p2" /new/ok
 done
+kill -STOP "$PID_h"
+sleep 2
+kill -CONT "$PID_h"
+wait_until "event=standstill" cat "$DIR/h.log"
+wait_for "http://127.0.0.1:$((PORT + 1))/readyz"
+expect_ask "ready again after a standstill" "200 *" /new/ok
 curl -sf -X POST "http://$STORE/refuse?on=1" >/dev/null
 wait_until "event=log .*up=no" cat "$DIR/h.log"
 expect_ask "without the store" "200 *" /new/ok
--- a/tests/standin/fleetmain.c
+++ b/tests/standin/fleetmain.c
@@ -36,8 +36,7 @@
     g_option_context_free(context);
     signal(SIGPIPE, SIG_IGN);
     for (guint i = 0; i < G_N_ELEMENTS(modes); i++) {
-        if (strcmp(modes[i].name, argv[1]) == 0 &&
-            modes[i].serve(&options)) {
+        if (strcmp(modes[i].name, argv[1]) == 0 && modes[i].serve(&options)) {
             GMainLoop *loop = g_main_loop_new(NULL, FALSE);
             g_main_loop_run(loop);
             return 0;
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -18,7 +18,7 @@
     standin_conn_t *conn;
     gint64 next;
     gint64 last;
-    gint64 tear_at; /* breaks off within this event; 0: never */
+    gint64 tear_at;  /* breaks off within this event; 0: never */
     gint64 fault_at; /* stops without a word after this event; 0: never */
 } stream_t;
 
@@ -110,8 +110,8 @@
 }
 
 static void
-serve_plain(replica_t *replica, standin_conn_t *conn,
-            const cq_h1_head_t *head, const char *how)
+serve_plain(replica_t *replica, standin_conn_t *conn, const cq_h1_head_t *head,
+            const char *how)
 {
     char fields[256];
     char body[128];
@@ -130,8 +130,9 @@
         standin_answer(conn, 503, "Cuminquay-Not-Executed: 1\r\n", "", 0);
     }
     else if (strcmp(how, "tear") == 0) {
-        standin_text(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: 100\r\n\r\n"
-                           "half",
+        standin_text(conn,
+                     "HTTP/1.1 200 OK\r\n%sContent-Length: 100\r\n\r\n"
+                     "half",
                      fields);
         standin_end(conn, FALSE);
     }
@@ -140,8 +141,8 @@
         standin_answer(conn, 200, fields, "extra", 5);
     }
     else if (strcmp(how, "other") == 0) {
-        standin_answer(conn, 200,
-                       "Cuminquay-Attempt-Id: another\r\n" SEAL, body, len);
+        standin_answer(conn, 200, "Cuminquay-Attempt-Id: another\r\n" SEAL,
+                       body, len);
     }
     else if (strcmp(how, "bare") == 0) {
         standin_answer(conn, 200, "", body, len);
--- a/tests/standin/server.c
+++ b/tests/standin/server.c
@@ -199,8 +199,7 @@
 standin_query(const char *query, const char *name, gint64 fallback)
 {
     char *text = standin_query_text(query, name);
-    gint64 value =
-        text != NULL ? g_ascii_strtoll(text, NULL, 10) : fallback;
+    gint64 value = text != NULL ? g_ascii_strtoll(text, NULL, 10) : fallback;
     g_free(text);
     return value;
 }
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -194,8 +194,7 @@
         guint len = (guint)bytes[0] << 24 | (guint)bytes[1] << 16 |
                     (guint)bytes[2] << 8 | bytes[3];
         guint key_len = bytes[LENGTH_BYTES];
-        char *key =
-            g_strndup((const char *)bytes + LENGTH_BYTES + 1, key_len);
+        char *key = g_strndup((const char *)bytes + LENGTH_BYTES + 1, key_len);
         GBytes *value = NULL;
         if (len > key_len + 1) {
             value = g_bytes_new(bytes + LENGTH_BYTES + 1 + key_len,
--- a/tests/unit/fit_test.cc
+++ b/tests/unit/fit_test.cc
@@ -25,8 +25,7 @@
     g_strlcpy(rules->name, name, sizeof rules->name);
     rules->kind = kind;
     rules->version = 1;
-    rules->speed = {16,    450000, 46,     925,      4.83,
-                    0.00254, 3.906,  0.0000917, 100};
+    rules->speed = {16, 450000, 46, 925, 4.83, 0.00254, 3.906, 0.0000917, 100};
     rules->quiet_us = 1200 * kMs;
     rules->connect_us = 300 * kMs;
     g_array_append_val(rules->teams, team);
@@ -129,8 +128,8 @@
         writing.push_back(id);
     }
     guint64
-    ask(gint64 tokens, gint64 aim_us, gint64 gap_us,
-        const char *service = "m", gboolean repeatable = TRUE)
+    ask(gint64 tokens, gint64 aim_us, gint64 gap_us, const char *service = "m",
+        gboolean repeatable = TRUE)
     {
         cq_event_t event = {};
         event.kind = CQ_EV_REQUEST;
@@ -357,8 +356,7 @@
 {
     start(1);
     for (int i = 0; i < 12; i++) {
-        peer_places(100 + i, {"e0"}, 3000, 10 * kMs, 200 * kMs, kSecond,
-                    TRUE);
+        peer_places(100 + i, {"e0"}, 3000, 10 * kMs, 200 * kMs, kSecond, TRUE);
     }
     guint64 id = ask(45000, 1500 * kMs, 500 * kMs);
     pass(1700 * kMs);
@@ -373,8 +371,7 @@
 {
     start(2);
     for (int i = 0; i < 16; i++) {
-        peer_places(100 + i, {"e0"}, 3000, 10 * kMs, 200 * kMs, kSecond,
-                    TRUE);
+        peer_places(100 + i, {"e0"}, 3000, 10 * kMs, 200 * kMs, kSecond, TRUE);
     }
     guint64 id = ask_short();
     ASSERT_NE(sent(id), nullptr);
@@ -385,8 +382,7 @@
 {
     start(1);
     for (int i = 0; i < 16; i++) {
-        peer_places(100 + i, {"e0"}, 3000, 10 * kMs, 200 * kMs, kSecond,
-                    TRUE);
+        peer_places(100 + i, {"e0"}, 3000, 10 * kMs, 200 * kMs, kSecond, TRUE);
     }
     EXPECT_EQ(sent(ask_short()), nullptr);
     cq_task_news_t reset = {};
--- a/tests/unit/h1_test.cc
+++ b/tests/unit/h1_test.cc
@@ -20,9 +20,9 @@
 on_head(void *data, const cq_h1_head_t *head)
 {
     heard_t *heard = (heard_t *)data;
-    heard->heads += head->status != 0 ? std::to_string(head->status)
-                                      : std::string(head->method) + " " +
-                                            head->target;
+    heard->heads += head->status != 0
+                        ? std::to_string(head->status)
+                        : std::string(head->method) + " " + head->target;
     heard->heads += ";";
     heard->keep = head->keep;
     heard->sized = head->sized;
@@ -81,8 +81,9 @@
 TEST_F(H1, TakesBytesOneByOne)
 {
     open(FALSE);
-    for (char c : std::string("POST /a HTTP/1.1\r\nTransfer-Encoding: "
-                              "chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n")) {
+    for (char c :
+         std::string("POST /a HTTP/1.1\r\nTransfer-Encoding: "
+                     "chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n")) {
         feed(std::string(1, c));
     }
     EXPECT_EQ(heard.body, "abc");
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -136,8 +136,8 @@
 upstream(const std::string &text, cq_listed_t *row)
 {
     cq_error_t error = {};
-    gboolean good = cq_records_upstream("i-1", text.data(), text.size(), row,
-                                        &error);
+    gboolean good =
+        cq_records_upstream("i-1", text.data(), text.size(), row, &error);
     EXPECT_EQ(good, error.text[0] == '\0') << error.text;
     return good;
 }
