--- a/packages/bench/replay.c
+++ b/packages/bench/replay.c
@@ -5,10 +5,9 @@
 
 #include "bench/heap.h"
 #include "bench/passes.h"
+#include "bench/replayload.h"
 #include "core/batch.h"
 
-#define SERVICE "model"
-#define TEAM "team"
 /* One way between hosts, and between hosts and engines. */
 #define HOP_US 600
 #define ZONES 3
@@ -18,23 +17,6 @@
 #define ENGINES_MAX 64
 #define HOSTS_MAX 16
 
-static const struct {
-    double tokens;
-    double spread; /* of the logarithm */
-    gint64 tokens_max;
-    gint64 aim_us;
-    gint64 gap_us;
-    gint64 timeout_us;
-    guint events;
-} kinds[CQ_REPLAY_KINDS] = {
-    [CQ_REPLAY_SHORT] = {4960, 0.9, 23800, 300 * CQ_MS_US, 200 * CQ_MS_US,
-                         10 * CQ_SECOND_US, 35},
-    [CQ_REPLAY_MIDDLE] = {45000, 0.5, 110000, 1500 * CQ_MS_US, 500 * CQ_MS_US,
-                          10 * CQ_SECOND_US, 21},
-    [CQ_REPLAY_LONG] = {210000, 0.55, 440000, 3 * CQ_SECOND_US, 800 * CQ_MS_US,
-                        15 * CQ_SECOND_US, 17},
-};
-
 typedef struct replay replay_t;
 
 typedef struct {
@@ -83,18 +65,6 @@
     gboolean over;
 };
 
-static const cq_speed_t speed = {
-    .slots = 16,
-    .memory_tokens = 450000,
-    .stride = 46,
-    .step_us = 925,
-    .stream_us = 4.83,
-    .context_us = 0.00254,
-    .read_us = 3.906,
-    .pair_us = 0.0000917,
-    .hop_us = 100,
-};
-
 static void
 post(host_t *host, const cq_event_t *event);
 static void
@@ -196,8 +166,8 @@
 {
     gint64 now_us = replay->heap.now_us + 2 * (gint64)HOP_US;
     gint64 since_us = ask->begun ? ask->event_us : ask->asked_us;
-    gint64 limit_us =
-        ask->begun ? kinds[ask->kind].gap_us : kinds[ask->kind].aim_us;
+    gint64 limit_us = ask->begun ? cq_replay_sheet(ask->kind)->gap_us
+                                 : cq_replay_sheet(ask->kind)->aim_us;
     ask->late = ask->late || now_us - since_us > limit_us;
     ask->begun = TRUE;
     ask->event_us = now_us;
@@ -245,7 +215,7 @@
     if (ask == NULL) {
         return;
     }
-    gint64 read_us = cq_batch_read_us(&speed, ask->tokens);
+    gint64 read_us = cq_batch_read_us(&replay->rules->speed, ask->tokens);
     ask->unread = ask->engines_len;
     for (guint i = 0; i < ask->engines_len; i++) {
         engine_t *engine = &replay->engines[ask->engines[i]];
@@ -467,24 +437,6 @@
                 0);
 }
 
-/* Box and Muller, 1958. */
-static double
-normal(GRand *rand)
-{
-    double u = 1 - g_rand_double(rand);
-    double v = g_rand_double(rand);
-    return sqrt(-2 * log(u)) * cos(2 * G_PI * v);
-}
-
-static gint64
-draw_tokens(replay_t *replay, cq_replay_kind_t kind)
-{
-    double spread = kinds[kind].spread;
-    double mean = log(kinds[kind].tokens) - spread * spread / 2;
-    double tokens = exp(mean + spread * normal(replay->rand));
-    return CLAMP((gint64)tokens, 1, kinds[kind].tokens_max);
-}
-
 static host_t *
 draw_host(replay_t *replay)
 {
@@ -506,43 +458,29 @@
     ask->kind = kind;
     ask->id = cq_ident_request(cq_ident_host(host->name), host->incarnation,
                                ++replay->serial);
-    ask->tokens = draw_tokens(replay, kind);
-    double share = exp(0.6 * normal(replay->rand) - 0.18);
-    ask->events = (guint)MAX(kinds[kind].events * share, 1);
+    ask->tokens = cq_replay_tokens(replay->rand, kind);
+    ask->events = cq_replay_events(replay->rand, kind);
     ask->asked_us = replay->heap.now_us;
     replay->result.kinds[kind].asked++;
     g_hash_table_insert(replay->asks, &ask->id, ask);
     cq_event_t event = {
         .kind = CQ_EV_REQUEST,
         .request = {.id = ask->id,
-                    .service = SERVICE,
-                    .team = TEAM,
+                    .service = CQ_REPLAY_SERVICE,
+                    .team = CQ_REPLAY_TEAM,
                     .model = "",
                     .repeatable = TRUE,
                     .resumable = TRUE,
                     .prompt_tokens = ask->tokens,
                     .output_tokens = ANSWER_TOKENS,
-                    .timeout_us = kinds[kind].timeout_us,
-                    .aim_us = kinds[kind].aim_us,
-                    .gap_us = kinds[kind].gap_us,
+                    .timeout_us = cq_replay_sheet(kind)->timeout_us,
+                    .aim_us = cq_replay_sheet(kind)->aim_us,
+                    .gap_us = cq_replay_sheet(kind)->gap_us,
                     .attempts_max = 2},
     };
     post(host, &event);
 }
 
-static double
-rate_now(const replay_t *replay, cq_replay_kind_t kind)
-{
-    double rate = 0;
-    for (guint i = 0; i < replay->options.spans_len; i++) {
-        const cq_replay_span_t *span = &replay->options.spans[i];
-        if (replay->heap.now_us >= span->at_us) {
-            rate = span->rate[kind];
-        }
-    }
-    return rate;
-}
-
 /* Arrivals of each kind by thinning (Lewis and Shedler, 1979). */
 static void
 on_ask(void *world, void *data, guint64 number)
@@ -553,17 +491,15 @@
     if (replay->heap.now_us >= replay->options.length_us) {
         return;
     }
-    double most = 0;
-    for (guint i = 0; i < replay->options.spans_len; i++) {
-        most = MAX(most, replay->options.spans[i].rate[kind]);
-    }
+    double most = cq_replay_most(&replay->options, kind);
     if (most <= 0) {
         return;
     }
     double seconds = -log(1 - g_rand_double(replay->rand)) / most;
     gint64 after_us = (gint64)(seconds * (double)CQ_SECOND_US);
     gboolean wanted =
-        g_rand_double(replay->rand) < rate_now(replay, kind) / most;
+        g_rand_double(replay->rand) <
+        cq_replay_rate(&replay->options, kind, replay->heap.now_us) / most;
     if (wanted && replay->heap.now_us > 0) {
         ask_one(replay, kind);
     }
@@ -571,20 +507,6 @@
                 NULL, number);
 }
 
-static void
-make_rules(replay_t *replay)
-{
-    cq_team_rule_t team = {.name = TEAM, .weight = 1};
-    replay->rules = cq_rules_new();
-    g_strlcpy(replay->rules->name, SERVICE, sizeof replay->rules->name);
-    replay->rules->kind = CQ_SERVICE_BATCH;
-    replay->rules->version = 1;
-    replay->rules->speed = speed;
-    replay->rules->quiet_us = 1200 * CQ_MS_US;
-    replay->rules->connect_us = 300 * CQ_MS_US;
-    g_array_append_val(replay->rules->teams, team);
-}
-
 static void
 make_world(replay_t *replay)
 {
@@ -595,11 +517,11 @@
         cq_listed_t *row = &replay->rows[i];
         cq_passes_ops_t ops = {on_read, on_wrote, engine};
         engine->replay = replay;
-        engine->passes = cq_passes_new(&speed, &ops);
+        engine->passes = cq_passes_new(&replay->rules->speed, &ops);
         g_snprintf(row->name, sizeof row->name, "e%u", i);
         g_snprintf(row->addr, sizeof row->addr, "10.0.0.%u:1", i);
         g_snprintf(row->zone, sizeof row->zone, "z%u", i % ZONES);
-        g_strlcpy(row->service, SERVICE, sizeof row->service);
+        g_strlcpy(row->service, CQ_REPLAY_SERVICE, sizeof row->service);
         row->incarnation = 1;
         engine->id = cq_ident_hash(row->name);
     }
@@ -613,7 +535,6 @@
         g_snprintf(row->zone, sizeof row->zone, "z%u", i % ZONES);
         row->incarnation = 1;
     }
-    make_rules(replay);
 }
 
 cq_replay_result_t
@@ -624,6 +545,7 @@
     replay.rand = g_rand_new_with_seed(options->seed);
     replay.asks =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    replay.rules = cq_replay_rules();
     make_world(&replay);
     for (guint i = 0; i < options->hosts; i++) {
         start_host(&replay.hosts[i]);
--- /dev/null
+++ b/packages/bench/replayload.c
@@ -0,0 +1,103 @@
+#include "bench/replayload.h"
+
+#include <math.h>
+
+/* Of the logarithm of an answer's length, whose mean stays the kind's. */
+#define EVENTS_SPREAD 0.6
+
+static const cq_replay_sheet_t sheets[CQ_REPLAY_KINDS] = {
+    [CQ_REPLAY_SHORT] = {4960, 0.9, 23800, 300 * CQ_MS_US, 200 * CQ_MS_US,
+                         10 * CQ_SECOND_US, 35},
+    [CQ_REPLAY_MIDDLE] = {45000, 0.5, 110000, 1500 * CQ_MS_US, 500 * CQ_MS_US,
+                          10 * CQ_SECOND_US, 21},
+    [CQ_REPLAY_LONG] = {210000, 0.55, 440000, 3 * CQ_SECOND_US, 800 * CQ_MS_US,
+                        15 * CQ_SECOND_US, 17},
+};
+
+static const cq_speed_t speed = {
+    .slots = 16,
+    .memory_tokens = 450000,
+    .stride = 46,
+    .step_us = 925,
+    .stream_us = 4.83,
+    .context_us = 0.00254,
+    .read_us = 3.906,
+    .pair_us = 0.0000917,
+    .hop_us = 100,
+};
+
+/* Box and Muller, 1958. */
+static double
+normal(GRand *rand)
+{
+    double u = 1 - g_rand_double(rand);
+    double v = g_rand_double(rand);
+    return sqrt(-2 * log(u)) * cos(2 * G_PI * v);
+}
+
+/* Log-normal with mean @mean. */
+static double
+draw(GRand *rand, double mean, double spread)
+{
+    return exp(log(mean) - spread * spread / 2 + spread * normal(rand));
+}
+
+const cq_replay_sheet_t *
+cq_replay_sheet(cq_replay_kind_t kind)
+{
+    return &sheets[kind];
+}
+
+gint64
+cq_replay_tokens(GRand *rand, cq_replay_kind_t kind)
+{
+    const cq_replay_sheet_t *sheet = &sheets[kind];
+    double tokens = draw(rand, sheet->tokens, sheet->spread);
+    return CLAMP((gint64)tokens, 1, sheet->tokens_max);
+}
+
+guint
+cq_replay_events(GRand *rand, cq_replay_kind_t kind)
+{
+    double share =
+        exp(EVENTS_SPREAD * normal(rand) - EVENTS_SPREAD * EVENTS_SPREAD / 2);
+    return (guint)MAX(sheets[kind].events * share, 1);
+}
+
+double
+cq_replay_rate(const cq_replay_options_t *options, cq_replay_kind_t kind,
+               gint64 now_us)
+{
+    double rate = 0;
+    for (guint i = 0; i < options->spans_len; i++) {
+        if (now_us >= options->spans[i].at_us) {
+            rate = options->spans[i].rate[kind];
+        }
+    }
+    return rate;
+}
+
+double
+cq_replay_most(const cq_replay_options_t *options, cq_replay_kind_t kind)
+{
+    double most = 0;
+    for (guint i = 0; i < options->spans_len; i++) {
+        most = MAX(most, options->spans[i].rate[kind]);
+    }
+    return most;
+}
+
+cq_rules_t *
+cq_replay_rules(void)
+{
+    cq_team_rule_t team = {.name = CQ_REPLAY_TEAM, .weight = 1};
+    cq_rules_t *rules = cq_rules_new();
+    g_strlcpy(rules->name, CQ_REPLAY_SERVICE, sizeof rules->name);
+    rules->kind = CQ_SERVICE_BATCH;
+    rules->version = 1;
+    rules->speed = speed;
+    rules->quiet_us = 1200 * CQ_MS_US;
+    rules->connect_us = 300 * CQ_MS_US;
+    g_array_append_val(rules->teams, team);
+    return rules;
+}
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -11,8 +11,8 @@
 
 # fails TEST: does the test fail in the scratch copy?
 fails() {
-    if [ "${1#fit:}" != "$1" ]; then
-        ! timeout 60 "$scratch/build/tests/fit_test" --gtest_filter="${1#fit:}" >/dev/null 2>&1
+    if [ "${1%%:*}" != "$1" ]; then
+        ! timeout 60 "$scratch/build/tests/${1%%:*}_test" --gtest_filter="${1#*:}" >/dev/null 2>&1
     elif [ "$1" = soak ]; then
         ! timeout 60 "$scratch/build/packages/cqsoak" 1 400 40 >/dev/null 2>&1
     else
--- /dev/null
+++ b/tests/unit/fit.h
@@ -0,0 +1,266 @@
+// A core with engines and plain upstreams, driven through its one door.
+#ifndef FIT_H
+#define FIT_H
+
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "base/ident.h"
+#include "core/core.h"
+
+namespace fit {
+
+constexpr gint64 kMs = 1000;
+constexpr gint64 kSecond = 1000000;
+
+inline cq_rules_t *
+make_rules(const char *name, cq_service_kind_t kind)
+{
+    cq_team_rule_t team = {};
+    g_strlcpy(team.name, "t", sizeof team.name);
+    team.weight = 1;
+    cq_rules_t *rules = cq_rules_new();
+    g_strlcpy(rules->name, name, sizeof rules->name);
+    rules->kind = kind;
+    rules->version = 1;
+    rules->speed = {16, 450000, 46, 925, 4.83, 0.00254, 3.906, 0.0000917, 100};
+    rules->quiet_us = 1200 * kMs;
+    rules->connect_us = 300 * kMs;
+    g_array_append_val(rules->teams, team);
+    return rules;
+}
+
+// A core with engines e0, e1, ... of service "m" and upstreams p0, p1, ... of
+// the plain service "p". Engines of even number stand in zone "a", like the
+// core.
+class Fit : public ::testing::Test {
+  protected:
+    void
+    start(guint engines, guint plain = 0, guint hosts = 0)
+    {
+        cq_core_options_t options = {};
+        options.host = "h0";
+        options.zone = "a";
+        options.incarnation = 1;
+        options.seed = 7;
+        core = cq_core_new(&options);
+        cq_actions_init(&actions);
+        rules[0] = make_rules("m", CQ_SERVICE_BATCH);
+        rules[1] = make_rules("p", CQ_SERVICE_PLAIN);
+        for (cq_rules_t *one : rules) {
+            cq_event_t event = {};
+            event.kind = CQ_EV_RULES;
+            event.rules = one;
+            step(event);
+        }
+        for (guint i = 0; i < engines; i++) {
+            add_row("e" + std::to_string(i), "m", i % 2 == 0 ? "a" : "b");
+        }
+        for (guint i = 0; i < plain; i++) {
+            add_row("p" + std::to_string(i), "p", "a");
+        }
+        for (guint i = 1; i <= hosts; i++) {
+            add_row("h" + std::to_string(i), "", "b");
+        }
+        list();
+    }
+    void
+    TearDown() override
+    {
+        cq_actions_clear(&actions);
+        cq_core_free(core);
+        for (cq_rules_t *one : rules) {
+            cq_rules_unref(one);
+        }
+    }
+    void
+    add_row(const std::string &name, const char *service, const char *zone)
+    {
+        cq_listed_t row = {};
+        g_strlcpy(row.name, name.c_str(), sizeof row.name);
+        g_strlcpy(row.addr, (name + ":1").c_str(), sizeof row.addr);
+        g_strlcpy(row.zone, zone, sizeof row.zone);
+        g_strlcpy(row.service, service, sizeof row.service);
+        row.incarnation = 1;
+        rows.push_back(row);
+    }
+    void
+    list()
+    {
+        cq_event_t event = {};
+        event.kind = CQ_EV_HOSTS;
+        event.hosts.rows = rows.data();
+        event.hosts.len = (guint)rows.size();
+        step(event);
+    }
+    void
+    step(const cq_event_t &event)
+    {
+        cq_actions_reset(&actions);
+        cq_core_step(core, now_us, &event, &actions);
+        for (guint i = 0; i < actions.items->len; i++) {
+            all.push_back(*cq_actions_at(&actions, i));
+        }
+        EXPECT_STREQ(cq_core_check(core, now_us), nullptr);
+    }
+    void
+    pass(gint64 us)
+    {
+        for (gint64 until_us = now_us + us; now_us < until_us;) {
+            now_us += 10 * kMs;
+            cq_event_t event = {};
+            event.kind = CQ_EV_TICK;
+            step(event);
+            for (guint64 id : writing) {
+                if (now_us / kMs % 50 == 0) {
+                    news(id, CQ_EV_TOKENS);
+                }
+            }
+        }
+    }
+    // From now on the request shows an event each 50 ms.
+    void
+    write(guint64 id)
+    {
+        news(id, CQ_EV_TOKENS);
+        writing.push_back(id);
+    }
+    guint64
+    ask(gint64 tokens, gint64 aim_us, gint64 gap_us, const char *service = "m",
+        gboolean repeatable = TRUE)
+    {
+        cq_event_t event = {};
+        event.kind = CQ_EV_REQUEST;
+        event.request.id = cq_ident_request(cq_ident_host("h0"), 1, ++serial);
+        event.request.service = service;
+        event.request.team = "t";
+        event.request.model = "";
+        event.request.repeatable = repeatable;
+        event.request.resumable = repeatable;
+        event.request.prompt_tokens = tokens;
+        event.request.output_tokens = 1500;
+        event.request.timeout_us = 10 * kSecond;
+        event.request.aim_us = aim_us;
+        event.request.gap_us = gap_us;
+        event.request.attempts_max = 2;
+        step(event);
+        return event.request.id;
+    }
+    guint64
+    ask_short(gint64 tokens = 2000)
+    {
+        return ask(tokens, 300 * kMs, 200 * kMs);
+    }
+    guint64
+    ask_long(gint64 tokens = 210000)
+    {
+        return ask(tokens, 3 * kSecond, 800 * kMs);
+    }
+    // The last SEND of a request, or none.
+    const cq_ac_send_t *
+    sent(guint64 request)
+    {
+        const cq_ac_send_t *last = nullptr;
+        for (const cq_action_t &action : all) {
+            if (action.kind == CQ_AC_SEND && action.send.request == request) {
+                last = &action.send;
+            }
+        }
+        return last;
+    }
+    const cq_ac_answer_t *
+    answered(guint64 request)
+    {
+        for (const cq_action_t &action : all) {
+            if (action.kind == CQ_AC_ANSWER &&
+                action.answer.request == request) {
+                return &action.answer;
+            }
+        }
+        return nullptr;
+    }
+    std::vector<guint64>
+    engines_of(cq_action_kind_t kind)
+    {
+        std::vector<guint64> found;
+        for (const cq_action_t &action : all) {
+            if (action.kind == kind) {
+                found.push_back(action.memory.upstream);
+            }
+        }
+        return found;
+    }
+    void
+    news(guint64 request, cq_event_kind_t kind,
+         cq_failure_t failure = CQ_FAIL_BROKEN, const char *at_fault = "")
+    {
+        cq_event_t event = {};
+        event.kind = kind;
+        event.attempt.request = request;
+        event.attempt.attempt = sent(request)->attempt;
+        event.attempt.tokens = 1;
+        event.attempt.status = 200;
+        event.attempt.failure = failure;
+        g_strlcpy(event.attempt.at_fault, at_fault,
+                  sizeof event.attempt.at_fault);
+        step(event);
+    }
+    void
+    peer_places(guint64 request, std::vector<const char *> engines,
+                gint64 tokens, gint64 part_us, gint64 gap_us, gint64 age_us,
+                gboolean writing)
+    {
+        cq_task_news_t one = {};
+        one.kind = CQ_TASK_PLACED;
+        one.request = request;
+        one.tokens = tokens;
+        one.part_us = part_us;
+        one.gap_us = gap_us;
+        one.age_us = age_us;
+        one.writing = writing;
+        for (const char *engine : engines) {
+            one.engines[one.engines_len++] = cq_ident_hash(engine);
+        }
+        cq_event_t event = {};
+        event.kind = CQ_EV_TASKS;
+        event.tasks.host = cq_ident_host("h1");
+        event.tasks.rows = &one;
+        event.tasks.len = 1;
+        step(event);
+    }
+    void
+    hear_peer(const char *host)
+    {
+        cq_summary_t summary = {};
+        summary.host = cq_ident_host(host);
+        summary.incarnation = 1;
+        cq_event_t event = {};
+        event.kind = CQ_EV_SUMMARY;
+        event.summary = &summary;
+        step(event);
+    }
+    bool
+    in_zone_b(guint64 upstream)
+    {
+        cq_upstream_view_t view;
+        return cq_core_upstream(core, upstream, &view) &&
+               std::string(view.zone) == "b";
+    }
+
+    cq_core_t *core = nullptr;
+    cq_actions_t actions;
+    cq_rules_t *rules[2];
+    std::vector<cq_listed_t> rows;
+    std::vector<cq_action_t> all;
+    std::vector<guint64> writing;
+    gint64 now_us = 1000 * kSecond;
+    guint64 serial = 0;
+};
+
+} // namespace fit
+
+#endif
