--- a/packages/bench/replayload.h
+++ b/packages/bench/replayload.h
@@ -59,7 +59,7 @@
 /**
  * cq_replay_rules() - the rules of the service
  *
- * Return: rules to be released with cq_rules_unref()
+ * Return: owned rules
  */
 cq_rules_t *
 cq_replay_rules(void);
