Leave engines to short prompts beside the longest ones

Cause: a prompt of 440,000 tokens was read by 16 of 18 engines although it would have been on time with ten; the short prompts that came in that time waited until they were refused. Ruled out: the restart itself (the refusals come 5 s before it). Change: a long prompt takes more than six tenths of the engines only where it would be late otherwise.

--- a/packages/core/fit.c
+++ b/packages/core/fit.c
@@ -20,6 +20,10 @@
 /* Part of an engine's memory that one prompt takes there; a longer one is
  * held by several engines, since hardly any has all of its memory free. */
 #define HOLD_PERCENT 60
+/* Part of the engines within which a long prompt is read where that is on
+ * time: the others take the short ones that come meanwhile, and with a fifth
+ * of them those waited until they were refused (test Longest). */
+#define FAIR_PERCENT 60
 /* The usual time of one part of a long prompt, and the longest one. */
 #define PART_US (250 * CQ_MS_US)
 #define PART_MAX_US (600 * CQ_MS_US)
@@ -306,7 +310,8 @@
 
 /* All engines together are one fast reader: a long prompt takes the engines
  * with which it is read soonest, now or booked for when they are free, in
- * parts that are long enough to be worth the passes that they interrupt. */
+ * parts that are long enough to be worth the passes that they interrupt. It
+ * takes most of the engines only where it would come late otherwise. */
 static gboolean
 split_up(const cq_request_t *request, const survey_t *survey, gint64 read_us,
          gint64 left_us, guint harm, cq_task_plan_t *plan)
@@ -315,8 +320,13 @@
     guint least = (guint)(read_us / PART_MAX_US + 1);
     least = MAX(MIN(least, GROUP_LEAST), holders(request));
     most = MAX(most, least);
+    guint fair = MAX(survey->len * FAIR_PERCENT / 100, least);
     plan->first_us = G_MAXINT64;
-    for (guint parts = most; parts >= least; parts--) {
+    for (guint parts = MIN(most, fair); parts >= least; parts--) {
+        try_parts(request, survey, parts, read_us, harm, plan);
+    }
+    for (guint parts = fair + 1; parts <= most && plan->first_us > left_us;
+         parts++) {
         try_parts(request, survey, parts, read_us, harm, plan);
     }
     /* Where every engine has short streams, in parts that fit beside them. */
--- a/tests/unit/replay_test.cc
+++ b/tests/unit/replay_test.cc
@@ -120,6 +120,20 @@
     EXPECT_GE(share(cq_replay_run(&options), CQ_REPLAY_LONG), kTarget);
 }
 
+// The longest of prompts comes first. On as many engines as there are parts
+// worth reading apart, it left two for every other request.
+TEST(Longest, LeavesEnginesToShorts)
+{
+    cq_replay_options_t options = restarted(CQ_POLICY_COST);
+    options.seed = 168;
+    options.restart_us = 0;
+    options.length_us = 5 * CQ_SECOND_US;
+    cq_replay_result_t result = cq_replay_run(&options);
+    EXPECT_GE(share(result, CQ_REPLAY_SHORT), kTarget);
+    EXPECT_EQ(result.kinds[CQ_REPLAY_SHORT].refused, 0u);
+    EXPECT_GE(share(result, CQ_REPLAY_LONG), kTarget);
+}
+
 // The new process is told at once what is under way, and is careful until
 // then.
 TEST(Restarted, ShortsOfTheOtherHostsAreOnTime)
