--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -45,6 +45,13 @@
     wait_for "http://$HOSTS/hosts"
 }
 
+# serve NAME: starts an entry host with the settings of that name
+serve() {
+    "$BUILD/cuminquay" --settings "$DIR/$1.toml" >>"$DIR/$1.log" 2>&1 &
+    PIDS="$PIDS $!"
+    eval "PID_$1=$!"
+}
+
 # entry NAME ZONE PORT: callers at PORT, operators at PORT+1, peers at PORT+2
 entry() {
     local name=$1 zone=$2 port=$3
@@ -66,9 +73,7 @@
 notice_ms = ${NOTICE_MS:-200}
 limit_ms = ${LIMIT_MS:-20000}
 EOF
-    "$BUILD/cuminquay" --settings "$DIR/$name.toml" >>"$DIR/$name.log" 2>&1 &
-    PIDS="$PIDS $!"
-    eval "PID_$name=$!"
+    serve "$name"
 }
 
 # wait_for URL: until it answers 200, at most 10 s
--- a/tests/proc/relaylib.sh
+++ b/tests/proc/relaylib.sh
@@ -66,9 +66,7 @@
 notice_ms = ${NOTICE_MS:-300}
 limit_ms = ${LIMIT_MS:-5000}
 TOML
-    "$BUILD/cuminquay" --settings "$DIR/$name.toml" >>"$DIR/$name.log" 2>&1 &
-    PIDS="$PIDS $!"
-    eval "PID_$name=$!"
+    serve "$name"
 }
 
 # ask PATH [CURL OPTION...]: OUT gets status, a blank and the body
