--- a/packages/base/counters.c
+++ b/packages/base/counters.c
@@ -41,6 +41,12 @@
     [CQ_N_INVARIANT_BROKEN] = "invariants_broken_total",
 };
 
+static const char *const times[CQ_T_COUNT] = {
+    [CQ_T_FIRST] = "cuminquay_first_event_seconds",
+    [CQ_T_DONE] = "cuminquay_done_seconds",
+    [CQ_T_REFUSED] = "cuminquay_refused_seconds",
+};
+
 void
 cq_counters_add(cq_counters_t *counters, cq_counter_t which, guint64 n)
 {
@@ -48,6 +54,13 @@
     counters->value[which] += n;
 }
 
+void
+cq_counters_time(cq_counters_t *counters, cq_time_t which, gint64 us)
+{
+    g_assert(which < CQ_T_COUNT);
+    cq_hist_add(&counters->time[which], us);
+}
+
 void
 cq_counters_render(const cq_counters_t *counters, GString *out)
 {
@@ -55,4 +68,7 @@
         g_string_append_printf(out, "cuminquay_%s %" G_GUINT64_FORMAT "\n",
                                names[i], counters->value[i]);
     }
+    for (int i = 0; i < CQ_T_COUNT; i++) {
+        cq_hist_render(&counters->time[i], times[i], out);
+    }
 }
--- a/packages/base/counters.h
+++ b/packages/base/counters.h
@@ -1,13 +1,15 @@
 /**
  * DOC: counters
  *
- * The counters of one process, rendered as metrics text.
+ * The counters and histograms of one process, rendered as metrics text.
  */
 #ifndef CQ_COUNTERS_H
 #define CQ_COUNTERS_H
 
 #include <glib.h>
 
+#include "base/hist.h"
+
 G_BEGIN_DECLS
 
 /** enum cq_counter_t - one name a counter; the text names are in counters.c */
@@ -53,19 +55,38 @@
     CQ_N_COUNT,
 } cq_counter_t;
 
+/**
+ * enum cq_time_t - what is timed, from the arrival of a request on
+ * @CQ_T_FIRST: its first event or byte
+ * @CQ_T_DONE: the end of its answer
+ * @CQ_T_REFUSED: an answer that it was not carried out
+ */
+typedef enum {
+    CQ_T_FIRST,
+    CQ_T_DONE,
+    CQ_T_REFUSED,
+    CQ_T_COUNT,
+} cq_time_t;
+
 /**
  * struct cq_counters_t - the values
  * @value: one value a counter; they only grow
+ * @time: one histogram a time
  */
 typedef struct {
     guint64 value[CQ_N_COUNT];
+    cq_hist_t time[CQ_T_COUNT];
 } cq_counters_t;
 
 /** cq_counters_add() - add @n to counter @which */
 void
 cq_counters_add(cq_counters_t *counters, cq_counter_t which, guint64 n);
 
-/** cq_counters_render() - append one `name value` line a counter to @out */
+/** cq_counters_time() - count a time of @us in the histogram @which */
+void
+cq_counters_time(cq_counters_t *counters, cq_time_t which, gint64 us);
+
+/** cq_counters_render() - append a `name value` line a counter or bucket */
 void
 cq_counters_render(const cq_counters_t *counters, GString *out);
 
--- a/packages/core/answer.c
+++ b/packages/core/answer.c
@@ -78,7 +78,13 @@
     cq_group_release(core, request);
     cq_task_close(core, request);
     cq_claim_settle(core, request, answer);
-    cq_counters_add(&core->counters, counter_of(answer->outcome), 1);
+    cq_counter_t counter = counter_of(answer->outcome);
+    cq_counters_add(&core->counters, counter, 1);
+    if (counter == CQ_N_DONE || counter == CQ_N_REFUSED) {
+        cq_counters_time(&core->counters,
+                         counter == CQ_N_DONE ? CQ_T_DONE : CQ_T_REFUSED,
+                         core->now_us - request->arrived_us);
+    }
     char pause[32] = "";
     if (request->gap_us > 0 && request->forwarded > 0) {
         g_snprintf(pause, sizeof pause, " pause_ms=%" G_GINT64_FORMAT,
--- a/packages/core/send.c
+++ b/packages/core/send.c
@@ -225,9 +225,10 @@
         request->charged_us = 0;
     }
     if (request->forwarded == 0) {
+        gint64 after_us = core->now_us - request->arrived_us;
+        cq_counters_time(&core->counters, CQ_T_FIRST, after_us);
         cq_table_note(core, request, "first_token",
-                      "after_ms=%" G_GINT64_FORMAT,
-                      (core->now_us - request->arrived_us) / CQ_MS_US);
+                      "after_ms=%" G_GINT64_FORMAT, after_us / CQ_MS_US);
     }
     on_sent(core, request);
     if (request->task != NULL) {
--- a/tests/proc/relay.sh
+++ b/tests/proc/relay.sh
@@ -106,6 +106,10 @@
 drop keyed.servers p3
 wait_until "event=unlisted.*upstream=p3" cat "$DIR/h.log"
 
+metrics=$(curl -s "http://127.0.0.1:$((PORT + 1))/metrics")
+done=$(sed -n 's/^cuminquay_requests_done_total //p' <<<"$metrics")
+expect "answers timed" "$(sed -n 's/^cuminquay_done_seconds_count //p' <<<"$metrics")" "$done"
+
 cp "$DIR/h.toml" "$DIR/good.toml"
 echo "nonsense" >>"$DIR/h.toml"
 kill -HUP "$PID_h"
