--- a/packages/base/hist.c
+++ b/packages/base/hist.c
@@ -25,20 +25,18 @@
     guint64 count = 0;
     for (guint i = 0; i < CQ_HIST_BOUNDS; i++) {
         count += hist->count[i];
-        g_string_append_printf(out,
-                               "%s_bucket{le=\"%" G_GINT64_FORMAT
-                               ".%03" G_GINT64_FORMAT "\"} %" G_GUINT64_FORMAT
-                               "\n",
-                               name, bounds_ms[i] / 1000, bounds_ms[i] % 1000,
-                               count);
+        g_string_append_printf(
+            out,
+            "%s_bucket{le=\"%" G_GINT64_FORMAT ".%03" G_GINT64_FORMAT
+            "\"} %" G_GUINT64_FORMAT "\n",
+            name, bounds_ms[i] / 1000, bounds_ms[i] % 1000, count);
     }
     count += hist->count[CQ_HIST_BOUNDS];
-    g_string_append_printf(out, "%s_bucket{le=\"+Inf\"} %" G_GUINT64_FORMAT
-                           "\n", name, count);
-    g_string_append_printf(out, "%s_sum %" G_GUINT64_FORMAT
-                           ".%06" G_GUINT64_FORMAT "\n", name,
-                           hist->sum_us / G_USEC_PER_SEC,
-                           hist->sum_us % G_USEC_PER_SEC);
+    g_string_append_printf(
+        out, "%s_bucket{le=\"+Inf\"} %" G_GUINT64_FORMAT "\n", name, count);
+    g_string_append_printf(
+        out, "%s_sum %" G_GUINT64_FORMAT ".%06" G_GUINT64_FORMAT "\n", name,
+        hist->sum_us / G_USEC_PER_SEC, hist->sum_us % G_USEC_PER_SEC);
     g_string_append_printf(out, "%s_count %" G_GUINT64_FORMAT "\n", name,
                            count);
 }
--- a/packages/http/sock.c
+++ b/packages/http/sock.c
@@ -13,6 +13,7 @@
 
 #include "base/limits.h"
 
+/* A connection takes no more than this from the loop before the others. */
 #define READ_BYTES (32 * 1024)
 #define READS_AT_ONCE 4
 
--- a/packages/router/relay.c
+++ b/packages/router/relay.c
@@ -7,7 +7,10 @@
 #include "router/memory.h"
 #include "router/outbound.h"
 
+/* How often connections are checked for their time limits, which are seconds
+ * long. */
 #define CHECK_MS 200
+/* Addresses and tickets of the largest group. */
 #define HELPERS_BYTES (CQ_GROUP_MAX * (CQ_ADDR_BYTES + CQ_NAME_BYTES))
 
 struct cq_relay {
