Say once what the relay and its tests said twice

Found by reading the whole change again; no behaviour differs.

* Tasks were collected and forgotten by two loops: forget() with a match; the wrapper cq_task_free() is g_free().
* A plan for one engine was filled in twice in fit.c, the time to settle was asked twice, and the baseline looked at every engine for nothing.
* Connections of outbound calls were ended by three copies and drained by three loops: cut() and drop_all().
Whole events were taken with one move of the rest for each event; now one for each arrival.
* follow.c counted failing topics twice; pass.c had a name for an assignment.
* Both kinds of entry host in the tests write their settings by one function, the stand-ins read JSON bodies by one, and a comment stood above the wrong function.

--- a/packages/core/fit.c
+++ b/packages/core/fit.c
@@ -163,6 +163,16 @@
     return fuller > 0;
 }
 
+static void
+read_at_one(const seat_t *seat, gint64 read_us, cq_task_plan_t *plan)
+{
+    plan->engines[0] = seat->engine;
+    plan->engines_len = 1;
+    plan->part_us = read_us;
+    plan->wait_us = seat->wait_us;
+    plan->first_us = first_us(seat, read_us);
+}
+
 /* The best engine that keeps every stream's pause. */
 static gboolean
 pack(const cq_request_t *request, const survey_t *survey, gint64 read_us,
@@ -183,11 +193,7 @@
     if (best == NULL) {
         return FALSE;
     }
-    plan->engines[0] = best->engine;
-    plan->engines_len = 1;
-    plan->part_us = read_us;
-    plan->wait_us = best->wait_us;
-    plan->first_us = first_us(best, read_us);
+    read_at_one(best, read_us, plan);
     return TRUE;
 }
 
@@ -362,11 +368,7 @@
     if (!can_write(request, seat)) {
         return FALSE;
     }
-    plan->engines[0] = seat->engine;
-    plan->engines_len = 1;
-    plan->part_us = read_us;
-    plan->wait_us = seat->wait_us;
-    plan->first_us = first_us(seat, read_us);
+    read_at_one(seat, read_us, plan);
     return TRUE;
 }
 
@@ -387,23 +389,21 @@
               cq_task_plan_t *plan)
 {
     const cq_service_t *service = request->service;
-    survey_t survey = {.len = 0};
-    look_at_all(core, request, service->nearby, &survey);
-    look_at_all(core, request, service->remote, &survey);
     gint64 read_us =
         cq_batch_read_us(&service->rules->speed, request->prompt_tokens);
     if (core->policy != CQ_POLICY_COST) {
         return baseline(core, request, read_us, plan);
     }
+    survey_t survey = {.len = 0};
+    look_at_all(core, request, service->nearby, &survey);
+    look_at_all(core, request, service->remote, &survey);
     gint64 until_us = late ? request->deadline_us : request->aim_us;
     gint64 left_us = until_us - core->now_us - MARGIN_US;
-    if (read_us <= SHORT_US && !settled(core)) {
-        return scatter(core, request, &survey, read_us, plan);
-    }
-    if (read_us > SHORT_US && !settled(core)) {
-        return FALSE;
+    gboolean is_short = read_us <= SHORT_US;
+    if (!settled(core)) {
+        return is_short && scatter(core, request, &survey, read_us, plan);
     }
-    if (read_us <= SHORT_US) {
+    if (is_short) {
         return pack(request, &survey, read_us, left_us, plan);
     }
     if (split_up(request, &survey, read_us, left_us, 0, plan)) {
--- a/packages/core/pass.c
+++ b/packages/core/pass.c
@@ -93,17 +93,11 @@
            reading_us(engine, G_MININT64, engine->pass_us);
 }
 
-static void
-begin(cq_upstream_t *engine, gint64 at_us)
-{
-    engine->pass_us = at_us;
-}
-
 void
 cq_pass_seen(const cq_core_t *core, cq_upstream_t *engine)
 {
     if (core->now_us - engine->pass_us > SAME_PASS_US) {
-        begin(engine, core->now_us);
+        engine->pass_us = core->now_us;
     }
 }
 
@@ -121,11 +115,11 @@
         return;
     }
     if (core->now_us - engine->pass_us > UNSEEN_US) {
-        begin(engine, core->now_us);
+        engine->pass_us = core->now_us;
     }
     gint64 until_us = end_us(engine, pass->steps_us);
     while (until_us + GRACE_US < core->now_us) {
-        begin(engine, until_us);
+        engine->pass_us = until_us;
         until_us = end_us(engine, pass->steps_us);
     }
     pass->left_us = MAX(until_us - core->now_us, 0);
--- a/packages/core/table.c
+++ b/packages/core/table.c
@@ -67,7 +67,7 @@
     core->zones =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     core->tasks =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, cq_task_free);
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     core->claims = g_hash_table_new_full(key_hash, key_equal, NULL, g_free);
 }
 
--- a/packages/core/task.c
+++ b/packages/core/task.c
@@ -11,12 +11,6 @@
 /* News are sent once each; the whole is told again in case some were lost. */
 #define TELL_ALL_US (3 * CQ_SECOND_US)
 
-void
-cq_task_free(gpointer data)
-{
-    g_free(data);
-}
-
 static void
 tell(cq_core_t *core, const cq_task_news_t *news)
 {
@@ -139,16 +133,31 @@
     tell_change(core, request->id, CQ_TASK_ENDED);
 }
 
+typedef gboolean (*match_t)(const cq_core_t *core, const cq_task_t *task,
+                            guint32 host);
+
+static gboolean
+of_host(const cq_core_t *core, const cq_task_t *task, guint32 host)
+{
+    (void)core;
+    return task->host == host;
+}
+
+static gboolean
+lapsed(const cq_core_t *core, const cq_task_t *task, guint32 host)
+{
+    return task->host != host && task->until_us < core->now_us;
+}
+
 static void
-forget_host(cq_core_t *core, guint32 host)
+forget(cq_core_t *core, match_t match, guint32 host)
 {
     GPtrArray *gone = g_ptr_array_new();
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, core->tasks);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const cq_task_t *task = value;
-        if (task->host == host) {
+        if (match(core, value, host)) {
             g_ptr_array_add(gone, value);
         }
     }
@@ -194,7 +203,7 @@
         }
         switch (news->kind) {
         case CQ_TASK_RESET:
-            forget_host(core, event->host);
+            forget(core, of_host, event->host);
             break;
         case CQ_TASK_PLACED:
             if (task != NULL) {
@@ -241,20 +250,7 @@
 void
 cq_task_tick(cq_core_t *core)
 {
-    GPtrArray *gone = g_ptr_array_new();
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, core->tasks);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const cq_task_t *task = value;
-        if (task->host != core->host && task->until_us < core->now_us) {
-            g_ptr_array_add(gone, value);
-        }
-    }
-    for (guint i = 0; i < gone->len; i++) {
-        leave(core, g_ptr_array_index(gone, i));
-    }
-    g_ptr_array_unref(gone);
+    forget(core, lapsed, core->host);
     if (core->now_us - core->tasks_told_us >= TELL_ALL_US) {
         cq_task_tell_all(core);
     }
--- a/packages/core/task.h
+++ b/packages/core/task.h
@@ -64,10 +64,6 @@
 void
 cq_task_tick(cq_core_t *core);
 
-/** cq_task_free() - free @data, a cq_task_t; for the core's table */
-void
-cq_task_free(gpointer data);
-
 G_END_DECLS
 
 #endif
--- a/packages/router/caller.c
+++ b/packages/router/caller.c
@@ -3,6 +3,8 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
+#include "router/refusal.h"
+
 #define EVENT_PREFIX "data: "
 #define LAST_EVENT "[DONE]"
 
@@ -266,33 +268,11 @@
     return caller->slow;
 }
 
-static char *
-error_json(const char *code, cq_ran_t ran, gint64 retry_after_us,
-           const char *remedy)
-{
-    JsonBuilder *builder = json_builder_new();
-    json_builder_begin_object(builder);
-    json_builder_set_member_name(builder, "code");
-    json_builder_add_string_value(builder, code);
-    json_builder_set_member_name(builder, "ran");
-    json_builder_add_string_value(builder, cq_ran_text(ran));
-    json_builder_set_member_name(builder, "retry_after_ms");
-    json_builder_add_int_value(builder, retry_after_us / CQ_MS_US);
-    json_builder_set_member_name(builder, "remedy");
-    json_builder_add_string_value(builder, remedy);
-    json_builder_end_object(builder);
-    JsonNode *root = json_builder_get_root(builder);
-    char *text = json_to_string(root, FALSE);
-    json_node_unref(root);
-    g_object_unref(builder);
-    return text;
-}
-
 void
 cq_caller_error(SoupServerMessage *message, int status, const char *code,
                 cq_ran_t ran, gint64 retry_after_us, const char *remedy)
 {
-    char *text = error_json(code, ran, retry_after_us, remedy);
+    char *text = cq_refusal_json(code, ran, retry_after_us, remedy);
     if (retry_after_us > 0) {
         gint64 up_us = retry_after_us + CQ_SECOND_US - 1;
         char seconds[32];
@@ -313,9 +293,9 @@
 end_stream(cq_caller_t *caller, const cq_ac_answer_t *answer)
 {
     if (answer->outcome != CQ_OUT_DONE) {
-        char *json = error_json(cq_outcome_code(answer->outcome), answer->ran,
-                                answer->retry_after_us,
-                                cq_outcome_remedy(answer->outcome));
+        char *json = cq_refusal_json(cq_outcome_code(answer->outcome),
+                                     answer->ran, answer->retry_after_us,
+                                     cq_outcome_remedy(answer->outcome));
         char *event = g_strdup_printf("event: error\ndata: %s\n\n", json);
         GBytes *bytes = g_bytes_new_take(event, strlen(event));
         append(caller, bytes);
--- a/packages/router/follow.c
+++ b/packages/router/follow.c
@@ -241,21 +241,26 @@
     }
 }
 
+static gboolean
+any_failing(const cq_follow_t *follow)
+{
+    for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
+        if (follow->tables[i].failing) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
 /* The store counts as away from the first call of any topic that fails to
  * the first one that is answered. */
 static void
 set_failing(table_t *table, gboolean failing)
 {
     cq_follow_t *follow = table->follow;
-    gboolean was = FALSE;
-    gboolean is = FALSE;
-    for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
-        was = was || follow->tables[i].failing;
-    }
+    gboolean was = any_failing(follow);
     table->failing = failing;
-    for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
-        is = is || follow->tables[i].failing;
-    }
+    gboolean is = any_failing(follow);
     if (was != is || !follow->told) {
         follow->told = TRUE;
         cq_event_t event = {.kind = CQ_EV_LOG, .log_up = !is};
--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -119,16 +119,23 @@
     return conn;
 }
 
+/* Ends a call and the connection that it still has. */
 static void
-fail(call_t *call, cq_failure_t failure)
+cut(call_t *call)
 {
-    if (call->over) {
-        return;
-    }
     conn_t *conn = detach(call);
     if (conn != NULL) {
         conn_drop(conn);
     }
+}
+
+static void
+fail(call_t *call, cq_failure_t failure)
+{
+    if (call->over) {
+        return;
+    }
+    cut(call);
     cq_event_t event = {.attempt = {.failure = failure}};
     post(call, CQ_EV_FAILED, &event);
 }
@@ -137,10 +144,7 @@
 static void
 refused(call_t *call, const cq_reply_t *reply)
 {
-    conn_t *conn = detach(call);
-    if (conn != NULL) {
-        conn_drop(conn);
-    }
+    cut(call);
     cq_event_t event = {.attempt = {.failure = CQ_FAIL_REFUSED}};
     if (reply->stranger) {
         event.attempt.failure = CQ_FAIL_LEAVING;
@@ -216,14 +220,12 @@
 take_events(call_t *call)
 {
     gint64 taken = 0;
-    for (;;) {
-        g_byte_array_append(call->partial, (const guint8 *)"", 1);
-        char *at = (char *)call->partial->data;
-        char *end = strstr(at, EVENT_END);
-        g_byte_array_set_size(call->partial, call->partial->len - 1);
-        if (end == NULL) {
-            break;
-        }
+    GByteArray *partial = call->partial;
+    /* Ends the text for the searches. */
+    g_byte_array_append(partial, (const guint8 *)"", 1);
+    const char *at = (const char *)partial->data;
+    const char *end = strstr(at, EVENT_END);
+    while (end != NULL) {
         gsize len = (gsize)(end - at) + strlen(EVENT_END);
         gint64 id = event_id(at, len);
         if (id < 0 || id > call->last_event) {
@@ -231,8 +233,12 @@
             call->last_event = MAX(id, call->last_event);
             taken++;
         }
-        g_byte_array_remove_range(call->partial, 0, (guint)len);
+        at += len;
+        end = strstr(at, EVENT_END);
     }
+    gsize whole = (gsize)(at - (const char *)partial->data);
+    g_byte_array_set_size(partial, partial->len - 1);
+    g_byte_array_remove_range(partial, 0, (guint)whole);
     if (taken > 0) {
         call->events += taken;
         cq_event_t event = {.attempt = {.tokens = taken}};
@@ -401,6 +407,14 @@
     return NULL;
 }
 
+static void
+drop_all(cq_list_t *conns)
+{
+    while (!cq_list_empty(conns)) {
+        conn_drop(CQ_ENTRY(conns->next, conn_t, link));
+    }
+}
+
 cq_outbound_t *
 cq_outbound_new(const cq_outbound_ops_t *ops)
 {
@@ -417,12 +431,8 @@
 cq_outbound_free(cq_outbound_t *outbound)
 {
     g_hash_table_unref(outbound->by_request);
-    while (!cq_list_empty(&outbound->idle)) {
-        conn_drop(CQ_ENTRY(outbound->idle.next, conn_t, link));
-    }
-    while (!cq_list_empty(&outbound->busy)) {
-        conn_drop(CQ_ENTRY(outbound->busy.next, conn_t, link));
-    }
+    drop_all(&outbound->idle);
+    drop_all(&outbound->busy);
     g_free(outbound);
 }
 
@@ -467,10 +477,7 @@
     if (call == NULL || call->attempt != attempt) {
         return;
     }
-    conn_t *conn = detach(call);
-    if (conn != NULL) {
-        conn_drop(conn);
-    }
+    cut(call);
 }
 
 gboolean
@@ -519,7 +526,5 @@
 void
 cq_outbound_forget_idle(cq_outbound_t *outbound)
 {
-    while (!cq_list_empty(&outbound->idle)) {
-        conn_drop(CQ_ENTRY(outbound->idle.next, conn_t, link));
-    }
+    drop_all(&outbound->idle);
 }
--- a/packages/router/relay.c
+++ b/packages/router/relay.c
@@ -6,6 +6,7 @@
 #include "router/inbound.h"
 #include "router/memory.h"
 #include "router/outbound.h"
+#include "router/refusal.h"
 
 /* How often connections are checked for their time limits, which are seconds
  * long. */
@@ -59,10 +60,7 @@
         g_snprintf(extra, sizeof extra, "Retry-After: %.2f\r\n",
                    (double)retry_after_us / (double)CQ_SECOND_US);
     }
-    char *text = g_strdup_printf(
-        "{\"code\":\"%s\",\"ran\":\"%s\",\"retry_after_ms\":%" G_GINT64_FORMAT
-        ",\"remedy\":\"%s\"}",
-        code, cq_ran_text(ran), retry_after_us / CQ_MS_US, remedy);
+    char *text = cq_refusal_json(code, ran, retry_after_us, remedy);
     cq_exchange_refuse(exchange, status, extra, text);
     g_free(text);
 }
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -52,20 +52,28 @@
     eval "PID_$1=$!"
 }
 
-# entry NAME ZONE PORT: callers at PORT, operators at PORT+1, peers at PORT+2
-entry() {
-    local name=$1 zone=$2 port=$3
-    cat >"$DIR/$name.toml" <<EOF
+# settings NAME ZONE PORT: what every entry host has; callers are at PORT,
+# operators at PORT+1, peers at PORT+2. SEEDS are addresses of peers.
+settings() {
+    cat >"$DIR/$1.toml" <<EOF
 [host]
-name = "$name"
-zone = "$zone"
+name = "$1"
+zone = "$2"
 seed = 7
 [listen]
-callers = "127.0.0.1:$port"
-operators = "127.0.0.1:$((port + 1))"
-peers = "127.0.0.1:$((port + 2))"
+callers = "127.0.0.1:$3"
+operators = "127.0.0.1:$(($3 + 1))"
+peers = "127.0.0.1:$(($3 + 2))"
 [peers]
+seeds = [${SEEDS:-}]
 key = "a key only for this trial"
+EOF
+}
+
+# entry NAME ZONE PORT: an entry host with the log and the host list
+entry() {
+    settings "$@"
+    cat >>"$DIR/$1.toml" <<EOF
 [platform]
 log = "$LOG"
 hosts = "$HOSTS"
@@ -73,7 +81,7 @@
 notice_ms = ${NOTICE_MS:-200}
 limit_ms = ${LIMIT_MS:-20000}
 EOF
-    serve "$name"
+    serve "$1"
 }
 
 # wait_for URL: until it answers 200, at most 10 s
--- a/tests/proc/relaylib.sh
+++ b/tests/proc/relaylib.sh
@@ -45,28 +45,17 @@
 
 ROUTES="$(route /safe/ safe false false),$(route /unsafe/ unsafe false false),$(route /stream/ streaming true false),$(route /once/stream/ streaming false false),$(route /open/ safe false true)"
 
-# relay NAME PORT: callers at PORT, operators at PORT+1, peers at PORT+2
+# relay NAME PORT: an entry host with the store
 relay() {
-    local name=$1 port=$2
-    cat >"$DIR/$name.toml" <<TOML
-[host]
-name = "$name"
-zone = "a"
-seed = 7
-[listen]
-callers = "127.0.0.1:$port"
-operators = "127.0.0.1:$((port + 1))"
-peers = "127.0.0.1:$((port + 2))"
-[peers]
-seeds = [${SEEDS:-}]
-key = "a key only for this trial"
+    settings "$1" a "$2"
+    cat >>"$DIR/$1.toml" <<EOF
 [platform]
 store = "$STORE"
 [drain]
 notice_ms = ${NOTICE_MS:-300}
 limit_ms = ${LIMIT_MS:-5000}
-TOML
-    serve "$name"
+EOF
+    serve "$1"
 }
 
 # ask PATH [CURL OPTION...]: OUT gets status, a blank and the body
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -264,8 +264,7 @@
     (void)server;
     (void)query;
     (void)data;
-    char *text = standin_body(message);
-    JsonNode *root = json_from_string(text, NULL);
+    JsonNode *root = standin_json(message);
     JsonObject *object = json_node_get_object(root);
     const char *request = json_object_get_string_member(object, "request");
     gint64 tokens = json_object_get_int_member(object, "tokens");
@@ -285,11 +284,8 @@
     }
     standin_reply(message, status, g_strdup("{}"));
     json_node_unref(root);
-    g_free(text);
 }
 
-/* POST /order {"model":NAME,"fence":N}: states a model that the engine should
- * have. This engine refuses a fencing number below the highest seen. */
 static gboolean
 on_loaded(gpointer data)
 {
@@ -298,6 +294,8 @@
     return G_SOURCE_REMOVE;
 }
 
+/* POST /order {"model":NAME,"fence":N}: states a model that the engine should
+ * have. This engine refuses a fencing number below the highest seen. */
 static void
 on_order(SoupServer *server, SoupServerMessage *message, const char *path,
          GHashTable *query, gpointer data)
@@ -306,8 +304,7 @@
     (void)path;
     (void)query;
     (void)data;
-    char *text = standin_body(message);
-    JsonNode *root = json_from_string(text, NULL);
+    JsonNode *root = standin_json(message);
     JsonObject *object = json_node_get_object(root);
     const char *model = json_object_get_string_member(object, "model");
     gint64 number = json_object_get_int_member(object, "fence");
@@ -321,7 +318,6 @@
     }
     fence = MAX(fence, number);
     json_node_unref(root);
-    g_free(text);
     standin_reply(message, status, g_strdup("{}"));
 }
 
@@ -395,8 +391,7 @@
     (void)path;
     (void)query;
     (void)data;
-    char *text = standin_body(message);
-    JsonNode *root = json_from_string(text, NULL);
+    JsonNode *root = standin_json(message);
     JsonObject *object = json_node_get_object(root);
     char *id = g_strdup_printf(
         "%s-%d", json_object_get_string_member(object, "request_id"),
@@ -408,7 +403,6 @@
     }
     g_free(id);
     json_node_unref(root);
-    g_free(text);
     standin_reply(message, 200, g_strdup("{}"));
 }
 
--- a/tests/standin/main.c
+++ b/tests/standin/main.c
@@ -48,6 +48,15 @@
                      (gsize)body->length);
 }
 
+JsonNode *
+standin_json(SoupServerMessage *message)
+{
+    char *text = standin_body(message);
+    JsonNode *root = json_from_string(text, NULL);
+    g_free(text);
+    return root;
+}
+
 static void
 on_fault(SoupServer *server, SoupServerMessage *message, const char *path,
          GHashTable *query, gpointer data)
--- a/tests/standin/plat.c
+++ b/tests/standin/plat.c
@@ -137,8 +137,7 @@
         standin_reply(message, 503, g_strdup("{}"));
         return;
     }
-    char *text = standin_body(message);
-    JsonNode *root = json_from_string(text, NULL);
+    JsonNode *root = standin_json(message);
     JsonArray *rows =
         json_object_get_array_member(json_node_get_object(root), "records");
     gint64 offset = end();
@@ -146,7 +145,6 @@
         append(json_array_get_string_element(rows, i));
     }
     json_node_unref(root);
-    g_free(text);
     if (standin_fault_take("lose_answer")) {
         standin_close(message);
         return;
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -55,6 +55,10 @@
 char *
 standin_body(SoupServerMessage *message);
 
+/** standin_json() - Return: the request's body, or NULL when it is no JSON */
+JsonNode *
+standin_json(SoupServerMessage *message);
+
 /** standin_engine() - serve as an engine */
 void
 standin_engine(SoupServer *server, const standin_options_t *options);
