Wait for the store's news instead of asking for them

Cause: upstreams and hosts were read each 0.7 s and 5 s, in the belief that upstreams write all the time. Most calls to the store found nothing. Now each topic is read with a wait, and what comes in bursts is read together. A host that stood still drops the calls under way and asks anew. Test: proc/relayreads, 12 reads in 4 s before, at most 2 after.

--- a/packages/router/follow.c
+++ b/packages/router/follow.c
@@ -6,12 +6,13 @@
 #include "router/links.h"
 #include "router/relay.h"
 
-/* The configuration is waited for; it changes a few times an hour. */
-#define CONFIG_WAIT_MS 10000
-/* Upstreams write so often that waiting would answer at once each time. */
-#define UPSTREAMS_PAUSE_MS 700
-/* Entry hosts are few, and peers name each other besides. */
-#define HOSTS_PAUSE_MS 5000
+/* Longest time that a read waits for news; a lost answer is noticed as much
+ * later. A configuration in force is noticed late by this at worst. */
+#define WAIT_MS 5000
+/* Hosts are also told by their peers' dialling. */
+#define HOSTS_WAIT_MS 10000
+/* Upstreams and hosts that come or go together are read together. */
+#define BURST_MS 200
 #define RETRY_MIN_MS 200
 #define RETRY_MAX_MS 1000
 /* A peer that reads the store itself is never further behind than this. */
@@ -38,6 +39,7 @@
     guint retry_ms;
     guint timer;
     gint64 sampled_us;
+    gint64 read_us;
 } table_t;
 
 struct cq_follow {
@@ -47,6 +49,7 @@
     cq_routes_t *routes;
     gboolean rows_changed;
     guint write_timer;
+    gboolean writing;
     gboolean left;
     gboolean told; /* the core knows whether the store answers */
 };
@@ -293,19 +296,16 @@
     read_after(table, table->retry_ms);
 }
 
+/* A read without news has waited; a store that does not wait is not asked
+ * without end. */
 static guint
-pause_ms(cq_topic_t topic)
-{
-    switch (topic) {
-    case CQ_TOPIC_CONFIG:
-        return 0;
-    case CQ_TOPIC_UPSTREAMS:
-        return UPSTREAMS_PAUSE_MS;
-    case CQ_TOPIC_HOSTS:
-    case CQ_TOPIC_COUNT:
-        break;
+pause_ms(const table_t *table, gboolean news)
+{
+    if (!news) {
+        gint64 took_us = cq_app_now_us(table->follow->app) - table->read_us;
+        return took_us < RETRY_MIN_MS * CQ_MS_US ? RETRY_MIN_MS : 0;
     }
-    return HOSTS_PAUSE_MS;
+    return table->topic == CQ_TOPIC_CONFIG ? 0 : BURST_MS;
 }
 
 static void
@@ -352,7 +352,7 @@
     table->whole = TRUE;
     table->known = TRUE;
     answered(table);
-    read_after(table, pause_ms(table->topic));
+    read_after(table, 0);
 }
 
 static void
@@ -374,21 +374,24 @@
     table->next = MAX(table->next, page->next);
     table->known = TRUE;
     answered(table);
-    read_after(table, pause_ms(table->topic));
+    read_after(table, pause_ms(table, page->records->len > 0));
 }
 
 static void
 read_on(table_t *table)
 {
     cq_follow_t *follow = table->follow;
-    gboolean snapshot = !table->whole || table->topic == CQ_TOPIC_HOSTS;
-    if (snapshot) {
+    table->read_us = cq_app_now_us(follow->app);
+    if (!table->whole) {
         table->end_first = 0;
         mark_unseen(table);
         cq_store_newest(follow->store, table->topic, NULL, on_newest, table);
         return;
     }
-    guint wait_ms = table->topic == CQ_TOPIC_CONFIG ? CONFIG_WAIT_MS : 0;
+    guint wait_ms = table->topic == CQ_TOPIC_HOSTS ? HOSTS_WAIT_MS : WAIT_MS;
+    if (!table->known) {
+        wait_ms = 0;
+    }
     cq_store_read(follow->store, table->topic, table->next, wait_ms, on_read,
                   table);
 }
@@ -400,6 +403,7 @@
 on_written(const cq_store_page_t *page, void *data)
 {
     cq_follow_t *follow = data;
+    follow->writing = FALSE;
     if (page->outcome != CQ_STORE_DONE && !follow->left) {
         follow->write_timer =
             g_timeout_add(RETRY_MAX_MS, on_write_again, follow);
@@ -414,6 +418,7 @@
     g_strlcpy(row.addr, settings->peers, sizeof row.addr);
     g_strlcpy(row.zone, settings->zone, sizeof row.zone);
     char *text = cq_records_host_text(&row);
+    follow->writing = TRUE;
     cq_store_write(follow->store, CQ_TOPIC_HOSTS, settings->host, text,
                    on_written, follow);
     g_free(text);
@@ -492,14 +497,22 @@
 void
 cq_follow_distrust(cq_follow_t *follow)
 {
-    follow->tables[CQ_TOPIC_UPSTREAMS].known = FALSE;
+    /* An answer on its way was given before. */
+    cq_store_reset(follow->store);
     for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
         table_t *table = &follow->tables[i];
+        table->known = FALSE;
         if (table->timer != 0) {
             g_source_remove(table->timer);
             table->timer = 0;
-            read_on(table);
         }
+        read_on(table);
+    }
+    if (follow->left) {
+        cq_follow_leave(follow);
+    }
+    else if (follow->writing) {
+        write_entry(follow);
     }
 }
 
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -16,6 +16,7 @@
     char *name;
     GPtrArray *records;
     guint64 first;
+    guint reads;
 } topic_t;
 
 /* A read that waits for a record. */
@@ -208,7 +209,7 @@
 }
 
 /* What the tests do to it: put and drop a record, forget the history, refuse
- * every call. */
+ * every call, ask how often a topic was read. */
 static void
 serve_control(store_t *store, standin_conn_t *conn, const char *path,
               const char *query, topic_t *topic, const GByteArray *body)
@@ -227,7 +228,9 @@
         store->refusing = standin_query(query, "on", 0) != 0;
     }
     g_free(key);
-    standin_answer(conn, 200, "", "{}", 2);
+    char *text = g_strdup_printf("%u", topic->reads);
+    standin_answer(conn, 200, "", text, strlen(text));
+    g_free(text);
 }
 
 static void
@@ -251,6 +254,7 @@
         serve_newest(conn, topic);
     }
     else if (strcmp(path, "/v1/log-read") == 0) {
+        topic->reads++;
         serve_read(store, conn, topic, query);
     }
     else if (strcmp(path, "/v1/log-append") == 0) {
