Keep one connection a pair of hosts, and turn the main loop less often

The profile: the loop's poll of all descriptors at each of 100 ticks and 400 frames a second, and GIO's sources and tasks for each read and write. Ruled out: the decisions (0.3% of a core a host in the replay, a quarter of that in a search for lapsed tasks at every tick, now once a second). Now links use the connections of packages/http; the host with the lower address dials, the other answers over the same connection and dials only when it hears nothing for 0.3 s; ticks are 40 ms apart while nothing waits.

--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -44,7 +44,11 @@
 #define CQ_BUFFER_BYTES_MAX (256 * 1024)
 
 /* Frames between our processes. */
-#define CQ_FRAME_BYTES_MAX (256 * 1024)
+/* The longest record of the platform's store fits, a configuration of 12,000
+ * routes among them. */
+#define CQ_FRAME_BYTES_MAX (4 * 1024 * 1024)
+/* What is in a frame besides a record's value. */
+#define CQ_FRAME_HEAD_BYTES 1024
 #define CQ_FRAME_STALL_US (5 * CQ_SECOND_US)
 #define CQ_PEER_KEY_BYTES_MIN 16
 #define CQ_SUMMARY_BYTES_PER_S 2048
@@ -64,6 +68,9 @@
 
 /* Periods. */
 #define CQ_TICK_US (10 * CQ_MS_US)
+/* While nothing waits, time limits need no closer look; each turn of the main
+ * loop costs a poll of every connection. */
+#define CQ_IDLE_TICK_US (40 * CQ_MS_US)
 #define CQ_HEARTBEAT_US (500 * CQ_MS_US)
 #define CQ_OFFER_US (2 * CQ_SECOND_US)
 #define CQ_PEER_FRESH_US (2 * CQ_SECOND_US)
--- a/packages/bench/replay.c
+++ b/packages/bench/replay.c
@@ -435,8 +435,7 @@
     /* Its peers notice the new connections. */
     for (guint i = 0; i < host->replay->options.hosts; i++) {
         if (linked(host, &host->replay->hosts[i])) {
-            letter_t *letter =
-                mail(&host->replay->hosts[i], 30 * CQ_MS_US, 0);
+            letter_t *letter = mail(&host->replay->hosts[i], 30 * CQ_MS_US, 0);
             letter->event.kind = CQ_EV_PEER_LINKED;
         }
     }
--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -412,6 +412,18 @@
     return len;
 }
 
+gboolean
+cq_core_waits(const cq_core_t *core)
+{
+    const cq_list_t *link = core->requests.next;
+    for (; link != &core->requests; link = link->next) {
+        if (CQ_ENTRY(link, cq_request_t, link)->phase != CQ_PHASE_RUNNING) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
 const cq_listed_t *
 cq_core_peers(const cq_core_t *core, guint *len)
 {
--- a/packages/core/core.h
+++ b/packages/core/core.h
@@ -118,6 +118,11 @@
 guint
 cq_core_watched(const cq_core_t *core, guint64 *ids, guint max);
 
+/** cq_core_waits() - Return: whether a request waits for an upstream; ticks
+ * are due every CQ_TICK_US then, else every CQ_IDLE_TICK_US */
+gboolean
+cq_core_waits(const cq_core_t *core);
+
 /** cq_core_peers() - Return: the entry hosts to keep links to; @len gets their
  * number; borrowed until the next host list */
 const cq_listed_t *
--- a/packages/core/fit.c
+++ b/packages/core/fit.c
@@ -212,7 +212,8 @@
     if (len == 0) {
         return FALSE;
     }
-    guint at = len > 1 ? (guint)g_rand_int_range(core->rand, 0, (gint32)len) : 0;
+    guint at =
+        len > 1 ? (guint)g_rand_int_range(core->rand, 0, (gint32)len) : 0;
     read_at_one(best[at], read_us, plan);
     return TRUE;
 }
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -360,6 +360,7 @@
  * @reads_log: whether this process follows the log all the time
  * @claims: key to cq_claim_entry_t*
  * @tasks: request id to cq_task_t*
+ * @tasks_looked_us: when tasks were last looked for that are to be forgotten
  * @tasks_told_us: when peers were last told all works of this process
  * @log_back_us: when the platform's log last answered again
  * @reserved: reservations without a release
@@ -388,6 +389,7 @@
     GHashTable *claims;
     cq_lease_state_t lease;
     GHashTable *tasks;
+    gint64 tasks_looked_us;
     gint64 tasks_told_us;
     guint reserved;
     gboolean log_up;
--- a/packages/core/task.c
+++ b/packages/core/task.c
@@ -8,6 +8,8 @@
 
 /* A peer's task whose end was lost with its connection is forgotten then. */
 #define FORGET_US (20 * CQ_SECOND_US)
+/* Such tasks are looked for so often. */
+#define LOOK_US CQ_SECOND_US
 /* News are sent once each; the whole is told again in case some were lost. */
 #define TELL_ALL_US (3 * CQ_SECOND_US)
 
@@ -250,7 +252,10 @@
 void
 cq_task_tick(cq_core_t *core)
 {
-    forget(core, lapsed, core->host);
+    if (core->now_us - core->tasks_looked_us >= LOOK_US) {
+        core->tasks_looked_us = core->now_us;
+        forget(core, lapsed, core->host);
+    }
     if (core->now_us - core->tasks_told_us >= TELL_ALL_US) {
         cq_task_tell_all(core);
     }
--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -50,7 +50,9 @@
     cq_clock_t clock;
     guint64 incarnation;
     guint64 next_request;
+    gboolean ticking;
     guint tick;
+    gint64 tick_us; /* how long the next tick was away when it was set */
     guint flush_tries;
     gboolean draining;
 };
@@ -93,6 +95,24 @@
     log_events(app);
 }
 
+static gboolean
+on_tick(gpointer data);
+
+/* The next tick is as near as the core needs it. */
+static void
+pace(cq_app_t *app)
+{
+    gint64 us = cq_core_waits(app->core) ? CQ_TICK_US : CQ_IDLE_TICK_US;
+    if (!app->ticking || (app->tick != 0 && app->tick_us <= us)) {
+        return;
+    }
+    if (app->tick != 0) {
+        g_source_remove(app->tick);
+    }
+    app->tick_us = us;
+    app->tick = g_timeout_add((guint)(us / CQ_MS_US), on_tick, app);
+}
+
 /* An event that comes up while actions are carried out waits its turn; only
  * events without borrowed pointers come up then. */
 void
@@ -111,6 +131,7 @@
     }
     app->stepping = FALSE;
     cq_links_flush(app->links);
+    pace(app);
 }
 
 static const cq_upstream_view_t *
@@ -303,10 +324,12 @@
 static gboolean
 on_tick(gpointer data)
 {
+    cq_app_t *app = data;
     cq_event_t event = {.kind = CQ_EV_TICK};
-    watch_standstill(data);
-    cq_app_post(data, &event);
-    return G_SOURCE_CONTINUE;
+    app->tick = 0;
+    watch_standstill(app);
+    cq_app_post(app, &event);
+    return G_SOURCE_REMOVE;
 }
 
 static void
@@ -398,7 +421,8 @@
         app->follow = cq_follow_new(app);
         break;
     }
-    app->tick = g_timeout_add(CQ_TICK_US / CQ_MS_US, on_tick, app);
+    app->ticking = TRUE;
+    pace(app);
     cq_logs_info(app->logs, "started", "zone=%s callers=%s operators=%s",
                  app->settings.zone, app->settings.callers,
                  app->settings.operators);
@@ -408,7 +432,8 @@
 void
 cq_app_free(cq_app_t *app)
 {
-    if (app->tick != 0) {
+    if (app->ticking) {
+        app->ticking = FALSE;
         g_source_remove(app->tick);
         g_clear_pointer(&app->loads, cq_loads_free);
         g_clear_pointer(&app->plat, cq_plat_free);
--- a/packages/router/link.c
+++ b/packages/router/link.c
@@ -1,51 +1,39 @@
 #include "router/link.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
 
+#include "http/sock.h"
 #include "wire/frame.h"
 
-#define READ_BYTES 16384
 #define CHALLENGE_BYTES 32
 #define MAC_BYTES 32
-#define UNSENT_BYTES_MAX (4 * CQ_FRAME_BYTES_MAX)
+#define UNSENT_BYTES_MAX (2 * CQ_FRAME_BYTES_MAX)
 /* The side that dialled sends heartbeats; the other one only its offers. */
 #define QUIET_US (3 * CQ_HEARTBEAT_US + CQ_HEARTBEAT_US / 4)
 #define QUIET_DIALLED_US (3 * CQ_OFFER_US)
-#define UNACKED_MS 1500
+/* A peer answers a dial within a round trip, or after its queue is read. */
+#define DIAL_US CQ_SECOND_US
 
 struct cq_link {
     cq_link_options_t options;
-    GCancellable *cancellable;
+    cq_sock_t *sock;
     cq_frame_reader_t reader;
     guint8 challenge[CHALLENGE_BYTES];
     char addr[CQ_ADDR_BYTES];
     gboolean helloed;
     gboolean proved;
     gboolean closed;
-    gboolean writing;
-    GQueue unsent;
-    gsize unsent_bytes;
     gint64 heard_us;
     guint refs;
 };
 
-static void
-write_next(cq_link_t *link);
-static void
-read_next(cq_link_t *link);
-
 static void
 unref(cq_link_t *link)
 {
     if (--link->refs > 0) {
         return;
     }
-    g_queue_clear_full(&link->unsent, (GDestroyNotify)g_bytes_unref);
     cq_frame_clear(&link->reader);
-    g_object_unref(link->cancellable);
-    g_object_unref(link->options.connection);
     g_free(link);
 }
 
@@ -56,9 +44,7 @@
         return;
     }
     link->closed = TRUE;
-    g_cancellable_cancel(link->cancellable);
-    g_socket_close(g_socket_connection_get_socket(link->options.connection),
-                   NULL);
+    cq_sock_finish(link->sock);
     link->options.closed(link, link->options.data);
     unref(link);
 }
@@ -70,53 +56,18 @@
     cq_link_close(link);
 }
 
-static void
-on_written(GObject *source, GAsyncResult *result, gpointer data)
-{
-    cq_link_t *link = data;
-    gboolean good = g_output_stream_write_all_finish(G_OUTPUT_STREAM(source),
-                                                     result, NULL, NULL);
-    link->writing = FALSE;
-    GBytes *bytes = g_queue_pop_head(&link->unsent);
-    link->unsent_bytes -= g_bytes_get_size(bytes);
-    g_bytes_unref(bytes);
-    if (!good) {
-        cq_link_close(link);
-    }
-    write_next(link);
-    unref(link);
-}
-
-static void
-write_next(cq_link_t *link)
-{
-    if (link->closed || link->writing || g_queue_is_empty(&link->unsent)) {
-        return;
-    }
-    link->writing = TRUE;
-    link->refs++;
-    gsize len;
-    const void *bytes =
-        g_bytes_get_data(g_queue_peek_head(&link->unsent), &len);
-    GOutputStream *out =
-        g_io_stream_get_output_stream(G_IO_STREAM(link->options.connection));
-    g_output_stream_write_all_async(out, bytes, len, G_PRIORITY_DEFAULT,
-                                    link->cancellable, on_written, link);
-}
-
 static void
 queue(cq_link_t *link, GBytes *frame)
 {
-    gsize len = g_bytes_get_size(frame);
-    if (link->closed || link->unsent_bytes + len > UNSENT_BYTES_MAX) {
+    gsize len;
+    const void *bytes = g_bytes_get_data(frame, &len);
+    if (link->closed || cq_sock_pending(link->sock) + len > UNSENT_BYTES_MAX) {
         return;
     }
     cq_app_count(link->options.app, CQ_N_PEER_FRAMES_OUT, 1);
     cq_app_count(link->options.app, CQ_N_PEER_BYTES_OUT, len);
     cq_app_count(link->options.app, CQ_N_CONTROL_BYTES, len);
-    link->unsent_bytes += len;
-    g_queue_push_tail(&link->unsent, g_bytes_ref(frame));
-    write_next(link);
+    cq_sock_write(link->sock, bytes, len);
 }
 
 static void
@@ -153,7 +104,7 @@
     }
     link->helloed = TRUE;
     guint8 mac[MAC_BYTES];
-    make_mac(link, link->options.dialled, hello->challenge.data, mac);
+    make_mac(link, cq_link_dialled(link), hello->challenge.data, mac);
     Cq__Proof proof = CQ__PROOF__INIT;
     proof.mac.data = mac;
     proof.mac.len = sizeof mac;
@@ -177,7 +128,7 @@
 take_proof(cq_link_t *link, const Cq__Proof *proof)
 {
     guint8 mac[MAC_BYTES];
-    make_mac(link, !link->options.dialled, link->challenge, mac);
+    make_mac(link, !cq_link_dialled(link), link->challenge, mac);
     if (proof->mac.len != MAC_BYTES || !same_mac(mac, proof->mac.data)) {
         reject(link, CQ_N_PEER_REJECTED);
         return;
@@ -243,37 +194,21 @@
 }
 
 static void
-on_read(GObject *source, GAsyncResult *result, gpointer data)
+on_received(void *data, const char *bytes, gsize len)
 {
     cq_link_t *link = data;
-    GBytes *bytes =
-        g_input_stream_read_bytes_finish(G_INPUT_STREAM(source), result, NULL);
-    if (bytes == NULL || g_bytes_get_size(bytes) == 0) {
-        cq_link_close(link);
-    }
-    else {
-        gsize len;
-        const void *at = g_bytes_get_data(bytes, &len);
-        link->heard_us = cq_app_now_us(link->options.app);
-        cq_frame_push(&link->reader, at, len);
-        take_frames(link);
-        read_next(link);
-    }
-    g_clear_pointer(&bytes, g_bytes_unref);
+    link->refs++;
+    link->heard_us = cq_app_now_us(link->options.app);
+    cq_frame_push(&link->reader, bytes, len);
+    take_frames(link);
     unref(link);
 }
 
 static void
-read_next(cq_link_t *link)
+on_ended(void *data, cq_sock_end_t how)
 {
-    if (link->closed) {
-        return;
-    }
-    link->refs++;
-    GInputStream *in =
-        g_io_stream_get_input_stream(G_IO_STREAM(link->options.connection));
-    g_input_stream_read_bytes_async(in, READ_BYTES, G_PRIORITY_DEFAULT,
-                                    link->cancellable, on_read, link);
+    (void)how;
+    cq_link_close(data);
 }
 
 static void
@@ -298,21 +233,17 @@
 {
     cq_link_t *link = g_new0(cq_link_t, 1);
     link->options = *options;
-    g_object_ref(options->connection);
-    link->cancellable = g_cancellable_new();
     link->refs = 1;
     link->heard_us = cq_app_now_us(options->app);
     cq_frame_init(&link->reader);
-    g_queue_init(&link->unsent);
-    g_socket_set_option(g_socket_connection_get_socket(options->connection),
-                        IPPROTO_TCP, TCP_NODELAY, 1, NULL);
-    g_socket_set_option(g_socket_connection_get_socket(options->connection),
-                        IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKED_MS, NULL);
-    /* The time limit of the dial is not one of the connection. */
-    g_socket_set_timeout(g_socket_connection_get_socket(options->connection),
-                         0);
+    cq_sock_ops_t ops = {
+        .received = on_received,
+        .ended = on_ended,
+        .data = link,
+    };
+    link->sock = options->dial != NULL ? cq_sock_dial(options->dial, &ops)
+                                       : cq_sock_adopt(options->fd, &ops);
     send_hello(link);
-    read_next(link);
     return link;
 }
 
@@ -327,7 +258,7 @@
 gboolean
 cq_link_dialled(const cq_link_t *link)
 {
-    return link->options.dialled;
+    return link->options.dial != NULL;
 }
 
 gboolean
@@ -342,8 +273,11 @@
     gint64 silent_us = now_us - link->heard_us;
     gboolean partial = cq_frame_partial(&link->reader) || !link->proved;
     /* Both sides send heartbeats, so a quiet connection is a lost one. */
-    gint64 quiet_us = link->options.dialled ? QUIET_DIALLED_US : QUIET_US;
+    gint64 quiet_us = cq_link_dialled(link) ? QUIET_DIALLED_US : QUIET_US;
     quiet_us = partial ? MIN(quiet_us, CQ_FRAME_STALL_US) : quiet_us;
+    if (!cq_sock_open(link->sock)) {
+        quiet_us = DIAL_US;
+    }
     if (silent_us > quiet_us) {
         reject(link, partial ? CQ_N_FRAME_STALLED : CQ_N_SILENT);
     }
--- a/packages/router/link.h
+++ b/packages/router/link.h
@@ -17,8 +17,9 @@
 /**
  * struct cq_link_options_t - how to make a link
  * @app: the process
- * @connection: the open connection; a reference is taken
- * @dialled: whether this side opened it
+ * @dial: the peer's address `ip:port` when this side opens the connection,
+ *   or NULL; not read after cq_link_new()
+ * @fd: the accepted connection otherwise
  * @proved: called when the other side is proved, with its address
  * @heard: called with each frame after both sides are proved
  * @closed: called once at the end; the link is freed after it
@@ -26,8 +27,8 @@
  */
 typedef struct {
     cq_app_t *app;
-    GSocketConnection *connection;
-    gboolean dialled;
+    const char *dial;
+    int fd;
     void (*proved)(cq_link_t *link, const char *addr, void *data);
     void (*heard)(cq_link_t *link, const Cq__Frame *frame, void *data);
     void (*closed)(cq_link_t *link, void *data);
--- a/packages/router/links.c
+++ b/packages/router/links.c
@@ -1,9 +1,12 @@
 #include "router/links.h"
 
+#include <arpa/inet.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include "http/sock.h"
 #include "router/follow.h"
-#include "router/http.h"
 #include "router/link.h"
 #include "router/news.h"
 
@@ -11,27 +14,26 @@
 /* A peer that does not answer is dialled again after doubling pauses. */
 #define REDIAL_MIN_US (100 * CQ_MS_US)
 #define REDIAL_MAX_US (400 * CQ_MS_US)
-#define DIAL_TIMEOUT_S 1
+/* One connection serves both sides. That with the lower address dials at
+ * once; the other one only when it is not dialled for so long. */
+#define LISTEN_FIRST_US (300 * CQ_MS_US)
 #define LINKS_MAX 256
 
 struct cq_links {
     cq_app_t *app;
-    GSocketService *service;
+    guint listener;
     GHashTable *targets;
     GPtrArray *open;
-    GCancellable *cancellable;
     guint timer;
     guint refs;
     gint64 offered_us;
     GArray *tasks;
-    gboolean stopped;
 };
 
 /* A peer to keep a connection to. */
 typedef struct {
     char addr[CQ_ADDR_BYTES];
     cq_link_t *link;
-    gboolean dialling;
     gint64 pause_us;
     gint64 due_us;
 } target_t;
@@ -45,7 +47,6 @@
     g_hash_table_unref(links->targets);
     g_ptr_array_unref(links->open);
     g_array_unref(links->tasks);
-    g_object_unref(links->cancellable);
     g_free(links);
 }
 
@@ -228,14 +229,49 @@
     }
 }
 
-/* A peer that dials is dialled back, and told all that is under way here. */
+static gint64
+patience_us(const cq_links_t *links, const char *addr)
+{
+    gboolean first = strcmp(cq_app_settings(links->app)->peers, addr) < 0;
+    return first ? 0 : LISTEN_FIRST_US;
+}
+
+/* The peer at @addr, new or known; NULL for this host and when there are too
+ * many. */
+static target_t *
+need_target(cq_links_t *links, const char *addr)
+{
+    target_t *target = g_hash_table_lookup(links->targets, addr);
+    if (target != NULL) {
+        return target;
+    }
+    if (strcmp(addr, cq_app_settings(links->app)->peers) == 0 ||
+        g_hash_table_size(links->targets) >= LINKS_MAX) {
+        return NULL;
+    }
+    target = g_new0(target_t, 1);
+    g_strlcpy(target->addr, addr, sizeof target->addr);
+    target->due_us = cq_app_now_us(links->app) + patience_us(links, addr);
+    g_hash_table_insert(links->targets, target->addr, target);
+    return target;
+}
+
+/* A peer that dials is told over the same connection all that is under way
+ * here. */
 static void
 on_proved(cq_link_t *link, const char *addr, void *data)
 {
     cq_links_t *links = data;
     cq_event_t event = {.kind = CQ_EV_PEER_LINKED};
-    if (addr[0] != '\0' && !cq_link_dialled(link)) {
-        cq_links_dial(links, addr);
+    target_t *target = NULL;
+    if (addr[0] != '\0') {
+        target = need_target(links, addr);
+    }
+    if (target != NULL) {
+        target->pause_us = 0;
+        if (target->link == NULL) {
+            target->link = link;
+        }
     }
     cq_app_post(links->app, &event);
 }
@@ -250,6 +286,9 @@
         target_t *target = value;
         if (target->link == link) {
             target->link = NULL;
+            gint64 us = patience_us(links, target->addr);
+            target->due_us =
+                MAX(target->due_us, cq_app_now_us(links->app) + us);
         }
     }
 }
@@ -264,12 +303,12 @@
 }
 
 static cq_link_t *
-add_link(cq_links_t *links, GSocketConnection *connection, gboolean dialled)
+add_link(cq_links_t *links, const char *dial, int fd)
 {
     cq_link_options_t options = {
         .app = links->app,
-        .connection = connection,
-        .dialled = dialled,
+        .dial = dial,
+        .fd = fd,
         .proved = on_proved,
         .heard = on_frame,
         .closed = on_closed,
@@ -282,83 +321,36 @@
 }
 
 static gboolean
-from_loopback(GSocketConnection *connection)
-{
-    GSocketAddress *address =
-        g_socket_connection_get_remote_address(connection, NULL);
-    gboolean loopback = FALSE;
-    if (address != NULL && G_IS_INET_SOCKET_ADDRESS(address)) {
-        loopback = g_inet_address_get_is_loopback(
-            g_inet_socket_address_get_address(G_INET_SOCKET_ADDRESS(address)));
-    }
-    g_clear_object(&address);
-    return loopback;
+from_loopback(int fd)
+{
+    struct sockaddr_in from = {0};
+    socklen_t len = sizeof from;
+    return getpeername(fd, (struct sockaddr *)&from, &len) == 0 &&
+           from.sin_family == AF_INET &&
+           ntohl(from.sin_addr.s_addr) >> IN_CLASSA_NSHIFT == IN_LOOPBACKNET;
 }
 
-static gboolean
-on_incoming(GSocketService *service, GSocketConnection *connection,
-            GObject *source, gpointer data)
+static void
+on_incoming(int fd, void *data)
 {
-    (void)service;
-    (void)source;
     cq_links_t *links = data;
     gboolean keyed = cq_app_settings(links->app)->peer_key[0] != '\0';
     gboolean full = links->open->len >= LINKS_MAX;
-    if (full || (!keyed && !from_loopback(connection))) {
+    if (full || (!keyed && !from_loopback(fd))) {
         cq_app_count(links->app, CQ_N_PEER_REJECTED, 1);
-        return TRUE;
-    }
-    add_link(links, connection, FALSE);
-    return TRUE;
-}
-
-typedef struct {
-    cq_links_t *links;
-    char addr[CQ_ADDR_BYTES];
-} dial_t;
-
-static void
-on_connected(GObject *source, GAsyncResult *result, gpointer data)
-{
-    dial_t *dial = data;
-    cq_links_t *links = dial->links;
-    GSocketConnection *connection =
-        g_socket_client_connect_finish(G_SOCKET_CLIENT(source), result, NULL);
-    target_t *target = g_hash_table_lookup(links->targets, dial->addr);
-    if (target != NULL) {
-        target->dialling = FALSE;
-    }
-    if (connection != NULL && target != NULL && !links->stopped) {
-        target->link = add_link(links, connection, TRUE);
-        target->pause_us = 0;
+        close(fd);
+        return;
     }
-    g_clear_object(&connection);
-    g_free(dial);
-    unref(links);
+    add_link(links, NULL, fd);
 }
 
 static void
 dial(cq_links_t *links, target_t *target)
 {
-    GSocketAddress *address = cq_http_address(target->addr);
-    if (address == NULL) {
-        return;
-    }
-    GSocketClient *client = g_socket_client_new();
-    g_socket_client_set_enable_proxy(client, FALSE);
-    g_socket_client_set_timeout(client, DIAL_TIMEOUT_S);
-    dial_t *dial = g_new0(dial_t, 1);
-    dial->links = links;
-    g_strlcpy(dial->addr, target->addr, sizeof dial->addr);
-    target->dialling = TRUE;
     target->pause_us =
         CLAMP(target->pause_us * 2, REDIAL_MIN_US, REDIAL_MAX_US);
     target->due_us = cq_app_now_us(links->app) + target->pause_us;
-    links->refs++;
-    g_socket_client_connect_async(client, G_SOCKET_CONNECTABLE(address),
-                                  links->cancellable, on_connected, dial);
-    g_object_unref(client);
-    g_object_unref(address);
+    target->link = add_link(links, target->addr, -1);
 }
 
 static void
@@ -381,7 +373,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         target_t *target = value;
         gboolean due = cq_app_now_us(links->app) >= target->due_us;
-        if (target->link == NULL && !target->dialling && due) {
+        if (target->link == NULL && due) {
             dial(links, target);
         }
     }
@@ -401,7 +393,6 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     links->open = g_ptr_array_new();
     links->tasks = g_array_new(FALSE, FALSE, sizeof(cq_task_news_t));
-    links->cancellable = g_cancellable_new();
     links->timer = g_timeout_add(CHECK_MS, on_timer, links);
     return links;
 }
@@ -409,34 +400,16 @@
 gboolean
 cq_links_listen(cq_links_t *links, const char *addr, cq_error_t *error)
 {
-    GSocketAddress *address = cq_http_address(addr);
-    GError *cause = NULL;
-    links->service = g_socket_service_new();
-    gboolean good =
-        address != NULL &&
-        g_socket_listener_add_address(
-            G_SOCKET_LISTENER(links->service), address, G_SOCKET_TYPE_STREAM,
-            G_SOCKET_PROTOCOL_TCP, NULL, NULL, &cause);
-    if (!good) {
-        cq_http_taken(error, "listen.peers", addr, cause);
-    }
-    g_clear_error(&cause);
-    g_clear_object(&address);
-    g_signal_connect(links->service, "incoming", G_CALLBACK(on_incoming),
-                     links);
-    return good;
+    links->listener = cq_sock_listen(addr, on_incoming, links, error);
+    return links->listener != 0;
 }
 
 void
 cq_links_free(cq_links_t *links)
 {
-    links->stopped = TRUE;
     g_source_remove(links->timer);
-    g_cancellable_cancel(links->cancellable);
-    if (links->service != NULL) {
-        g_socket_service_stop(links->service);
-        g_socket_listener_close(G_SOCKET_LISTENER(links->service));
-        g_object_unref(links->service);
+    if (links->listener != 0) {
+        g_source_remove(links->listener);
     }
     while (links->open->len > 0) {
         cq_link_close(g_ptr_array_index(links->open, 0));
@@ -447,16 +420,11 @@
 void
 cq_links_dial(cq_links_t *links, const char *addr)
 {
-    const cq_settings_t *settings = cq_app_settings(links->app);
-    if (strcmp(addr, settings->peers) == 0 ||
-        g_hash_table_contains(links->targets, addr) ||
-        g_hash_table_size(links->targets) >= LINKS_MAX) {
-        return;
+    target_t *target = need_target(links, addr);
+    if (target != NULL && target->link == NULL &&
+        cq_app_now_us(links->app) >= target->due_us) {
+        dial(links, target);
     }
-    target_t *target = g_new0(target_t, 1);
-    g_strlcpy(target->addr, addr, sizeof target->addr);
-    g_hash_table_insert(links->targets, target->addr, target);
-    dial(links, target);
 }
 
 gboolean
@@ -474,13 +442,17 @@
     return TRUE;
 }
 
+/* A pair of processes with two connections hears it once. */
 static void
-broadcast(cq_links_t *links, GBytes *frame, gboolean dialled_only)
+broadcast(cq_links_t *links, GBytes *frame)
 {
-    for (guint i = 0; i < links->open->len; i++) {
-        cq_link_t *link = g_ptr_array_index(links->open, i);
-        if (cq_link_dialled(link) || !dialled_only) {
-            cq_link_send(link, frame);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, links->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const target_t *target = value;
+        if (target->link != NULL) {
+            cq_link_send(target->link, frame);
         }
     }
 }
@@ -496,8 +468,7 @@
     }
     GBytes *frame = cq_codec_summary(summary, clock, at,
                                      follow != NULL ? CQ_TOPIC_COUNT : 0);
-    /* A pair of processes with a connection each way hears it once. */
-    broadcast(links, frame, TRUE);
+    broadcast(links, frame);
     g_bytes_unref(frame);
 }
 
@@ -517,7 +488,7 @@
     const cq_task_news_t *rows =
         (const cq_task_news_t *)(const void *)links->tasks->data;
     GBytes *frame = cq_codec_tasks(host, rows, links->tasks->len);
-    broadcast(links, frame, TRUE);
+    broadcast(links, frame);
     g_bytes_unref(frame);
     g_array_set_size(links->tasks, 0);
 }
@@ -526,7 +497,7 @@
 cq_links_offer(cq_links_t *links)
 {
     GBytes *bytes = pack_offer(links, NULL, 0);
-    broadcast(links, bytes, FALSE);
+    broadcast(links, bytes);
     links->offered_us = cq_app_now_us(links->app);
     g_bytes_unref(bytes);
 }
