--- a/tests/proc/relaypeers.sh
+++ b/tests/proc/relaypeers.sh
@@ -28,6 +28,14 @@
 wait_until "version=8" cat "$DIR/b.log"
 expect_ask "a key that was taken away" "401 *" /safe/ok
 KEY="Cuminquay-Credential: secret-2" expect_ask "the new key" "200 *" /safe/ok
+# A configuration that is longer than most messages between hosts.
+{
+    printf '{"version":9,"routes":[%s],"services":[{"name":"p"}],' "$ROUTES"
+    head -c 400000 /dev/zero | tr '\0' ' '
+    printf '"tenants":[{"name":"team-1","api_keys":["secret-2","secret-3"]}]}'
+} | curl -sf -X POST --data-binary @- "http://$STORE/put?topic=keyed.op&key=config" >/dev/null
+wait_until "version=9" cat "$DIR/b.log"
+KEY="Cuminquay-Credential: secret-3" expect_ask "a long configuration" "200 *" /safe/ok
 announce p1 $((BASE + 20)) p draining
 wait_until "event=leaving.*upstream=p1" cat "$DIR/b.log"
 KEY="Cuminquay-Credential: secret-2" expect_ask "an upstream that is leaving gets nothing" "200 from p2" /safe/ok
