--- a/packages/core/fit.c
+++ b/packages/core/fit.c
@@ -19,7 +19,7 @@
 #define SHORT_US (150 * CQ_MS_US)
 /* Hosts that place short prompts at the same moment fill the same engine. For
  * each so many hosts there is one more engine to draw from. */
-#define HOSTS_A_CHOICE 4
+#define HOSTS_A_CHOICE 8
 #define CHOICES_MAX 8
 /* Part of an engine's memory that one prompt takes there; a longer one is
  * held by several engines, since hardly any has all of its memory free. */
