--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -539,6 +539,12 @@
                             app->incarnation, ++app->next_request);
 }
 
+guint
+cq_app_peers_sought(const cq_app_t *app)
+{
+    return cq_links_sought(app->links);
+}
+
 struct cq_follow *
 cq_app_follow(cq_app_t *app)
 {
--- a/packages/router/app.h
+++ b/packages/router/app.h
@@ -74,6 +74,11 @@
 guint64
 cq_app_request_id(cq_app_t *app);
 
+/** cq_app_peers_sought() - Return: peers that this process is linked with or
+ * tries to reach */
+guint
+cq_app_peers_sought(const cq_app_t *app);
+
 /** cq_app_follow() - Return: the follower of the platform's store, or NULL */
 struct cq_follow *
 cq_app_follow(cq_app_t *app);
--- a/packages/router/links.c
+++ b/packages/router/links.c
@@ -18,6 +18,8 @@
  * once; the other one only when it is not dialled for so long. */
 #define LISTEN_FIRST_US (300 * CQ_MS_US)
 #define LINKS_MAX 256
+/* A host that nobody names any more is looked for so long. */
+#define FORGET_US (5 * CQ_SECOND_US)
 
 struct cq_links {
     cq_app_t *app;
@@ -36,6 +38,7 @@
     cq_link_t *link;
     gint64 pause_us;
     gint64 due_us;
+    gint64 lost_us; /* when it was first named, or its link ended */
 } target_t;
 
 static void
@@ -251,7 +254,8 @@
     }
     target = g_new0(target_t, 1);
     g_strlcpy(target->addr, addr, sizeof target->addr);
-    target->due_us = cq_app_now_us(links->app) + patience_us(links, addr);
+    target->lost_us = cq_app_now_us(links->app);
+    target->due_us = target->lost_us + patience_us(links, addr);
     g_hash_table_insert(links->targets, target->addr, target);
     return target;
 }
@@ -285,8 +289,12 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         target_t *target = value;
         if (target->link == link) {
-            target->link = NULL;
             gint64 us = patience_us(links, target->addr);
+            /* A dial that fails is no link that ends. */
+            if (cq_link_proved(link)) {
+                target->lost_us = cq_app_now_us(links->app);
+            }
+            target->link = NULL;
             target->due_us =
                 MAX(target->due_us, cq_app_now_us(links->app) + us);
         }
@@ -362,21 +370,54 @@
     }
 }
 
+/* Whether the settings or the list of hosts name @addr. */
 static gboolean
-on_timer(gpointer data)
+named(const cq_links_t *links, const char *addr)
 {
-    cq_links_t *links = data;
-    check_open(links);
+    const cq_settings_t *settings = cq_app_settings(links->app);
+    for (guint i = 0; i < settings->seeds_len; i++) {
+        if (strcmp(settings->seeds[i], addr) == 0) {
+            return TRUE;
+        }
+    }
+    guint len;
+    const cq_listed_t *peers = cq_core_peers(cq_app_core(links->app), &len);
+    for (guint i = 0; i < len; i++) {
+        if (strcmp(peers[i].addr, addr) == 0) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+static void
+seek(cq_links_t *links)
+{
+    gint64 now_us = cq_app_now_us(links->app);
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, links->targets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         target_t *target = value;
-        gboolean due = cq_app_now_us(links->app) >= target->due_us;
-        if (target->link == NULL && due) {
+        if (target->link != NULL || now_us < target->due_us) {
+            continue;
+        }
+        if (now_us - target->lost_us > FORGET_US &&
+            !named(links, target->addr)) {
+            g_hash_table_iter_remove(&iter);
+        }
+        else {
             dial(links, target);
         }
     }
+}
+
+static gboolean
+on_timer(gpointer data)
+{
+    cq_links_t *links = data;
+    check_open(links);
+    seek(links);
     if (cq_app_now_us(links->app) - links->offered_us >= CQ_OFFER_US) {
         cq_links_offer(links);
     }
@@ -427,6 +468,12 @@
     }
 }
 
+guint
+cq_links_sought(const cq_links_t *links)
+{
+    return g_hash_table_size(links->targets);
+}
+
 gboolean
 cq_links_settled(const cq_links_t *links)
 {
--- a/packages/router/links.h
+++ b/packages/router/links.h
@@ -29,6 +29,11 @@
 void
 cq_links_dial(cq_links_t *links, const char *addr);
 
+/** cq_links_sought() - Return: peers that this process is linked with or tries
+ * to reach */
+guint
+cq_links_sought(const cq_links_t *links);
+
 /** cq_links_settled() - Return: whether each peer to keep a connection to is
  * connected and proved */
 gboolean
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -56,7 +56,7 @@
     run_unit "$BUILD/tests/${program}_test"
 done
 for script in demo badinput hangup operator drain holds giant orders retention \
-    relay relaywake relaypeers relayreads; do
+    relay relaywake relaypeers relayreads relayleft; do
     run_script "tests/proc/$script.sh"
 done
 
