--- a/packages/bench/replay.c
+++ b/packages/bench/replay.c
@@ -11,7 +11,6 @@
 /* One way between hosts and engines, and between hosts unless the options say
  * otherwise. */
 #define HOP_US 600
-#define ZONES 3
 #define ANSWER_TOKENS 1500
 #define DOWN_US (500 * CQ_MS_US)
 #define SETTLE_US (2 * CQ_SECOND_US)
@@ -278,27 +277,19 @@
     guint len = 0;
     const cq_listed_t *peers =
         from->core != NULL ? cq_core_peers(from->core, &len) : NULL;
-    for (guint i = 0; i < len; i++) {
-        if (g_str_equal(peers[i].name, to->name)) {
-            return TRUE;
-        }
+    while (len > 0 && !g_str_equal(peers[len - 1].name, to->name)) {
+        len--;
     }
-    return FALSE;
+    return len > 0;
 }
 
-/* Who is dialled dials back. */
+/* Whoever dialled, both tell each other. */
 static gboolean
 linked(const host_t *a, const host_t *b)
 {
     return dials(a, b) || dials(b, a);
 }
 
-static gint64
-news_us(const replay_t *replay)
-{
-    return replay->options.news_us > 0 ? replay->options.news_us : HOP_US;
-}
-
 static void
 tell_tasks(host_t *host, GArray *news)
 {
@@ -307,7 +298,7 @@
         if (!linked(host, &replay->hosts[i])) {
             continue;
         }
-        letter_t *letter = mail(&replay->hosts[i], news_us(replay), 0);
+        letter_t *letter = mail(&replay->hosts[i], replay->options.news_us, 0);
         letter->event.kind = CQ_EV_TASKS;
         letter->event.tasks.host = cq_ident_host(host->name);
         letter->rows =
@@ -322,7 +313,8 @@
     replay_t *replay = host->replay;
     for (guint i = 0; i < replay->options.hosts; i++) {
         if (linked(host, &replay->hosts[i])) {
-            letter_t *letter = mail(&replay->hosts[i], news_us(replay), 0);
+            letter_t *letter =
+                mail(&replay->hosts[i], replay->options.news_us, 0);
             letter->event.kind = CQ_EV_SUMMARY;
             letter->summary = g_memdup2(summary, sizeof *summary);
         }
@@ -548,11 +540,7 @@
         cq_passes_ops_t ops = {on_read, on_wrote, engine};
         engine->replay = replay;
         engine->passes = cq_passes_new(&replay->rules->speed, &ops);
-        g_snprintf(row->name, sizeof row->name, "e%u", i);
-        g_snprintf(row->addr, sizeof row->addr, "10.0.0.%u:1", i);
-        g_snprintf(row->zone, sizeof row->zone, "z%u", i % ZONES);
-        g_strlcpy(row->service, CQ_REPLAY_SERVICE, sizeof row->service);
-        row->incarnation = 1;
+        cq_replay_engine(i, row);
         engine->id = cq_ident_hash(row->name);
     }
     for (guint i = 0; i < options->hosts; i++) {
@@ -560,10 +548,8 @@
         cq_listed_t *row = &replay->rows[options->engines + i];
         host->replay = replay;
         host->index = i;
-        g_snprintf(host->name, sizeof host->name, "h%u", i);
-        g_strlcpy(row->name, host->name, sizeof row->name);
-        g_snprintf(row->zone, sizeof row->zone, "z%u", i % ZONES);
-        row->incarnation = 1;
+        cq_replay_host(i, row);
+        g_strlcpy(host->name, row->name, sizeof host->name);
     }
 }
 
@@ -571,6 +557,9 @@
 cq_replay_run(const cq_replay_options_t *options)
 {
     replay_t replay = {.options = *options};
+    if (options->news_us == 0) {
+        replay.options.news_us = HOP_US;
+    }
     cq_heap_init(&replay.heap);
     replay.rand = g_rand_new_with_seed(options->seed);
     replay.asks =
--- a/packages/bench/replayload.c
+++ b/packages/bench/replayload.c
@@ -4,6 +4,7 @@
 
 /* Of the logarithm of an answer's length, whose mean stays the kind's. */
 #define EVENTS_SPREAD 0.6
+#define ZONES 3
 
 static const cq_replay_sheet_t sheets[CQ_REPLAY_KINDS] = {
     [CQ_REPLAY_SHORT] = {4960, 0.9, 23800, 300 * CQ_MS_US, 200 * CQ_MS_US,
@@ -42,6 +43,24 @@
     return exp(log(mean) - spread * spread / 2 + spread * normal(rand));
 }
 
+void
+cq_replay_engine(guint i, cq_listed_t *row)
+{
+    g_snprintf(row->name, sizeof row->name, "e%u", i);
+    g_snprintf(row->addr, sizeof row->addr, "10.0.0.%u:1", i);
+    g_snprintf(row->zone, sizeof row->zone, "z%u", i % ZONES);
+    g_strlcpy(row->service, CQ_REPLAY_SERVICE, sizeof row->service);
+    row->incarnation = 1;
+}
+
+void
+cq_replay_host(guint i, cq_listed_t *row)
+{
+    g_snprintf(row->name, sizeof row->name, "h%u", i);
+    g_snprintf(row->zone, sizeof row->zone, "z%u", i % ZONES);
+    row->incarnation = 1;
+}
+
 const cq_replay_sheet_t *
 cq_replay_sheet(cq_replay_kind_t kind)
 {
--- a/packages/bench/replayload.h
+++ b/packages/bench/replayload.h
@@ -35,6 +35,14 @@
     guint events;
 } cq_replay_sheet_t;
 
+/** cq_replay_engine() - describe engine number @i in @row */
+void
+cq_replay_engine(guint i, cq_listed_t *row);
+
+/** cq_replay_host() - describe entry host number @i in @row */
+void
+cq_replay_host(guint i, cq_listed_t *row);
+
 /** cq_replay_sheet() - Return: what is known of @kind */
 const cq_replay_sheet_t *
 cq_replay_sheet(cq_replay_kind_t kind);
--- a/packages/core/fit.c
+++ b/packages/core/fit.c
@@ -4,6 +4,7 @@
 
 #include "core/answer.h"
 #include "core/batch.h"
+#include "core/book.h"
 #include "core/flow.h"
 #include "core/group.h"
 #include "core/load.h"
@@ -40,21 +41,14 @@
 #define HARM_WAIT_US (150 * CQ_MS_US)
 #define HARM_US (300 * CQ_MS_US)
 #define HARM_MAX 6
-/* An engine that has more to read than this is not asked to read a part: the
- * newest reading goes first there, and would delay what was placed before. */
-#define PENDING_US (30 * CQ_MS_US)
 /* Hosts that hear of a free engine at the same moment book it at the same
  * moment. Bookings begin no sooner than each host knows of the others'. */
 #define SETTLE_US (4 * CQ_MS_US)
-/* Bookings this close to each other are ordered by the request's id. */
-#define TIE_US (8 * CQ_MS_US)
 /* A new process waits so long to hear its peers. */
 #define LEARN_US CQ_SECOND_US
 /* Engines are booked at most this far ahead: long enough for many of them to
  * get free together, and no longer than shorter prompts can wait. */
 #define AHEAD_US (300 * CQ_MS_US)
-/* A booked request is sent this long after its time at the latest. */
-#define TURN_US (150 * CQ_MS_US)
 
 /**
  * struct seat_t - an engine as a request finds it
@@ -224,7 +218,7 @@
 begin_us(const seat_t *seat, gint64 part_us)
 {
     const cq_pass_t *pass = &seat->pass;
-    gint64 now_us = pass->busy_us <= PENDING_US ? 0 : pass->busy_us;
+    gint64 now_us = pass->busy_us <= CQ_BOOK_PENDING_US ? 0 : pass->busy_us;
     gint64 done_us = now_us + first_us(seat, part_us);
     return done_us <= pass->next_us ? now_us : pass->free_us;
 }
@@ -490,86 +484,16 @@
     return TRUE;
 }
 
-static gboolean
-goes_before(const cq_task_t *task, const cq_task_t *other)
-{
-    gint64 sooner_us = other->placed_us - task->placed_us;
-    if (ABS(sooner_us) > TIE_US) {
-        return sooner_us > 0;
-    }
-    return task->request < other->request;
-}
-
-static gboolean
-overlaps(const cq_task_t *task, const cq_task_t *other)
-{
-    return task->read_us > other->placed_us + PENDING_US &&
-           task->placed_us < other->read_us;
-}
-
-/* Whether another request has an engine of a booked one at the same time.
- * Every host comes to the same result, and the loser books anew. */
-static gboolean
-beaten(const cq_task_t *own)
-{
-    for (guint i = 0; i < own->engines_len; i++) {
-        const GPtrArray *tasks = own->engines[i]->tasks;
-        for (guint k = 0; k < tasks->len; k++) {
-            const cq_task_t *task = g_ptr_array_index(tasks, k);
-            if (task != own && !task->writing && task->part_us > PENDING_US &&
-                overlaps(task, own) && goes_before(task, own)) {
-                return TRUE;
-            }
-        }
-    }
-    return FALSE;
-}
-
-/* Whether the engines of a booked request have read what came before it. */
-static gboolean
-its_turn(const cq_core_t *core, const cq_task_t *own)
-{
-    gint64 late_us = core->now_us - own->placed_us;
-    if (late_us < 0) {
-        return FALSE;
-    }
-    if (late_us > TURN_US) {
-        return TRUE;
-    }
-    for (guint i = 0; i < own->engines_len; i++) {
-        const GPtrArray *tasks = own->engines[i]->tasks;
-        for (guint k = 0; k < tasks->len; k++) {
-            const cq_task_t *task = g_ptr_array_index(tasks, k);
-            gboolean before = task->placed_us < own->placed_us;
-            if (task != own && before && !task->writing &&
-                task->read_us > core->now_us - TURN_US) {
-                return FALSE;
-            }
-        }
-    }
-    return TRUE;
-}
-
-static gboolean
-usable(const cq_core_t *core, const cq_task_t *task)
-{
-    for (guint i = 0; i < task->engines_len; i++) {
-        if (!cq_place_usable(core, task->engines[i])) {
-            return FALSE;
-        }
-    }
-    return TRUE;
-}
-
 /* A booked request is sent when its engines are free, and booked again when
  * one of them is lost. */
 static void
 follow_booking(cq_core_t *core, cq_request_t *request)
 {
-    if (!usable(core, request->task) || beaten(request->task)) {
+    if (!cq_book_usable(core, request->task) ||
+        cq_book_beaten(request->task)) {
         cq_task_close(core, request);
     }
-    else if (its_turn(core, request->task)) {
+    else if (cq_book_due(core, request->task)) {
         start(core, request);
     }
 }
--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -10,6 +10,7 @@
 #include "router/loads.h"
 #include "router/logs.h"
 #include "router/oper.h"
+#include "router/pace.h"
 #include "router/plat.h"
 #include "router/relay.h"
 
@@ -50,9 +51,7 @@
     cq_clock_t clock;
     guint64 incarnation;
     guint64 next_request;
-    gboolean ticking;
-    guint tick;
-    gint64 tick_us; /* how long the next tick was away when it was set */
+    cq_pace_t pace;
     guint flush_tries;
     gboolean draining;
 };
@@ -95,24 +94,6 @@
     log_events(app);
 }
 
-static gboolean
-on_tick(gpointer data);
-
-/* The next tick is as near as the core needs it. */
-static void
-pace(cq_app_t *app)
-{
-    gint64 us = cq_core_waits(app->core) ? CQ_TICK_US : CQ_IDLE_TICK_US;
-    if (!app->ticking || (app->tick != 0 && app->tick_us <= us)) {
-        return;
-    }
-    if (app->tick != 0) {
-        g_source_remove(app->tick);
-    }
-    app->tick_us = us;
-    app->tick = g_timeout_add((guint)(us / CQ_MS_US), on_tick, app);
-}
-
 /* An event that comes up while actions are carried out waits its turn; only
  * events without borrowed pointers come up then. */
 void
@@ -131,7 +112,9 @@
     }
     app->stepping = FALSE;
     cq_links_flush(app->links);
-    pace(app);
+    if (cq_core_waits(app->core)) {
+        cq_pace_need(&app->pace, CQ_TICK_US);
+    }
 }
 
 static const cq_upstream_view_t *
@@ -321,15 +304,12 @@
     }
 }
 
-static gboolean
-on_tick(gpointer data)
+static void
+on_tick(void *data)
 {
-    cq_app_t *app = data;
     cq_event_t event = {.kind = CQ_EV_TICK};
-    app->tick = 0;
-    watch_standstill(app);
-    cq_app_post(app, &event);
-    return G_SOURCE_REMOVE;
+    watch_standstill(data);
+    cq_app_post(data, &event);
 }
 
 static void
@@ -421,8 +401,7 @@
         app->follow = cq_follow_new(app);
         break;
     }
-    app->ticking = TRUE;
-    pace(app);
+    cq_pace_start(&app->pace, on_tick, app);
     cq_logs_info(app->logs, "started", "zone=%s callers=%s operators=%s",
                  app->settings.zone, app->settings.callers,
                  app->settings.operators);
@@ -432,9 +411,7 @@
 void
 cq_app_free(cq_app_t *app)
 {
-    if (app->ticking) {
-        app->ticking = FALSE;
-        g_source_remove(app->tick);
+    if (cq_pace_stop(&app->pace)) {
         g_clear_pointer(&app->loads, cq_loads_free);
         g_clear_pointer(&app->plat, cq_plat_free);
         g_clear_pointer(&app->follow, cq_follow_free);
--- a/packages/router/http.c
+++ b/packages/router/http.c
@@ -43,8 +43,8 @@
     return G_SOURCE_REMOVE;
 }
 
-GSocketAddress *
-cq_http_address(const char *addr)
+static GSocketAddress *
+socket_address(const char *addr)
 {
     GSocketConnectable *parsed = g_network_address_parse(addr, 0, NULL);
     if (parsed == NULL) {
@@ -58,27 +58,20 @@
     return address;
 }
 
-gboolean
-cq_http_taken(cq_error_t *error, const char *key, const char *addr,
-              const GError *cause)
-{
-    return cq_error_set(error, CQ_ERROR_UNREACHABLE,
-                        "%s: %s is not free (%s); write another address or "
-                        "stop the process that has it",
-                        key, addr,
-                        cause != NULL ? cause->message : "not an address");
-}
-
 gboolean
 cq_http_listen(SoupServer *server, const char *key, const char *addr,
                cq_error_t *error)
 {
-    GSocketAddress *address = cq_http_address(addr);
+    GSocketAddress *address = socket_address(addr);
     GError *cause = NULL;
     gboolean good =
         address != NULL && soup_server_listen(server, address, 0, &cause);
     if (!good) {
-        cq_http_taken(error, key, addr, cause);
+        cq_error_set(error, CQ_ERROR_UNREACHABLE,
+                     "%s: %s is not free (%s); write another address or "
+                     "stop the process that has it",
+                     key, addr,
+                     cause != NULL ? cause->message : "not an address");
     }
     g_clear_error(&cause);
     g_clear_object(&address);
--- a/packages/router/http.h
+++ b/packages/router/http.h
@@ -18,16 +18,6 @@
  * was no answer; @body is borrowed */
 typedef void (*cq_http_done_t)(int status, GBytes *body, void *data);
 
-/** cq_http_address() - Return: socket address of `ip:port`, or NULL */
-GSocketAddress *
-cq_http_address(const char *addr);
-
-/** cq_http_taken() - record that listener @key can't have @addr, for @cause;
- * Return: FALSE */
-gboolean
-cq_http_taken(cq_error_t *error, const char *key, const char *addr,
-              const GError *cause);
-
 /** cq_http_listen() - make @server listen on @addr, which setting @key names;
  * FALSE and @error when it can't */
 gboolean
--- a/packages/router/link.c
+++ b/packages/router/link.c
@@ -8,7 +8,8 @@
 #define CHALLENGE_BYTES 32
 #define MAC_BYTES 32
 #define UNSENT_BYTES_MAX (2 * CQ_FRAME_BYTES_MAX)
-/* The side that dialled sends heartbeats; the other one only its offers. */
+/* Where both sides dialled, each sends its heartbeats on the connection that
+ * it dialled, and its offers on the other one too. */
 #define QUIET_US (3 * CQ_HEARTBEAT_US + CQ_HEARTBEAT_US / 4)
 #define QUIET_DIALLED_US (3 * CQ_OFFER_US)
 /* A peer answers a dial within a round trip, or after its queue is read. */
--- a/packages/router/links.c
+++ b/packages/router/links.c
@@ -441,8 +441,10 @@
 gboolean
 cq_links_listen(cq_links_t *links, const char *addr, cq_error_t *error)
 {
-    links->listener = cq_sock_listen(addr, on_incoming, links, error);
-    return links->listener != 0;
+    cq_error_t cause = {0};
+    links->listener = cq_sock_listen(addr, on_incoming, links, &cause);
+    return links->listener != 0 ||
+           cq_error_set(error, cause.kind, "listen.peers: %s", cause.text);
 }
 
 void
--- /dev/null
+++ b/packages/router/pace.c
@@ -0,0 +1,45 @@
+#include "router/pace.h"
+
+#include "base/limits.h"
+
+static gboolean
+on_due(gpointer data)
+{
+    cq_pace_t *pace = data;
+    pace->timer = 0;
+    pace->run(pace->data);
+    /* Whoever was called may have set a nearer one, or stopped. */
+    cq_pace_need(pace, CQ_IDLE_TICK_US);
+    return G_SOURCE_REMOVE;
+}
+
+void
+cq_pace_start(cq_pace_t *pace, void (*run)(void *data), void *data)
+{
+    *pace = (cq_pace_t){.run = run, .data = data};
+    cq_pace_need(pace, CQ_TICK_US);
+}
+
+void
+cq_pace_need(cq_pace_t *pace, gint64 us)
+{
+    if (pace->run == NULL || (pace->timer != 0 && pace->away_us <= us)) {
+        return;
+    }
+    if (pace->timer != 0) {
+        g_source_remove(pace->timer);
+    }
+    pace->away_us = us;
+    pace->timer = g_timeout_add((guint)(us / CQ_MS_US), on_due, pace);
+}
+
+gboolean
+cq_pace_stop(cq_pace_t *pace)
+{
+    gboolean ran = pace->run != NULL;
+    if (pace->timer != 0) {
+        g_source_remove(pace->timer);
+    }
+    *pace = (cq_pace_t){.run = NULL};
+    return ran;
+}
