--- a/packages/core/book.c
+++ b/packages/core/book.c
@@ -31,8 +31,9 @@
         const GPtrArray *tasks = own->engines[i]->tasks;
         for (guint k = 0; k < tasks->len; k++) {
             const cq_task_t *task = g_ptr_array_index(tasks, k);
-            if (task != own && !task->writing && task->part_us > CQ_BOOK_PENDING_US &&
-                overlaps(task, own) && goes_before(task, own)) {
+            if (task != own && !task->writing &&
+                task->part_us > CQ_BOOK_PENDING_US && overlaps(task, own) &&
+                goes_before(task, own)) {
                 return TRUE;
             }
         }
--- a/packages/core/book.h
+++ b/packages/core/book.h
@@ -16,7 +16,8 @@
  * newest reading goes first there, and would delay what was placed before. */
 #define CQ_BOOK_PENDING_US (30 * CQ_MS_US)
 
-/** cq_book_usable() - Return: whether the engines of @task can still be used */
+/** cq_book_usable() - Return: whether the engines of @task can still be used
+ */
 gboolean
 cq_book_usable(const cq_core_t *core, const cq_task_t *task);
 
