Let the client free the data of a call

The store kept a list of its calls only to free them when the client drops them, and orders lost theirs then. The client knows when a call is over: it frees the data after the answer or when the call is dropped, for both.

--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -25,6 +25,7 @@
     int status;
     cq_client_done_t done;
     void *data;
+    GDestroyNotify data_free;
     guint timer;
     gint64 used_us;
     guint refs;
@@ -55,6 +56,9 @@
     if (line->timer != 0) {
         g_source_remove(line->timer);
     }
+    if (line->busy && line->data_free != NULL) {
+        line->data_free(line->data);
+    }
     cq_list_remove(&line->link);
     cq_sock_abort(line->sock);
     line_unref(line);
@@ -74,8 +78,13 @@
     line->used_us = g_get_monotonic_time();
     /* The callback may start a call on this very line. */
     GByteArray *body = line->body;
+    GDestroyNotify data_free = line->data_free;
+    void *data = line->data;
     line->body = g_byte_array_new();
-    line->done(status, body, line->data);
+    line->done(status, body, data);
+    if (data_free != NULL) {
+        data_free(data);
+    }
     g_byte_array_unref(body);
 }
 
@@ -216,6 +225,7 @@
     line->status = 0;
     line->done = call->done;
     line->data = call->data;
+    line->data_free = call->data_free;
     g_byte_array_set_size(line->body, 0);
     line->timer = g_timeout_add(call->timeout_ms, on_timeout, line);
     GString *out = g_string_new("");
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -30,6 +30,8 @@
  * @timeout_ms: the answer must be whole within it
  * @done: called once, unless the client is freed first
  * @data: passed to @done
+ * @data_free: frees @data after the answer, or when the call is dropped; may
+ *   be NULL
  */
 typedef struct {
     const char *addr;
@@ -41,6 +43,7 @@
     guint timeout_ms;
     cq_client_done_t done;
     void *data;
+    GDestroyNotify data_free;
 } cq_client_call_t;
 
 /** cq_client_new() - Return: a client without connections */
