--- a/packages/core/action.h
+++ b/packages/core/action.h
@@ -133,7 +133,7 @@
 /**
  * struct cq_action_t - one action
  * @kind: which member is set; STOP, FORWARD and PROBE use @attempt, RESERVE
- *   and RELEASE use @memory, CLAIM and LEASE are records to append, WORK is
+ *   and RELEASE use @memory, CLAIM and LEASE are records to append, TASK is
  *   news for every peer
  */
 typedef struct {
--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -15,9 +15,9 @@
 #include "core/repair.h"
 #include "core/send.h"
 #include "core/table.h"
+#include "core/task.h"
 #include "core/usage.h"
 #include "core/watch.h"
-#include "core/task.h"
 
 /* Requests of a class passed over because they do not fit anywhere. */
 static const int misses_max[CQ_CLASSES] = {
@@ -232,7 +232,7 @@
     {"estimate", estimate},   {"watch", cq_watch_tick},
     {"sweep", sweep},         {"place", place},
     {"lease", cq_lease_tick}, {"order", cq_order_tick},
-    {"peers", cq_peer_tick},  {"works", cq_task_tick},
+    {"peers", cq_peer_tick},  {"tasks", cq_task_tick},
     {"drain", drain},
 };
 
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -236,7 +236,7 @@
  * @aim_us: when its first token, or its answer, is worth most
  * @gap_us: longest pause between its events
  * @unsent: attempts that never reached their upstream
- * @work: its entry in the ledger of engines; with it, a queued request is
+ * @task: its entry in the ledger of engines; with it, a queued request is
  *   booked
  * @blamed: id of the engine because of which the attempt did not run, or 0
  * @pause_us: longest pause between its events so far
@@ -361,7 +361,7 @@
  * @claims: key to cq_claim_entry_t*
  * @tasks: request id to cq_task_t*
  * @tasks_looked_us: when tasks were last looked for that are to be forgotten
- * @tasks_told_us: when peers were last told all works of this process
+ * @tasks_told_us: when peers were last told all tasks of this process
  * @log_back_us: when the platform's log last answered again
  * @reserved: reservations without a release
  * @touched: a share changed since the last summary
--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -112,7 +112,7 @@
     }
     app->stepping = FALSE;
     cq_links_flush(app->links);
-    if (cq_core_waits(app->core)) {
+    if (!cq_pace_near(&app->pace, CQ_TICK_US) && cq_core_waits(app->core)) {
         cq_pace_need(&app->pace, CQ_TICK_US);
     }
 }
--- a/packages/router/follow.c
+++ b/packages/router/follow.c
@@ -9,9 +9,11 @@
 /* How long a read waits for news: an answer that is lost is noticed as much
  * later. Peers tell of upstreams and configurations meanwhile, and hosts that
  * start dial theirs. */
-#define CONFIG_WAIT_MS 10000
-#define UPSTREAMS_WAIT_MS 5000
-#define HOSTS_WAIT_MS 30000
+static const guint wait_ms[CQ_TOPIC_COUNT] = {
+    [CQ_TOPIC_CONFIG] = 10000,
+    [CQ_TOPIC_UPSTREAMS] = 5000,
+    [CQ_TOPIC_HOSTS] = 30000,
+};
 /* Upstreams and hosts that come or go together are read together. */
 #define BURST_MS 200
 #define RETRY_MIN_MS 200
@@ -378,24 +380,6 @@
     read_after(table, pause_ms(table, page->records->len > 0));
 }
 
-static guint
-wait_ms(const table_t *table)
-{
-    if (!table->known) {
-        return 0;
-    }
-    switch (table->topic) {
-    case CQ_TOPIC_CONFIG:
-        return CONFIG_WAIT_MS;
-    case CQ_TOPIC_UPSTREAMS:
-        return UPSTREAMS_WAIT_MS;
-    case CQ_TOPIC_HOSTS:
-    case CQ_TOPIC_COUNT:
-        break;
-    }
-    return HOSTS_WAIT_MS;
-}
-
 static void
 read_on(table_t *table)
 {
@@ -407,8 +391,8 @@
         cq_store_newest(follow->store, table->topic, NULL, on_newest, table);
         return;
     }
-    cq_store_read(follow->store, table->topic, table->next, wait_ms(table),
-                  on_read, table);
+    cq_store_read(follow->store, table->topic, table->next,
+                  table->known ? wait_ms[table->topic] : 0, on_read, table);
 }
 
 static gboolean
--- a/packages/router/pace.c
+++ b/packages/router/pace.c
@@ -23,7 +23,7 @@
 void
 cq_pace_need(cq_pace_t *pace, gint64 us)
 {
-    if (pace->run == NULL || (pace->timer != 0 && pace->away_us <= us)) {
+    if (pace->run == NULL || cq_pace_near(pace, us)) {
         return;
     }
     if (pace->timer != 0) {
@@ -33,6 +33,12 @@
     pace->timer = g_timeout_add((guint)(us / CQ_MS_US), on_due, pace);
 }
 
+gboolean
+cq_pace_near(const cq_pace_t *pace, gint64 us)
+{
+    return pace->timer != 0 && pace->away_us <= us;
+}
+
 gboolean
 cq_pace_stop(cq_pace_t *pace)
 {
--- a/packages/router/pace.h
+++ b/packages/router/pace.h
@@ -33,6 +33,10 @@
 void
 cq_pace_need(cq_pace_t *pace, gint64 us);
 
+/** cq_pace_near() - Return: whether the next tick was set for @us or less */
+gboolean
+cq_pace_near(const cq_pace_t *pace, gint64 us);
+
 /** cq_pace_stop() - no further ticks; Return: whether there were any */
 gboolean
 cq_pace_stop(cq_pace_t *pace);
--- a/tests/proc/relaylib.sh
+++ b/tests/proc/relaylib.sh
@@ -43,6 +43,15 @@
     put keyed.op config "{\"version\":$1,\"routes\":[$2],\"services\":[{\"name\":\"p\"}],\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,\"header_timeout_ms\":1000,\"idle_timeout_ms\":3000},\"tenants\":[{\"name\":\"team-1\",\"api_keys\":[\"secret-1\"]}]}"
 }
 
+# two_replicas: the store with two upstreams and a configuration
+two_replicas() {
+    fleetstandin store "$BASE"
+    wait_for "http://$STORE/ok"
+    replica p1 $((BASE + 20)) p
+    replica p2 $((BASE + 21)) p
+    config 5 "$ROUTES"
+}
+
 ROUTES="$(route /safe/ safe false false),$(route /unsafe/ unsafe false false),$(route /stream/ streaming true false),$(route /once/stream/ streaming false false),$(route /open/ safe false true)"
 
 # relay NAME PORT: an entry host with the store
--- a/tests/proc/relaypeers.sh
+++ b/tests/proc/relaypeers.sh
@@ -6,12 +6,8 @@
 . tests/proc/relaylib.sh
 A=$((BASE + 10)) B=$((BASE + 15))
 SEEDS="\"127.0.0.1:$((A + 2))\", \"127.0.0.1:$((B + 2))\""
-fleetstandin store "$BASE"
 fleetstandin store $((BASE + 1))
-wait_for "http://$STORE/ok"
-replica p1 $((BASE + 20)) p
-replica p2 $((BASE + 21)) p
-config 5 "$ROUTES"
+two_replicas
 relay a "$A"
 # The second host has a store of its own, which never answers it.
 curl -sf -X POST "http://127.0.0.1:$((BASE + 1))/refuse?on=1" >/dev/null
--- a/tests/proc/relayreads.sh
+++ b/tests/proc/relayreads.sh
@@ -5,11 +5,7 @@
 . tests/proc/relaylib.sh
 A=$((BASE + 10)) B=$((BASE + 15))
 SEEDS="\"127.0.0.1:$((A + 2))\", \"127.0.0.1:$((B + 2))\""
-fleetstandin store "$BASE"
-wait_for "http://$STORE/ok"
-replica p1 $((BASE + 20)) p
-replica p2 $((BASE + 21)) p
-config 5 "$ROUTES"
+two_replicas
 relay a "$A"
 relay b "$B"
 wait_for "http://127.0.0.1:$((A + 1))/readyz"
--- a/tests/proc/relaywake.sh
+++ b/tests/proc/relaywake.sh
@@ -4,11 +4,7 @@
 BUILD=${1:-build}
 . tests/proc/relaylib.sh
 PORT=$((BASE + 10))
-fleetstandin store "$BASE"
-wait_for "http://$STORE/ok"
-replica p1 $((BASE + 20)) p
-replica p2 $((BASE + 21)) p
-config 5 "$ROUTES"
+two_replicas
 relay h "$PORT"
 wait_for "http://127.0.0.1:$((PORT + 1))/readyz"
 wait_until "name=p2" cat "$DIR/h.log"
--- a/tests/unit/fit.h
+++ b/tests/unit/fit.h
@@ -225,6 +225,11 @@
         for (const char *engine : engines) {
             one.engines[one.engines_len++] = cq_ident_hash(engine);
         }
+        peer_says(one);
+    }
+    void
+    peer_says(const cq_task_news_t &one)
+    {
         cq_event_t event = {};
         event.kind = CQ_EV_TASKS;
         event.tasks.host = cq_ident_host("h1");
--- a/tests/unit/fit_test.cc
+++ b/tests/unit/fit_test.cc
@@ -136,12 +136,7 @@
     EXPECT_EQ(sent(ask_short()), nullptr);
     cq_task_news_t reset = {};
     reset.kind = CQ_TASK_RESET;
-    cq_event_t event = {};
-    event.kind = CQ_EV_TASKS;
-    event.tasks.host = cq_ident_host("h1");
-    event.tasks.rows = &reset;
-    event.tasks.len = 1;
-    step(event);
+    peer_says(reset);
     EXPECT_NE(sent(ask_short()), nullptr);
 }
 
@@ -152,12 +147,7 @@
     cq_task_news_t writing = {};
     writing.kind = CQ_TASK_WRITING;
     writing.request = 100;
-    cq_event_t event = {};
-    event.kind = CQ_EV_TASKS;
-    event.tasks.host = cq_ident_host("h1");
-    event.tasks.rows = &writing;
-    event.tasks.len = 1;
-    step(event);
+    peer_says(writing);
     EXPECT_NE(sent(ask_short()), nullptr);
 }
 
--- a/tests/unit/replay_test.cc
+++ b/tests/unit/replay_test.cc
@@ -33,6 +33,17 @@
     return one;
 }
 
+// The same load for all of the time.
+cq_replay_options_t
+steady(cq_policy_t policy, const cq_replay_span_t &load, int seconds)
+{
+    cq_replay_options_t options = make(policy);
+    options.spans[0] = load;
+    options.spans_len = 1;
+    options.length_us = seconds * CQ_SECOND_US;
+    return options;
+}
+
 // A burst of long prompts, one of short ones, and the first again.
 cq_replay_options_t
 alternating(cq_policy_t policy)
@@ -50,21 +61,14 @@
 cq_replay_options_t
 crowded(cq_policy_t policy)
 {
-    cq_replay_options_t options = make(policy);
-    options.spans[0] = span(0, 0, 2, 3);
-    options.spans_len = 1;
-    options.length_us = 20 * CQ_SECOND_US;
-    return options;
+    return steady(policy, span(0, 0, 2, 3), 20);
 }
 
 // A host starts again in the middle of a burst of short prompts.
 cq_replay_options_t
 restarted(cq_policy_t policy)
 {
-    cq_replay_options_t options = make(policy);
-    options.spans[0] = span(0, 75, 1.2, 0.05);
-    options.spans_len = 1;
-    options.length_us = 14 * CQ_SECOND_US;
+    cq_replay_options_t options = steady(policy, span(0, 75, 1.2, 0.05), 14);
     options.restart_us = 8 * CQ_SECOND_US;
     return options;
 }
@@ -74,13 +78,10 @@
 cq_replay_options_t
 wide(cq_policy_t policy)
 {
-    cq_replay_options_t options = make(policy);
+    cq_replay_options_t options = steady(policy, span(0, 220, 9, 1), 8);
     options.hosts = 35;
     options.engines = 60;
     options.news_us = 5 * CQ_MS_US;
-    options.spans[0] = span(0, 220, 9, 1);
-    options.spans_len = 1;
-    options.length_us = 8 * CQ_SECOND_US;
     return options;
 }
 
