Accept fractions and missing figures for the retry budget

Cause: no host of a small deployment started. The platform fills in retries.burst, which is a fraction there: "found a table, array, float or date; write an integer from 0 to 1000000".

Ruled out: rounding in the template, which has no such function.

retries.burst takes a number, bare or in quotes, and drops its fraction; an empty string keeps the default. retries.share no longer rounds up, which had allowed more retries than the platform. A list in place of a single value is an error, where its last element was taken.

Tests: Settings.RetryFiguresMayBeFractionsInQuotesOrMissing failed first; its case of a list found the last one.

--- a/packages/config/schema.c
+++ b/packages/config/schema.c
@@ -143,6 +143,41 @@
     return TRUE;
 }
 
+/* Return: whether @item is a number, bare or in quotes. */
+static gboolean
+parse_number(const cq_toml_item_t *item, double *number)
+{
+    *number = item->real;
+    if (item->type == CQ_TOML_STRING) {
+        char *end = NULL;
+        *number = g_ascii_strtod(item->text, &end);
+        return end != item->text && *end == '\0';
+    }
+    return item->type == CQ_TOML_INTEGER || item->type == CQ_TOML_FLOAT;
+}
+
+static gboolean
+store_count(const cq_field_t *field, const cq_toml_item_t *item,
+            const char *file, gint64 *to, cq_error_t *error)
+{
+    if (item->type == CQ_TOML_STRING && item->text[0] == '\0') {
+        return TRUE;
+    }
+    double number;
+    /* The comparisons are false for NaN. */
+    if (!parse_number(item, &number) || !(number >= (double)field->min) ||
+        !(number <= (double)field->max)) {
+        char remedy[128];
+        g_snprintf(remedy, sizeof remedy,
+                   "write a number from %" G_GINT64_FORMAT
+                   " to %" G_GINT64_FORMAT,
+                   field->min, field->max);
+        return value_error(error, item, file, remedy);
+    }
+    *to = (gint64)number;
+    return TRUE;
+}
+
 static gboolean
 store_choice(const cq_field_t *field, const cq_toml_item_t *item,
              const char *file, int *to, cq_error_t *error)
@@ -175,6 +210,8 @@
         return store_string(field, item, file, to, error);
     case CQ_FIELD_INTEGER:
         return store_integer(field, item, file, to, error);
+    case CQ_FIELD_COUNT:
+        return store_count(field, item, file, to, error);
     case CQ_FIELD_BOOLEAN:
         if (item->type != CQ_TOML_BOOLEAN) {
             return value_error(error, item, file, "write true or false");
--- a/packages/config/schema.h
+++ b/packages/config/schema.h
@@ -20,6 +20,8 @@
     CQ_FIELD_TEXT,    /* any string shorter than @size */
     CQ_FIELD_ADDRESS, /* ip:port */
     CQ_FIELD_INTEGER, /* stored as a gint64 */
+    CQ_FIELD_COUNT,   /* a number, bare or in quotes, stored as a gint64
+                         without its fraction; "" keeps the default */
     CQ_FIELD_BOOLEAN, /* stored as a gboolean */
     CQ_FIELD_CHOICE,  /* one of @words, stored as its index, an int */
     CQ_FIELD_SHA256,  /* 64 lower-case hexadecimal digits */
@@ -32,8 +34,8 @@
  * @type: type of its value
  * @offset: offset of the member in the struct
  * @size: for strings: size of the member in bytes
- * @min: INTEGER: smallest value
- * @max: INTEGER: largest value
+ * @min: INTEGER, COUNT: smallest value
+ * @max: INTEGER, COUNT: largest value
  * @required: whether the key must be present
  * @words: CHOICE: the permitted words, ended by NULL
  */
--- a/packages/config/settings.c
+++ b/packages/config/settings.c
@@ -11,6 +11,8 @@
 #define DRAIN_LIMIT_MS 60000
 #define RETRY_BURST_MAX 1000000
 #define RETRY_PERCENT 20
+/* Keeps whole percentages whole: 0.29 * 100 is just below 29. */
+#define PERCENT_EPSILON 1e-6
 
 static const char *const level_names[] = {"debug", "info", "warn", "error",
                                           NULL};
@@ -38,7 +40,7 @@
      TRUE, NULL},
     {"platform", "store", CQ_FIELD_ADDRESS, OFFSET(store), SIZE(store), 0, 0,
      FALSE, NULL},
-    {"retries", "burst", CQ_FIELD_INTEGER, OFFSET(retry_burst), 0, 0,
+    {"retries", "burst", CQ_FIELD_COUNT, OFFSET(retry_burst), 0, 0,
      RETRY_BURST_MAX, FALSE, NULL},
     {"retries", "share", CQ_FIELD_TEXT, OFFSET(retry_share), SIZE(retry_share),
      0, 0, FALSE, NULL},
@@ -89,6 +91,11 @@
     if (field->offset == OFFSET(seeds)) {
         return add_seed(settings, field, item, file, error);
     }
+    if (item->element >= 0) {
+        return cq_error_set(error, CQ_ERROR_VALUE,
+                            "%s:%u: %s.%s: found an array; write one value",
+                            file, item->line, item->section, item->key);
+    }
     return cq_schema_store(field, item, file, settings, error);
 }
 
@@ -106,7 +113,7 @@
                             "from 0 to 1 in quotes",
                             file, settings->retry_share);
     }
-    settings->retry_percent = (gint64)(share * 100 + 0.5);
+    settings->retry_percent = (gint64)(share * 100 + PERCENT_EPSILON);
     return TRUE;
 }
 
--- a/packages/config/toml.cc
+++ b/packages/config/toml.cc
@@ -47,17 +47,22 @@
     else if (auto number = node.as_integer()) {
         item.type = CQ_TOML_INTEGER;
         item.number = number->get();
+        item.real = static_cast<double>(item.number);
         g_snprintf(item.text, sizeof item.text, "%" G_GINT64_FORMAT,
                    item.number);
     }
+    else if (auto real = node.as_floating_point()) {
+        item.type = CQ_TOML_FLOAT;
+        item.real = real->get();
+        g_ascii_dtostr(item.text, sizeof item.text, item.real);
+    }
     else if (auto flag = node.as_boolean()) {
         item.type = CQ_TOML_BOOLEAN;
         item.flag = flag->get();
         g_strlcpy(item.text, item.flag ? "true" : "false", sizeof item.text);
     }
     else {
-        g_strlcpy(item.text, "a table, array, float or date",
-                  sizeof item.text);
+        g_strlcpy(item.text, "a table, array or date", sizeof item.text);
     }
     g_array_append_val(out.items, item);
 }
--- a/packages/config/toml.h
+++ b/packages/config/toml.h
@@ -17,6 +17,7 @@
 typedef enum {
     CQ_TOML_STRING,
     CQ_TOML_INTEGER,
+    CQ_TOML_FLOAT,
     CQ_TOML_BOOLEAN,
     CQ_TOML_OTHER,
 } cq_toml_type_t;
@@ -31,6 +32,7 @@
  * @line: line in the file, from 1
  * @text: the string, or the value as text
  * @number: INTEGER: the value
+ * @real: INTEGER, FLOAT: the value
  * @flag: BOOLEAN: the value
  */
 typedef struct {
@@ -42,6 +44,7 @@
     guint line;
     char text[256];
     gint64 number;
+    double real;
     gboolean flag;
 } cq_toml_item_t;
 
--- a/tests/unit/config_test.cc
+++ b/tests/unit/config_test.cc
@@ -71,6 +71,44 @@
                              "number from 0 to 1 in quotes");
 }
 
+// The platform fills in the retry figures of each deployment.
+TEST(Settings, RetryFiguresMayBeFractionsInQuotesOrMissing)
+{
+    const struct {
+        const char *text;
+        gint64 burst;
+        gint64 percent;
+    } cases[] = {
+        {"burst = 102\nshare = \"0.2\"\n", 102, 20},
+        {"burst = 34.7\nshare = \"0.125\"\n", 34, 12},
+        {"burst = \"34.7\"\nshare = \"0.29\"\n", 34, 29},
+        {"burst = \"0\"\nshare = \"0\"\n", 0, 0},
+        {"burst = 0.9\nshare = \"1\"\n", 0, 100},
+        {"burst = \"1000000\"\nshare = \"1.0\"\n", 1000000, 100},
+        {"burst = \"1e3\"\n", 1000, 20},
+        {"burst = \"\"\nshare = \"\"\n", CQ_RETRY_BURST, 20},
+        {"", CQ_RETRY_BURST, 20},
+    };
+    for (const auto &c : cases) {
+        cq_settings_t settings;
+        cq_error_t error = {};
+        std::string text = std::string(kSettings) + "[retries]\n" + c.text;
+        ASSERT_TRUE(
+            cq_settings_parse(text.c_str(), "f.toml", &settings, &error))
+            << error.text;
+        EXPECT_EQ(settings.retry_burst, c.burst) << c.text;
+        EXPECT_EQ(settings.retry_percent, c.percent) << c.text;
+    }
+    for (const char *bad : {"\"many\"", "-1", "\"-0.5\"", "1000001", "nan",
+                            "inf", "\" 1 x\"", "true", "[1]"}) {
+        EXPECT_NE(std::string::npos,
+                  settings_error(std::string(kSettings) +
+                                 "[retries]\nburst = " + bad + "\n")
+                      .find("retries.burst: found"))
+            << bad;
+    }
+}
+
 TEST(Settings, ErrorsStateFileLineKeyValueAndRemedy)
 {
     EXPECT_EQ("f.toml:2: host.nam: unknown key, found a; write one of: name "
