Let two hosts of each zone read the store for the others

Two live hosts of each zone, by rank, now follow the upstreams and entry hosts by long polls of 1 s and push what they read; an empty answer also shows that they reach the store. Summaries carry the age of that read. A host whose readers have not read for 2 s (cut from the store, frozen, killed) reads by itself.

Ruled out: readers for the configuration too, since 300 kB to 23 peers at each change would fill a host's link.

The records of a topic moved to topicmap, the host's own entry to registration.

--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -84,6 +84,9 @@
  * the interval CQ_LOG_NONREADER_POLL_US. */
 #define CQ_LOG_READERS_PER_ZONE 3
 #define CQ_LOG_NONREADER_POLL_US (8 * CQ_SECOND_US)
+/* Number of hosts per availability zone that read the platform's store for the
+ * others. */
+#define CQ_STORE_READERS_PER_ZONE 2
 /* Unused bandwidth for summaries accumulates up to this number of bytes, so
  * that the summaries for a burst of requests are sent at once. */
 #define CQ_SUMMARY_BURST_BYTES (32 * 1024)
--- a/packages/bench/slopes.c
+++ b/packages/bench/slopes.c
@@ -264,7 +264,7 @@
             }
         }
         GBytes *frame =
-            cq_codec_encode_summary(&summary, clock, NULL, 0);
+            cq_codec_encode_summary(&summary, clock, NULL, NULL, 0);
         printf("slope.summary.%u_shares %zu B\n", share_counts[i],
                g_bytes_get_size(frame));
         g_bytes_unref(frame);
--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -444,6 +444,12 @@
     return core->follows_log;
 }
 
+cq_store_reader_t
+cq_core_store_reader(const cq_core_t *core)
+{
+    return cq_member_store_reader(core);
+}
+
 gboolean
 cq_core_peer_missing(const cq_core_t *core)
 {
--- a/packages/core/core.h
+++ b/packages/core/core.h
@@ -139,6 +139,18 @@
 gboolean
 cq_core_follows_log(const cq_core_t *core);
 
+/** enum cq_store_reader_t - part of this process in reading the store */
+typedef enum {
+    CQ_STORE_READER_ALONE,     /* every host of the zone reads it */
+    CQ_STORE_READER_FOR_PEERS, /* sends the hosts of its zone what it reads */
+    CQ_STORE_READER_NONE,      /* gets the records from its peers */
+} cq_store_reader_t;
+
+/** cq_core_store_reader() - Return: which part this process has now; it
+ * changes when peers start, stop or fall silent */
+cq_store_reader_t
+cq_core_store_reader(const cq_core_t *core);
+
 /** cq_core_peer_missing() - Return: whether summaries of some peer are
  * missing, so that placement also needs the engines' load reports */
 gboolean
--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -188,6 +188,30 @@
     core->follows_log = lower_ranked < CQ_LOG_READERS_PER_ZONE;
 }
 
+cq_store_reader_t
+cq_member_store_reader(const cq_core_t *core)
+{
+    guint64 own_rank = cq_place_mix(core->host);
+    guint hosts = 1;
+    guint lower_ranked = 0;
+    GHashTableIter iter;
+    gpointer host;
+    gpointer zone;
+    g_hash_table_iter_init(&iter, core->entry_hosts);
+    while (g_hash_table_iter_next(&iter, &host, &zone)) {
+        const cq_peer_t *peer = cq_table_peer(core, GPOINTER_TO_UINT(host));
+        if (peer != NULL && !peer->draining && g_str_equal(zone, core->zone)) {
+            hosts++;
+            lower_ranked += cq_place_mix(GPOINTER_TO_UINT(host)) < own_rank;
+        }
+    }
+    if (hosts <= CQ_STORE_READERS_PER_ZONE) {
+        return CQ_STORE_READER_ALONE;
+    }
+    return lower_ranked < CQ_STORE_READERS_PER_ZONE ? CQ_STORE_READER_FOR_PEERS
+                                                    : CQ_STORE_READER_NONE;
+}
+
 static void
 clear_listed(const cq_core_t *core)
 {
--- a/packages/core/member.h
+++ b/packages/core/member.h
@@ -27,6 +27,12 @@
 gboolean
 cq_member_zone_cut_off(const cq_core_t *core, const cq_upstream_t *upstream);
 
+/** cq_member_store_reader() - Return: the part of this process in reading the
+ * store. The readers of a zone are CQ_STORE_READERS_PER_ZONE of its hosts that
+ * are not silent */
+cq_store_reader_t
+cq_member_store_reader(const cq_core_t *core);
+
 /** cq_member_apply_list() - apply the platform's whole host list */
 void
 cq_member_apply_list(cq_core_t *core, const cq_ev_hosts_t *list);
--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -588,6 +588,12 @@
     cq_counters_add(cq_core_counters(app->core), counter, n);
 }
 
+void
+cq_app_send_peers(cq_app_t *app, GBytes *frame)
+{
+    cq_links_send_frame(app->links, frame);
+}
+
 void
 cq_app_connect_peers(cq_app_t *app)
 {
--- a/packages/router/follower.c
+++ b/packages/router/follower.c
@@ -3,7 +3,9 @@
 #include <string.h>
 
 #include "platform/records.h"
+#include "router/gossip.h"
 #include "router/links.h"
+#include "router/registration.h"
 #include "router/relay.h"
 
 /* Long-poll time of a read: how long the store holds it while there is no new
@@ -11,40 +13,44 @@
  * again. Meanwhile peers send it new upstreams and configurations, and hosts
  * that start dial their peers. */
 static const guint read_wait_ms[CQ_TOPIC_COUNT] = {
-    [CQ_TOPIC_CONFIG] = 10000,
+    [CQ_TOPIC_CONFIG] = 30000,
     [CQ_TOPIC_UPSTREAMS] = 5000,
     [CQ_TOPIC_HOSTS] = 30000,
 };
+/* Long-poll time of the hosts that read the upstreams for their peers: an
+ * answer, also an empty one, shows the peers that the reader reaches the
+ * store. */
+#define PEERS_READ_WAIT_MS 1000
+/* A host that gets a topic from its peers reads it itself if none of them has
+ * read it for this time; 0: each host always reads the topic. */
+static const gint64 peers_read_max_us[CQ_TOPIC_COUNT] = {
+    [CQ_TOPIC_UPSTREAMS] = 2000 * CQ_MS_US,
+    [CQ_TOPIC_HOSTS] = 40 * CQ_SECOND_US,
+};
+/* The store answers a long poll within this time after a new record. */
+#define STORE_DELAY_MAX_US (400 * CQ_MS_US)
 /* Delay before the next read after a new record, so that upstreams and hosts
  * that start or stop together are read together. */
 #define BATCH_DELAY_MS 200
 #define RETRY_MIN_MS 200
 #define RETRY_MAX_MS 1000
+/* Peers don't send higher ages. */
+#define PEER_READ_AGE_MAX_MS (24 * 3600 * 1000)
 /* A peer that can read the store itself lags by at most this time. */
 #define PEER_LAG_MAX_US (1500 * CQ_MS_US)
 
-/*
- * The newest record of a key.
- * valid: listed was parsed from the record
- * seen: the key is part of the snapshot being read
- */
-typedef struct {
-    cq_store_record_t record;
-    gboolean valid;
-    cq_host_row_t listed;
-    gboolean seen;
-} entry_t;
-
 /*
  * The copy of a topic.
  * current: received from the store or a peer since the last suspension
  * snapshot_complete: a snapshot has been read completely
  * failing: the last read failed
+ * read_us: the copy had every record that the store had then; 0: not read
+ * peers_read_us: the same, as peers that read the store say
  */
 typedef struct {
     cq_follower_t *follower;
     cq_topic_t topic;
-    GHashTable *entries;
+    cq_topicmap_t *map;
     guint64 next;         /* offset after the last record known */
     guint64 next_sampled; /* next as it was at sampled_us */
     guint64 snapshot_end; /* end offset that the first page gave */
@@ -55,6 +61,8 @@
     guint timer;
     gint64 sampled_us;
     gint64 read_started_us;
+    gint64 read_us;
+    gint64 peers_read_us;
 } table_t;
 
 struct cq_follower {
@@ -63,34 +71,14 @@
     table_t tables[CQ_TOPIC_COUNT];
     cq_routes_t *routes;
     gboolean rows_changed; /* since the last HOSTS event */
-    guint write_timer;
-    gboolean writing;
-    gboolean deregistered;
+    cq_registration_t *registration;
     gboolean store_state_posted; /* a LOG event has been posted */
+    cq_store_reader_t logged_role;
 };
 
 static void
 start_read(table_t *table);
 
-static void
-free_entry(gpointer data)
-{
-    entry_t *entry = data;
-    g_free(entry->record.key);
-    g_clear_pointer(&entry->record.value, g_bytes_unref);
-    g_free(entry);
-}
-
-static void
-log_invalid(const table_t *table, const cq_store_record_t *record,
-            const cq_error_t *error)
-{
-    cq_app_log(table->follower->app, "record_ignored",
-               "topic=%s key=%s offset=%" G_GUINT64_FORMAT " why=\"%s\"",
-               cq_topic_name(table->topic), record->key, record->offset,
-               error->text);
-}
-
 /* Ignores a configuration whose version is not newer than the current one. */
 static void
 apply_config(table_t *table, const cq_store_record_t *record)
@@ -101,7 +89,7 @@
     const char *text = g_bytes_get_data(record->value, &len);
     cq_routes_t *routes = cq_records_parse_routes(text, len, &error);
     if (routes == NULL) {
-        log_invalid(table, record, &error);
+        cq_topicmap_log_invalid(table->map, record, &error);
         return;
     }
     if (follower->routes != NULL &&
@@ -126,83 +114,19 @@
     }
 }
 
-static gboolean
-listed_equal(const cq_host_row_t *a, const cq_host_row_t *b)
-{
-    return strcmp(a->addr, b->addr) == 0 && strcmp(a->zone, b->zone) == 0 &&
-           strcmp(a->service, b->service) == 0 &&
-           a->incarnation == b->incarnation && a->leaving == b->leaving;
-}
-
-/* Upstreams rewrite their entries often and mostly unchanged, so most records
- * need no event. */
-static gboolean
-entry_equal(const entry_t *a, const entry_t *b)
-{
-    return a != NULL && a->valid == b->valid &&
-           (!a->valid || listed_equal(&a->listed, &b->listed));
-}
-
-static void
-parse_entry(table_t *table, entry_t *entry)
-{
-    cq_error_t error = {0};
-    if (entry->record.value != NULL) {
-        gsize len;
-        const char *text = g_bytes_get_data(entry->record.value, &len);
-        gboolean upstream = table->topic == CQ_TOPIC_UPSTREAMS;
-        entry->valid =
-            upstream ? cq_records_parse_upstream(entry->record.key, text, len,
-                                                 &entry->listed, &error)
-                     : cq_records_parse_host(entry->record.key, text, len,
-                                             &entry->listed, &error);
-        if (!entry->valid) {
-            log_invalid(table, &entry->record, &error);
-        }
-    }
-}
-
 static void
 apply_record(table_t *table, const cq_store_record_t *record)
 {
     cq_follower_t *follower = table->follower;
-    entry_t *old = g_hash_table_lookup(table->entries, record->key);
-    if (old != NULL && old->record.offset > record->offset) {
-        old->seen = TRUE;
+    if (!cq_topicmap_is_new(table->map, record)) {
         return;
     }
     if (table->topic == CQ_TOPIC_CONFIG &&
         cq_records_is_routes_key(record->key) && record->value != NULL) {
         apply_config(table, record);
     }
-    entry_t *entry = g_new0(entry_t, 1);
-    entry->seen = TRUE;
-    entry->record.key = g_strdup(record->key);
-    entry->record.offset = record->offset;
-    if (record->value != NULL) {
-        entry->record.value = g_bytes_ref(record->value);
-    }
-    if (table->topic != CQ_TOPIC_CONFIG) {
-        parse_entry(table, entry);
-        gboolean never_valid = old == NULL && !entry->valid;
-        if (!never_valid && !entry_equal(old, entry)) {
-            follower->rows_changed = TRUE;
-        }
-    }
-    g_hash_table_replace(table->entries, entry->record.key, entry);
-}
-
-static void
-append_valid(const table_t *table, GArray *rows)
-{
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, table->entries);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const entry_t *entry = value;
-        if (entry->valid) {
-            g_array_append_val(rows, entry->listed);
-        }
+    if (cq_topicmap_add(table->map, record)) {
+        follower->rows_changed = TRUE;
     }
 }
 
@@ -221,8 +145,8 @@
     }
     follower->rows_changed = FALSE;
     GArray *rows = g_array_new(FALSE, TRUE, sizeof(cq_host_row_t));
-    append_valid(&follower->tables[CQ_TOPIC_UPSTREAMS], rows);
-    append_valid(&follower->tables[CQ_TOPIC_HOSTS], rows);
+    cq_topicmap_list_hosts(follower->tables[CQ_TOPIC_UPSTREAMS].map, rows);
+    cq_topicmap_list_hosts(follower->tables[CQ_TOPIC_HOSTS].map, rows);
     g_array_sort(rows, compare_names);
     cq_event_t event = {.kind = CQ_EV_HOSTS};
     event.hosts.rows = (const cq_host_row_t *)(const void *)rows->data;
@@ -232,36 +156,6 @@
     g_array_unref(rows);
 }
 
-/* Keys that are missing from a complete snapshot were deleted. Records written
- * after its first page was read are kept. */
-static void
-invalidate_unseen(table_t *table)
-{
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, table->entries);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        entry_t *entry = value;
-        if (!entry->seen && entry->record.offset < table->snapshot_end &&
-            entry->valid) {
-            entry->valid = FALSE;
-            g_clear_pointer(&entry->record.value, g_bytes_unref);
-            table->follower->rows_changed = TRUE;
-        }
-    }
-}
-
-static void
-mark_unseen(table_t *table)
-{
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, table->entries);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        ((entry_t *)value)->seen = FALSE;
-    }
-}
-
 static gboolean
 any_failing(const cq_follower_t *follower)
 {
@@ -289,12 +183,51 @@
     }
 }
 
+static const char *const role_names[] = {
+    [CQ_STORE_READER_ALONE] = "alone",
+    [CQ_STORE_READER_FOR_PEERS] = "for_peers",
+    [CQ_STORE_READER_NONE] = "none",
+};
+
+static cq_store_reader_t
+reader_role(cq_follower_t *follower)
+{
+    cq_store_reader_t role = cq_core_store_reader(cq_app_core(follower->app));
+    if (role != follower->logged_role) {
+        follower->logged_role = role;
+        cq_app_log(follower->app, "store_reader", "role=%s", role_names[role]);
+    }
+    return role;
+}
+
+/* Return: time until this host has to read the topic itself, 0 or less if it
+ * has to read now. */
+static gint64
+peers_suffice_for_us(const table_t *table)
+{
+    gint64 now_us = cq_app_now_us(table->follower->app);
+    if (!table->current || table->peers_read_us == 0 ||
+        reader_role(table->follower) != CQ_STORE_READER_NONE) {
+        return 0;
+    }
+    return table->peers_read_us + peers_read_max_us[table->topic] - now_us;
+}
+
+static void
+schedule_read(table_t *table, guint ms);
+
 static gboolean
 on_read_timer(gpointer data)
 {
     table_t *table = data;
+    gint64 wait_us = peers_suffice_for_us(table);
     table->timer = 0;
-    start_read(table);
+    if (wait_us > 0) {
+        schedule_read(table, (guint)(wait_us / CQ_MS_US) + 1);
+    }
+    else {
+        start_read(table);
+    }
     return G_SOURCE_REMOVE;
 }
 
@@ -341,6 +274,9 @@
 read_succeeded(table_t *table)
 {
     table->retry_ms = 0;
+    table->read_us =
+        MAX(table->read_started_us,
+            cq_app_now_us(table->follower->app) - STORE_DELAY_MAX_US);
     set_failing(table, FALSE);
     post_hosts(table->follower);
 }
@@ -365,7 +301,9 @@
                              on_snapshot_page, table);
         return;
     }
-    invalidate_unseen(table);
+    if (cq_topicmap_end_snapshot(table->map, table->snapshot_end)) {
+        table->follower->rows_changed = TRUE;
+    }
     /* Records may have been written while the pages were read, so reading
      * goes on at the end offset that the first page gave. */
     table->next = MAX(table->next, table->snapshot_end);
@@ -375,6 +313,25 @@
     schedule_read(table, 0);
 }
 
+/* Return: whether peers depend on this host's reads of the topic. */
+static gboolean
+sends_to_peers(const table_t *table)
+{
+    return peers_read_max_us[table->topic] > 0 &&
+           reader_role(table->follower) == CQ_STORE_READER_FOR_PEERS;
+}
+
+static guint
+long_poll_ms(const table_t *table)
+{
+    if (!table->current) {
+        return 0;
+    }
+    gboolean is_upstreams = table->topic == CQ_TOPIC_UPSTREAMS;
+    return is_upstreams && sends_to_peers(table) ? PEERS_READ_WAIT_MS
+                                                 : read_wait_ms[table->topic];
+}
+
 static void
 on_read(const cq_store_page_t *page, void *data)
 {
@@ -391,6 +348,10 @@
         break;
     }
     apply_page(table, page);
+    if (page->records->len > 0 && sends_to_peers(table)) {
+        cq_gossip_push(table->follower->app, table->topic, page->records,
+                       table->next, page->next);
+    }
     table->next = MAX(table->next, page->next);
     table->current = TRUE;
     read_succeeded(table);
@@ -404,53 +365,13 @@
     table->read_started_us = cq_app_now_us(follower->app);
     if (!table->snapshot_complete) {
         table->snapshot_end = 0;
-        mark_unseen(table);
+        cq_topicmap_begin_snapshot(table->map);
         cq_store_read_newest(follower->store, table->topic, NULL,
                              on_snapshot_page, table);
         return;
     }
     cq_store_read(follower->store, table->topic, table->next,
-                  table->current ? read_wait_ms[table->topic] : 0, on_read,
-                  table);
-}
-
-static gboolean
-on_write_timer(gpointer data);
-
-static void
-on_written(const cq_store_page_t *page, void *data)
-{
-    cq_follower_t *follower = data;
-    follower->writing = FALSE;
-    if (page->outcome != CQ_STORE_DONE && !follower->deregistered) {
-        follower->write_timer =
-            g_timeout_add(RETRY_MAX_MS, on_write_timer, follower);
-    }
-}
-
-static void
-write_entry(cq_follower_t *follower)
-{
-    const cq_settings_t *settings = cq_app_settings(follower->app);
-    cq_host_row_t listed = {.incarnation = cq_app_incarnation(follower->app)};
-    g_strlcpy(listed.addr, settings->peers, sizeof listed.addr);
-    g_strlcpy(listed.zone, settings->zone, sizeof listed.zone);
-    char *text = cq_records_format_host(&listed);
-    follower->writing = TRUE;
-    cq_store_write(follower->store, CQ_TOPIC_HOSTS, settings->host, text,
-                   on_written, follower);
-    g_free(text);
-}
-
-static gboolean
-on_write_timer(gpointer data)
-{
-    cq_follower_t *follower = data;
-    follower->write_timer = 0;
-    if (!follower->deregistered) {
-        write_entry(follower);
-    }
-    return G_SOURCE_REMOVE;
+                  long_poll_ms(table), on_read, table);
 }
 
 cq_follower_t *
@@ -463,11 +384,10 @@
         table_t *table = &follower->tables[i];
         table->follower = follower;
         table->topic = (cq_topic_t)i;
-        table->entries =
-            g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_entry);
+        table->map = cq_topicmap_new(app, table->topic);
         start_read(table);
     }
-    write_entry(follower);
+    follower->registration = cq_registration_new(app, follower->store);
     return follower;
 }
 
@@ -479,11 +399,9 @@
         if (table->timer != 0) {
             g_source_remove(table->timer);
         }
-        g_hash_table_unref(table->entries);
-    }
-    if (follower->write_timer != 0) {
-        g_source_remove(follower->write_timer);
+        cq_topicmap_free(table->map);
     }
+    cq_registration_free(follower->registration);
     cq_store_free(follower->store);
     if (follower->routes != NULL) {
         cq_routes_free(follower->routes);
@@ -498,20 +416,10 @@
            follower->tables[CQ_TOPIC_UPSTREAMS].current;
 }
 
-static void
-on_deregistered(const cq_store_page_t *page, void *data)
-{
-    (void)page;
-    (void)data;
-}
-
 void
 cq_follower_deregister(cq_follower_t *follower)
 {
-    follower->deregistered = TRUE;
-    cq_store_write(follower->store, CQ_TOPIC_HOSTS,
-                   cq_app_settings(follower->app)->host, NULL, on_deregistered,
-                   follower);
+    cq_registration_remove(follower->registration);
 }
 
 void
@@ -522,18 +430,15 @@
     for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
         table_t *table = &follower->tables[i];
         table->current = FALSE;
+        table->read_us = 0;
+        table->peers_read_us = 0;
         if (table->timer != 0) {
             g_source_remove(table->timer);
             table->timer = 0;
         }
         start_read(table);
     }
-    if (follower->deregistered) {
-        cq_follower_deregister(follower);
-    }
-    else if (follower->writing) {
-        write_entry(follower);
-    }
+    cq_registration_resume(follower->registration);
 }
 
 guint64
@@ -542,29 +447,60 @@
     return follower->tables[topic].next;
 }
 
-gboolean
-cq_follower_list_missing(cq_follower_t *follower, cq_topic_t topic, guint64 at,
-                         cq_follower_visit_t visit, void *data)
+guint64
+cq_follower_read_age_ms(const cq_follower_t *follower, cq_topic_t topic)
+{
+    const table_t *table = &follower->tables[topic];
+    if (table->read_us == 0 || table->failing) {
+        return 0;
+    }
+    gint64 age_us = cq_app_now_us(follower->app) - table->read_us;
+    return (guint64)(MAX(age_us, 0) / CQ_MS_US) + 1;
+}
+
+void
+cq_follower_peer_read(cq_follower_t *follower, cq_topic_t topic, guint64 at,
+                      guint64 age_ms)
 {
     table_t *table = &follower->tables[topic];
-    gint64 now_us = cq_app_now_us(follower->app);
+    if (age_ms == 0 || age_ms > PEER_READ_AGE_MAX_MS || at > table->next) {
+        return;
+    }
+    gint64 read_us =
+        cq_app_now_us(follower->app) - (gint64)(age_ms - 1) * CQ_MS_US;
+    table->peers_read_us = MAX(table->peers_read_us, read_us);
+    if (table->failing && peers_suffice_for_us(table) > 0) {
+        set_failing(table, FALSE);
+    }
+}
+
+/* Return: the offset up to which peers are sent records. Peers that read the
+ * store themselves lag a little, so only what they should have by now is sent,
+ * unless this host reads the topic for its peers. */
+static guint64
+offset_to_send(table_t *table)
+{
+    gint64 now_us = cq_app_now_us(table->follower->app);
+    if (sends_to_peers(table) && table->read_us != 0 && !table->failing) {
+        return table->next;
+    }
     if (now_us - table->sampled_us > PEER_LAG_MAX_US) {
         table->sampled_us = now_us;
         table->next_sampled = table->next;
-        return FALSE;
+        return 0;
     }
-    if (at >= table->next_sampled) {
+    return table->next_sampled;
+}
+
+gboolean
+cq_follower_list_missing(cq_follower_t *follower, cq_topic_t topic, guint64 at,
+                         cq_topicmap_visit_t visit, void *data)
+{
+    table_t *table = &follower->tables[topic];
+    if (at >= offset_to_send(table)) {
         return FALSE;
     }
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, table->entries);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const entry_t *entry = value;
-        if (entry->record.offset >= at) {
-            visit(topic, &entry->record, data);
-        }
-    }
+    cq_topicmap_visit_from(table->map, at, visit, data);
     return TRUE;
 }
 
@@ -576,10 +512,13 @@
 }
 
 void
-cq_follower_set_offset(cq_follower_t *follower, cq_topic_t topic, guint64 at)
+cq_follower_set_offset(cq_follower_t *follower, cq_topic_t topic, guint64 from,
+                       guint64 at)
 {
     table_t *table = &follower->tables[topic];
-    table->next = MAX(table->next, at);
-    table->current = TRUE;
+    if (from <= table->next) {
+        table->next = MAX(table->next, at);
+        table->current = TRUE;
+    }
     post_hosts(follower);
 }
--- a/packages/router/follower.h
+++ b/packages/router/follower.h
@@ -3,8 +3,9 @@
  *
  * Keeps a copy of three topics of the platform's store: the configuration,
  * the upstreams and the entry hosts. Each copy is a table of keys with the
- * newest record of each key and its offset. Records come from the store or,
- * when the store does not answer this process, from peers that can read it.
+ * newest record of each key and its offset. Records come from the store or
+ * from peers: two hosts of each zone read the upstreams and the entry hosts
+ * for the others, which read the store themselves if these fall silent.
  */
 #ifndef CQ_FOLLOWER_H
 #define CQ_FOLLOWER_H
@@ -12,6 +13,7 @@
 #include "config/routes.h"
 #include "platform/store.h"
 #include "router/app.h"
+#include "router/topicmap.h"
 
 G_BEGIN_DECLS
 
@@ -46,25 +48,33 @@
 guint64
 cq_follower_offset(const cq_follower_t *follower, cq_topic_t topic);
 
-/** typedef cq_follower_visit_t - called with a record that a peer lacks */
-typedef void (*cq_follower_visit_t)(cq_topic_t topic,
-                                    const cq_store_record_t *record,
-                                    void *data);
+/** cq_follower_read_age_ms() - Return: age of the last successful read of
+ * @topic in ms plus 1, or 0 if this process does not read it or the last read
+ * failed */
+guint64
+cq_follower_read_age_ms(const cq_follower_t *follower, cq_topic_t topic);
+
+/** cq_follower_peer_read() - note that a peer has read @topic, up to offset
+ * @at, @age_ms - 1 milliseconds ago; 0: it does not read it */
+void
+cq_follower_peer_read(cq_follower_t *follower, cq_topic_t topic, guint64 at,
+                      guint64 age_ms);
 
 /**
  * cq_follower_list_missing() - list the records that a peer lacks
  * @follower: the follower
  * @topic: the topic
  * @at: offset after the last record that the peer knows
- * @visit: called with each newer record, but only if the peer is so far
- *   behind that it is not reading the store itself
+ * @visit: called with each newer record, but only if this process reads the
+ *   topic for its peers, or if the peer is so far behind that it is not
+ *   reading the store itself
  * @data: passed to @visit
  *
- * Return: whether the peer is that far behind.
+ * Return: whether the peer lacks records that this process sends.
  */
 gboolean
 cq_follower_list_missing(cq_follower_t *follower, cq_topic_t topic, guint64 at,
-                         cq_follower_visit_t visit, void *data);
+                         cq_topicmap_visit_t visit, void *data);
 
 /** cq_follower_add_record() - add a record received from a peer to the copy of
  * @topic; no effect if a newer record of the same key is known */
@@ -73,9 +83,10 @@
                        const cq_store_record_t *record);
 
 /** cq_follower_set_offset() - note that a peer has sent all records of @topic
- * before offset @at */
+ * from offset @from up to, but without, @at */
 void
-cq_follower_set_offset(cq_follower_t *follower, cq_topic_t topic, guint64 at);
+cq_follower_set_offset(cq_follower_t *follower, cq_topic_t topic, guint64 from,
+                       guint64 at);
 
 G_END_DECLS
 
--- a/packages/router/gossip.c
+++ b/packages/router/gossip.c
@@ -1,5 +1,7 @@
 #include "router/gossip.h"
 
+#include <string.h>
+
 #include "core/place.h"
 #include "router/follower.h"
 
@@ -8,6 +10,8 @@
  * they would saturate the host's network link for seconds. */
 #define LARGE_RECORD_BYTES (8 * 1024)
 #define LARGE_RECORD_SENDERS 2
+/* Longer batches are not pushed; peers then ask for them by their offset. */
+#define PUSH_BYTES_MAX (256 * 1024)
 /* After this time other peers are chosen as the senders. */
 #define SENDER_ROTATION_US CQ_SECOND_US
 
@@ -22,17 +26,37 @@
     gboolean incomplete;
 } transfer_t;
 
-static void
-send_records(cq_link_t *link, Cq__Records *records)
+static GBytes *
+pack_records(Cq__Records *records)
 {
     Cq__Frame frame = CQ__FRAME__INIT;
     frame.kind_case = CQ__FRAME__KIND_RECORDS;
     frame.records = records;
-    GBytes *bytes = cq_codec_pack(&frame);
+    return cq_codec_pack(&frame);
+}
+
+static void
+send_records(cq_link_t *link, Cq__Records *records)
+{
+    GBytes *bytes = pack_records(records);
     cq_link_send(link, bytes);
     g_bytes_unref(bytes);
 }
 
+static void
+fill_row(Cq__Record *row, cq_topic_t topic, const cq_store_record_t *record)
+{
+    cq__record__init(row);
+    row->topic = topic;
+    row->offset = record->offset;
+    row->key = record->key;
+    row->dropped = record->value == NULL;
+    if (record->value != NULL) {
+        row->value.data =
+            (guint8 *)g_bytes_get_data(record->value, &row->value.len);
+    }
+}
+
 /* Return: whether this host is now one of the senders of large records to the
  * peer. The senders are chosen without coordination, by a hash of both hosts
  * and the time. */
@@ -73,16 +97,9 @@
         transfer->incomplete = TRUE;
         return;
     }
-    Cq__Record row = CQ__RECORD__INIT;
+    Cq__Record row;
     Cq__Record *rows[] = {&row};
-    row.topic = topic;
-    row.offset = record->offset;
-    row.key = record->key;
-    row.dropped = record->value == NULL;
-    if (record->value != NULL) {
-        row.value.data =
-            (guint8 *)g_bytes_get_data(record->value, &row.value.len);
-    }
+    fill_row(&row, topic, record);
     Cq__Records records = CQ__RECORDS__INIT;
     records.topic = topic;
     records.n_rows = 1;
@@ -97,6 +114,10 @@
     gsize len = MIN(summary->n_topics_at, CQ_TOPIC_COUNT);
     for (gsize i = 0; follower != NULL && i < len; i++) {
         cq_topic_t topic = (cq_topic_t)i;
+        if (i < summary->n_topics_age_ms) {
+            cq_follower_peer_read(follower, topic, summary->topics_at[i],
+                                  summary->topics_age_ms[i]);
+        }
         transfer_t transfer = {
             .app = app, .link = link, .host = summary->host};
         gboolean behind = cq_follower_list_missing(
@@ -104,12 +125,50 @@
         if (behind && !transfer.incomplete) {
             Cq__Records records = CQ__RECORDS__INIT;
             records.topic = topic;
+            records.from = summary->topics_at[i];
             records.at = cq_follower_offset(follower, topic);
             send_records(link, &records);
         }
     }
 }
 
+static gsize
+record_bytes(const cq_store_record_t *record)
+{
+    gsize value_len =
+        record->value != NULL ? g_bytes_get_size(record->value) : 0;
+    return strlen(record->key) + value_len + CQ_FRAME_OVERHEAD_BYTES;
+}
+
+void
+cq_gossip_push(cq_app_t *app, cq_topic_t topic, const GArray *records,
+               guint64 from, guint64 at)
+{
+    Cq__Record *rows = g_new(Cq__Record, records->len);
+    Cq__Record **row_ptrs = g_new(Cq__Record *, records->len);
+    Cq__Records message = CQ__RECORDS__INIT;
+    message.topic = topic;
+    message.from = from;
+    message.rows = row_ptrs;
+    gsize bytes = 0;
+    for (guint i = 0; i < records->len && bytes <= PUSH_BYTES_MAX; i++) {
+        const cq_store_record_t *record =
+            &g_array_index(records, cq_store_record_t, i);
+        fill_row(&rows[i], topic, record);
+        row_ptrs[i] = &rows[i];
+        message.n_rows++;
+        bytes += record_bytes(record);
+    }
+    if (bytes <= PUSH_BYTES_MAX) {
+        message.at = at;
+        GBytes *frame = pack_records(&message);
+        cq_app_send_peers(app, frame);
+        g_bytes_unref(frame);
+    }
+    g_free(row_ptrs);
+    g_free(rows);
+}
+
 gboolean
 cq_gossip_receive(cq_app_t *app, const Cq__Records *records)
 {
@@ -128,7 +187,7 @@
         g_clear_pointer(&record.value, g_bytes_unref);
     }
     if (records->at > 0) {
-        cq_follower_set_offset(follower, topic, records->at);
+        cq_follower_set_offset(follower, topic, records->from, records->at);
     }
     return TRUE;
 }
--- a/packages/router/links.c
+++ b/packages/router/links.c
@@ -512,17 +512,26 @@
     }
 }
 
+void
+cq_links_send_frame(cq_links_t *links, GBytes *frame)
+{
+    broadcast(links, frame);
+}
+
 void
 cq_links_send_summary(cq_links_t *links, const cq_summary_t *summary)
 {
     cq_hlc_t clock = cq_core_ring(cq_app_core(links->app))->clock;
     guint64 offsets[CQ_TOPIC_COUNT] = {0};
+    guint64 ages_ms[CQ_TOPIC_COUNT] = {0};
     cq_follower_t *follower = cq_app_follower(links->app);
     for (guint i = 0; follower != NULL && i < CQ_TOPIC_COUNT; i++) {
         offsets[i] = cq_follower_offset(follower, (cq_topic_t)i);
+        ages_ms[i] = cq_follower_read_age_ms(follower, (cq_topic_t)i);
     }
-    GBytes *frame = cq_codec_encode_summary(
-        summary, clock, offsets, follower != NULL ? CQ_TOPIC_COUNT : 0);
+    GBytes *frame =
+        cq_codec_encode_summary(summary, clock, offsets, ages_ms,
+                                follower != NULL ? CQ_TOPIC_COUNT : 0);
     broadcast(links, frame);
     g_bytes_unref(frame);
 }
--- a/packages/router/links.h
+++ b/packages/router/links.h
@@ -43,6 +43,10 @@
 gboolean
 cq_links_all_connected(const cq_links_t *links);
 
+/** cq_links_send_frame() - send every peer @frame */
+void
+cq_links_send_frame(cq_links_t *links, GBytes *frame);
+
 /** cq_links_send_summary() - send every peer @summary and, for each topic of
  * the store, the offset up to which this process has read it */
 void
--- /dev/null
+++ b/packages/router/registration.c
@@ -0,0 +1,98 @@
+#include "router/registration.h"
+
+#include "platform/records.h"
+
+#define RETRY_MS 1000
+
+struct cq_registration {
+    cq_app_t *app;
+    cq_store_t *store;
+    guint timer;
+    gboolean writing;
+    gboolean removed;
+};
+
+static void
+write_entry(cq_registration_t *registration);
+
+static gboolean
+on_timer(gpointer data)
+{
+    cq_registration_t *registration = data;
+    registration->timer = 0;
+    if (!registration->removed) {
+        write_entry(registration);
+    }
+    return G_SOURCE_REMOVE;
+}
+
+static void
+on_written(const cq_store_page_t *page, void *data)
+{
+    cq_registration_t *registration = data;
+    registration->writing = FALSE;
+    if (page->outcome != CQ_STORE_DONE && !registration->removed) {
+        registration->timer = g_timeout_add(RETRY_MS, on_timer, registration);
+    }
+}
+
+static void
+write_entry(cq_registration_t *registration)
+{
+    const cq_settings_t *settings = cq_app_settings(registration->app);
+    cq_host_row_t row = {.incarnation =
+                             cq_app_incarnation(registration->app)};
+    g_strlcpy(row.addr, settings->peers, sizeof row.addr);
+    g_strlcpy(row.zone, settings->zone, sizeof row.zone);
+    char *text = cq_records_format_host(&row);
+    registration->writing = TRUE;
+    cq_store_write(registration->store, CQ_TOPIC_HOSTS, settings->host, text,
+                   on_written, registration);
+    g_free(text);
+}
+
+static void
+on_removed(const cq_store_page_t *page, void *data)
+{
+    (void)page;
+    (void)data;
+}
+
+cq_registration_t *
+cq_registration_new(cq_app_t *app, cq_store_t *store)
+{
+    cq_registration_t *registration = g_new0(cq_registration_t, 1);
+    registration->app = app;
+    registration->store = store;
+    write_entry(registration);
+    return registration;
+}
+
+void
+cq_registration_free(cq_registration_t *registration)
+{
+    if (registration->timer != 0) {
+        g_source_remove(registration->timer);
+    }
+    g_free(registration);
+}
+
+void
+cq_registration_remove(cq_registration_t *registration)
+{
+    registration->removed = TRUE;
+    cq_store_write(registration->store, CQ_TOPIC_HOSTS,
+                   cq_app_settings(registration->app)->host, NULL, on_removed,
+                   registration);
+}
+
+void
+cq_registration_resume(cq_registration_t *registration)
+{
+    if (registration->removed) {
+        cq_registration_remove(registration);
+    }
+    else if (registration->writing) {
+        write_entry(registration);
+    }
+}
--- a/packages/wire/codec.h
+++ b/packages/wire/codec.h
@@ -20,11 +20,13 @@
 cq_codec_pack(const Cq__Frame *frame);
 
 /** cq_codec_encode_summary() - Return: a framed summary stamped with @clock;
- * @topic_offsets has, for each of @topics_len topics of the store, the offset
- * up to which the sender knows its records; unref it */
+ * @offsets and @ages_ms have, for each of @topics_len topics of the store, the
+ * offset up to which the sender knows its records, and the age of its last
+ * read in ms plus 1, or 0 if it does not read the topic; unref it */
 GBytes *
 cq_codec_encode_summary(const cq_summary_t *summary, cq_hlc_t clock,
-                        const guint64 *topic_offsets, guint topics_len);
+                        const guint64 *offsets, const guint64 *ages_ms,
+                        guint topics_len);
 
 /** cq_codec_encode_tasks() - Return: a frame with @len task updates of @host;
  * unref it */
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -867,7 +867,7 @@
   (ProtobufCMessageInit) cq__leaving__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cq__summary__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cq__summary__field_descriptors[9] =
 {
   {
     "host",
@@ -965,6 +965,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "topics_age_ms",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Cq__Summary, n_topics_age_ms),
+    offsetof(Cq__Summary, topics_age_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cq__summary__field_indices_by_name[] = {
   6,   /* field[6] = clock_logical */
@@ -974,12 +986,13 @@
   1,   /* field[1] = incarnation */
   4,   /* field[4] = leaving */
   3,   /* field[3] = shares */
+  8,   /* field[8] = topics_age_ms */
   7,   /* field[7] = topics_at */
 };
 static const ProtobufCIntRange cq__summary__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cq__summary__descriptor =
 {
@@ -989,7 +1002,7 @@
   "Cq__Summary",
   "cq",
   sizeof(Cq__Summary),
-  8,
+  9,
   cq__summary__field_descriptors,
   cq__summary__field_indices_by_name,
   1,  cq__summary__number_ranges,
@@ -1535,7 +1548,7 @@
   (ProtobufCMessageInit) cq__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cq__records__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cq__records__field_descriptors[4] =
 {
   {
     "rows",
@@ -1573,16 +1586,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "from",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Records, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cq__records__field_indices_by_name[] = {
   2,   /* field[2] = at */
+  3,   /* field[3] = from */
   0,   /* field[0] = rows */
   1,   /* field[1] = topic */
 };
 static const ProtobufCIntRange cq__records__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cq__records__descriptor =
 {
@@ -1592,7 +1618,7 @@
   "Cq__Records",
   "cq",
   sizeof(Cq__Records),
-  3,
+  4,
   cq__records__field_descriptors,
   cq__records__field_indices_by_name,
   1,  cq__records__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -42,7 +42,7 @@
   char *host;
   ProtobufCBinaryData challenge;
   /*
-   * Where the sender listens to peers.
+   * Address at which the sender accepts connections of peers.
    */
   char *addr;
 };
@@ -99,14 +99,21 @@
   int64_t clock_us;
   uint32_t clock_logical;
   /*
-   * Offset up to which the sender knows each topic of the store.
+   * For each topic of the store, the offset up to which the sender knows the
+   * records.
    */
   size_t n_topics_at;
   uint64_t *topics_at;
+  /*
+   * For each topic, the age in ms of the sender's last read of the store, plus
+   * 1; 0: it does not read the topic.
+   */
+  size_t n_topics_age_ms;
+  uint64_t *topics_age_ms;
 };
 #define CQ__SUMMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cq__summary__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL }
 
 
 struct  Cq__Version
@@ -122,7 +129,8 @@
 
 
 /*
- * Without versions: only says whether the two sides agree.
+ * The configuration versions of the sender. Without versions, the digest alone
+ * shows whether the two sides have the same configuration.
  */
 struct  Cq__Offer
 {
@@ -137,7 +145,8 @@
 
 
 /*
- * Without services: asks for an offer with versions.
+ * Asks for the entries of services; without services, asks for an Offer with
+ * versions.
  */
 struct  Cq__Want
 {
@@ -166,7 +175,8 @@
 
 
 /*
- * One request on engines; kind is one of cq_task_kind_t.
+ * State of one request that was placed on engines; kind is one of
+ * cq_task_kind_t.
  */
 struct  Cq__Task
 {
@@ -200,7 +210,7 @@
 
 
 /*
- * The newest record of a key of the platform's store, as its reader has it.
+ * The newest record of a key of the platform's store that the sender knows.
  */
 struct  Cq__Record
 {
@@ -217,7 +227,8 @@
 
 
 /*
- * With at: these and those told before are all records up to that offset.
+ * If at is set, these records and those sent before are all records from
+ * offset from up to that offset.
  */
 struct  Cq__Records
 {
@@ -226,10 +237,11 @@
   Cq__Record **rows;
   uint32_t topic;
   uint64_t at;
+  uint64_t from;
 };
 #define CQ__RECORDS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cq__records__descriptor) \
-    , 0,NULL, 0, 0 }
+    , 0,NULL, 0, 0, 0 }
 
 
 typedef enum {
