Break a stream off when its resumption fails, and when an event has no end

A stream stalled, its second attempt was answered 500, and the relay forwarded that answer, whose body the caller doesn't get, by ending the stream that it had begun. Any other answer that is no stream did the same.

An event without an end was kept in memory until the caller left: eight such streams took 38,292 kB in 2 s. An event of more than 256 KiB now breaks the attempt.

Ruled out: the chunk framing, which is right when an attempt is broken.

--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -56,6 +56,8 @@
 /* Reading a response from its upstream pauses while more bytes than this wait
  * to be written to the caller. */
 #define CQ_CALLER_BUFFER_BYTES_MAX (256 * 1024)
+/* Longest event of a stream; a longer one breaks its answer. */
+#define CQ_STREAM_EVENT_BYTES_MAX (256 * 1024)
 
 /* Frames between serving processes. */
 /* Large enough for the longest record of the platform's store, such as a
--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -206,7 +206,7 @@
         requeue(core, request);
         return;
     }
-    if (failure == CQ_FAIL_FAULT) {
+    if (failure == CQ_FAIL_FAULT && request->forwarded == 0) {
         cq_answer_forwarded(core, request, FAULT_HTTP_STATUS);
         return;
     }
@@ -274,6 +274,12 @@
         cq_load_learn_output(request->service, request->forwarded);
     }
     cq_load_remove_attempt(core, request);
+    /* A stream that the caller has in part ends only as a success. */
+    gboolean success = status >= 200 && status < 300;
+    if (request->forwarded > 0 && !success) {
+        cq_answer_outcome(core, request, CQ_OUTCOME_BROKEN);
+        return;
+    }
     cq_answer_forwarded(core, request, status);
 }
 
--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -36,6 +36,7 @@
 
 /* One attempt. It is kept until the core has answered the request, also if its
  * connection has ended before.
+ * resumes: the caller already has the first events of the stream
  * unparsed: bytes of a stream that are not yet split into events
  * body: bytes ready to be forwarded */
 struct call {
@@ -49,6 +50,7 @@
     gboolean head_received;
     gboolean sent;
     gboolean ended;
+    gboolean resumes;
     GByteArray *unparsed;
     GByteArray *body;
     gint64 last_event;
@@ -272,6 +274,9 @@
     if (is_stream(call)) {
         g_byte_array_append(call->unparsed, (const guint8 *)bytes, (guint)len);
         parse_events(call);
+        if (call->unparsed->len > CQ_STREAM_EVENT_BYTES_MAX) {
+            fail(call, CQ_FAIL_BROKEN);
+        }
         return;
     }
     if (call->body->len + len > BODY_BYTES_MAX) {
@@ -307,7 +312,8 @@
     if (call == NULL || !call->head_received) {
         return;
     }
-    if (call->unparsed->len > 0) {
+    gboolean cannot_resume = call->resumes && !is_stream(call);
+    if (call->unparsed->len > 0 || cannot_resume) {
         fail(call, CQ_FAIL_BROKEN);
         return;
     }
@@ -457,6 +463,7 @@
     call->unparsed = g_byte_array_new();
     call->body = g_byte_array_new();
     call->last_event = spec->last_event;
+    call->resumes = spec->last_event >= 0;
     g_hash_table_replace(outbound->by_request, &call->request, call);
     conn_t *conn = spec->fresh ? NULL : reuse_idle(outbound, spec);
     if (conn == NULL) {
--- a/packages/router/registration.c
+++ b/packages/router/registration.c
@@ -40,8 +40,7 @@
 write_entry(cq_registration_t *registration)
 {
     const cq_settings_t *settings = cq_app_settings(registration->app);
-    cq_host_row_t row = {.incarnation =
-                             cq_app_incarnation(registration->app)};
+    cq_host_row_t row = {.incarnation = cq_app_incarnation(registration->app)};
     g_strlcpy(row.addr, settings->peers, sizeof row.addr);
     g_strlcpy(row.zone, settings->zone, sizeof row.zone);
     char *text = cq_records_format_host(&row);
--- a/packages/router/topicmap.c
+++ b/packages/router/topicmap.c
@@ -104,8 +104,7 @@
         return TRUE;
     }
     /* An entry that a snapshot dropped has no value any more. */
-    gboolean was_dropped =
-        old->record.value == NULL && record->value != NULL;
+    gboolean was_dropped = old->record.value == NULL && record->value != NULL;
     if (old->record.offset == record->offset && was_dropped) {
         return TRUE;
     }
--- a/tests/proc/relay.sh
+++ b/tests/proc/relay.sh
@@ -58,8 +58,16 @@
 expect "a stream is resumed after its last whole event" "$(grep "attempt=a$REQUEST_NUMBER " "$ARRIVALS_FILE" | sed 's/.*last=\([^ ]*\).*/\1/' | tr '\n' ' ')" "- 3 "
 expect_ids "a stream that stalled goes on" "1 2 3 4 5 6 " '/stream/a/stream/stop?n=6'
 expect_ids "a stream that can't be resumed ends early" "1 2 3 " '/once/stream/tear?n=6'
-curl -s -m 5 -o /dev/null -H "Host: fleet.example" -H "$CREDENTIAL" "http://127.0.0.1:$PORT/once/stream/tear?n=6"
-expect "a stream that ends early is not a complete answer for curl" "$?" "[!0]*"
+# stream_status PATH: prints the HTTP status and the exit status of curl, which
+# is 0 for a complete answer
+stream_status() {
+    curl -s -m 5 -o "$DIR/body" -w '%{http_code} ' -H "Host: fleet.example" -H "$CREDENTIAL" -H "Cuminquay-Attempt-Id: s$RANDOM" "http://127.0.0.1:$PORT$1"
+    echo $?
+}
+expect "a stream that ends early is not a complete answer for curl" "$(stream_status '/once/stream/tear?n=6')" "200 [!0]*"
+expect "a stream whose resumption fails with 500 is not complete" "$(stream_status '/stream/a/stream/thenfault?n=6')" "200 [!0]*"
+expect "it has its first events only" "$(sed -n 's/^id: //p' "$DIR/body" | tr '\n' ' ')" "1 2 3 "
+expect "a stream that is resumed by a plain answer is not complete" "$(stream_status '/stream/a/stream/thenplain?n=6')" "200 [!0]*"
 
 # first_line_of REQUEST: sends the bytes (a printf format) and prints the first
 # line of the answer
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -16,9 +16,12 @@
  *   other words    no answer
  *
  * Streams, requested with /stream/ in the path. A stream that is resumed with
- * Last-Event-Id is always sent whole:
+ * Last-Event-Id is sent whole unless said otherwise:
  *   tear           resets the connection within event 4
  *   stop           sends nothing from event 4 on
+ *   endless        sends event 4 without an end
+ *   thenfault      as tear; answers 500 when it is resumed
+ *   thenplain      as tear; answers 200 without a stream when it is resumed
  *   other words    the whole stream */
 #include <stdio.h>
 #include <string.h>
@@ -28,6 +31,7 @@
 /* Header field that shows that an answer comes from a replica. */
 #define SEAL_FIELD "Cuminquay-Replica-Seal: s\r\n"
 #define EVENT_BYTES 64
+#define ENDLESS_CHUNK_BYTES 16384
 
 typedef struct {
     const fleet_options_t *options;
@@ -39,8 +43,9 @@
     standin_conn_t *conn;
     gint64 next;
     gint64 last;
-    gint64 break_at; /* resets the connection within this event; 0: never */
-    gint64 stall_at; /* sends nothing from this event on; 0: never */
+    gint64 break_at;   /* resets the connection within this event; 0: never */
+    gint64 stall_at;   /* sends nothing from this event on; 0: never */
+    gint64 endless_at; /* this event never ends; 0: none */
 } stream_t;
 
 static const char *
@@ -95,6 +100,13 @@
     if (stream->next == stream->stall_at) {
         return G_SOURCE_CONTINUE;
     }
+    if (stream->next == stream->endless_at) {
+        char bytes[ENDLESS_CHUNK_BYTES + 1];
+        memset(bytes, 'x', ENDLESS_CHUNK_BYTES);
+        bytes[ENDLESS_CHUNK_BYTES] = '\0';
+        write_chunk(stream->conn, bytes);
+        return G_SOURCE_CONTINUE;
+    }
     char event[EVENT_BYTES];
     g_snprintf(event, sizeof event, "id: %" G_GINT64_FORMAT "\ndata: x\n\n",
                stream->next);
@@ -118,9 +130,14 @@
     stream->conn = standin_ref(conn);
     stream->next = last != NULL ? g_ascii_strtoll(last, NULL, 10) + 1 : 1;
     stream->last = standin_query_number(query, "n", 10);
-    if (last == NULL && strcmp(behaviour, "tear") == 0) {
+    gboolean tears =
+        g_str_has_prefix(behaviour, "then") || strcmp(behaviour, "tear") == 0;
+    if (last == NULL && tears) {
         stream->break_at = 4;
     }
+    if (strcmp(behaviour, "endless") == 0) {
+        stream->endless_at = 4;
+    }
     if (last == NULL && strcmp(behaviour, "stop") == 0) {
         stream->stall_at = 4;
     }
@@ -206,6 +223,15 @@
         return;
     }
     const char *behaviour = strrchr(path, '/') + 1;
+    gboolean resumed = cq_h1_get_field(head, "Last-Event-Id") != NULL;
+    if (resumed && strcmp(behaviour, "thenfault") == 0) {
+        serve_plain(replica, conn, head, "fault");
+        return;
+    }
+    if (resumed && strcmp(behaviour, "thenplain") == 0) {
+        serve_plain(replica, conn, head, "ok");
+        return;
+    }
     if (strstr(path, "/stream/") != NULL) {
         serve_stream(replica, conn, head, behaviour, query);
         return;
--- a/tests/unit/corefixture.h
+++ b/tests/unit/corefixture.h
@@ -199,14 +199,14 @@
     void
     attempt_event(guint64 request, cq_event_kind_t kind,
                   cq_failure_t failure = CQ_FAIL_BROKEN,
-                  const char *at_fault = "")
+                  const char *at_fault = "", int status = 200)
     {
         cq_event_t event = {};
         event.kind = kind;
         event.attempt.request = request;
         event.attempt.attempt = last_send(request)->attempt;
         event.attempt.tokens = 1;
-        event.attempt.status = 200;
+        event.attempt.status = status;
         event.attempt.failure = failure;
         g_strlcpy(event.attempt.at_fault, at_fault,
                   sizeof event.attempt.at_fault);
--- a/tests/unit/retry_test.cc
+++ b/tests/unit/retry_test.cc
@@ -108,6 +108,33 @@
     EXPECT_EQ(answer_of(id)->outcome, CQ_OUTCOME_DONE);
 }
 
+// The caller has part of the stream, so the error of the upstream that should
+// continue it must not end the answer as a complete one.
+TEST_F(Retry, AServerErrorAfterPartOfAStreamBreaksTheAnswer)
+{
+    start_core(2);
+    guint64 id = submit_short();
+    attempt_event(id, CQ_EV_TOKENS);
+    attempt_event(id, CQ_EV_FAILED);
+    ASSERT_EQ(last_send(id)->attempt, 2u);
+    attempt_event(id, CQ_EV_SENT);
+    attempt_event(id, CQ_EV_FAILED, CQ_FAIL_FAULT);
+    ASSERT_NE(answer_of(id), nullptr);
+    EXPECT_EQ(answer_of(id)->outcome, CQ_OUTCOME_BROKEN);
+}
+
+TEST_F(Retry, AnotherStatusAfterPartOfAStreamBreaksTheAnswer)
+{
+    start_core(2);
+    guint64 id = submit_short();
+    attempt_event(id, CQ_EV_TOKENS);
+    attempt_event(id, CQ_EV_FAILED);
+    ASSERT_EQ(last_send(id)->attempt, 2u);
+    attempt_event(id, CQ_EV_DONE, CQ_FAIL_BROKEN, "", 400);
+    ASSERT_NE(answer_of(id), nullptr);
+    EXPECT_EQ(answer_of(id)->outcome, CQ_OUTCOME_BROKEN);
+}
+
 TEST_F(Retry, FailedConnectionsDoNotCountAsAttempts)
 {
     start_core(0, 4);
