Poll the connections of a host through one epoll descriptor

One GSource now holds an epoll descriptor for all connections. Events of one wake-up keep a reference to their connections, since a callback may close another one.

--- a/packages/http/sock.c
+++ b/packages/http/sock.c
@@ -8,6 +8,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -18,16 +19,31 @@
 #define READ_BUFFER_BYTES (32 * 1024)
 #define READS_PER_WAKEUP_MAX 4
 
+/* Maximum number of connections handled per iteration of the main loop. */
+#define EVENTS_PER_WAKEUP_MAX 64
+
+/*
+ * A GSource for all connections of the main context. With a source for each of
+ * them, each iteration of the main loop would poll every descriptor.
+ * socks: number of connections; the source is destroyed with the last one
+ */
 typedef struct {
     GSource source;
-    cq_sock_t *sock;
-} watch_t;
+    int epoll_fd;
+    gpointer epoll_tag;
+    guint socks;
+} poller_t;
 
+/*
+ * events: epoll events that fd is registered for
+ * registered: fd is registered with the poller
+ */
 struct cq_sock {
     int fd;
     cq_sock_ops_t ops;
-    watch_t *watch;
-    gpointer fd_tag; /* identifies fd in its GSource */
+    poller_t *poller;
+    guint32 events;
+    gboolean registered;
     GByteArray *write_buffer;
     gsize written_len; /* written bytes of write_buffer */
     gboolean opened;
@@ -47,6 +63,24 @@
     g_free(sock);
 }
 
+static void
+unregister(cq_sock_t *sock)
+{
+    if (sock->registered) {
+        sock->registered = FALSE;
+        epoll_ctl(sock->poller->epoll_fd, EPOLL_CTL_DEL, sock->fd, NULL);
+    }
+}
+
+static void
+poller_remove(poller_t *poller)
+{
+    if (--poller->socks == 0) {
+        g_source_destroy(&poller->source);
+    }
+    g_source_unref(&poller->source);
+}
+
 static void
 sock_close(cq_sock_t *sock)
 {
@@ -54,8 +88,8 @@
         return;
     }
     sock->closed = TRUE;
-    g_source_destroy(&sock->watch->source);
-    g_source_unref(&sock->watch->source);
+    unregister(sock);
+    poller_remove(sock->poller);
     close(sock->fd);
     sock_unref(sock);
 }
@@ -72,22 +106,26 @@
     }
     /* The connection is freed when the owner calls
      * cq_sock_close_when_written() or cq_sock_abort(). */
-    g_source_modify_unix_fd(&sock->watch->source, sock->fd_tag, 0);
+    unregister(sock);
     sock->reading_paused = TRUE;
     sock->ops.ended(sock->ops.data, how);
 }
 
 static void
-update_poll_events(cq_sock_t *sock)
+update_events(cq_sock_t *sock)
 {
-    GIOCondition events = 0;
+    guint32 events = 0;
     if (!sock->reading_paused && !sock->close_when_written) {
-        events |= G_IO_IN;
+        events |= EPOLLIN;
     }
     if (!sock->opened || sock->write_buffer->len > sock->written_len) {
-        events |= G_IO_OUT;
+        events |= EPOLLOUT;
+    }
+    if (sock->registered && sock->events != events) {
+        struct epoll_event event = {.events = events, .data.ptr = sock};
+        sock->events = events;
+        epoll_ctl(sock->poller->epoll_fd, EPOLL_CTL_MOD, sock->fd, &event);
     }
-    g_source_modify_unix_fd(&sock->watch->source, sock->fd_tag, events);
 }
 
 static void
@@ -117,13 +155,13 @@
             sock_close(sock);
             return;
         }
-        update_poll_events(sock);
+        update_events(sock);
         if (had_bytes && sock->ops.drained != NULL) {
             sock->ops.drained(sock->ops.data);
         }
         return;
     }
-    update_poll_events(sock);
+    update_events(sock);
 }
 
 static void
@@ -168,34 +206,84 @@
     }
 }
 
+static void
+handle_ready(cq_sock_t *sock, guint32 ready)
+{
+    if (!sock->registered) {
+        return;
+    }
+    if (!sock->opened) {
+        finish_connect(sock);
+        return;
+    }
+    if ((ready & EPOLLOUT) != 0) {
+        flush(sock);
+    }
+    if (sock->closed) {
+        return;
+    }
+    if (!sock->reading_paused &&
+        (ready & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0) {
+        read_available(sock);
+    }
+    else if ((ready & EPOLLERR) != 0) {
+        sock_end(sock, CQ_SOCK_RESET);
+    }
+}
+
 static gboolean
 on_ready(GSource *source, GSourceFunc callback, gpointer data)
 {
     (void)callback;
     (void)data;
-    cq_sock_t *sock = ((watch_t *)(void *)source)->sock;
-    GIOCondition ready = g_source_query_unix_fd(source, sock->fd_tag);
-    sock->refs++;
-    if (!sock->opened && ready != 0) {
-        finish_connect(sock);
+    const poller_t *poller = (poller_t *)(void *)source;
+    struct epoll_event events[EVENTS_PER_WAKEUP_MAX];
+    int len = epoll_wait(poller->epoll_fd, events, EVENTS_PER_WAKEUP_MAX, 0);
+    /* A callback of one connection may free another one. */
+    for (int i = 0; i < len; i++) {
+        ((cq_sock_t *)events[i].data.ptr)->refs++;
     }
-    else {
-        if ((ready & G_IO_OUT) != 0) {
-            flush(sock);
-        }
-        if (!sock->closed && !sock->reading_paused &&
-            (ready & (G_IO_IN | G_IO_HUP | G_IO_ERR)) != 0) {
-            read_available(sock);
-        }
-        else if (!sock->closed && (ready & G_IO_ERR) != 0) {
-            sock_end(sock, CQ_SOCK_RESET);
-        }
+    for (int i = 0; i < len; i++) {
+        cq_sock_t *sock = events[i].data.ptr;
+        handle_ready(sock, events[i].events);
+        sock_unref(sock);
     }
-    sock_unref(sock);
     return G_SOURCE_CONTINUE;
 }
 
-static GSourceFuncs watch_funcs = {.dispatch = on_ready};
+static void
+on_poller_finalized(GSource *source)
+{
+    close(((poller_t *)(void *)source)->epoll_fd);
+}
+
+static GSourceFuncs poller_funcs = {
+    .dispatch = on_ready,
+    .finalize = on_poller_finalized,
+};
+
+/* Return: a reference to the poller of the default main context. */
+static poller_t *
+poller_add(void)
+{
+    GSource *source = g_main_context_find_source_by_funcs_user_data(
+        NULL, &poller_funcs, NULL);
+    poller_t *poller = (poller_t *)(void *)source;
+    if (poller == NULL) {
+        source = g_source_new(&poller_funcs, sizeof(poller_t));
+        poller = (poller_t *)(void *)source;
+        poller->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+        g_assert(poller->epoll_fd >= 0);
+        poller->epoll_tag =
+            g_source_add_unix_fd(source, poller->epoll_fd, G_IO_IN);
+        g_source_set_callback(source, NULL, NULL, NULL);
+        g_source_attach(source, NULL);
+        g_source_unref(source);
+    }
+    poller->socks++;
+    g_source_ref(&poller->source);
+    return poller;
+}
 
 static cq_sock_t *
 sock_new(int fd, const cq_sock_ops_t *ops, gboolean opened)
@@ -206,12 +294,12 @@
     sock->opened = opened;
     sock->refs = 1;
     sock->write_buffer = g_byte_array_new();
-    GSource *source = g_source_new(&watch_funcs, sizeof(watch_t));
-    sock->watch = (watch_t *)(void *)source;
-    sock->watch->sock = sock;
-    sock->fd_tag = g_source_add_unix_fd(source, fd, 0);
-    g_source_attach(source, NULL);
-    update_poll_events(sock);
+    sock->poller = poller_add();
+    struct epoll_event event = {.events = 0, .data.ptr = sock};
+    sock->registered =
+        epoll_ctl(sock->poller->epoll_fd, EPOLL_CTL_ADD, fd, &event) == 0;
+    g_assert(sock->registered);
+    update_events(sock);
     return sock;
 }
 
@@ -284,7 +372,7 @@
     if (!ok) {
         /* The failure is reported from the main loop, after this function has
          * returned the connection to its caller. */
-        g_source_modify_unix_fd(&sock->watch->source, sock->fd_tag, 0);
+        unregister(sock);
         sock->refs++;
         g_idle_add(on_connect_failed, sock);
     }
@@ -313,7 +401,7 @@
     }
     /* An error of send() is not handled here: the bytes stay buffered, and
      * flush() gets the same error when it sends them, and reports it. */
-    update_poll_events(sock);
+    update_events(sock);
 }
 
 gsize
@@ -335,7 +423,7 @@
         return;
     }
     sock->reading_paused = paused;
-    update_poll_events(sock);
+    update_events(sock);
 }
 
 void
@@ -349,7 +437,7 @@
         sock_close(sock);
         return;
     }
-    update_poll_events(sock);
+    update_events(sock);
 }
 
 void
