--- a/packages/bench/replaypeers.c
+++ b/packages/bench/replaypeers.c
@@ -66,7 +66,8 @@
 }
 
 static cq_replay_msg_t *
-send_to_peer(cq_replay_host_t *from, cq_replay_host_t *to, cq_event_kind_t kind)
+send_to_peer(cq_replay_host_t *from, cq_replay_host_t *to,
+             cq_event_kind_t kind)
 {
     cq_replay_t *run = from->run;
     gboolean direct = cq_replay_connected(from, to);
@@ -129,7 +130,8 @@
     cq_replay_t *run = host->run;
     for (guint i = 0; i < run->options.hosts; i++) {
         if (cq_replay_connected(host, &run->hosts[i])) {
-            cq_replay_msg_t *msg = cq_replay_defer(&run->hosts[i], run->options.peer_lag_us, 0);
+            cq_replay_msg_t *msg =
+                cq_replay_defer(&run->hosts[i], run->options.peer_lag_us, 0);
             msg->event.kind = CQ_EV_SUMMARY;
             msg->summary = g_memdup2(summary, sizeof *summary);
         }
--- a/packages/core/candidate.c
+++ b/packages/core/candidate.c
@@ -27,7 +27,8 @@
 
 void
 cq_candidate_add_all(const cq_core_t *core, const cq_request_t *request,
-               const GPtrArray *upstreams, cq_candidate_list_t *candidates)
+                     const GPtrArray *upstreams,
+                     cq_candidate_list_t *candidates)
 {
     for (guint i = 0; i < upstreams->len; i++) {
         cq_upstream_t *engine = g_ptr_array_index(upstreams, i);
@@ -42,7 +43,7 @@
 
 gboolean
 cq_candidate_add_offered(const cq_core_t *core, const cq_request_t *request,
-                    cq_candidate_list_t *candidates)
+                         cq_candidate_list_t *candidates)
 {
     const GPtrArray *guests = request->service->guests;
     guint len = candidates->len;
--- a/packages/core/candidate.h
+++ b/packages/core/candidate.h
@@ -48,8 +48,8 @@
                      const GPtrArray *upstreams,
                      cq_candidate_list_t *candidates);
 
-/** cq_candidate_add_offered() - in cells, add the idle engines that other zones
- * offer; Return: whether there are any */
+/** cq_candidate_add_offered() - in cells, add the idle engines that other
+ * zones offer; Return: whether there are any */
 gboolean
 cq_candidate_add_offered(const cq_core_t *core, const cq_request_t *request,
                          cq_candidate_list_t *candidates);
--- a/packages/core/lending.c
+++ b/packages/core/lending.c
@@ -18,6 +18,7 @@
 cq_lending_update_zones(cq_core_t *core, const cq_ev_hosts_t *list)
 {
     g_hash_table_remove_all(core->cell_zones);
+    g_hash_table_add(core->cell_zones, g_strdup(core->zone));
     for (guint i = 0; i < list->len; i++) {
         const cq_host_row_t *row = &list->rows[i];
         if (row->service[0] == '\0') {
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -420,7 +420,7 @@
  * @has_cells: the fleet is divided into cells, so this host places requests of
  *   BATCH services on the engines of its own zone
  * @cell_hosts: in cells, the number of entry hosts of this zone, with this one
- * @cell_zones: set of the names of the entry hosts' zones
+ * @cell_zones: set of the names of the zones that have entry hosts
  * @offers_wanted: names of zones that asked for offers of idle engines, to the
  *   time until which they get them
  * @offered_us: when idle engines were last offered to other zones
--- a/packages/router/follower.c
+++ b/packages/router/follower.c
@@ -27,6 +27,9 @@
     [CQ_TOPIC_UPSTREAMS] = 2000 * CQ_MS_US,
     [CQ_TOPIC_HOSTS] = 40 * CQ_SECOND_US,
 };
+/* Delay of the first read after a snapshot, by when a new process has links to
+ * its peers and may get the topic from them. */
+#define FIRST_READ_DELAY_MS 700
 /* The role of this host is worked out again at this interval. */
 #define ROLE_CHECK_US (200 * CQ_MS_US)
 /* The store answers a long poll within this time after a new record. */
@@ -318,7 +321,8 @@
     table->snapshot_complete = TRUE;
     table->current = TRUE;
     read_succeeded(table);
-    schedule_read(table, 0);
+    schedule_read(
+        table, peers_read_max_us[table->topic] > 0 ? FIRST_READ_DELAY_MS : 0);
 }
 
 /* Return: whether peers depend on this host's reads of the topic. */
--- a/packages/router/registration.h
+++ b/packages/router/registration.h
@@ -28,7 +28,7 @@
 cq_registration_remove(cq_registration_t *registration);
 
 /** cq_registration_resume() - repeat the call in progress, if any; to be
- * called after cq_store_reset() */
+ * called after the store client was reset */
 void
 cq_registration_resume(cq_registration_t *registration);
 
--- a/packages/router/tasksync.c
+++ b/packages/router/tasksync.c
@@ -113,8 +113,8 @@
     frame.spare = &message;
     GBytes *bytes = cq_codec_pack(&frame);
     if (spare->wanted) {
-        cq_links_send_frame(sync->links, CQ_LINKS_OUTSIDE_ZONE,
-                            own_zone(sync), bytes);
+        cq_links_send_frame(sync->links, CQ_LINKS_OUTSIDE_ZONE, own_zone(sync),
+                            bytes);
     }
     else {
         cq_links_send_frame(sync->links, CQ_LINKS_IN_ZONE, spare->zone, bytes);
