Obey upstreams that say they are leaving, or want no requests for a time

Nothing read either field. platform/headers decodes both; the outbound side reports them before the answer itself. An upstream that says it is leaving gets nothing new from this host at once, whatever its entry says, until a newer incarnation is listed; peers hear of it by summaries. A date is no valid form there and is ignored.

Not done: answers to reservation orders are not read for these fields, and a reservation in use is renewed during a pause.

--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -150,6 +150,8 @@
 #define CQ_PROBE_INTERVAL_US (2 * CQ_SECOND_US)
 /* Time during which an upstream that could not be reached is avoided. */
 #define CQ_SUSPECT_AVOID_US (5 * CQ_SECOND_US)
+/* Longest time for which an upstream can ask for no requests. */
+#define CQ_UPSTREAM_PAUSE_MAX_US (3600 * CQ_SECOND_US)
 /* Default size of the retry budget. */
 #define CQ_RETRY_BURST 32
 /* Bounds of the Retry-After that callers are sent. */
--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -268,6 +268,9 @@
     case CQ_EV_FAILED:
         cq_attempt_event(core, event);
         break;
+    case CQ_EV_UPSTREAM:
+        cq_member_upstream_says(core, &event->upstream);
+        break;
     case CQ_EV_RESERVED:
         cq_group_reserved(core, &event->reserved);
         break;
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -27,6 +27,7 @@
     CQ_EV_TOKENS,      /* tokens of an answer arrived */
     CQ_EV_DONE,        /* the whole answer was received */
     CQ_EV_FAILED,      /* an attempt ended without an answer */
+    CQ_EV_UPSTREAM,    /* an upstream said something of itself in an answer */
     CQ_EV_RESERVED,    /* an engine answered RESERVE */
     CQ_EV_PROBED,      /* an upstream answered PROBE, or failed to */
     CQ_EV_LOAD,        /* an engine sent a load report */
@@ -323,6 +324,20 @@
     guint engines_len;
 } cq_task_update_t;
 
+/**
+ * struct cq_ev_upstream_t - what an upstream says of itself in an answer
+ * @upstream: its id
+ * @incarnation: the incarnation to which the request was sent
+ * @leaving: it is leaving
+ * @pause_us: how long it wants no requests of this host, or 0
+ */
+typedef struct {
+    guint64 upstream;
+    guint64 incarnation;
+    gboolean leaving;
+    gint64 pause_us;
+} cq_ev_upstream_t;
+
 /**
  * struct cq_ev_tasks_t - changes of a peer's tasks, in order
  * @host: the peer's host id
@@ -375,6 +390,7 @@
     union {
         cq_ev_request_t request;
         cq_ev_attempt_t attempt;
+        cq_ev_upstream_t upstream;
         cq_ev_reserved_t reserved;
         cq_ev_load_t load;
         cq_ev_cache_t cache;
--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -28,6 +28,25 @@
                 upstream->name);
 }
 
+void
+cq_member_upstream_says(cq_core_t *core, const cq_ev_upstream_t *said)
+{
+    cq_upstream_t *upstream = cq_table_upstream(core, said->upstream);
+    if (upstream == NULL || said->incarnation != upstream->incarnation) {
+        return;
+    }
+    if (said->leaving) {
+        cq_member_leaving(core, upstream, said->incarnation);
+    }
+    if (said->pause_us > 0) {
+        upstream->suspect_until_us =
+            MAX(upstream->suspect_until_us, core->now_us + said->pause_us);
+        cq_ring_add(&core->ring, core->now_us, 0, 0, "paused",
+                    "upstream=%s for_ms=%" G_GINT64_FORMAT, upstream->name,
+                    said->pause_us / CQ_MS_US);
+    }
+}
+
 static void
 update_upstream(cq_core_t *core, cq_upstream_t *upstream,
                 const cq_host_row_t *row)
--- a/packages/core/member.h
+++ b/packages/core/member.h
@@ -27,6 +27,10 @@
 gboolean
 cq_member_zone_cut_off(const cq_core_t *core, const cq_upstream_t *upstream);
 
+/** cq_member_upstream_says() - apply what an upstream says of itself */
+void
+cq_member_upstream_says(cq_core_t *core, const cq_ev_upstream_t *said);
+
 /** cq_member_store_reader() - Return: the part of this process in reading the
  * store. The readers of a zone are CQ_STORE_READERS_PER_ZONE of its hosts that
  * are not silent */
--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -42,6 +42,8 @@
 struct call {
     guint64 request;
     guint32 attempt;
+    guint64 upstream;
+    guint64 incarnation;
     conn_t *conn;
     cq_outbound_t *outbound;
     char *attempt_id;
@@ -179,6 +181,21 @@
     return head->status >= 200 && head->status < 300;
 }
 
+/* Reported before the answer itself, so that a retry avoids the upstream. */
+static void
+report_upstream(const call_t *call, const cq_response_fields_t *reply)
+{
+    /* After 421 the address belongs to another upstream. */
+    if (!reply->misdirected && (reply->leaving || reply->pause_us > 0)) {
+        cq_event_t event = {.kind = CQ_EV_UPSTREAM};
+        event.upstream.upstream = call->upstream;
+        event.upstream.incarnation = call->incarnation;
+        event.upstream.leaving = reply->leaving;
+        event.upstream.pause_us = reply->pause_us;
+        call->outbound->ops.post(&event, call->outbound->ops.data);
+    }
+}
+
 static void
 on_head(void *data, const cq_h1_head_t *head)
 {
@@ -196,6 +213,7 @@
         fail(call, CQ_FAIL_BROKEN);
         return;
     }
+    report_upstream(call, &reply);
     if (reply.misdirected || reply.not_run) {
         fail_refused(call, &reply);
         return;
@@ -462,6 +480,8 @@
     call->attempt_id = g_strdup(spec->attempt_id);
     call->unparsed = g_byte_array_new();
     call->body = g_byte_array_new();
+    call->upstream = spec->upstream;
+    call->incarnation = spec->incarnation;
     call->last_event = spec->last_event;
     call->resumes = spec->last_event >= 0;
     g_hash_table_replace(outbound->by_request, &call->request, call);
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -6,6 +6,8 @@
  *   ok             answers 200
  *   fault          answers 500
  *   refuse         answers 503 with Cuminquay-Not-Executed
+ *   pause          the same with a Retry-After of 2.5 s
+ *   leave          answers 200 with Server-Leaving
  *   tear           sends fewer bytes than its Content-Length, then closes
  *   extra          sends a second answer
  *   other          answers with the id of another attempt
@@ -170,6 +172,15 @@
     else if (strcmp(behaviour, "refuse") == 0) {
         standin_answer(conn, 503, "Cuminquay-Not-Executed: 1\r\n", "", 0);
     }
+    else if (strcmp(behaviour, "pause") == 0) {
+        standin_answer(conn, 503,
+                       "Cuminquay-Not-Executed: 1\r\nRetry-After: 2.5\r\n", "",
+                       0);
+    }
+    else if (strcmp(behaviour, "leave") == 0) {
+        g_strlcat(fields, "Server-Leaving: 1\r\n", sizeof fields);
+        standin_answer(conn, 200, fields, body, len);
+    }
     else if (strcmp(behaviour, "tear") == 0) {
         standin_printf(conn,
                        "HTTP/1.1 200 OK\r\n%sContent-Length: 100\r\n\r\n"
--- a/tests/unit/cell_test.cc
+++ b/tests/unit/cell_test.cc
@@ -93,8 +93,7 @@
         if (action.kind == CQ_AC_SEND) {
             EXPECT_FALSE(in_zone_b(action.send.upstream));
         }
-        if (action.kind == CQ_AC_TASK &&
-            action.task.kind == CQ_TASK_PLACED) {
+        if (action.kind == CQ_AC_TASK && action.task.kind == CQ_TASK_PLACED) {
             EXPECT_FALSE(action.task.abroad);
         }
     }
--- a/tests/unit/corefixture.h
+++ b/tests/unit/corefixture.h
@@ -212,6 +212,18 @@
                   sizeof event.attempt.at_fault);
         step(event);
     }
+    void
+    upstream_says(guint64 upstream, guint64 incarnation, gboolean leaving,
+                  gint64 pause_us)
+    {
+        cq_event_t event = {};
+        event.kind = CQ_EV_UPSTREAM;
+        event.upstream.upstream = upstream;
+        event.upstream.incarnation = incarnation;
+        event.upstream.leaving = leaving;
+        event.upstream.pause_us = pause_us;
+        step(event);
+    }
     // The peer h1 tells the core that it placed a request on engines.
     void
     peer_places_task(guint64 request, std::vector<const char *> engines,
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -330,7 +330,42 @@
     EXPECT_FALSE(fields.sealed);
     EXPECT_STREQ(fields.at_fault, "10.0.0.2:80");
     EXPECT_EQ(fields.keep_alive_us, 7 * 1000000);
+    EXPECT_FALSE(fields.leaving);
+    EXPECT_EQ(fields.pause_us, 0);
     cq_h1_clear_head(&parsed.head);
 }
 
+TEST(Heads, ParsesWhatAnUpstreamSaysOfItself)
+{
+    const struct {
+        const char *status;
+        const char *retry_after;
+        gint64 pause_us;
+    } cases[] = {
+        {"503", "2", 2000000},
+        {"503", "0.25", 250000},
+        {"503", "0", 0},
+        {"503", "-3", 0},
+        {"503", "nan", 0},
+        {"503", "1e30", CQ_UPSTREAM_PAUSE_MAX_US},
+        {"503", "inf", CQ_UPSTREAM_PAUSE_MAX_US},
+        {"503", "2 s", 0},
+        {"503", "", 0},
+        {"503", "Fri, 04 Dec 2026 11:00:00 GMT", 0},
+        {"429", "2", 0},
+        {"200", "2", 0},
+    };
+    for (const auto &c : cases) {
+        std::string text =
+            std::string("HTTP/1.1 ") + c.status +
+            " X\r\nContent-Length: 0\r\nRetry-After: " + c.retry_after +
+            "\r\nServer-Leaving: 1\r\n\r\n";
+        parsed_head_t parsed = parse_head(text.c_str(), TRUE);
+        cq_response_fields_t fields = cq_headers_parse_response(&parsed.head);
+        EXPECT_EQ(fields.pause_us, c.pause_us) << c.retry_after;
+        EXPECT_TRUE(fields.leaving);
+        cq_h1_clear_head(&parsed.head);
+    }
+}
+
 } // namespace
--- a/tests/unit/retry_test.cc
+++ b/tests/unit/retry_test.cc
@@ -83,6 +83,64 @@
     EXPECT_EQ(answer_of(id), nullptr);
 }
 
+TEST_F(Retry, AnUpstreamThatSaysThatItIsLeavingGetsNothingNew)
+{
+    start_core(0, 3);
+    guint64 id = submit(1, 300 * kMs, 0, "p");
+    guint64 first = last_send(id)->upstream;
+    upstream_says(first, 1, TRUE, 0);
+    attempt_event(id, CQ_EV_SENT);
+    attempt_event(id, CQ_EV_DONE);
+    send_host_list(); /* the entry still says that it is ready */
+    advance(60 * kSecond);
+    for (int i = 0; i < 20; i++) {
+        EXPECT_NE(last_send(submit(1, 300 * kMs, 0, "p"))->upstream, first);
+    }
+    for (cq_host_row_t &row : rows) {
+        row.incarnation += cq_ident_hash(row.name) == first;
+    }
+    send_host_list();
+    bool used = false;
+    for (int i = 0; i < 40; i++) {
+        used |= last_send(submit(1, 300 * kMs, 0, "p"))->upstream == first;
+    }
+    EXPECT_TRUE(used) << "it has started again";
+}
+
+TEST_F(Retry, WhatAnEarlierIncarnationSaidIsIgnored)
+{
+    start_core(0, 1);
+    guint64 id = submit(1, 300 * kMs, 0, "p");
+    upstream_says(last_send(id)->upstream, 0, TRUE, kSecond);
+    EXPECT_NE(last_send(submit(1, 300 * kMs, 0, "p")), nullptr);
+}
+
+TEST_F(Retry, AnUpstreamThatAsksForAPauseGetsOne)
+{
+    start_core(0, 2);
+    guint64 id = submit(1, 300 * kMs, 0, "p");
+    guint64 first = last_send(id)->upstream;
+    attempt_event(id, CQ_EV_SENT);
+    upstream_says(first, 1, FALSE, 3 * kSecond);
+    attempt_event(id, CQ_EV_FAILED, CQ_FAIL_REFUSED);
+    EXPECT_NE(last_send(id)->upstream, first);
+    attempt_event(id, CQ_EV_DONE);
+    // Whether the first upstream gets one of several calls.
+    auto is_used = [&](int calls, gint64 pause_us) {
+        bool used = false;
+        for (int i = 0; i < calls; i++) {
+            guint64 call = submit(1, 300 * kMs, 0, "p");
+            used |= last_send(call)->upstream == first;
+            attempt_event(call, CQ_EV_DONE);
+            advance(pause_us);
+        }
+        return used;
+    };
+    EXPECT_FALSE(is_used(29, 100 * kMs));
+    advance(200 * kMs);
+    EXPECT_TRUE(is_used(40, 0));
+}
+
 TEST_F(Retry, AServerErrorIsForwardedAfterOneRetry)
 {
     start_core(0, 3);
