--- a/packages/bench/replaypeers.c
+++ b/packages/bench/replaypeers.c
@@ -77,24 +77,24 @@
     return msg;
 }
 
-/* Hosts of other zones get the updates that are abroad, those without a
+/* Hosts of other zones get the updates that cross zones, those without a
  * connection from their neighbours. */
 void
 cq_replay_send_tasks(cq_replay_host_t *host, GArray *updates)
 {
     cq_replay_t *run = host->run;
-    GArray *abroad = g_array_new(FALSE, FALSE, sizeof(cq_task_update_t));
+    GArray *cross_zone = g_array_new(FALSE, FALSE, sizeof(cq_task_update_t));
     for (guint i = 0; i < updates->len; i++) {
         const cq_task_update_t *update =
             &g_array_index(updates, cq_task_update_t, i);
-        if (update->abroad) {
-            g_array_append_val(abroad, *update);
+        if (update->cross_zone) {
+            g_array_append_val(cross_zone, *update);
         }
     }
     for (guint i = 0; updates->len > 0 && i < run->options.hosts; i++) {
         cq_replay_host_t *to = &run->hosts[i];
         gboolean same_zone = g_str_equal(zone_of(host), zone_of(to));
-        GArray *rows = same_zone ? updates : abroad;
+        GArray *rows = same_zone ? updates : cross_zone;
         if (to == host || rows->len == 0 ||
             (same_zone && !cq_replay_connected(host, to))) {
             continue;
@@ -103,7 +103,7 @@
         msg->event.tasks.host = cq_ident_host(host->name);
         msg->rows = g_array_copy(rows);
     }
-    g_array_unref(abroad);
+    g_array_unref(cross_zone);
 }
 
 void
--- a/packages/core/action.h
+++ b/packages/core/action.h
@@ -25,7 +25,7 @@
     CQ_AC_ORDER,   /* order an engine to load a model */
     CQ_AC_SUMMARY, /* send a summary to every peer */
     CQ_AC_TASK,    /* send a change of a task to the peers of this zone and, if
-                      it is abroad, of the other zones */
+                      it crosses zones, of the other zones */
     CQ_AC_SPARE, /* offer idle engines to the peers of another zone, or ask all
                     other zones for offers */
     CQ_AC_STOPPED, /* everything is answered: the process may exit */
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -305,7 +305,7 @@
  * @age_us: time since the start of its prefill; negative while it is booked
  * @wait_us: time from that start until the slowest engine begins its part
  * @decoding: whether its prefill is done
- * @abroad: hosts of other zones place on its engines too, so it is sent to
+ * @cross_zone: hosts of other zones place on its engines too, so it is sent to
  * them
  * @engines: ids of the engines that prefill it; the first one also decodes
  * @engines_len: number of @engines
@@ -319,7 +319,7 @@
     gint64 age_us;
     gint64 wait_us;
     gboolean decoding;
-    gboolean abroad;
+    gboolean cross_zone;
     guint64 engines[CQ_PREFILL_GROUP_MAX];
     guint engines_len;
 } cq_task_update_t;
--- a/packages/core/task.c
+++ b/packages/core/task.c
@@ -24,7 +24,7 @@
 
 /* Whether hosts of other zones also place on the engines of @task. */
 static gboolean
-is_abroad(const cq_core_t *core, const cq_task_t *task)
+is_cross_zone(const cq_core_t *core, const cq_task_t *task)
 {
     for (guint i = 0; core->has_cells && i < task->engines_len; i++) {
         if (!g_str_equal(task->engines[i]->zone, core->zone)) {
@@ -47,7 +47,7 @@
         .wait_us =
             task->prefill_done_us - task->prefill_start_us - task->part_us,
         .decoding = task->decoding,
-        .abroad = is_abroad(core, task),
+        .cross_zone = is_cross_zone(core, task),
         .engines_len = task->engines_len,
     };
     for (guint i = 0; i < task->engines_len; i++) {
@@ -62,7 +62,7 @@
     cq_task_update_t update = {
         .kind = kind,
         .request = task->request,
-        .abroad = is_abroad(core, task),
+        .cross_zone = is_cross_zone(core, task),
     };
     broadcast(core, &update);
 }
@@ -261,7 +261,7 @@
     if (!has_tasks) {
         return;
     }
-    cq_task_update_t reset = {.kind = CQ_TASK_RESET, .abroad = TRUE};
+    cq_task_update_t reset = {.kind = CQ_TASK_RESET, .cross_zone = TRUE};
     broadcast(core, &reset);
     const cq_list_t *link = core->requests.next;
     for (; link != &core->requests; link = link->next) {
--- a/packages/router/tasksync.c
+++ b/packages/router/tasksync.c
@@ -6,7 +6,7 @@
     cq_app_t *app;
     cq_links_t *links;
     GArray *queued;
-    GArray *queued_abroad;
+    GArray *queued_cross_zone;
 };
 
 static const char *
@@ -72,7 +72,8 @@
     sync->app = app;
     sync->links = links;
     sync->queued = g_array_new(FALSE, FALSE, sizeof(cq_task_update_t));
-    sync->queued_abroad = g_array_new(FALSE, FALSE, sizeof(cq_task_update_t));
+    sync->queued_cross_zone =
+        g_array_new(FALSE, FALSE, sizeof(cq_task_update_t));
     return sync;
 }
 
@@ -80,7 +81,7 @@
 cq_tasksync_free(cq_tasksync_t *sync)
 {
     g_array_unref(sync->queued);
-    g_array_unref(sync->queued_abroad);
+    g_array_unref(sync->queued_cross_zone);
     g_free(sync);
 }
 
@@ -88,8 +89,8 @@
 cq_tasksync_queue(cq_tasksync_t *sync, const cq_task_update_t *update)
 {
     g_array_append_val(sync->queued, *update);
-    if (update->abroad) {
-        g_array_append_val(sync->queued_abroad, *update);
+    if (update->cross_zone) {
+        g_array_append_val(sync->queued_cross_zone, *update);
     }
 }
 
@@ -98,7 +99,7 @@
 {
     guint32 host = cq_ident_host(cq_app_settings(sync->app)->host);
     send_updates(sync, CQ_LINKS_IN_ZONE, host, sync->queued);
-    send_updates(sync, CQ_LINKS_OUTSIDE_ZONE, host, sync->queued_abroad);
+    send_updates(sync, CQ_LINKS_OUTSIDE_ZONE, host, sync->queued_cross_zone);
 }
 
 void
@@ -134,8 +135,8 @@
         event.tasks.rows = rows_of(updates);
         event.tasks.len = updates->len;
         cq_app_post(sync->app, &event);
-        gboolean from_abroad = !g_str_equal(zone, own_zone(sync));
-        if (from_abroad && cq_core_has_cells(cq_app_core(sync->app))) {
+        gboolean from_other_zone = !g_str_equal(zone, own_zone(sync));
+        if (from_other_zone && cq_core_has_cells(cq_app_core(sync->app))) {
             forward(sync, message->host, updates);
         }
     }
--- a/tests/unit/cell_test.cc
+++ b/tests/unit/cell_test.cc
@@ -102,7 +102,7 @@
     EXPECT_FALSE(any_sent_to_zone_b());
     for (const cq_action_t &action : all_actions) {
         if (action.kind == CQ_AC_TASK && action.task.kind == CQ_TASK_PLACED) {
-            EXPECT_FALSE(action.task.abroad);
+            EXPECT_FALSE(action.task.cross_zone);
         }
     }
 }
@@ -161,7 +161,7 @@
         }
     }
     ASSERT_NE(last, nullptr);
-    EXPECT_TRUE(last->abroad);
+    EXPECT_TRUE(last->cross_zone);
 }
 
 TEST_F(Cell, AnOfferEndsUnlessItIsRepeated)
