Log which topic's read of the store failed, and for how long

After an outage the logs said that the store was up or down, but not which read failed, how long it took and when the read that was answered had started. That leaves two causes of a late notice apart: the host had not read, or it had read and ignored it. One line when reads of a topic begin to fail, one when they work again.

--- a/packages/router/follower.c
+++ b/packages/router/follower.c
@@ -49,6 +49,8 @@
  * current: received from the store or a peer since the last suspension
  * snapshot_complete: a snapshot has been read completely
  * failing: the last read failed
+ * failures: number of reads that have failed since the last success
+ * failing_since_us: when the first of them started
  * read_us: the copy had every record that the store had then; 0: not read
  * peers_read_us: the same, as peers that read the store say
  */
@@ -62,6 +64,8 @@
     gboolean current;
     gboolean snapshot_complete;
     gboolean failing;
+    guint failures;
+    gint64 failing_since_us;
     guint retry_ms;
     guint timer;
     gint64 sampled_us;
@@ -250,9 +254,44 @@
     }
 }
 
+/* Logs the first failure in a row. */
+static void
+note_read_failed(table_t *table)
+{
+    table->failures++;
+    if (table->failures > 1) {
+        return;
+    }
+    table->failing_since_us = table->read_started_us;
+    gint64 took_us =
+        cq_app_now_us(table->follower->app) - table->read_started_us;
+    cq_app_log(table->follower->app, "store_read_failed",
+               "topic=%s took_ms=%" G_GINT64_FORMAT
+               " offset=%" G_GUINT64_FORMAT,
+               cq_topic_name(table->topic), took_us / CQ_MS_US, table->next);
+}
+
+static void
+note_read_succeeded(table_t *table)
+{
+    if (table->failures == 0) {
+        return;
+    }
+    gint64 now_us = cq_app_now_us(table->follower->app);
+    cq_app_log(table->follower->app, "store_read_again",
+               "topic=%s failures=%u for_ms=%" G_GINT64_FORMAT
+               " started_ms_ago=%" G_GINT64_FORMAT
+               " offset=%" G_GUINT64_FORMAT,
+               cq_topic_name(table->topic), table->failures,
+               (now_us - table->failing_since_us) / CQ_MS_US,
+               (now_us - table->read_started_us) / CQ_MS_US, table->next);
+    table->failures = 0;
+}
+
 static void
 retry_read(table_t *table)
 {
+    note_read_failed(table);
     set_failing(table, TRUE);
     table->retry_ms = CLAMP(table->retry_ms * 2, RETRY_MIN_MS, RETRY_MAX_MS);
     schedule_read(table, table->retry_ms);
@@ -285,6 +324,7 @@
 read_succeeded(table_t *table)
 {
     table->retry_ms = 0;
+    note_read_succeeded(table);
     table->read_us =
         MAX(table->read_started_us,
             cq_app_now_us(table->follower->app) - STORE_DELAY_MAX_US);
