Tests of notices to leave around outages of the store, failing

Three ways in which an upstream that has said that it is leaving gets requests later than 2 s after its notice, on two real processes and the stand-in of the store, which can now be silent: calls that arrive meanwhile are never answered, reads that wait may be answered afterwards or not.

relayoutage: the store falls silent, is back, and an upstream leaves 2.5 s later.

--- a/tests/run.sh
+++ b/tests/run.sh
@@ -61,7 +61,8 @@
     run_unit "$BUILD/tests/${program}_test"
 done
 for script in demo badinput hangup operator drain holds giant orders retention \
-    relay relaywake relaypeers relayreads relayreaders relayleft relayendless relayleaving relaymany; do
+    relay relaywake relaypeers relayreads relayreaders relayleft relayendless relayleaving relaymany \
+    relayoutage relayremoved relaylostpoll; do
     run_script "tests/proc/$script.sh"
 done
 
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -38,6 +38,7 @@
     GHashTable *topics;
     GList *waiters;
     gboolean refusing; /* answers 503 to entry hosts */
+    gboolean silent;   /* gives no answer to calls that arrive now */
 } store_t;
 
 static topic_t *
@@ -97,6 +98,18 @@
     g_free(waiter);
 }
 
+/* Leaves the read without an answer. */
+static void
+drop_waiter(store_t *store, waiter_t *waiter)
+{
+    store->waiters = g_list_remove(store->waiters, waiter);
+    if (waiter->timer != 0) {
+        g_source_remove(waiter->timer);
+    }
+    standin_unref(waiter->conn);
+    g_free(waiter);
+}
+
 /* The only store; the timers of waiting reads need it. */
 static store_t *the_store;
 
@@ -105,27 +118,39 @@
 {
     waiter_t *waiter = data;
     waiter->timer = 0;
-    finish_waiter(the_store, waiter);
+    if (the_store->silent) {
+        drop_waiter(the_store, waiter);
+    }
+    else {
+        finish_waiter(the_store, waiter);
+    }
     return G_SOURCE_REMOVE;
 }
 
+/* Answers the reads whose records have come. */
 static void
-add_record(store_t *store, topic_t *topic, const char *key, GBytes *value)
+answer_waiters(store_t *store)
 {
-    record_t *record = g_new0(record_t, 1);
-    record->key = g_strdup(key);
-    record->value = value;
-    g_ptr_array_add(topic->records, record);
-    GList *link = store->waiters;
+    GList *link = store->silent ? NULL : store->waiters;
     while (link != NULL) {
         waiter_t *waiter = link->data;
         link = link->next;
-        if (waiter->topic == topic) {
+        if (waiter->from < waiter->topic->records->len) {
             finish_waiter(store, waiter);
         }
     }
 }
 
+static void
+add_record(store_t *store, topic_t *topic, const char *key, GBytes *value)
+{
+    record_t *record = g_new0(record_t, 1);
+    record->key = g_strdup(key);
+    record->value = value;
+    g_ptr_array_add(topic->records, record);
+    answer_waiters(store);
+}
+
 /* Answers with the current value of each key. */
 static void
 serve_newest(standin_conn_t *conn, const topic_t *topic)
@@ -220,8 +245,10 @@
 
 /* Calls of the test scripts: /put and /drop add a record or a deletion,
  * /forget makes the records so far unreadable, /refuse makes the store answer
- * 503 to every call of an entry host. All answer with the topic's number of
- * read calls. */
+ * 503 to every call of an entry host. /silence makes it ignore every call of
+ * an entry host, also later; reads that wait already are answered as usual, or
+ * dropped with reads=drop. All answer with the topic's number of read calls.
+ */
 static void
 serve_control(store_t *store, standin_conn_t *conn, const char *path,
               const char *query, topic_t *topic, const GByteArray *body)
@@ -239,6 +266,15 @@
     if (strcmp(path, "/refuse") == 0) {
         store->refusing = standin_query_number(query, "on", 0) != 0;
     }
+    if (strcmp(path, "/silence") == 0) {
+        store->silent = standin_query_number(query, "on", 0) != 0;
+        char *reads = standin_query_text(query, "reads");
+        while (g_strcmp0(reads, "drop") == 0 && store->waiters != NULL) {
+            drop_waiter(store, store->waiters->data);
+        }
+        g_free(reads);
+        answer_waiters(store);
+    }
     g_free(key);
     char *text = g_strdup_printf("%u", topic->reads);
     standin_answer(conn, 200, "", text, strlen(text));
@@ -258,6 +294,9 @@
         serve_control(store, conn, path, query, topic, body);
         return;
     }
+    if (store->silent) {
+        return;
+    }
     if (store->refusing) {
         standin_answer(conn, 503, "", "{}", 2);
         return;
