Don't long-poll the store until a read has succeeded again

Callers: none saw more than a late answer; requests went to an upstream up to 2.9 s after it had said that it leaves, and two found its port closed.

Cause: the time limit of a read is its long-poll time plus 1 s. A read that starts within an outage is swallowed, so a host noticed 6 s later that the store was back, and learned nothing of the upstreams until then. The class: a time limit that grows with the time which a healthy peer may take for another reason, so that loss shows late.

Now the first read after a failure does not wait for new records. A host reads again at most 2 s after the store is back: 1 s for the read that the outage swallowed, at most 1 s of pause.

Evidence: from log up=no to up=yes 6.610 s pass on all four hosts of the incident: a pause of 0.2 s, 6 s for the read, 0.4 s, one answer. proc/relayoutage failed before and passes. Ruled out: the notice arrived and was ignored (no read of the upstreams was answered between 11.4 and 16.3 s); the requests had been placed before (asked for within 1 ms of being sent).

--- a/packages/router/follower.c
+++ b/packages/router/follower.c
@@ -373,10 +373,13 @@
            reader_role(table->follower) == CQ_STORE_READER_FOR_PEERS;
 }
 
+/* The first read after a failure does not wait for new records: if the store is
+ * still out of reach, that shows after the time limit of one answer instead of
+ * the whole long-poll time. */
 static guint
 long_poll_ms(const table_t *table)
 {
-    if (!table->current) {
+    if (!table->current || table->failures > 0) {
         return 0;
     }
     gboolean is_upstreams = table->topic == CQ_TOPIC_UPSTREAMS;
