Keep the notice of an upstream that left while the store was out of reach

Callers: after the store was back, requests went to an upstream that had said that it leaves and had removed its entry, two of them 0.45 s after the host had read both; one found its port closed.

Cause: records of one key are folded to the newest before the core sees them. Notice and removal in one answer left only the removal, and an entry that is missing just after an outage counts as expired, not as gone: its upstream is used for 2 s more. The class: state that is folded loses an event that decides how the end state is to be read.

Now such an upstream is first listed as leaving, once, and then not at all. An entry that was removed without a notice is treated as before.

In the incident no host ever wrote event=leaving for the upstream, and event=unlisted came 0.45 s before the two requests.

--- a/packages/router/follower.c
+++ b/packages/router/follower.c
@@ -147,6 +147,19 @@
                   ((const cq_host_row_t *)b)->name);
 }
 
+static void
+post_rows(cq_follower_t *follower, GArray *rows)
+{
+    g_array_sort(rows, compare_names);
+    cq_event_t event = {.kind = CQ_EV_HOSTS};
+    event.hosts.rows = (const cq_host_row_t *)(const void *)rows->data;
+    event.hosts.len = rows->len;
+    cq_app_post(follower->app, &event);
+}
+
+/* An entry that is merely missing may have expired in an outage of the store.
+ * So upstreams that left on notice, with both records read at once, are first
+ * listed as leaving. */
 static void
 post_hosts(cq_follower_t *follower)
 {
@@ -154,15 +167,19 @@
         return;
     }
     follower->rows_changed = FALSE;
+    cq_topicmap_t *upstreams = follower->tables[CQ_TOPIC_UPSTREAMS].map;
     GArray *rows = g_array_new(FALSE, TRUE, sizeof(cq_host_row_t));
-    cq_topicmap_list_hosts(follower->tables[CQ_TOPIC_UPSTREAMS].map, rows);
+    cq_topicmap_list_hosts(upstreams, rows);
     cq_topicmap_list_hosts(follower->tables[CQ_TOPIC_HOSTS].map, rows);
-    g_array_sort(rows, compare_names);
-    cq_event_t event = {.kind = CQ_EV_HOSTS};
-    event.hosts.rows = (const cq_host_row_t *)(const void *)rows->data;
-    event.hosts.len = rows->len;
-    cq_app_post(follower->app, &event);
+    GArray *left = g_array_new(FALSE, TRUE, sizeof(cq_host_row_t));
+    cq_topicmap_list_left(upstreams, left);
+    if (left->len > 0) {
+        g_array_append_vals(left, rows->data, rows->len);
+        post_rows(follower, left);
+    }
+    post_rows(follower, rows);
     cq_app_connect_peers(follower->app);
+    g_array_unref(left);
     g_array_unref(rows);
 }
 
@@ -373,9 +390,9 @@
            reader_role(table->follower) == CQ_STORE_READER_FOR_PEERS;
 }
 
-/* The first read after a failure does not wait for new records: if the store is
- * still out of reach, that shows after the time limit of one answer instead of
- * the whole long-poll time. */
+/* The first read after a failure does not wait for new records: if the store
+ * is still out of reach, that shows after the time limit of one answer instead
+ * of the whole long-poll time. */
 static guint
 long_poll_ms(const table_t *table)
 {
--- a/packages/router/topicmap.c
+++ b/packages/router/topicmap.c
@@ -7,12 +7,17 @@
 /*
  * The newest record of a key.
  * valid: listed was parsed from the record
+ * told: cq_topicmap_list_hosts() has given listed
+ * left: the key was deleted before listed, which says that the upstream is
+ *   leaving, was told
  * seen: the key is part of the snapshot being read
  */
 typedef struct {
     cq_store_record_t record;
     gboolean valid;
     cq_host_row_t listed;
+    gboolean told;
+    gboolean left;
     gboolean seen;
 } entry_t;
 
@@ -67,6 +72,18 @@
     }
 }
 
+/* Keeps what the entry said last if it was deleted before that was told. */
+static void
+keep_notice(entry_t *entry, const entry_t *old)
+{
+    gboolean said_leaving = old != NULL && !old->told &&
+                            (old->left || (old->valid && old->listed.leaving));
+    if (entry->record.value == NULL && said_leaving) {
+        entry->listed = old->listed;
+        entry->left = TRUE;
+    }
+}
+
 cq_topicmap_t *
 cq_topicmap_new(cq_app_t *app, cq_topic_t topic)
 {
@@ -126,23 +143,41 @@
     }
     if (map->topic != CQ_TOPIC_CONFIG) {
         parse_entry(map, entry);
+        keep_notice(entry, old);
         gboolean never_valid = old == NULL && !entry->valid;
         changed = !never_valid && !entry_equal(old, entry);
+        entry->told = old != NULL && old->told && !changed;
     }
     g_hash_table_replace(map->entries, entry->record.key, entry);
     return changed;
 }
 
 void
-cq_topicmap_list_hosts(const cq_topicmap_t *map, GArray *rows)
+cq_topicmap_list_hosts(cq_topicmap_t *map, GArray *rows)
 {
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, map->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const entry_t *entry = value;
+        entry_t *entry = value;
         if (entry->valid) {
             g_array_append_val(rows, entry->listed);
+            entry->told = TRUE;
+        }
+    }
+}
+
+void
+cq_topicmap_list_left(cq_topicmap_t *map, GArray *rows)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, map->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        entry_t *entry = value;
+        if (entry->left) {
+            g_array_append_val(rows, entry->listed);
+            entry->left = FALSE;
         }
     }
 }
--- a/packages/router/topicmap.h
+++ b/packages/router/topicmap.h
@@ -48,7 +48,13 @@
 /** cq_topicmap_list_hosts() - append the upstreams or entry hosts to @rows, an
  * array of cq_host_row_t */
 void
-cq_topicmap_list_hosts(const cq_topicmap_t *map, GArray *rows);
+cq_topicmap_list_hosts(cq_topicmap_t *map, GArray *rows);
+
+/** cq_topicmap_list_left() - append the upstreams that said that they were
+ * leaving, and whose entries were deleted before cq_topicmap_list_hosts() gave
+ * that; each is given once */
+void
+cq_topicmap_list_left(cq_topicmap_t *map, GArray *rows);
 
 /** cq_topicmap_begin_snapshot() - count no key as seen */
 void
