Poll the upstreams for 2.5 s, so that a lost read shows sooner

What could happen: a read whose answer is lost, or whose connection fell silent, was waited for up to 6 s (5.2 s where TCP notices). An upstream that leaves 3 s after such a loss, when hosts count as well again, must get nothing from 2 s later on. The same class as the reads that an outage swallows.

2.5 s of waiting, 1 s for the answer and 0.2 s of pause stay under those 5 s.

--- a/packages/router/follower.c
+++ b/packages/router/follower.c
@@ -14,7 +14,7 @@
  * that start dial their peers. */
 static const guint read_wait_ms[CQ_TOPIC_COUNT] = {
     [CQ_TOPIC_CONFIG] = 30000,
-    [CQ_TOPIC_UPSTREAMS] = 5000,
+    [CQ_TOPIC_UPSTREAMS] = 2500,
     [CQ_TOPIC_HOSTS] = 30000,
 };
 /* Long-poll time of the hosts that read the upstreams for their peers: an
