Start other reads of the store again once a lost one shows

What could happen: the reads of the configuration and of the entry hosts wait up to 30 s. If the store loses their answers, a host with no peer that knows more keeps an old configuration for up to 31 s, long after its reads of the upstreams have failed and work again.

When a topic is read again after a failure, reads of the other topics that started earlier are cancelled and started again.

Evidence: proc/relaylostpoll, whose second half failed before, passes.

--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -249,3 +249,17 @@
     cq_sock_write(conn->sock, out->str, out->len);
     g_string_free(out, TRUE);
 }
+
+void
+cq_client_cancel(cq_client_t *client, cq_client_match_t match,
+                 const void *data)
+{
+    cq_list_t *link = client->conns.next;
+    while (link != &client->conns) {
+        conn_t *conn = CQ_ENTRY(link, conn_t, link);
+        link = link->next;
+        if (conn->busy && match(conn->data, data)) {
+            conn_close(conn);
+        }
+    }
+}
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -59,6 +59,16 @@
 void
 cq_client_call(cq_client_t *client, const cq_client_call_t *call);
 
+/** typedef cq_client_match_t - Return: whether the call whose data is
+ * @call_data is the one that @data describes */
+typedef gboolean (*cq_client_match_t)(const void *call_data, const void *data);
+
+/** cq_client_cancel() - cancel the calls for which @match returns TRUE,
+ * without calling back; their connections are closed */
+void
+cq_client_cancel(cq_client_t *client, cq_client_match_t match,
+                 const void *data);
+
 G_END_DECLS
 
 #endif
--- a/packages/router/follower.c
+++ b/packages/router/follower.c
@@ -10,8 +10,8 @@
 
 /* Long-poll time of a read: how long the store holds it while there is no new
  * record. If the answer is lost, it takes that long until this process reads
- * again. Meanwhile peers send it new upstreams and configurations, and hosts
- * that start dial their peers. */
+ * again. A lost read of the upstreams, which is the first to show, also ends
+ * the other reads. */
 static const guint read_wait_ms[CQ_TOPIC_COUNT] = {
     [CQ_TOPIC_CONFIG] = 30000,
     [CQ_TOPIC_UPSTREAMS] = 2500,
@@ -289,11 +289,8 @@
 }
 
 static void
-note_read_succeeded(table_t *table)
+note_read_again(table_t *table)
 {
-    if (table->failures == 0) {
-        return;
-    }
     gint64 now_us = cq_app_now_us(table->follower->app);
     cq_app_log(table->follower->app, "store_read_again",
                "topic=%s failures=%u for_ms=%" G_GINT64_FORMAT
@@ -337,11 +334,31 @@
     }
 }
 
+/* The store did not answer a read of @table for a time. What it was to answer
+ * in that time may be lost for other topics too, so their reads that still
+ * wait from then are started again. */
+static void
+restart_other_reads(const table_t *table)
+{
+    cq_follower_t *follower = table->follower;
+    for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
+        table_t *other = &follower->tables[i];
+        gboolean waits = other != table && other->timer == 0;
+        if (waits && other->read_started_us < table->read_started_us) {
+            cq_store_cancel(follower->store, other);
+            start_read(other);
+        }
+    }
+}
+
 static void
 read_succeeded(table_t *table)
 {
     table->retry_ms = 0;
-    note_read_succeeded(table);
+    if (table->failures > 0) {
+        note_read_again(table);
+        restart_other_reads(table);
+    }
     table->read_us =
         MAX(table->read_started_us,
             cq_app_now_us(table->follower->app) - STORE_DELAY_MAX_US);
