Decode the shared parts of a prompt, and log them with each request

The logs couldn't tell whether engines end under one part of a prompt, one team, one length or one route. The line of each request now names the parts that other prompts may share, and the line of a failed attempt says how many events it had sent: an engine that ends before the first one ends under one of the requests that it had not begun to answer.

--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -30,6 +30,9 @@
 /* Maximum number of prefixes of a prompt that are hashed, in order to find
  * engines that have them in their cache. */
 #define CQ_PREFIX_LEVELS 6
+/* Maximum number of shared parts of a prompt that are told apart; further ones
+ * are ignored. */
+#define CQ_PROMPT_PARTS_MAX 16
 /* Length of a SHA-256 hash; bearer tokens are stored as such hashes. */
 #define CQ_TOKEN_HASH_BYTES 32
 
--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -69,6 +69,7 @@
     request->probed_us = 0;
     request->probes_unanswered = 0;
     request->sent = FALSE;
+    request->forwarded_at_start = request->forwarded;
     add_load(core, request);
     cq_counters_add(&core->counters, CQ_N_ATTEMPTS, 1);
     cq_table_log_event(core, request, "placed",
@@ -172,8 +173,10 @@
     if (failure == CQ_FAIL_CONNECT && request->sent) {
         failure = CQ_FAIL_BROKEN;
     }
-    cq_table_log_event(core, request, "failed", "upstream=%s how=%s",
-                       upstream->name, failure_names[failure]);
+    cq_table_log_event(core, request, "failed",
+                       "upstream=%s how=%s events=%" G_GINT64_FORMAT,
+                       upstream->name, failure_names[failure],
+                       request->forwarded - request->forwarded_at_start);
     gboolean refused =
         failure == CQ_FAIL_REFUSED || failure == CQ_FAIL_LEAVING;
     if (refused && request->sent) {
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -268,6 +268,7 @@
  * @possible_runs: attempts that may have run: a byte of them may have been
  *   sent, and the upstream did not refuse them
  * @forwarded: tokens that were forwarded to the caller
+ * @forwarded_at_start: @forwarded when the running attempt started
  * @progress_us: when the running attempt last made progress
  * @probed_us: when the upstream was last probed about it
  * @probes_unanswered: probes in a row that got no answer
@@ -329,6 +330,7 @@
     gboolean sent;
     guint possible_runs;
     gint64 forwarded;
+    gint64 forwarded_at_start;
     gint64 progress_us;
     gint64 probed_us;
     guint probes_unanswered;
--- a/packages/router/relay.c
+++ b/packages/router/relay.c
@@ -13,6 +13,9 @@
 /* Room for the addresses and reservation ids of the largest group. */
 #define HELPERS_BYTES (CQ_PREFILL_GROUP_MAX * (CQ_ADDR_BYTES + CQ_NAME_BYTES))
 
+/* Room for the ids of the parts of a prompt in a log line. */
+#define PARTS_BYTES (CQ_PROMPT_PARTS_MAX * 17 + 1)
+
 struct cq_relay {
     cq_app_t *app;
     cq_inbound_t *inbound;
@@ -103,6 +106,18 @@
     return team;
 }
 
+static void
+format_parts(const cq_parts_t *parts, char *to, gsize size)
+{
+    to[0] = '\0';
+    for (guint i = 0; i < parts->len; i++) {
+        char id[32];
+        g_snprintf(id, sizeof id, "%s%" G_GINT64_MODIFIER "x",
+                   i > 0 ? "," : "", parts->ids[i]);
+        g_strlcat(to, id, size);
+    }
+}
+
 static void
 admit(cq_relay_t *relay, cq_exchange_t *exchange,
       const cq_request_fields_t *fields, const cq_route_t *route,
@@ -123,14 +138,17 @@
     cq_exchange_set_owner(exchange, open_request);
     g_hash_table_insert(relay->requests, &open_request->id, open_request);
     const char *service = cq_route_pick(route, g_rand_double(relay->rand));
+    char parts[PARTS_BYTES];
+    format_parts(&fields->parts, parts, sizeof parts);
     cq_app_log(relay->app, "asked",
                "request=%016" G_GINT64_MODIFIER "x attempt=%s team=%s "
                "service=%s tokens=%" G_GINT64_FORMAT
-               " left_ms=%" G_GINT64_FORMAT " config=%" G_GUINT64_FORMAT,
+               " left_ms=%" G_GINT64_FORMAT " config=%" G_GUINT64_FORMAT
+               " parts=%s",
                open_request->id,
                fields->attempt_id != NULL ? fields->attempt_id : "-", team,
                service, fields->prompt_tokens, timeout_us / CQ_MS_US,
-               relay->routes->version);
+               relay->routes->version, parts);
     cq_event_t event = {
         .kind = CQ_EV_REQUEST,
         .request = {.id = open_request->id,
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -3,12 +3,65 @@
 
 #include <cstring>
 #include <string>
+#include <vector>
 
 #include "platform/headers.h"
 #include "platform/records.h"
 
 namespace {
 
+// The ids of the shared parts that a request with this field names.
+std::vector<guint64>
+parts_of(const char *value)
+{
+    std::vector<guint64> ids;
+    cq_h1_head_t head = {};
+    head.fields = g_array_new(FALSE, FALSE, sizeof(cq_h1_field_t));
+    cq_h1_field_t field = {(char *)"Cuminquay-Prefix-Hash", (char *)value};
+    g_array_append_val(head.fields, field);
+    cq_request_fields_t fields = cq_headers_parse_request(&head);
+    ids.assign(fields.parts.ids, fields.parts.ids + fields.parts.len);
+    g_array_unref(head.fields);
+    return ids;
+}
+
+TEST(Parts, TheLastOneIsNotShared)
+{
+    using ids_t = std::vector<guint64>;
+    EXPECT_EQ(parts_of("5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+              (ids_t{0x5c1e07a2, 0x91bd3f06}));
+    EXPECT_EQ(parts_of(" A:1 , b:2,c:3"), (ids_t{0xa, 0xb}));
+    EXPECT_EQ(parts_of("a:1,a:1,b:2"), (ids_t{0xa}));
+    EXPECT_TRUE(parts_of("a:1").empty());
+    EXPECT_EQ(parts_of("ffffffffffffffff:1,b:2"), (ids_t{G_MAXUINT64}));
+}
+
+TEST(Parts, LongIdsAreToldApart)
+{
+    std::string one = std::string(31, 'a') + "1:1,b:2";
+    std::string other = std::string(31, 'a') + "2:1,b:2";
+    ASSERT_EQ(parts_of(one.c_str()).size(), 1u);
+    EXPECT_NE(parts_of(one.c_str()), parts_of(other.c_str()));
+}
+
+TEST(Parts, AMalformedListHasNone)
+{
+    for (const char *value :
+         {"", ",", "a", "a:", "a:x,b:1", "g:1,b:2", "a:1,,b:2", "a:1,b:2,"}) {
+        EXPECT_TRUE(parts_of(value).empty()) << value;
+    }
+}
+
+TEST(Parts, FurtherOnesThanTheLimitAreIgnored)
+{
+    std::string value;
+    for (int i = 1; i <= 40; i++) {
+        value += std::to_string(i) + ":1,";
+    }
+    EXPECT_EQ(parts_of((value + "a:1").c_str()).size(),
+              (size_t)CQ_PROMPT_PARTS_MAX);
+}
+
 const char *const kConfig =
     R"({"version":7,
  "routes":[
