Test of a prompt part that crashes upstreams, failing

Two real hosts, eight upstreams that exit when they begin to answer on one part and are back 1.5 s later, four requests with that part a second, no two alike, and sound ones of the same team with the same first part. Present code: 30 sent, 50 reach an upstream, 39 crashes; 23 arrive later than 3 s after the fifth crash, wanted at most 3.

--- a/tests/run.sh
+++ b/tests/run.sh
@@ -62,7 +62,7 @@
 done
 for script in demo badinput hangup operator drain holds giant orders retention \
     relay relaywake relaypeers relayreads relayreaders relayleft relayendless relayleaving relaymany \
-    relayoutage relayremoved relaylostpoll; do
+    relayoutage relayremoved relaylostpoll relaypoison; do
     run_script "tests/proc/$script.sh"
 done
 
--- a/tests/standin/fleet.h
+++ b/tests/standin/fleet.h
@@ -16,11 +16,14 @@
  * @listen_addr: `ip:port` to serve at; in mode wake, to connect to
  * @name: replica: id of the upstream
  * @log: replica: file that gets a line for each request received
+ * @crash_part: replica: id of a part; the program exits when it begins to
+ *   write a stream on a prompt in which this is not the last part
  */
 typedef struct {
     char *listen_addr;
     char *name;
     char *log;
+    char *crash_part;
 } fleet_options_t;
 
 /** fleet_store() - serve as the store; Return: FALSE when it can't listen */
--- a/tests/standin/fleet_main.c
+++ b/tests/standin/fleet_main.c
@@ -24,6 +24,8 @@
         {"listen", 0, 0, G_OPTION_ARG_STRING, &options.listen_addr, "", NULL},
         {"name", 0, 0, G_OPTION_ARG_STRING, &options.name, "", NULL},
         {"log", 0, 0, G_OPTION_ARG_FILENAME, &options.log, "", NULL},
+        {"crash-part", 0, 0, G_OPTION_ARG_STRING, &options.crash_part, "",
+         NULL},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
     };
     GOptionContext *context = g_option_context_new("MODE");
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -27,6 +27,7 @@
  *   other words    the whole stream */
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "fleet.h"
 
@@ -62,16 +63,42 @@
             const GByteArray *body)
 {
     fprintf(replica->log,
-            "%s %s %s attempt=%s team=%s last=%s key=%s helpers=%s body=%u\n",
+            "%s %s %s attempt=%s team=%s last=%s key=%s helpers=%s parts=%s "
+            "at_ms=%" G_GINT64_FORMAT " body=%u\n",
             replica->options->name, head->method, path,
             field_or_dash(head, "Cuminquay-Attempt-Id"),
             field_or_dash(head, "Cuminquay-Tenant"),
             field_or_dash(head, "Last-Event-Id"),
             field_or_dash(head, "Cuminquay-Credential"),
-            field_or_dash(head, "Cuminquay-Helpers"), body->len);
+            field_or_dash(head, "Cuminquay-Helpers"),
+            field_or_dash(head, "Cuminquay-Prefix-Hash"),
+            g_get_real_time() / 1000, body->len);
     fflush(replica->log);
 }
 
+/* Whether the program crashes when it begins to answer the request. */
+static gboolean
+is_poison(const replica_t *replica, const cq_h1_head_t *head)
+{
+    const char *parts = cq_h1_get_field(head, "Cuminquay-Prefix-Hash");
+    const char *last = parts != NULL ? strrchr(parts, ',') : NULL;
+    if (replica->options->crash_part == NULL || last == NULL) {
+        return FALSE;
+    }
+    const char *found = strstr(parts, replica->options->crash_part);
+    return found != NULL && found < last;
+}
+
+static gboolean
+on_crash(gpointer data)
+{
+    const replica_t *replica = data;
+    fprintf(replica->log, "%s crashes at_ms=%" G_GINT64_FORMAT "\n",
+            replica->options->name, g_get_real_time() / 1000);
+    fflush(replica->log);
+    _exit(1);
+}
+
 static void
 write_chunk(standin_conn_t *conn, const char *text)
 {
@@ -126,7 +153,6 @@
              const cq_h1_head_t *head, const char *behaviour,
              const char *query)
 {
-    (void)replica;
     const char *last = cq_h1_get_field(head, "Last-Event-Id");
     stream_t *stream = g_new0(stream_t, 1);
     stream->conn = standin_ref(conn);
@@ -148,8 +174,12 @@
                    "Cuminquay-Attempt-Id: %s\r\n" SEAL_FIELD
                    "Transfer-Encoding: chunked\r\n\r\n",
                    field_or_dash(head, "Cuminquay-Attempt-Id"));
-    g_timeout_add((guint)standin_query_number(query, "ms", 20), on_event,
-                  stream);
+    guint ms = (guint)standin_query_number(query, "ms", 20);
+    if (is_poison(replica, head)) {
+        g_timeout_add(ms, on_crash, replica);
+        return;
+    }
+    g_timeout_add(ms, on_event, stream);
 }
 
 static void
