Block parts of prompts under which upstreams crash

Cause: a crash counted against the upstream alone. The host sent the request to the next upstream, every further request with that part was sent as if nothing had happened, and no host told another. The class: a failure is blamed on the server, though the request brings it along.

Now a crash before an answer has begun accuses the shared parts of the prompt. Three crashes without an answer in between block a part at every host (six, if an answer was written on it a short time ago); requests with it are refused, 503 with the time of the next trial, and those that run or wait are ended, 502 where they may have run. What a blocked part explains no longer counts against others, so the first part that sound requests share is not blocked. One team can have parts blocked only for itself. An answer anywhere clears a part. Trust comes back by one request of one host, 30 s after the last crash, later each time.

Ruled out: load that moves from engine to engine (engines that came back ended with few requests on them, in step with the requests of one team); retries alone (most engines ended under a first attempt).

--- a/packages/base/counters.c
+++ b/packages/base/counters.c
@@ -23,6 +23,7 @@
     [CQ_N_STRAY_RESERVATIONS] = "stray_reservations_total",
     [CQ_N_SILENT_CONNECTIONS] = "silent_connections_total",
     [CQ_N_PROBES] = "probes_total",
+    [CQ_N_PARTS_BLOCKED] = "prompt_parts_blocked_total",
     [CQ_N_CONFIG_APPLIED] = "config_applied_total",
     [CQ_N_CONFIG_IGNORED] = "config_ignored_total",
     [CQ_N_LOG_OUTAGES] = "log_outages_total",
--- a/packages/bench/replay.c
+++ b/packages/bench/replay.c
@@ -193,6 +193,8 @@
     case CQ_AC_TASK:
         g_array_append_val(updates, action->task);
         break;
+    case CQ_AC_PART:
+        break;
     case CQ_AC_SPARE:
         cq_replay_send_spare(host, &action->spare);
         break;
--- a/packages/bench/sim.c
+++ b/packages/bench/sim.c
@@ -159,6 +159,7 @@
         send_summary(sim, host, action->summary);
         break;
     case CQ_AC_TASK:
+    case CQ_AC_PART:
     case CQ_AC_SPARE:
         break;
     case CQ_AC_STOPPED:
--- a/packages/core/action.c
+++ b/packages/core/action.c
@@ -32,6 +32,10 @@
                            "see ran: a call that may have run is not repeated "
                            "for you"},
     [CQ_OUTCOME_DRAINING] = {"draining", 503, "send it to another entry host"},
+    [CQ_OUTCOME_PART_BLOCKED] = {"prompt_part_blocked", 503,
+                                 "leave out the part of the prompt under "
+                                 "which upstreams crash, or send it again "
+                                 "after retry_after_ms"},
     [CQ_OUTCOME_HUNG_UP] = {"caller_left", 499, ""},
 };
 
--- a/packages/core/action.h
+++ b/packages/core/action.h
@@ -26,6 +26,7 @@
     CQ_AC_SUMMARY, /* send a summary to every peer */
     CQ_AC_TASK,    /* send a change of a task to the peers of this zone and, if
                       it crosses zones, of the other zones */
+    CQ_AC_PART,    /* send a report on a part of prompts to the peers */
     CQ_AC_SPARE, /* offer idle engines to the peers of another zone, or ask all
                     other zones for offers */
     CQ_AC_STOPPED, /* everything is answered: the process may exit */
@@ -51,7 +52,8 @@
     CQ_OUTCOME_EXPIRED,     /* its deadline has passed */
     CQ_OUTCOME_BROKEN,      /* the upstream failed and no retry is allowed */
     CQ_OUTCOME_DRAINING,    /* this process is stopping */
-    CQ_OUTCOME_HUNG_UP,     /* the caller closed its connection */
+    CQ_OUTCOME_PART_BLOCKED, /* upstreams crash under a part of the prompt */
+    CQ_OUTCOME_HUNG_UP,      /* the caller closed its connection */
     CQ_OUTCOME_COUNT,
 } cq_outcome_t;
 
@@ -153,6 +155,7 @@
         cq_ac_order_t order;
         cq_summary_t *summary;
         cq_task_update_t task;
+        cq_part_report_t part;
         cq_spare_t spare;
     };
 } cq_action_t;
--- a/packages/core/admission.c
+++ b/packages/core/admission.c
@@ -8,6 +8,7 @@
 #include "core/flow.h"
 #include "core/load.h"
 #include "core/place.h"
+#include "core/quarantine.h"
 #include "core/table.h"
 #include "core/usage.h"
 
@@ -91,6 +92,7 @@
     }
     request->length_class = class_of(request->prompt_tokens);
     request->priority_class = request->length_class;
+    request->parts = event->parts;
     request->prefixes_len = event->prefixes_len;
     memcpy(request->prefixes, event->prefixes, sizeof request->prefixes);
     return request;
@@ -173,6 +175,9 @@
     if (core->draining && core->now_us >= core->drain_notice_us) {
         return CQ_OUTCOME_DRAINING;
     }
+    if (cq_quarantine_blocks(core, request)) {
+        return CQ_OUTCOME_PART_BLOCKED;
+    }
     if (cq_place_group_size(request) > service->rules->group_max) {
         return CQ_OUTCOME_TOO_LONG;
     }
@@ -238,6 +243,9 @@
     }
     add_demand(request);
     cq_place_update_candidates(core, request->service);
+    if (cq_quarantine_blocks(core, request)) {
+        request->is_trial = cq_quarantine_admits_trial(core, request);
+    }
     cq_outcome_t outcome = check_admission(core, request);
     if (outcome != CQ_OUTCOME_DONE) {
         cq_answer_outcome(core, request, outcome);
--- a/packages/core/answer.c
+++ b/packages/core/answer.c
@@ -4,6 +4,7 @@
 #include "core/flow.h"
 #include "core/group.h"
 #include "core/place.h"
+#include "core/quarantine.h"
 #include "core/attempt.h"
 #include "core/table.h"
 #include "core/task.h"
@@ -40,6 +41,8 @@
         return CQ_SECOND_US;
     case CQ_OUTCOME_DRAINING:
         return CQ_RETRY_AFTER_MIN_US;
+    case CQ_OUTCOME_PART_BLOCKED:
+        return cq_quarantine_retry_after_us(core, request);
     case CQ_OUTCOME_DONE:
     case CQ_OUTCOME_UNKNOWN_NAME:
     case CQ_OUTCOME_TOO_LONG:
--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -7,6 +7,7 @@
 #include "core/member.h"
 #include "core/pass.h"
 #include "core/place.h"
+#include "core/quarantine.h"
 #include "core/table.h"
 #include "core/task.h"
 
@@ -204,7 +205,12 @@
     request->sent = FALSE;
     cq_load_remove_attempt(core, request);
     cq_group_release(core, request);
-    if (may_run_again(request, failure) &&
+    gboolean blocked = cq_quarantine_blocks(core, request);
+    if (blocked && failure != CQ_FAIL_FAULT) {
+        cq_answer_outcome(core, request, CQ_OUTCOME_PART_BLOCKED);
+        return;
+    }
+    if (!blocked && may_run_again(request, failure) &&
         retry_budget_allows(core, request, failure)) {
         requeue(core, request);
         return;
@@ -257,6 +263,7 @@
     request->progress_us = core->now_us;
     request->probes_unanswered = 0;
     request->forwarded += tokens;
+    cq_quarantine_progress(core, request, tokens, FALSE);
     cq_action_t action = {
         .kind = CQ_AC_FORWARD,
         .attempt = {.request = request->id,
@@ -272,6 +279,9 @@
 {
     on_sent(core, request);
     request->upstream->broken_streak = 0;
+    if (status >= 200 && status < 300) {
+        cq_quarantine_progress(core, request, 0, TRUE);
+    }
     cq_member_reached(core, request->upstream);
     if (request->forwarded > 0) {
         cq_load_learn_output(request->service, request->forwarded);
@@ -334,6 +344,10 @@
         break;
     case CQ_EV_FAILED:
         mark_failed_helper(core, request, detail->at_fault);
+        if (detail->failure == CQ_FAIL_BROKEN) {
+            cq_quarantine_crashed(core, request);
+        }
+        request->is_trial = FALSE;
         cq_attempt_fail(core, request, detail->failure);
         break;
     default:
--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -13,6 +13,7 @@
 #include "core/order.h"
 #include "core/peer.h"
 #include "core/place.h"
+#include "core/quarantine.h"
 #include "core/orphans.h"
 #include "core/attempt.h"
 #include "core/table.h"
@@ -147,6 +148,7 @@
     }
     core->last_sweep_us = core->now_us;
     cq_member_sweep(core);
+    cq_quarantine_sweep(core);
     cq_claim_sweep(core);
 }
 
@@ -258,6 +260,9 @@
     case CQ_EV_TICK:
         tick(core);
         break;
+    case CQ_EV_PARTS:
+        cq_quarantine_apply(core, &event->parts);
+        break;
     case CQ_EV_REQUEST:
         cq_admission_request(core, &event->request);
         break;
@@ -335,6 +340,7 @@
     core->lease.last_append_us = -CQ_LEASE_RENEW_US;
     cq_ring_init(&core->ring, CQ_RING_EVENTS);
     cq_table_init(core);
+    core->quarantine = cq_quarantine_new();
     return core;
 }
 
@@ -342,11 +348,18 @@
 cq_core_free(cq_core_t *core)
 {
     cq_table_clear(core);
+    cq_quarantine_free(core->quarantine);
     cq_ring_clear(&core->ring);
     g_rand_free(core->rand);
     g_free(core);
 }
 
+void
+cq_core_part_reports(const cq_core_t *core, GArray *reports)
+{
+    cq_quarantine_list(core, reports);
+}
+
 void
 cq_core_step(cq_core_t *core, gint64 now_us, const cq_event_t *event,
              cq_actions_t *actions)
@@ -358,6 +371,7 @@
     core->now_us = now_us;
     core->actions = actions;
     dispatch(core, event);
+    cq_quarantine_enforce(core);
     if (core->placement_due) {
         place_waiting(core);
     }
--- a/packages/core/core.h
+++ b/packages/core/core.h
@@ -144,6 +144,11 @@
 gboolean
 cq_core_follows_log(const cq_core_t *core);
 
+/** cq_core_part_reports() - append to @reports, an array of cq_part_report_t,
+ * what a new peer needs to know of parts of prompts */
+void
+cq_core_part_reports(const cq_core_t *core, GArray *reports);
+
 /** enum cq_store_reader_t - part of this process in reading the store */
 typedef enum {
     CQ_STORE_READER_ALONE,     /* every host of the zone reads it */
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -14,6 +14,7 @@
 #include "base/ident.h"
 #include "base/lease.h"
 #include "base/limits.h"
+#include "base/parts.h"
 #include "base/rules.h"
 
 G_BEGIN_DECLS
@@ -35,6 +36,7 @@
     CQ_EV_HOSTS,       /* the platform's host list was read */
     CQ_EV_SUMMARY,     /* a peer sent a summary */
     CQ_EV_TASKS,       /* a peer sent changes of its tasks */
+    CQ_EV_PARTS,       /* a peer sent reports on parts of prompts */
     CQ_EV_SPARE,       /* another zone offers idle engines or wants offers */
     CQ_EV_PEER_LINKED, /* a new connection to a peer was made */
     CQ_EV_RULES,       /* the rules of a service were published */
@@ -71,6 +73,7 @@
  * @gap_max_us: target for the longest time between events of the stream
  * @attempts_max: upstreams that may run it; 0: as the service's rules say
  * @resumable: whether another upstream can continue its stream
+ * @parts: parts of the prompt that other prompts may contain too
  * @prefixes: prefixes of the prompt, the shortest first
  * @prefixes_len: number of @prefixes
  */
@@ -88,6 +91,7 @@
     gint64 gap_max_us;
     guint attempts_max;
     gboolean resumable;
+    cq_parts_t parts;
     cq_prefix_t prefixes[CQ_PREFIX_LEVELS];
     guint prefixes_len;
 } cq_ev_request_t;
@@ -366,6 +370,40 @@
     guint len;
 } cq_spare_t;
 
+/** enum cq_part_report_kind_t - what is reported of a part of prompts */
+typedef enum {
+    CQ_PART_CRASHED,  /* an upstream crashed under a request that has it */
+    CQ_PART_ANSWERED, /* an answer has begun to a request that has it */
+} cq_part_report_kind_t;
+
+/**
+ * struct cq_part_report_t - a report on a part of prompts, sent to peers
+ * @kind: what is reported
+ * @service: hash of the name of the request's service
+ * @part: id of the part
+ * @team: CRASHED: hash of the name of the request's team
+ * @crash: CRASHED: hash of the upstream and its incarnation
+ * @age_us: CRASHED: time since the crash
+ */
+typedef struct {
+    cq_part_report_kind_t kind;
+    guint64 service;
+    guint64 part;
+    guint64 team;
+    guint64 crash;
+    gint64 age_us;
+} cq_part_report_t;
+
+/**
+ * struct cq_ev_parts_t - reports of a peer on parts of prompts
+ * @rows: the reports, in order
+ * @len: number of @rows
+ */
+typedef struct {
+    const cq_part_report_t *rows;
+    guint len;
+} cq_ev_parts_t;
+
 /**
  * struct cq_ev_drain_t - a planned stop
  * @notice_us: how long from now new requests are still accepted
@@ -403,6 +441,7 @@
         gboolean log_up;
         cq_ev_drain_t drain;
         cq_ev_tasks_t tasks;
+        cq_ev_parts_t parts;
         const cq_spare_t *spare;
     };
 } cq_event_t;
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -253,6 +253,8 @@
  * @claimed: a claim record was written for @key
  * @repeatable: it may run more than once
  * @output_tokens: longest answer; an assumed length unless @output_known
+ * @parts: parts of its prompt that other prompts may contain too
+ * @is_trial: it is sent although one of @parts is blocked
  * @prefixes: prefixes of its prompt, ascending
  * @phase_start_us: when @phase was entered
  * @ready_us: it is not placed before this time
@@ -313,6 +315,8 @@
     gint64 prompt_tokens;
     gint64 output_tokens;
     gboolean output_known;
+    cq_parts_t parts;
+    gboolean is_trial;
     cq_prefix_t prefixes[CQ_PREFIX_LEVELS];
     guint prefixes_len;
     gint64 arrived_us;
@@ -411,6 +415,9 @@
     gint64 suspect_until_us;
 } cq_zone_t;
 
+/** struct cq_quarantine_t - parts of prompts under which upstreams crash */
+typedef struct cq_quarantine cq_quarantine_t;
+
 /**
  * struct cq_core - the whole state
  * @requests: list of cq_request_t in order of arrival
@@ -475,6 +482,7 @@
     GHashTable *claims;
     cq_lease_state_t lease;
     GHashTable *tasks;
+    cq_quarantine_t *quarantine;
     gint64 tasks_checked_us;
     gint64 tasks_broadcast_us;
     guint reservations;
--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -13,6 +13,7 @@
 #include "router/tick.h"
 #include "router/log_client.h"
 #include "router/relay.h"
+#include "router/partsync.h"
 #include "router/tasksync.h"
 
 /* Longest wait for the last answers and records: FLUSH_POLLS intervals. */
@@ -113,6 +114,7 @@
     }
     app->executing = FALSE;
     cq_tasksync_flush(cq_links_tasksync(app->links));
+    cq_partsync_flush(cq_links_partsync(app->links));
     if (!cq_tick_within(&app->tick, CQ_TICK_US) &&
         cq_core_has_waiting(app->core)) {
         cq_tick_request(&app->tick, CQ_TICK_US);
@@ -270,6 +272,9 @@
     case CQ_AC_TASK:
         cq_tasksync_queue(cq_links_tasksync(app->links), &action->task);
         break;
+    case CQ_AC_PART:
+        cq_partsync_queue(cq_links_partsync(app->links), &action->part);
+        break;
     case CQ_AC_SPARE:
         cq_tasksync_send_spare(cq_links_tasksync(app->links), &action->spare);
         break;
--- a/packages/router/links.c
+++ b/packages/router/links.c
@@ -9,6 +9,7 @@
 #include "router/follower.h"
 #include "router/link.h"
 #include "router/gossip.h"
+#include "router/partsync.h"
 #include "router/tasksync.h"
 
 #define CHECK_INTERVAL_MS 100
@@ -32,6 +33,7 @@
     guint refs;
     gint64 last_offer_us;
     cq_tasksync_t *tasksync;
+    cq_partsync_t *partsync;
 };
 
 /* A peer to stay connected to. */
@@ -52,6 +54,7 @@
     g_hash_table_unref(links->peer_by_addr);
     g_ptr_array_unref(links->open_links);
     cq_tasksync_free(links->tasksync);
+    cq_partsync_free(links->partsync);
     g_free(links);
 }
 
@@ -219,6 +222,10 @@
                      cq_tasksync_receive_spare(links->tasksync, frame->spare,
                                                cq_link_zone(link)));
         break;
+    case CQ__FRAME__KIND_PARTS:
+        count_unless(links, cq_partsync_receive(links->partsync, frame->parts,
+                                                cq_link_zone(link)));
+        break;
     case CQ__FRAME__KIND_RECORDS:
         count_unless(links, cq_gossip_receive(links->app, frame->records));
         break;
@@ -278,6 +285,7 @@
         }
     }
     cq_app_post(links->app, &event);
+    cq_partsync_send_all(links->partsync, link);
 }
 
 static void
@@ -436,6 +444,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     links->open_links = g_ptr_array_new();
     links->tasksync = cq_tasksync_new(app, links);
+    links->partsync = cq_partsync_new(app, links);
     links->timer = g_timeout_add(CHECK_INTERVAL_MS, on_timer, links);
     return links;
 }
@@ -532,6 +541,12 @@
     return links->tasksync;
 }
 
+cq_partsync_t *
+cq_links_partsync(cq_links_t *links)
+{
+    return links->partsync;
+}
+
 void
 cq_links_send_summary(cq_links_t *links, const cq_summary_t *summary)
 {
--- a/packages/router/links.h
+++ b/packages/router/links.h
@@ -57,6 +57,11 @@
 cq_links_send_frame(cq_links_t *links, cq_links_scope_t scope,
                     const char *zone, GBytes *frame);
 
+/** cq_links_partsync() - Return: the exchange of reports on parts of prompts
+ * over @links; borrowed */
+struct cq_partsync *
+cq_links_partsync(cq_links_t *links);
+
 /** cq_links_tasksync() - Return: the exchange of tasks over @links; borrowed
  */
 struct cq_tasksync *
--- a/packages/router/relay.c
+++ b/packages/router/relay.c
@@ -162,7 +162,8 @@
                     .target_us = route->target_us,
                     .gap_max_us = route->gap_max_us,
                     .attempts_max = route->attempts_max,
-                    .resumable = route->retry_policy == CQ_RETRY_RESUME},
+                    .resumable = route->retry_policy == CQ_RETRY_RESUME,
+                    .parts = fields->parts},
     };
     cq_app_post(relay->app, &event);
 }
--- a/packages/wire/codec.c
+++ b/packages/wire/codec.c
@@ -4,6 +4,9 @@
 
 #include "wire/frame.h"
 
+/* Reports are forgotten long before they reach this age. */
+#define REPORT_AGE_MAX_US (30 * 24 * 3600 * CQ_SECOND_US)
+
 GBytes *
 cq_codec_pack(const Cq__Frame *frame)
 {
@@ -220,3 +223,56 @@
     entry->body = g_strdup(from->body);
     return TRUE;
 }
+
+GBytes *
+cq_codec_encode_parts(const cq_part_report_t *rows, guint len)
+{
+    g_assert(len <= CQ_PART_REPORTS_MAX);
+    Cq__PartReport *reports = g_new(Cq__PartReport, len);
+    Cq__PartReport **report_ptrs = g_new(Cq__PartReport *, len);
+    for (guint i = 0; i < len; i++) {
+        cq__part_report__init(&reports[i]);
+        reports[i].kind = (guint32)rows[i].kind;
+        reports[i].service = rows[i].service;
+        reports[i].part = rows[i].part;
+        reports[i].team = rows[i].team;
+        reports[i].crash = rows[i].crash;
+        reports[i].age_us = (guint64)rows[i].age_us;
+        report_ptrs[i] = &reports[i];
+    }
+    Cq__PartReports message = CQ__PART_REPORTS__INIT;
+    message.n_rows = len;
+    message.rows = report_ptrs;
+    Cq__Frame frame = CQ__FRAME__INIT;
+    frame.kind_case = CQ__FRAME__KIND_PARTS;
+    frame.parts = &message;
+    GBytes *bytes = cq_codec_pack(&frame);
+    g_free(report_ptrs);
+    g_free(reports);
+    return bytes;
+}
+
+gboolean
+cq_codec_decode_parts(const Cq__PartReports *from, GArray *rows)
+{
+    if (from->n_rows > CQ_PART_REPORTS_MAX) {
+        return FALSE;
+    }
+    for (gsize i = 0; i < from->n_rows; i++) {
+        const Cq__PartReport *report = from->rows[i];
+        if (report->kind > CQ_PART_ANSWERED ||
+            report->age_us > REPORT_AGE_MAX_US) {
+            return FALSE;
+        }
+        cq_part_report_t row = {
+            .kind = (cq_part_report_kind_t)report->kind,
+            .service = report->service,
+            .part = report->part,
+            .team = report->team,
+            .crash = report->crash,
+            .age_us = (gint64)report->age_us,
+        };
+        g_array_append_val(rows, row);
+    }
+    return TRUE;
+}
--- a/packages/wire/codec.h
+++ b/packages/wire/codec.h
@@ -42,6 +42,16 @@
 GBytes *
 cq_codec_encode_entry(const cq_config_entry_t *entry);
 
+/** cq_codec_encode_parts() - Return: a frame with @len reports on parts of
+ * prompts, at most CQ_PART_REPORTS_MAX */
+GBytes *
+cq_codec_encode_parts(const cq_part_report_t *rows, guint len);
+
+/** cq_codec_decode_parts() - append the reports of @from to @rows, an array of
+ * cq_part_report_t; Return: FALSE when one is invalid */
+gboolean
+cq_codec_decode_parts(const Cq__PartReports *from, GArray *rows);
+
 /** cq_codec_decode_summary() - copy @from to @summary; Return: FALSE if a
  * value is out of range */
 gboolean
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -637,6 +637,96 @@
   assert(message->base.descriptor == &cq__spare__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cq__part_report__init
+                     (Cq__PartReport         *message)
+{
+  static const Cq__PartReport init_value = CQ__PART_REPORT__INIT;
+  *message = init_value;
+}
+size_t cq__part_report__get_packed_size
+                     (const Cq__PartReport *message)
+{
+  assert(message->base.descriptor == &cq__part_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cq__part_report__pack
+                     (const Cq__PartReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cq__part_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cq__part_report__pack_to_buffer
+                     (const Cq__PartReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cq__part_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cq__PartReport *
+       cq__part_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cq__PartReport *)
+     protobuf_c_message_unpack (&cq__part_report__descriptor,
+                                allocator, len, data);
+}
+void   cq__part_report__free_unpacked
+                     (Cq__PartReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cq__part_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cq__part_reports__init
+                     (Cq__PartReports         *message)
+{
+  static const Cq__PartReports init_value = CQ__PART_REPORTS__INIT;
+  *message = init_value;
+}
+size_t cq__part_reports__get_packed_size
+                     (const Cq__PartReports *message)
+{
+  assert(message->base.descriptor == &cq__part_reports__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cq__part_reports__pack
+                     (const Cq__PartReports *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cq__part_reports__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cq__part_reports__pack_to_buffer
+                     (const Cq__PartReports *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cq__part_reports__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cq__PartReports *
+       cq__part_reports__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cq__PartReports *)
+     protobuf_c_message_unpack (&cq__part_reports__descriptor,
+                                allocator, len, data);
+}
+void   cq__part_reports__free_unpacked
+                     (Cq__PartReports *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cq__part_reports__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cq__frame__init
                      (Cq__Frame         *message)
 {
@@ -1734,7 +1824,148 @@
   (ProtobufCMessageInit) cq__spare__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cq__frame__field_descriptors[9] =
+static const ProtobufCFieldDescriptor cq__part_report__field_descriptors[6] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cq__PartReport, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cq__PartReport, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cq__PartReport, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "team",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cq__PartReport, team),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crash",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cq__PartReport, crash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cq__PartReport, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cq__part_report__field_indices_by_name[] = {
+  5,   /* field[5] = age_us */
+  4,   /* field[4] = crash */
+  0,   /* field[0] = kind */
+  2,   /* field[2] = part */
+  1,   /* field[1] = service */
+  3,   /* field[3] = team */
+};
+static const ProtobufCIntRange cq__part_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor cq__part_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cq.PartReport",
+  "PartReport",
+  "Cq__PartReport",
+  "cq",
+  sizeof(Cq__PartReport),
+  6,
+  cq__part_report__field_descriptors,
+  cq__part_report__field_indices_by_name,
+  1,  cq__part_report__number_ranges,
+  (ProtobufCMessageInit) cq__part_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cq__part_reports__field_descriptors[1] =
+{
+  {
+    "rows",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cq__PartReports, n_rows),
+    offsetof(Cq__PartReports, rows),
+    &cq__part_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cq__part_reports__field_indices_by_name[] = {
+  0,   /* field[0] = rows */
+};
+static const ProtobufCIntRange cq__part_reports__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor cq__part_reports__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cq.PartReports",
+  "PartReports",
+  "Cq__PartReports",
+  "cq",
+  sizeof(Cq__PartReports),
+  1,
+  cq__part_reports__field_descriptors,
+  cq__part_reports__field_indices_by_name,
+  1,  cq__part_reports__number_ranges,
+  (ProtobufCMessageInit) cq__part_reports__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cq__frame__field_descriptors[10] =
 {
   {
     "hello",
@@ -1844,11 +2075,24 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "parts",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cq__Frame, kind_case),
+    offsetof(Cq__Frame, parts),
+    &cq__part_reports__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cq__frame__field_indices_by_name[] = {
   5,   /* field[5] = entry */
   0,   /* field[0] = hello */
   3,   /* field[3] = offer */
+  9,   /* field[9] = parts */
   1,   /* field[1] = proof */
   7,   /* field[7] = records */
   8,   /* field[8] = spare */
@@ -1859,7 +2103,7 @@
 static const ProtobufCIntRange cq__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor cq__frame__descriptor =
 {
@@ -1869,7 +2113,7 @@
   "Cq__Frame",
   "cq",
   sizeof(Cq__Frame),
-  9,
+  10,
   cq__frame__field_descriptors,
   cq__frame__field_indices_by_name,
   1,  cq__frame__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -29,6 +29,8 @@
 typedef struct Cq__Record Cq__Record;
 typedef struct Cq__Records Cq__Records;
 typedef struct Cq__Spare Cq__Spare;
+typedef struct Cq__PartReport Cq__PartReport;
+typedef struct Cq__PartReports Cq__PartReports;
 typedef struct Cq__Frame Cq__Frame;
 
 
@@ -265,6 +267,38 @@
     , 0,NULL, 0 }
 
 
+/*
+ * kind is one of cq_part_report_kind_t.
+ */
+struct  Cq__PartReport
+{
+  ProtobufCMessage base;
+  uint32_t kind;
+  uint64_t service;
+  uint64_t part;
+  uint64_t team;
+  uint64_t crash;
+  uint64_t age_us;
+};
+#define CQ__PART_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cq__part_report__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * Crashes of upstreams under requests with a part, and answers on suspects.
+ */
+struct  Cq__PartReports
+{
+  ProtobufCMessage base;
+  size_t n_rows;
+  Cq__PartReport **rows;
+};
+#define CQ__PART_REPORTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cq__part_reports__descriptor) \
+    , 0,NULL }
+
+
 typedef enum {
   CQ__FRAME__KIND__NOT_SET = 0,
   CQ__FRAME__KIND_HELLO = 1,
@@ -275,7 +309,8 @@
   CQ__FRAME__KIND_ENTRY = 6,
   CQ__FRAME__KIND_TASKS = 7,
   CQ__FRAME__KIND_RECORDS = 8,
-  CQ__FRAME__KIND_SPARE = 9
+  CQ__FRAME__KIND_SPARE = 9,
+  CQ__FRAME__KIND_PARTS = 10
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CQ__FRAME__KIND__CASE)
 } Cq__Frame__KindCase;
 
@@ -293,6 +328,7 @@
     Cq__Tasks *tasks;
     Cq__Records *records;
     Cq__Spare *spare;
+    Cq__PartReports *parts;
   };
 };
 #define CQ__FRAME__INIT \
@@ -566,6 +602,44 @@
 void   cq__spare__free_unpacked
                      (Cq__Spare *message,
                       ProtobufCAllocator *allocator);
+/* Cq__PartReport methods */
+void   cq__part_report__init
+                     (Cq__PartReport         *message);
+size_t cq__part_report__get_packed_size
+                     (const Cq__PartReport   *message);
+size_t cq__part_report__pack
+                     (const Cq__PartReport   *message,
+                      uint8_t             *out);
+size_t cq__part_report__pack_to_buffer
+                     (const Cq__PartReport   *message,
+                      ProtobufCBuffer     *buffer);
+Cq__PartReport *
+       cq__part_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cq__part_report__free_unpacked
+                     (Cq__PartReport *message,
+                      ProtobufCAllocator *allocator);
+/* Cq__PartReports methods */
+void   cq__part_reports__init
+                     (Cq__PartReports         *message);
+size_t cq__part_reports__get_packed_size
+                     (const Cq__PartReports   *message);
+size_t cq__part_reports__pack
+                     (const Cq__PartReports   *message,
+                      uint8_t             *out);
+size_t cq__part_reports__pack_to_buffer
+                     (const Cq__PartReports   *message,
+                      ProtobufCBuffer     *buffer);
+Cq__PartReports *
+       cq__part_reports__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cq__part_reports__free_unpacked
+                     (Cq__PartReports *message,
+                      ProtobufCAllocator *allocator);
 /* Cq__Frame methods */
 void   cq__frame__init
                      (Cq__Frame         *message);
@@ -629,6 +703,12 @@
 typedef void (*Cq__Spare_Closure)
                  (const Cq__Spare *message,
                   void *closure_data);
+typedef void (*Cq__PartReport_Closure)
+                 (const Cq__PartReport *message,
+                  void *closure_data);
+typedef void (*Cq__PartReports_Closure)
+                 (const Cq__PartReports *message,
+                  void *closure_data);
 typedef void (*Cq__Frame_Closure)
                  (const Cq__Frame *message,
                   void *closure_data);
@@ -652,6 +732,8 @@
 extern const ProtobufCMessageDescriptor cq__record__descriptor;
 extern const ProtobufCMessageDescriptor cq__records__descriptor;
 extern const ProtobufCMessageDescriptor cq__spare__descriptor;
+extern const ProtobufCMessageDescriptor cq__part_report__descriptor;
+extern const ProtobufCMessageDescriptor cq__part_reports__descriptor;
 extern const ProtobufCMessageDescriptor cq__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/unit/wire_test.cc
+++ b/tests/unit/wire_test.cc
@@ -85,6 +85,49 @@
     g_bytes_unref(wrapped);
 }
 
+TEST(Codec, ReportsOnPartsAreDecodedAsTheyWereEncoded)
+{
+    cq_part_report_t rows[2] = {{CQ_PART_CRASHED, 1, G_MAXUINT64, 3, 4, 5},
+                                {CQ_PART_ANSWERED, 6, 7, 0, 0, 0}};
+    GBytes *wrapped = cq_codec_encode_parts(rows, 2);
+    Cq__Frame *frame = unpack(wrapped);
+    ASSERT_NE(nullptr, frame);
+    GArray *decoded = g_array_new(FALSE, FALSE, sizeof(cq_part_report_t));
+    ASSERT_TRUE(cq_codec_decode_parts(frame->parts, decoded));
+    ASSERT_EQ(2u, decoded->len);
+    for (guint i = 0; i < 2; i++) {
+        const cq_part_report_t *row =
+            &g_array_index(decoded, cq_part_report_t, i);
+        EXPECT_EQ(rows[i].kind, row->kind);
+        EXPECT_EQ(rows[i].service, row->service);
+        EXPECT_EQ(rows[i].part, row->part);
+        EXPECT_EQ(rows[i].team, row->team);
+        EXPECT_EQ(rows[i].crash, row->crash);
+        EXPECT_EQ(rows[i].age_us, row->age_us);
+    }
+    cq__frame__free_unpacked(frame, nullptr);
+    g_array_unref(decoded);
+    g_bytes_unref(wrapped);
+}
+
+TEST(Codec, RejectsReportsOnPartsThatNoHostSends)
+{
+    GArray *decoded = g_array_new(FALSE, FALSE, sizeof(cq_part_report_t));
+    Cq__PartReport row = CQ__PART_REPORT__INIT;
+    Cq__PartReport *rows[] = {&row};
+    Cq__PartReports message = CQ__PART_REPORTS__INIT;
+    message.n_rows = 1;
+    message.rows = rows;
+    row.kind = 2;
+    EXPECT_FALSE(cq_codec_decode_parts(&message, decoded));
+    row.kind = CQ_PART_CRASHED;
+    row.age_us = G_MAXUINT64;
+    EXPECT_FALSE(cq_codec_decode_parts(&message, decoded));
+    message.n_rows = CQ_PART_REPORTS_MAX + 1;
+    EXPECT_FALSE(cq_codec_decode_parts(&message, decoded));
+    g_array_unref(decoded);
+}
+
 // Random bytes are decoded or rejected, without a crash.
 TEST(Codec, SurvivesRandomBytes)
 {
@@ -101,6 +144,12 @@
                 cq_summary_t summary;
                 cq_codec_decode_summary(frame->summary, &summary);
             }
+            if (frame->kind_case == CQ__FRAME__KIND_PARTS) {
+                GArray *rows =
+                    g_array_new(FALSE, FALSE, sizeof(cq_part_report_t));
+                cq_codec_decode_parts(frame->parts, rows);
+                g_array_unref(rows);
+            }
             cq__frame__free_unpacked(frame, nullptr);
         }
     }
