Keep blocked parts of prompts in the platform's store

What could happen: hosts remember blocked parts in memory and tell each other. When all are killed at once nobody knows them, and the part crashes three more upstreams.

Cause: what must last was not in the platform's store. The class: state that decides whether a fault recurs is lost by a restart.

Now the host that sees a crash under a blocked part writes a record beside the entries of the entry hosts, which each host reads when it starts, so no call is added to a start. An answer on the part deletes it, as does its end.

--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -33,6 +33,8 @@
 /* Maximum number of shared parts of a prompt that are told apart; further ones
  * are ignored. */
 #define CQ_PROMPT_PARTS_MAX 16
+/* Crashes that are remembered of each part. */
+#define CQ_PART_CRASHES_MAX 8
 /* Maximum number of reports on parts of prompts in one message. */
 #define CQ_PART_REPORTS_MAX 1024
 /* Length of a SHA-256 hash; bearer tokens are stored as such hashes. */
--- a/packages/bench/replay.c
+++ b/packages/bench/replay.c
@@ -194,6 +194,7 @@
         g_array_append_val(updates, action->task);
         break;
     case CQ_AC_PART:
+    case CQ_AC_PART_RECORD:
         break;
     case CQ_AC_SPARE:
         cq_replay_send_spare(host, &action->spare);
--- a/packages/bench/sim.c
+++ b/packages/bench/sim.c
@@ -160,6 +160,7 @@
         break;
     case CQ_AC_TASK:
     case CQ_AC_PART:
+    case CQ_AC_PART_RECORD:
     case CQ_AC_SPARE:
         break;
     case CQ_AC_STOPPED:
--- a/packages/core/action.h
+++ b/packages/core/action.h
@@ -27,6 +27,7 @@
     CQ_AC_TASK,    /* send a change of a task to the peers of this zone and, if
                       it crosses zones, of the other zones */
     CQ_AC_PART,    /* send a report on a part of prompts to the peers */
+    CQ_AC_PART_RECORD, /* store the record of a part, or delete it */
     CQ_AC_SPARE, /* offer idle engines to the peers of another zone, or ask all
                     other zones for offers */
     CQ_AC_STOPPED, /* everything is answered: the process may exit */
@@ -156,6 +157,7 @@
         cq_summary_t *summary;
         cq_task_update_t task;
         cq_part_report_t part;
+        cq_part_record_t part_record;
         cq_spare_t spare;
     };
 } cq_action_t;
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -394,6 +394,20 @@
     gint64 age_us;
 } cq_part_report_t;
 
+/**
+ * struct cq_part_record_t - what outlasts the hosts of a blocked part
+ * @service: hash of the name of the service
+ * @part: id of the part
+ * @crashes: the crashes that accuse it; their @kind is CRASHED
+ * @len: number of @crashes; 0: it is no longer blocked
+ */
+typedef struct {
+    guint64 service;
+    guint64 part;
+    cq_part_report_t crashes[CQ_PART_CRASHES_MAX];
+    guint len;
+} cq_part_record_t;
+
 /**
  * struct cq_ev_parts_t - reports of a peer on parts of prompts
  * @rows: the reports, in order
--- a/packages/core/quarantine.c
+++ b/packages/core/quarantine.c
@@ -8,8 +8,6 @@
  * written a short time ago. */
 #define CRASHES_TO_BLOCK 3
 #define CRASHES_TO_BLOCK_ANSWERED 6
-/* Crashes that are remembered of each part. */
-#define CRASHES_MAX 8
 /* Connections that end within this time of each other count as one crash: a
  * fault of the network breaks those of many upstreams at once. */
 #define CRASH_SPACING_US (20 * CQ_MS_US)
@@ -56,7 +54,7 @@
     guint64 key;
     guint64 service;
     guint64 id;
-    crash_t crashes[CRASHES_MAX];
+    crash_t crashes[CQ_PART_CRASHES_MAX];
     guint crashes_len;
     gint64 blocked_us;
     guint blocks;
@@ -332,12 +330,12 @@
 store_crash(part_t *part, const crash_t *crash)
 {
     guint slot = part->crashes_len;
-    if (slot < CRASHES_MAX) {
+    if (slot < CQ_PART_CRASHES_MAX) {
         part->crashes_len++;
     }
     else {
         slot = 0;
-        for (guint i = 1; i < CRASHES_MAX; i++) {
+        for (guint i = 1; i < CQ_PART_CRASHES_MAX; i++) {
             if (part->crashes[i].at_us < part->crashes[slot].at_us) {
                 slot = i;
             }
@@ -389,6 +387,34 @@
     cq_actions_add(core->actions, &action);
 }
 
+static cq_part_report_t
+report_of_crash(const cq_core_t *core, const part_t *part, guint i)
+{
+    return (cq_part_report_t){
+        .kind = CQ_PART_CRASHED,
+        .service = part->service,
+        .part = part->id,
+        .team = part->crashes[i].team,
+        .crash = part->crashes[i].id,
+        .age_us = core->now_us - part->crashes[i].at_us,
+    };
+}
+
+/* Writes the record of a blocked part, which hosts that start read, or deletes
+ * it. */
+static void
+write_record(cq_core_t *core, const part_t *part, gboolean blocked)
+{
+    cq_action_t action = {.kind = CQ_AC_PART_RECORD};
+    cq_part_record_t *record = &action.part_record;
+    record->service = part->service;
+    record->part = part->id;
+    for (guint i = 0; blocked && i < part->crashes_len; i++) {
+        record->crashes[record->len++] = report_of_crash(core, part, i);
+    }
+    cq_actions_add(core->actions, &action);
+}
+
 static void
 accuse(cq_core_t *core, const cq_request_t *request, guint64 id,
        const crash_t *crash)
@@ -397,6 +423,9 @@
     if (part != NULL && is_separate(part, crash)) {
         report(core, CQ_PART_CRASHED, part, crash);
         add_crash(core, part, crash);
+        if (is_blocked(core, part)) {
+            write_record(core, part, TRUE);
+        }
     }
 }
 
@@ -536,6 +565,9 @@
         part_t *part = find(core, service_id(request), id);
         if (part != NULL) {
             report(core, CQ_PART_ANSWERED, part, NULL);
+            if (part->blocked_us > 0) {
+                write_record(core, part, FALSE);
+            }
         }
         clear_part(core, part);
         note_answered(core, key_of(service_id(request), id));
@@ -584,14 +616,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const part_t *part = value;
         for (guint i = 0; i < part->crashes_len; i++) {
-            cq_part_report_t row = {
-                .kind = CQ_PART_CRASHED,
-                .service = part->service,
-                .part = part->id,
-                .team = part->crashes[i].team,
-                .crash = part->crashes[i].id,
-                .age_us = core->now_us - part->crashes[i].at_us,
-            };
+            cq_part_report_t row = report_of_crash(core, part, i);
             if (reports->len < CQ_PART_REPORTS_MAX) {
                 g_array_append_val(reports, row);
             }
@@ -631,6 +656,9 @@
                              ? 2 * blocked_until_us(part) - last_crash_us(part)
                              : last_crash_us(part) + SUSPECT_KEEP_US;
         if (core->now_us > keep_us) {
+            if (part->blocked_us > 0 && sends_trials(core, part)) {
+                write_record(core, part, FALSE);
+            }
             g_hash_table_iter_remove(&iter);
         }
     }
--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -275,6 +275,11 @@
     case CQ_AC_PART:
         cq_partsync_queue(cq_links_partsync(app->links), &action->part);
         break;
+    case CQ_AC_PART_RECORD:
+        if (app->follower != NULL) {
+            cq_follower_write_part(app->follower, &action->part_record);
+        }
+        break;
     case CQ_AC_SPARE:
         cq_tasksync_send_spare(cq_links_tasksync(app->links), &action->spare);
         break;
--- a/packages/router/follower.c
+++ b/packages/router/follower.c
@@ -5,6 +5,7 @@
 #include "platform/records.h"
 #include "router/gossip.h"
 #include "router/links.h"
+#include "router/partstore.h"
 #include "router/registration.h"
 #include "router/relay.h"
 
@@ -81,6 +82,7 @@
     cq_routes_t *routes;
     gboolean rows_changed; /* since the last HOSTS event */
     cq_registration_t *registration;
+    cq_partstore_t *partstore;
     gboolean store_state_posted; /* a LOG event has been posted */
     cq_store_reader_t role;
     gint64 role_checked_us;
@@ -135,6 +137,9 @@
         cq_records_is_routes_key(record->key) && record->value != NULL) {
         apply_config(table, record);
     }
+    if (table->topic == CQ_TOPIC_HOSTS && cq_partstore_owns(record->key)) {
+        cq_partstore_apply(follower->partstore, record);
+    }
     if (cq_topicmap_add(table->map, record)) {
         follower->rows_changed = TRUE;
     }
@@ -469,6 +474,7 @@
     cq_follower_t *follower = g_new0(cq_follower_t, 1);
     follower->app = app;
     follower->store = cq_store_new(cq_app_settings(app)->store);
+    follower->partstore = cq_partstore_new(app, follower->store);
     for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
         table_t *table = &follower->tables[i];
         table->follower = follower;
@@ -491,6 +497,7 @@
         cq_topicmap_free(table->map);
     }
     cq_registration_free(follower->registration);
+    cq_partstore_free(follower->partstore);
     cq_store_free(follower->store);
     if (follower->routes != NULL) {
         cq_routes_free(follower->routes);
@@ -505,6 +512,12 @@
            follower->tables[CQ_TOPIC_UPSTREAMS].current;
 }
 
+void
+cq_follower_write_part(cq_follower_t *follower, const cq_part_record_t *record)
+{
+    cq_partstore_write(follower->partstore, record);
+}
+
 void
 cq_follower_deregister(cq_follower_t *follower)
 {
@@ -528,6 +541,7 @@
         start_read(table);
     }
     cq_registration_resume(follower->registration);
+    cq_partstore_resume(follower->partstore);
 }
 
 guint64
--- a/packages/router/follower.h
+++ b/packages/router/follower.h
@@ -34,6 +34,12 @@
 gboolean
 cq_follower_ready(const cq_follower_t *follower);
 
+/** cq_follower_write_part() - write the record of a blocked part of prompts,
+ * or delete it, so that hosts that start know of it */
+void
+cq_follower_write_part(cq_follower_t *follower,
+                       const cq_part_record_t *record);
+
 /** cq_follower_deregister() - delete this host's entry from the store */
 void
 cq_follower_deregister(cq_follower_t *follower);
--- a/packages/router/topicmap.c
+++ b/packages/router/topicmap.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "platform/records.h"
+#include "router/partstore.h"
 
 /*
  * The newest record of a key.
@@ -141,7 +142,7 @@
     if (record->value != NULL) {
         entry->record.value = g_bytes_ref(record->value);
     }
-    if (map->topic != CQ_TOPIC_CONFIG) {
+    if (map->topic != CQ_TOPIC_CONFIG && !cq_partstore_owns(record->key)) {
         parse_entry(map, entry);
         keep_notice(entry, old);
         gboolean never_valid = old == NULL && !entry->valid;
--- a/packages/wire/codec.c
+++ b/packages/wire/codec.c
@@ -224,6 +224,18 @@
     return TRUE;
 }
 
+static void
+encode_report(Cq__PartReport *to, const cq_part_report_t *report)
+{
+    cq__part_report__init(to);
+    to->kind = (guint32)report->kind;
+    to->service = report->service;
+    to->part = report->part;
+    to->team = report->team;
+    to->crash = report->crash;
+    to->age_us = (guint64)report->age_us;
+}
+
 GBytes *
 cq_codec_encode_parts(const cq_part_report_t *rows, guint len)
 {
@@ -231,13 +243,7 @@
     Cq__PartReport *reports = g_new(Cq__PartReport, len);
     Cq__PartReport **report_ptrs = g_new(Cq__PartReport *, len);
     for (guint i = 0; i < len; i++) {
-        cq__part_report__init(&reports[i]);
-        reports[i].kind = (guint32)rows[i].kind;
-        reports[i].service = rows[i].service;
-        reports[i].part = rows[i].part;
-        reports[i].team = rows[i].team;
-        reports[i].crash = rows[i].crash;
-        reports[i].age_us = (guint64)rows[i].age_us;
+        encode_report(&reports[i], &rows[i]);
         report_ptrs[i] = &reports[i];
     }
     Cq__PartReports message = CQ__PART_REPORTS__INIT;
@@ -252,6 +258,52 @@
     return bytes;
 }
 
+char *
+cq_codec_format_part_record(const cq_part_record_t *record, gint64 unix_us)
+{
+    Cq__PartReport reports[CQ_PART_CRASHES_MAX];
+    Cq__PartReport *report_ptrs[CQ_PART_CRASHES_MAX];
+    for (guint i = 0; i < record->len; i++) {
+        encode_report(&reports[i], &record->crashes[i]);
+        report_ptrs[i] = &reports[i];
+    }
+    Cq__PartReports message = CQ__PART_REPORTS__INIT;
+    message.n_rows = record->len;
+    message.rows = report_ptrs;
+    message.unix_us = (guint64)unix_us;
+    gsize len = cq__part_reports__get_packed_size(&message);
+    guint8 *bytes = g_malloc(len);
+    cq__part_reports__pack(&message, bytes);
+    char *text = g_base64_encode(bytes, len);
+    g_free(bytes);
+    return text;
+}
+
+gboolean
+cq_codec_parse_part_record(const char *text, gsize text_len, gint64 unix_us,
+                           GArray *rows)
+{
+    char *copy = g_strndup(text, text_len);
+    gsize len;
+    guchar *bytes = g_base64_decode(copy, &len);
+    Cq__PartReports *message = cq__part_reports__unpack(NULL, len, bytes);
+    gboolean valid = message != NULL && cq_codec_decode_parts(message, rows);
+    if (valid) {
+        /* Clocks of hosts differ: a record is never from the future. */
+        gint64 passed_us = unix_us - (gint64)message->unix_us;
+        passed_us = CLAMP(passed_us, 0, REPORT_AGE_MAX_US);
+        for (guint i = 0; i < rows->len; i++) {
+            g_array_index(rows, cq_part_report_t, i).age_us += passed_us;
+        }
+    }
+    if (message != NULL) {
+        cq__part_reports__free_unpacked(message, NULL);
+    }
+    g_free(bytes);
+    g_free(copy);
+    return valid;
+}
+
 gboolean
 cq_codec_decode_parts(const Cq__PartReports *from, GArray *rows)
 {
--- a/packages/wire/codec.h
+++ b/packages/wire/codec.h
@@ -47,6 +47,18 @@
 GBytes *
 cq_codec_encode_parts(const cq_part_report_t *rows, guint len);
 
+/** cq_codec_format_part_record() - Return: @record as text, written at
+ * @unix_us of the wall clock; free with g_free() */
+char *
+cq_codec_format_part_record(const cq_part_record_t *record, gint64 unix_us);
+
+/** cq_codec_parse_part_record() - append the crashes of the record in @text,
+ * which is read at @unix_us of the wall clock, to the empty array @rows of
+ * cq_part_report_t; Return: FALSE when it is invalid */
+gboolean
+cq_codec_parse_part_record(const char *text, gsize text_len, gint64 unix_us,
+                           GArray *rows);
+
 /** cq_codec_decode_parts() - append the reports of @from to @rows, an array of
  * cq_part_report_t; Return: FALSE when one is invalid */
 gboolean
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -1927,7 +1927,7 @@
   (ProtobufCMessageInit) cq__part_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cq__part_reports__field_descriptors[1] =
+static const ProtobufCFieldDescriptor cq__part_reports__field_descriptors[2] =
 {
   {
     "rows",
@@ -1941,14 +1941,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unix_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cq__PartReports, unix_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cq__part_reports__field_indices_by_name[] = {
   0,   /* field[0] = rows */
+  1,   /* field[1] = unix_us */
 };
 static const ProtobufCIntRange cq__part_reports__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor cq__part_reports__descriptor =
 {
@@ -1958,7 +1971,7 @@
   "Cq__PartReports",
   "cq",
   sizeof(Cq__PartReports),
-  1,
+  2,
   cq__part_reports__field_descriptors,
   cq__part_reports__field_indices_by_name,
   1,  cq__part_reports__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -293,10 +293,14 @@
   ProtobufCMessage base;
   size_t n_rows;
   Cq__PartReport **rows;
+  /*
+   * In a record of the store: the time of writing. Else 0.
+   */
+  uint64_t unix_us;
 };
 #define CQ__PART_REPORTS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cq__part_reports__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0 }
 
 
 typedef enum {
--- a/tests/proc/relaylib.sh
+++ b/tests/proc/relaylib.sh
@@ -5,6 +5,8 @@
 ARRIVALS_FILE=$DIR/arrivals.log
 # The header that authenticates requests.
 CREDENTIAL="Cuminquay-Credential: secret-1"
+# The part of a prompt under which upstreams of keep_replica crash.
+POISON=badbad01
 REQUEST_NUMBER=0
 : >"$ARRIVALS_FILE"
 
@@ -38,6 +40,25 @@
     put keyed.servers "$1" "{\"service\":\"$3\",\"address\":\"127.0.0.1:$2\",\"zone\":\"a\",\"slots\":16,\"state\":\"$4\",\"born\":1}"
 }
 
+# keep_replica NAME PORT: starts an upstream that crashes on the part POISON; it
+# is back 1.5 s after each crash
+keep_replica() {
+    (
+        born=1
+        trap 'kill -TERM $child 2>/dev/null; exit 0' TERM
+        while true; do
+            "$BUILD/tests/fleetstandin" replica --listen "127.0.0.1:$2" --name "$1" \
+                --log "$ARRIVALS_FILE" --crash-part $POISON 2>>"$DIR/standin.log" &
+            child=$!
+            put keyed.servers "$1" "{\"service\":\"p\",\"address\":\"127.0.0.1:$2\",\"zone\":\"a\",\"slots\":16,\"state\":\"ready\",\"born\":$born}"
+            wait $child
+            sleep 1.5
+            born=$((born + 1))
+        done
+    ) &
+    PIDS="$PIDS $!"
+}
+
 # route PREFIX TYPE RESUMABLE PUBLIC: prints a route of the configuration
 route() {
     printf '{"name":"%s","host":"fleet.example","path_prefix":"%s","type":"%s","timeout_ms":%s,"goal_ms":1000,"gap_aim_ms":500,"attempts":2,"priority":1,"resumable":%s,"public":%s,"service":"p"}' \
--- a/tests/proc/relaypoison.sh
+++ b/tests/proc/relaypoison.sh
@@ -7,26 +7,7 @@
 BUILD=${1:-build}
 . tests/proc/relaylib.sh
 PORT_A=$((BASE + 10)) PORT_B=$((BASE + 15))
-POISON=badbad01
 SEEDS="\"127.0.0.1:$((PORT_A + 2))\", \"127.0.0.1:$((PORT_B + 2))\""
-# keep_replica NAME PORT: starts an upstream that crashes on the part POISON; it
-# is back 1.5 s after each crash
-keep_replica() {
-    (
-        born=1
-        trap 'kill -TERM $child 2>/dev/null; exit 0' TERM
-        while true; do
-            "$BUILD/tests/fleetstandin" replica --listen "127.0.0.1:$2" --name "$1" \
-                --log "$ARRIVALS_FILE" --crash-part $POISON 2>>"$DIR/standin.log" &
-            child=$!
-            put keyed.servers "$1" "{\"service\":\"p\",\"address\":\"127.0.0.1:$2\",\"zone\":\"a\",\"slots\":16,\"state\":\"ready\",\"born\":$born}"
-            wait $child
-            sleep 1.5
-            born=$((born + 1))
-        done
-    ) &
-    PIDS="$PIDS $!"
-}
 fleetstandin store "$BASE"
 wait_for_http "http://$STORE_ADDR/ok"
 for i in 1 2 3 4 5 6 7 8; do keep_replica p$i $((BASE + 20 + i)); done
--- a/tests/unit/quarantine_test.cc
+++ b/tests/unit/quarantine_test.cc
@@ -267,6 +267,24 @@
     EXPECT_TRUE(is_blocked({kBad}));
 }
 
+TEST_F(Quarantine, ABlockedPartIsRecordedUntilItIsCleared)
+{
+    start_core(12);
+    std::vector<guint> lens;
+    for (int i = 0; i < 3; i++) {
+        crash_under({kBad});
+    }
+    advance(35 * kSecond);
+    answer_on({kBad});
+    for (const cq_action_t &action : all_actions) {
+        if (action.kind == CQ_AC_PART_RECORD) {
+            EXPECT_EQ(action.part_record.part, kBad);
+            lens.push_back(action.part_record.len);
+        }
+    }
+    EXPECT_EQ(lens, (std::vector<guint>{3, 0}));
+}
+
 TEST_F(Quarantine, PeersAreToldOfEachCrashOnce)
 {
     start_core(12);
--- a/tests/unit/wire_test.cc
+++ b/tests/unit/wire_test.cc
@@ -110,6 +110,25 @@
     g_bytes_unref(wrapped);
 }
 
+TEST(Codec, ARecordOfAPartAgesUntilItIsRead)
+{
+    cq_part_record_t record = {};
+    record.len = 1;
+    record.crashes[0] = {CQ_PART_CRASHED, 1, 2, 3, 4, 5};
+    char *text = cq_codec_format_part_record(&record, 1000);
+    GArray *rows = g_array_new(FALSE, FALSE, sizeof(cq_part_report_t));
+    ASSERT_TRUE(cq_codec_parse_part_record(text, strlen(text), 1100, rows));
+    ASSERT_EQ(1u, rows->len);
+    EXPECT_EQ(105, g_array_index(rows, cq_part_report_t, 0).age_us);
+    g_array_set_size(rows, 0);
+    ASSERT_TRUE(cq_codec_parse_part_record(text, strlen(text), 900, rows));
+    EXPECT_EQ(5, g_array_index(rows, cq_part_report_t, 0).age_us);
+    g_array_set_size(rows, 0);
+    EXPECT_FALSE(cq_codec_parse_part_record("//8=", 4, 900, rows));
+    g_array_unref(rows);
+    g_free(text);
+}
+
 TEST(Codec, RejectsReportsOnPartsThatNoHostSends)
 {
     GArray *decoded = g_array_new(FALSE, FALSE, sizeof(cq_part_report_t));
