--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -13,8 +13,6 @@
 #include "router/tick.h"
 #include "router/log_client.h"
 #include "router/relay.h"
-#include "router/partsync.h"
-#include "router/tasksync.h"
 
 /* Longest wait for the last answers and records: FLUSH_POLLS intervals. */
 #define FLUSH_POLL_MS 20
@@ -113,8 +111,7 @@
         g_free(next);
     }
     app->executing = FALSE;
-    cq_tasksync_flush(cq_links_tasksync(app->links));
-    cq_partsync_flush(cq_links_partsync(app->links));
+    cq_links_flush(app->links);
     if (!cq_tick_within(&app->tick, CQ_TICK_US) &&
         cq_core_has_waiting(app->core)) {
         cq_tick_request(&app->tick, CQ_TICK_US);
@@ -267,22 +264,16 @@
         cq_engines_order_model(app->engines, &action->order);
         break;
     case CQ_AC_SUMMARY:
-        cq_links_send_summary(app->links, action->summary);
-        break;
     case CQ_AC_TASK:
-        cq_tasksync_queue(cq_links_tasksync(app->links), &action->task);
-        break;
     case CQ_AC_PART:
-        cq_partsync_queue(cq_links_partsync(app->links), &action->part);
+    case CQ_AC_SPARE:
+        cq_links_send_action(app->links, action);
         break;
     case CQ_AC_PART_RECORD:
         if (app->follower != NULL) {
             cq_follower_write_part(app->follower, &action->part_record);
         }
         break;
-    case CQ_AC_SPARE:
-        cq_tasksync_send_spare(cq_links_tasksync(app->links), &action->spare);
-        break;
     case CQ_AC_STOPPED:
         if (app->follower != NULL) {
             cq_follower_deregister(app->follower);
--- a/packages/router/follower.c
+++ b/packages/router/follower.c
@@ -1,11 +1,10 @@
 #include "router/follower.h"
 
-#include <string.h>
-
 #include "platform/records.h"
 #include "router/gossip.h"
 #include "router/links.h"
 #include "router/partstore.h"
+#include "router/readerrole.h"
 #include "router/registration.h"
 #include "router/relay.h"
 
@@ -31,8 +30,6 @@
 /* Delay of the first read after a snapshot, by when a new process has links to
  * its peers and may get the topic from them. */
 #define FIRST_READ_DELAY_MS 700
-/* The role of this host is worked out again at this interval. */
-#define ROLE_CHECK_US (200 * CQ_MS_US)
 /* The store answers a long poll within this time after a new record. */
 #define STORE_DELAY_MAX_US (400 * CQ_MS_US)
 /* Delay before the next read after a new record, so that upstreams and hosts
@@ -84,8 +81,7 @@
     cq_registration_t *registration;
     cq_partstore_t *partstore;
     gboolean store_state_posted; /* a LOG event has been posted */
-    cq_store_reader_t role;
-    gint64 role_checked_us;
+    cq_readerrole_t role;
 };
 
 static void
@@ -145,17 +141,10 @@
     }
 }
 
-static gint
-compare_names(gconstpointer a, gconstpointer b)
-{
-    return strcmp(((const cq_host_row_t *)a)->name,
-                  ((const cq_host_row_t *)b)->name);
-}
-
 static void
 post_rows(cq_follower_t *follower, GArray *rows)
 {
-    g_array_sort(rows, compare_names);
+    cq_topicmap_sort_hosts(rows);
     cq_event_t event = {.kind = CQ_EV_HOSTS};
     event.hosts.rows = (const cq_host_row_t *)(const void *)rows->data;
     event.hosts.len = rows->len;
@@ -215,28 +204,6 @@
     }
 }
 
-static const char *const role_names[] = {
-    [CQ_STORE_READER_ALONE] = "alone",
-    [CQ_STORE_READER_FOR_PEERS] = "for_peers",
-    [CQ_STORE_READER_NONE] = "none",
-};
-
-static cq_store_reader_t
-reader_role(cq_follower_t *follower)
-{
-    gint64 now_us = cq_app_now_us(follower->app);
-    if (now_us - follower->role_checked_us < ROLE_CHECK_US) {
-        return follower->role;
-    }
-    cq_store_reader_t role = cq_core_store_reader(cq_app_core(follower->app));
-    follower->role_checked_us = now_us;
-    if (role != follower->role) {
-        follower->role = role;
-        cq_app_log(follower->app, "store_reader", "role=%s", role_names[role]);
-    }
-    return role;
-}
-
 /* Return: time until this host has to read the topic itself, 0 or less if it
  * has to read now. */
 static gint64
@@ -244,7 +211,7 @@
 {
     gint64 now_us = cq_app_now_us(table->follower->app);
     if (!table->current || table->peers_read_us == 0 ||
-        reader_role(table->follower) != CQ_STORE_READER_NONE) {
+        cq_readerrole_get(&table->follower->role) != CQ_STORE_READER_NONE) {
         return 0;
     }
     return table->peers_read_us + peers_read_max_us[table->topic] - now_us;
@@ -409,7 +376,8 @@
 sends_to_peers(const table_t *table)
 {
     return peers_read_max_us[table->topic] > 0 &&
-           reader_role(table->follower) == CQ_STORE_READER_FOR_PEERS;
+           cq_readerrole_get(&table->follower->role) ==
+               CQ_STORE_READER_FOR_PEERS;
 }
 
 /* The first read after a failure does not wait for new records: if the store
@@ -473,6 +441,7 @@
 {
     cq_follower_t *follower = g_new0(cq_follower_t, 1);
     follower->app = app;
+    follower->role.app = app;
     follower->store = cq_store_new(cq_app_settings(app)->store);
     follower->partstore = cq_partstore_new(app, follower->store);
     for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
--- a/packages/router/links.c
+++ b/packages/router/links.c
@@ -535,20 +535,10 @@
     }
 }
 
-cq_tasksync_t *
-cq_links_tasksync(cq_links_t *links)
-{
-    return links->tasksync;
-}
-
-cq_partsync_t *
-cq_links_partsync(cq_links_t *links)
-{
-    return links->partsync;
-}
-
-void
-cq_links_send_summary(cq_links_t *links, const cq_summary_t *summary)
+/* Sends every peer @summary and, for each topic of the store, the offset up to
+ * which this process has read it. */
+static void
+send_summary(cq_links_t *links, const cq_summary_t *summary)
 {
     cq_hlc_t clock = cq_core_ring(cq_app_core(links->app))->clock;
     guint64 offsets[CQ_TOPIC_COUNT] = {0};
@@ -565,6 +555,34 @@
     g_bytes_unref(frame);
 }
 
+void
+cq_links_send_action(cq_links_t *links, const cq_action_t *action)
+{
+    switch (action->kind) {
+    case CQ_AC_SUMMARY:
+        send_summary(links, action->summary);
+        break;
+    case CQ_AC_TASK:
+        cq_tasksync_queue(links->tasksync, &action->task);
+        break;
+    case CQ_AC_PART:
+        cq_partsync_queue(links->partsync, &action->part);
+        break;
+    case CQ_AC_SPARE:
+        cq_tasksync_send_spare(links->tasksync, &action->spare);
+        break;
+    default:
+        g_assert_not_reached();
+    }
+}
+
+void
+cq_links_flush(cq_links_t *links)
+{
+    cq_tasksync_flush(links->tasksync);
+    cq_partsync_flush(links->partsync);
+}
+
 void
 cq_links_send_offer(cq_links_t *links)
 {
--- a/packages/router/links.h
+++ b/packages/router/links.h
@@ -57,20 +57,14 @@
 cq_links_send_frame(cq_links_t *links, cq_links_scope_t scope,
                     const char *zone, GBytes *frame);
 
-/** cq_links_partsync() - Return: the exchange of reports on parts of prompts
- * over @links; borrowed */
-struct cq_partsync *
-cq_links_partsync(cq_links_t *links);
-
-/** cq_links_tasksync() - Return: the exchange of tasks over @links; borrowed
- */
-struct cq_tasksync *
-cq_links_tasksync(cq_links_t *links);
+/** cq_links_send_action() - send what a SUMMARY, TASK, PART or SPARE action
+ * says; tasks and parts are queued until cq_links_flush() */
+void
+cq_links_send_action(cq_links_t *links, const cq_action_t *action);
 
-/** cq_links_send_summary() - send every peer @summary and, for each topic of
- * the store, the offset up to which this process has read it */
+/** cq_links_flush() - send the queued tasks and reports on parts */
 void
-cq_links_send_summary(cq_links_t *links, const cq_summary_t *summary);
+cq_links_flush(cq_links_t *links);
 
 /** cq_links_send_offer() - send every peer a digest of the configuration in
  * force; a peer whose digest differs then requests the list of versions */
--- a/packages/router/topicmap.c
+++ b/packages/router/topicmap.c
@@ -85,6 +85,13 @@
     }
 }
 
+static gint
+compare_names(gconstpointer a, gconstpointer b)
+{
+    return strcmp(((const cq_host_row_t *)a)->name,
+                  ((const cq_host_row_t *)b)->name);
+}
+
 cq_topicmap_t *
 cq_topicmap_new(cq_app_t *app, cq_topic_t topic)
 {
@@ -183,6 +190,12 @@
     }
 }
 
+void
+cq_topicmap_sort_hosts(GArray *rows)
+{
+    g_array_sort(rows, compare_names);
+}
+
 void
 cq_topicmap_begin_snapshot(cq_topicmap_t *map)
 {
--- a/packages/router/topicmap.h
+++ b/packages/router/topicmap.h
@@ -56,6 +56,11 @@
 void
 cq_topicmap_list_left(cq_topicmap_t *map, GArray *rows);
 
+/** cq_topicmap_sort_hosts() - sort @rows, an array of cq_host_row_t, by name
+ */
+void
+cq_topicmap_sort_hosts(GArray *rows);
+
 /** cq_topicmap_begin_snapshot() - count no key as seen */
 void
 cq_topicmap_begin_snapshot(cq_topicmap_t *map);
