Postmortem of the prompt part that crashes engines; 69 hosts in cells

proc/relaycells starts 69 hosts in three zones, which form cells, and lets three of them see one crash each: every host blocks the part within 2 s. Up to 32 shared parts of a prompt are told apart instead of 16.

--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -32,7 +32,7 @@
 #define CQ_PREFIX_LEVELS 6
 /* Maximum number of shared parts of a prompt that are told apart; further ones
  * are ignored. */
-#define CQ_PROMPT_PARTS_MAX 16
+#define CQ_PROMPT_PARTS_MAX 32
 /* Crashes that are remembered of each part. */
 #define CQ_PART_CRASHES_MAX 8
 /* Maximum number of reports on parts of prompts in one message. */
--- a/tests/proc/relaylib.sh
+++ b/tests/proc/relaylib.sh
@@ -81,10 +81,10 @@
 
 ROUTES="$(route /safe/ safe false false),$(route /unsafe/ unsafe false false),$(route /stream/ streaming true false),$(route /once/stream/ streaming false false),$(route /open/ safe false true)"
 
-# entry_with_store NAME PORT: starts an entry host that uses the store at
+# entry_with_store NAME PORT [ZONE]: starts an entry host that uses the store at
 # STORE_ADDR; callers are at PORT, operators at PORT+1, peers at PORT+2
 entry_with_store() {
-    settings "$1" a "$2"
+    settings "$1" "${3:-a}" "$2"
     cat >>"$DIR/$1.toml" <<EOF
 [platform]
 store = "$STORE_ADDR"
