Test of a store that comes back from an older copy, failing

The stand-in of the store gives the header Store-Era and can come back from an older copy: offsets go back and are given out again.

--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -39,6 +39,7 @@
     GList *waiters;
     gboolean refusing; /* answers 503 to entry hosts */
     gboolean silent;   /* gives no answer to calls that arrive now */
+    guint era;         /* how often it came back from an older copy, plus 1 */
 } store_t;
 
 static topic_t *
@@ -63,6 +64,19 @@
     }
 }
 
+/* The only store; the timers of waiting reads need it. */
+static store_t *the_store;
+
+/* Answers an entry host; @fields are further header lines. */
+static void
+answer(standin_conn_t *conn, int status, const char *fields, const void *body,
+       gsize len)
+{
+    char *all = g_strdup_printf("Store-Era: %u\r\n%s", the_store->era, fields);
+    standin_answer(conn, status, all, body, len);
+    g_free(all);
+}
+
 static void
 answer_records(standin_conn_t *conn, const topic_t *topic, guint64 from)
 {
@@ -82,7 +96,7 @@
         g_byte_array_append(out, (const guint8 *)record->key, (guint)key_len);
         g_byte_array_append(out, value, (guint)value_len);
     }
-    standin_answer(conn, 200, "", out->data, out->len);
+    answer(conn, 200, "", out->data, out->len);
     g_byte_array_unref(out);
 }
 
@@ -110,9 +124,6 @@
     g_free(waiter);
 }
 
-/* The only store; the timers of waiting reads need it. */
-static store_t *the_store;
-
 static gboolean
 on_wait_over(gpointer data)
 {
@@ -190,8 +201,8 @@
     json_builder_end_object(builder);
     JsonNode *root = json_builder_get_root(builder);
     char *text = json_to_string(root, FALSE);
-    standin_answer(conn, 200, "Content-Type: application/json\r\n", text,
-                   strlen(text));
+    answer(conn, 200, "Content-Type: application/json\r\n", text,
+           strlen(text));
     g_free(text);
     json_node_unref(root);
     g_object_unref(builder);
@@ -203,8 +214,8 @@
 {
     guint64 from = (guint64)standin_query_number(query, "from", 0);
     gint64 wait_ms = standin_query_number(query, "wait_ms", 0);
-    if (from < topic->first) {
-        standin_answer(conn, 410, "", "{}", 2);
+    if (from < topic->first || from > topic->records->len) {
+        answer(conn, 410, "", "{}", 2);
         return;
     }
     if (from < topic->records->len || wait_ms == 0) {
@@ -240,7 +251,29 @@
         g_free(key);
         position += LENGTH_FIELD_BYTES + len;
     }
-    standin_answer(conn, 200, "", "{}", 2);
+    answer(conn, 200, "", "{}", 2);
+}
+
+/* Comes back from an older copy, in which @topic has @len records. */
+static void
+restore(store_t *store, topic_t *topic, guint len)
+{
+    store->era++;
+    g_ptr_array_set_size(topic->records, (gint)MIN(len, topic->records->len));
+    topic->first = MIN(topic->first, topic->records->len);
+    while (store->waiters != NULL) {
+        waiter_t *waiter = store->waiters->data;
+        standin_conn_t *conn = standin_ref(waiter->conn);
+        gboolean lost = waiter->from > waiter->topic->records->len;
+        if (lost) {
+            drop_waiter(store, waiter);
+            answer(conn, 410, "", "{}", 2);
+        }
+        else {
+            finish_waiter(store, waiter);
+        }
+        standin_unref(conn);
+    }
 }
 
 /* Calls of the test scripts: /put and /drop add a record or a deletion,
@@ -275,6 +308,9 @@
         g_free(reads);
         answer_waiters(store);
     }
+    if (strcmp(path, "/restore") == 0) {
+        restore(store, topic, (guint)standin_query_number(query, "len", 0));
+    }
     g_free(key);
     char *text = g_strdup_printf("%u", topic->reads);
     standin_answer(conn, 200, "", text, strlen(text));
@@ -298,7 +334,7 @@
         return;
     }
     if (store->refusing) {
-        standin_answer(conn, 503, "", "{}", 2);
+        answer(conn, 503, "", "{}", 2);
         return;
     }
     if (strcmp(path, "/v1/log-newest") == 0) {
@@ -320,6 +356,7 @@
 fleet_store(const fleet_options_t *options)
 {
     the_store = g_new0(store_t, 1);
+    the_store->era = 1;
     the_store->topics = g_hash_table_new(g_str_hash, g_str_equal);
     return standin_serve(options->listen_addr, on_request, the_store);
 }
