Follow the store's era: read all again when it comes back from an older copy

What could happen: the store comes back from a copy some seconds old and gives offsets out again. Hosts compared offsets of two numberings: a record with a lower offset than the known one was old news to them, so an upstream that leaves afterwards is used on, and a new configuration is ignored, until the offsets have caught up. Between hosts, records of one numbering were sent for the other.

What is missing in it stays for 5 s, in which upstreams and hosts write again; a record of an upstream that had left, of the same start, is not believed for as long, so that it does not come back. The host writes its own entry again. Offsets and records between hosts carry the era, and those of another one are ignored.

Not done: the record of a blocked part that the copy lacks is not written again.

--- a/packages/bench/sim.c
+++ b/packages/bench/sim.c
@@ -87,7 +87,7 @@
     delivery->from = host->index;
     delivery->summary = *summary;
     cq_hlc_t clock = {cq_sim_now(sim), 0};
-    GBytes *frame = cq_codec_encode_summary(summary, clock, NULL, NULL, 0);
+    GBytes *frame = cq_codec_encode_summary(summary, clock, NULL);
     sim->totals.summary_bytes += g_bytes_get_size(frame);
     g_bytes_unref(frame);
     cq_heap_add(&sim->heap, cq_sim_now(sim) + CQ_SIM_HOP_US, on_summary,
--- a/packages/bench/slopes.c
+++ b/packages/bench/slopes.c
@@ -263,8 +263,7 @@
                 share->placed_us[klass] = 1000000000LL * (klass + 1);
             }
         }
-        GBytes *frame =
-            cq_codec_encode_summary(&summary, clock, NULL, NULL, 0);
+        GBytes *frame = cq_codec_encode_summary(&summary, clock, NULL);
         printf("slope.summary.%u_shares %zu B\n", share_counts[i],
                g_bytes_get_size(frame));
         g_bytes_unref(frame);
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -25,6 +25,7 @@
     gboolean keep_alive;
     gboolean closed;
     int status;
+    cq_client_head_t head;
     cq_client_done_t done;
     void *data;
     GDestroyNotify data_free;
@@ -99,6 +100,9 @@
     conn_t *conn = data;
     conn->status = head->status;
     conn->keep_alive = head->keep_alive;
+    if (conn->busy && conn->head != NULL) {
+        conn->head(head, conn->data);
+    }
 }
 
 static void
@@ -230,6 +234,7 @@
     conn_t *conn = get_conn(client, call->addr);
     conn->busy = TRUE;
     conn->status = 0;
+    conn->head = call->head;
     conn->done = call->done;
     conn->data = call->data;
     conn->data_free = call->data_free;
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -11,6 +11,8 @@
 
 #include <glib.h>
 
+#include "http/h1.h"
+
 G_BEGIN_DECLS
 
 typedef struct cq_client cq_client_t;
@@ -20,6 +22,10 @@
 typedef void (*cq_client_done_t)(int status, const GByteArray *body,
                                  void *data);
 
+/** typedef cq_client_head_t - called with the head of a response, which is
+ * borrowed */
+typedef void (*cq_client_head_t)(const cq_h1_head_t *head, void *data);
+
 /**
  * struct cq_client_call_t - a call
  * @addr: `ip:port`
@@ -29,8 +35,9 @@
  * @body: the body, or NULL to send neither a body nor Content-Length
  * @body_len: its length in bytes
  * @timeout_ms: time limit for the complete response
+ * @head: called with the response's head before @done; may be NULL
  * @done: called once, unless the client is freed first
- * @data: passed to @done
+ * @data: passed to @head and @done
  * @data_free: frees @data after @done, or when the client is freed before;
  *   may be NULL
  */
@@ -42,6 +49,7 @@
     const void *body;
     gsize body_len;
     guint timeout_ms;
+    cq_client_head_t head;
     cq_client_done_t done;
     void *data;
     GDestroyNotify data_free;
--- /dev/null
+++ b/packages/router/catalog.c
@@ -0,0 +1,172 @@
+#include "router/catalog.h"
+
+#include "platform/records.h"
+
+struct cq_catalog {
+    cq_app_t *app;
+    cq_partstore_t *partstore;
+    cq_topicmap_t *maps[CQ_TOPIC_COUNT];
+    cq_routes_t *routes;
+    gboolean rows_changed; /* since the last HOSTS event */
+};
+
+/* Ignores a configuration whose version is not newer than the current one. */
+static void
+apply_config(cq_catalog_t *catalog, const cq_store_record_t *record)
+{
+    cq_error_t error = {0};
+    gsize len;
+    const char *text = g_bytes_get_data(record->value, &len);
+    cq_routes_t *routes = cq_records_parse_routes(text, len, &error);
+    if (routes == NULL) {
+        cq_topicmap_log_invalid(catalog->maps[CQ_TOPIC_CONFIG], record,
+                                &error);
+        return;
+    }
+    if (catalog->routes != NULL &&
+        routes->version <= catalog->routes->version) {
+        cq_routes_free(routes);
+        return;
+    }
+    cq_routes_t *old = catalog->routes;
+    catalog->routes = routes;
+    cq_app_set_routes(catalog->app, routes);
+    for (guint i = 0; i < routes->rules->len; i++) {
+        cq_event_t event = {.kind = CQ_EV_RULES,
+                            .rules = g_ptr_array_index(routes->rules, i)};
+        cq_app_post(catalog->app, &event);
+    }
+    cq_app_log(catalog->app, "config",
+               "version=%" G_GUINT64_FORMAT
+               " routes=%u offset=%" G_GUINT64_FORMAT,
+               routes->version, routes->all->len, record->offset);
+    if (old != NULL) {
+        cq_routes_free(old);
+    }
+}
+
+static void
+post_rows(cq_catalog_t *catalog, GArray *rows)
+{
+    cq_topicmap_sort_hosts(rows);
+    cq_event_t event = {.kind = CQ_EV_HOSTS};
+    event.hosts.rows = (const cq_host_row_t *)(const void *)rows->data;
+    event.hosts.len = rows->len;
+    cq_app_post(catalog->app, &event);
+}
+
+cq_catalog_t *
+cq_catalog_new(cq_app_t *app, cq_partstore_t *partstore)
+{
+    cq_catalog_t *catalog = g_new0(cq_catalog_t, 1);
+    catalog->app = app;
+    catalog->partstore = partstore;
+    for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
+        catalog->maps[i] = cq_topicmap_new(app, (cq_topic_t)i);
+    }
+    return catalog;
+}
+
+void
+cq_catalog_free(cq_catalog_t *catalog)
+{
+    for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
+        cq_topicmap_free(catalog->maps[i]);
+    }
+    if (catalog->routes != NULL) {
+        cq_routes_free(catalog->routes);
+    }
+    g_free(catalog);
+}
+
+gboolean
+cq_catalog_has_routes(const cq_catalog_t *catalog)
+{
+    return catalog->routes != NULL;
+}
+
+void
+cq_catalog_apply(cq_catalog_t *catalog, cq_topic_t topic,
+                 const cq_store_record_t *record)
+{
+    cq_topicmap_t *map = catalog->maps[topic];
+    if (!cq_topicmap_is_new(map, record)) {
+        return;
+    }
+    if (topic == CQ_TOPIC_CONFIG && cq_records_is_routes_key(record->key) &&
+        record->value != NULL) {
+        apply_config(catalog, record);
+    }
+    if (topic == CQ_TOPIC_HOSTS && cq_partstore_owns(record->key)) {
+        cq_partstore_apply(catalog->partstore, record);
+    }
+    if (cq_topicmap_add(map, record)) {
+        catalog->rows_changed = TRUE;
+    }
+}
+
+/* An entry that is merely missing may have expired in an outage of the store.
+ * So upstreams that left on notice, with both records read at once, are first
+ * listed as leaving. */
+void
+cq_catalog_post(cq_catalog_t *catalog)
+{
+    if (!catalog->rows_changed) {
+        return;
+    }
+    catalog->rows_changed = FALSE;
+    cq_topicmap_t *upstreams = catalog->maps[CQ_TOPIC_UPSTREAMS];
+    GArray *rows = g_array_new(FALSE, TRUE, sizeof(cq_host_row_t));
+    cq_topicmap_list_hosts(upstreams, rows);
+    cq_topicmap_list_hosts(catalog->maps[CQ_TOPIC_HOSTS], rows);
+    GArray *left = g_array_new(FALSE, TRUE, sizeof(cq_host_row_t));
+    cq_topicmap_list_left(upstreams, left);
+    if (left->len > 0) {
+        g_array_append_vals(left, rows->data, rows->len);
+        post_rows(catalog, left);
+    }
+    post_rows(catalog, rows);
+    cq_app_connect_peers(catalog->app);
+    g_array_unref(left);
+    g_array_unref(rows);
+}
+
+void
+cq_catalog_begin_snapshot(cq_catalog_t *catalog, cq_topic_t topic)
+{
+    cq_topicmap_begin_snapshot(catalog->maps[topic]);
+}
+
+void
+cq_catalog_end_snapshot(cq_catalog_t *catalog, cq_topic_t topic, guint64 end)
+{
+    if (cq_topicmap_end_snapshot(catalog->maps[topic], end)) {
+        catalog->rows_changed = TRUE;
+    }
+}
+
+void
+cq_catalog_visit_from(const cq_catalog_t *catalog, cq_topic_t topic,
+                      guint64 from, cq_topicmap_visit_t visit, void *data)
+{
+    cq_topicmap_visit_from(catalog->maps[topic], from, visit, data);
+}
+
+void
+cq_catalog_begin_era(cq_catalog_t *catalog)
+{
+    for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
+        cq_topicmap_begin_era(catalog->maps[i]);
+    }
+}
+
+void
+cq_catalog_end_era(cq_catalog_t *catalog)
+{
+    for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
+        if (cq_topicmap_end_era(catalog->maps[i])) {
+            catalog->rows_changed = TRUE;
+        }
+    }
+    cq_catalog_post(catalog);
+}
--- /dev/null
+++ b/packages/router/catalog.h
@@ -0,0 +1,69 @@
+/**
+ * DOC: catalog
+ *
+ * What this host knows from the records of the platform's store, and tells the
+ * core: the configuration, the upstreams, the entry hosts and the blocked
+ * parts of prompts.
+ */
+#ifndef CQ_CATALOG_H
+#define CQ_CATALOG_H
+
+#include "config/routes.h"
+#include "router/partstore.h"
+#include "router/topicmap.h"
+
+G_BEGIN_DECLS
+
+typedef struct cq_catalog cq_catalog_t;
+
+/** cq_catalog_new() - Return: an empty catalog; @partstore is borrowed */
+cq_catalog_t *
+cq_catalog_new(cq_app_t *app, cq_partstore_t *partstore);
+
+/** cq_catalog_free() - free the catalog */
+void
+cq_catalog_free(cq_catalog_t *catalog);
+
+/** cq_catalog_has_routes() - Return: whether a configuration is known */
+gboolean
+cq_catalog_has_routes(const cq_catalog_t *catalog);
+
+/** cq_catalog_apply() - apply a record of @topic, from the store or a peer; no
+ * effect if a newer record of the same key is known */
+void
+cq_catalog_apply(cq_catalog_t *catalog, cq_topic_t topic,
+                 const cq_store_record_t *record);
+
+/** cq_catalog_post() - tell the core of upstreams and hosts that have changed
+ */
+void
+cq_catalog_post(cq_catalog_t *catalog);
+
+/** cq_catalog_begin_snapshot() - the newest record of each key of @topic
+ * follows */
+void
+cq_catalog_begin_snapshot(cq_catalog_t *catalog, cq_topic_t topic);
+
+/** cq_catalog_end_snapshot() - drop the keys that were not seen in a complete
+ * snapshot whose first page ended at offset @end */
+void
+cq_catalog_end_snapshot(cq_catalog_t *catalog, cq_topic_t topic, guint64 end);
+
+/** cq_catalog_visit_from() - call @visit with each record of @topic whose
+ * offset is @from or higher */
+void
+cq_catalog_visit_from(const cq_catalog_t *catalog, cq_topic_t topic,
+                      guint64 from, cq_topicmap_visit_t visit, void *data);
+
+/** cq_catalog_begin_era() - the store has come back from an older copy */
+void
+cq_catalog_begin_era(cq_catalog_t *catalog);
+
+/** cq_catalog_end_era() - upstreams and hosts have had time to write again:
+ * take what the store has, and tell the core */
+void
+cq_catalog_end_era(cq_catalog_t *catalog);
+
+G_END_DECLS
+
+#endif
--- a/packages/router/follower.c
+++ b/packages/router/follower.c
@@ -1,6 +1,6 @@
 #include "router/follower.h"
 
-#include "platform/records.h"
+#include "router/catalog.h"
 #include "router/gossip.h"
 #include "router/links.h"
 #include "router/partstore.h"
@@ -27,6 +27,12 @@
     [CQ_TOPIC_UPSTREAMS] = 2000 * CQ_MS_US,
     [CQ_TOPIC_HOSTS] = 40 * CQ_SECOND_US,
 };
+/* After the store has come back from an older copy, what is missing in it
+ * counts as present for this time, in which upstreams and hosts write again.
+ */
+#define ERA_SETTLE_MS 5000
+/* A peer that names an era further ahead than this is not believed. */
+#define ERA_STEP_MAX 16
 /* Delay of the first read after a snapshot, by when a new process has links to
  * its peers and may get the topic from them. */
 #define FIRST_READ_DELAY_MS 700
@@ -55,7 +61,6 @@
 typedef struct {
     cq_follower_t *follower;
     cq_topic_t topic;
-    cq_topicmap_t *map;
     guint64 next;         /* offset after the last record known */
     guint64 next_sampled; /* next as it was at sampled_us */
     guint64 snapshot_end; /* end offset that the first page gave */
@@ -76,107 +81,17 @@
     cq_app_t *app;
     cq_store_t *store;
     table_t tables[CQ_TOPIC_COUNT];
-    cq_routes_t *routes;
-    gboolean rows_changed; /* since the last HOSTS event */
+    cq_catalog_t *catalog;
     cq_registration_t *registration;
     cq_partstore_t *partstore;
     gboolean store_state_posted; /* a LOG event has been posted */
     cq_readerrole_t role;
+    guint era_timer;
 };
 
 static void
 start_read(table_t *table);
 
-/* Ignores a configuration whose version is not newer than the current one. */
-static void
-apply_config(table_t *table, const cq_store_record_t *record)
-{
-    cq_follower_t *follower = table->follower;
-    cq_error_t error = {0};
-    gsize len;
-    const char *text = g_bytes_get_data(record->value, &len);
-    cq_routes_t *routes = cq_records_parse_routes(text, len, &error);
-    if (routes == NULL) {
-        cq_topicmap_log_invalid(table->map, record, &error);
-        return;
-    }
-    if (follower->routes != NULL &&
-        routes->version <= follower->routes->version) {
-        cq_routes_free(routes);
-        return;
-    }
-    cq_routes_t *old = follower->routes;
-    follower->routes = routes;
-    cq_app_set_routes(follower->app, routes);
-    for (guint i = 0; i < routes->rules->len; i++) {
-        cq_event_t event = {.kind = CQ_EV_RULES,
-                            .rules = g_ptr_array_index(routes->rules, i)};
-        cq_app_post(follower->app, &event);
-    }
-    cq_app_log(follower->app, "config",
-               "version=%" G_GUINT64_FORMAT
-               " routes=%u offset=%" G_GUINT64_FORMAT,
-               routes->version, routes->all->len, record->offset);
-    if (old != NULL) {
-        cq_routes_free(old);
-    }
-}
-
-static void
-apply_record(table_t *table, const cq_store_record_t *record)
-{
-    cq_follower_t *follower = table->follower;
-    if (!cq_topicmap_is_new(table->map, record)) {
-        return;
-    }
-    if (table->topic == CQ_TOPIC_CONFIG &&
-        cq_records_is_routes_key(record->key) && record->value != NULL) {
-        apply_config(table, record);
-    }
-    if (table->topic == CQ_TOPIC_HOSTS && cq_partstore_owns(record->key)) {
-        cq_partstore_apply(follower->partstore, record);
-    }
-    if (cq_topicmap_add(table->map, record)) {
-        follower->rows_changed = TRUE;
-    }
-}
-
-static void
-post_rows(cq_follower_t *follower, GArray *rows)
-{
-    cq_topicmap_sort_hosts(rows);
-    cq_event_t event = {.kind = CQ_EV_HOSTS};
-    event.hosts.rows = (const cq_host_row_t *)(const void *)rows->data;
-    event.hosts.len = rows->len;
-    cq_app_post(follower->app, &event);
-}
-
-/* An entry that is merely missing may have expired in an outage of the store.
- * So upstreams that left on notice, with both records read at once, are first
- * listed as leaving. */
-static void
-post_hosts(cq_follower_t *follower)
-{
-    if (!follower->rows_changed) {
-        return;
-    }
-    follower->rows_changed = FALSE;
-    cq_topicmap_t *upstreams = follower->tables[CQ_TOPIC_UPSTREAMS].map;
-    GArray *rows = g_array_new(FALSE, TRUE, sizeof(cq_host_row_t));
-    cq_topicmap_list_hosts(upstreams, rows);
-    cq_topicmap_list_hosts(follower->tables[CQ_TOPIC_HOSTS].map, rows);
-    GArray *left = g_array_new(FALSE, TRUE, sizeof(cq_host_row_t));
-    cq_topicmap_list_left(upstreams, left);
-    if (left->len > 0) {
-        g_array_append_vals(left, rows->data, rows->len);
-        post_rows(follower, left);
-    }
-    post_rows(follower, rows);
-    cq_app_connect_peers(follower->app);
-    g_array_unref(left);
-    g_array_unref(rows);
-}
-
 static gboolean
 any_failing(const cq_follower_t *follower)
 {
@@ -301,8 +216,8 @@
 apply_page(table_t *table, const cq_store_page_t *page)
 {
     for (guint i = 0; i < page->records->len; i++) {
-        apply_record(table,
-                     &g_array_index(page->records, cq_store_record_t, i));
+        cq_catalog_apply(table->follower->catalog, table->topic,
+                         &g_array_index(page->records, cq_store_record_t, i));
     }
 }
 
@@ -335,7 +250,7 @@
         MAX(table->read_started_us,
             cq_app_now_us(table->follower->app) - STORE_DELAY_MAX_US);
     set_failing(table, FALSE);
-    post_hosts(table->follower);
+    cq_catalog_post(table->follower->catalog);
 }
 
 static void
@@ -344,7 +259,12 @@
     table_t *table = data;
     if (page->outcome != CQ_STORE_DONE) {
         table->snapshot_complete = FALSE;
-        retry_read(table);
+        if (page->outcome == CQ_STORE_EXPIRED) {
+            schedule_read(table, 0);
+        }
+        else {
+            retry_read(table);
+        }
         return;
     }
     if (table->snapshot_end == 0) {
@@ -358,9 +278,8 @@
                              on_snapshot_page, table);
         return;
     }
-    if (cq_topicmap_end_snapshot(table->map, table->snapshot_end)) {
-        table->follower->rows_changed = TRUE;
-    }
+    cq_catalog_end_snapshot(table->follower->catalog, table->topic,
+                            table->snapshot_end);
     /* Records may have been written while the pages were read, so reading
      * goes on at the end offset that the first page gave. */
     table->next = MAX(table->next, table->snapshot_end);
@@ -427,7 +346,7 @@
     table->read_started_us = cq_app_now_us(follower->app);
     if (!table->snapshot_complete) {
         table->snapshot_end = 0;
-        cq_topicmap_begin_snapshot(table->map);
+        cq_catalog_begin_snapshot(follower->catalog, table->topic);
         cq_store_read_newest(follower->store, table->topic, NULL,
                              on_snapshot_page, table);
         return;
@@ -436,19 +355,60 @@
                   long_poll_ms(table), on_read, table);
 }
 
+static gboolean
+on_era_settled(gpointer data)
+{
+    cq_follower_t *follower = data;
+    for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
+        if (!follower->tables[i].snapshot_complete) {
+            return G_SOURCE_CONTINUE;
+        }
+    }
+    follower->era_timer = 0;
+    cq_catalog_end_era(follower->catalog);
+    return G_SOURCE_REMOVE;
+}
+
+/* Offsets start anew, so every topic is read again from a snapshot. */
+static void
+on_era_changed(void *data)
+{
+    cq_follower_t *follower = data;
+    cq_app_log(follower->app, "store_era", "era=%" G_GUINT64_FORMAT,
+               cq_store_era(follower->store));
+    cq_catalog_begin_era(follower->catalog);
+    for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
+        table_t *table = &follower->tables[i];
+        table->next = 0;
+        table->next_sampled = 0;
+        table->read_us = 0;
+        table->peers_read_us = 0;
+        table->snapshot_complete = FALSE;
+        cq_store_cancel(follower->store, table);
+        schedule_read(table, 0);
+    }
+    cq_registration_renew(follower->registration);
+    if (follower->era_timer != 0) {
+        g_source_remove(follower->era_timer);
+    }
+    follower->era_timer =
+        g_timeout_add(ERA_SETTLE_MS, on_era_settled, follower);
+}
+
 cq_follower_t *
 cq_follower_new(cq_app_t *app)
 {
     cq_follower_t *follower = g_new0(cq_follower_t, 1);
     follower->app = app;
     follower->role.app = app;
-    follower->store = cq_store_new(cq_app_settings(app)->store);
+    follower->store =
+        cq_store_new(cq_app_settings(app)->store, on_era_changed, follower);
     follower->partstore = cq_partstore_new(app, follower->store);
+    follower->catalog = cq_catalog_new(app, follower->partstore);
     for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
         table_t *table = &follower->tables[i];
         table->follower = follower;
         table->topic = (cq_topic_t)i;
-        table->map = cq_topicmap_new(app, table->topic);
         start_read(table);
     }
     follower->registration = cq_registration_new(app, follower->store);
@@ -458,26 +418,26 @@
 void
 cq_follower_free(cq_follower_t *follower)
 {
+    if (follower->era_timer != 0) {
+        g_source_remove(follower->era_timer);
+    }
     for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
         table_t *table = &follower->tables[i];
         if (table->timer != 0) {
             g_source_remove(table->timer);
         }
-        cq_topicmap_free(table->map);
     }
     cq_registration_free(follower->registration);
     cq_partstore_free(follower->partstore);
     cq_store_free(follower->store);
-    if (follower->routes != NULL) {
-        cq_routes_free(follower->routes);
-    }
+    cq_catalog_free(follower->catalog);
     g_free(follower);
 }
 
 gboolean
 cq_follower_ready(const cq_follower_t *follower)
 {
-    return follower->routes != NULL &&
+    return cq_catalog_has_routes(follower->catalog) &&
            follower->tables[CQ_TOPIC_UPSTREAMS].current;
 }
 
@@ -513,6 +473,23 @@
     cq_partstore_resume(follower->partstore);
 }
 
+guint64
+cq_follower_era(const cq_follower_t *follower)
+{
+    return cq_store_era(follower->store);
+}
+
+gboolean
+cq_follower_note_era(cq_follower_t *follower, guint64 era)
+{
+    guint64 own = cq_store_era(follower->store);
+    if (own != 0 && era > own + ERA_STEP_MAX) {
+        return FALSE;
+    }
+    cq_store_note_era(follower->store, era);
+    return own == 0 || era == 0 || era == own;
+}
+
 guint64
 cq_follower_offset(const cq_follower_t *follower, cq_topic_t topic)
 {
@@ -572,7 +549,7 @@
     if (at >= offset_to_send(table)) {
         return FALSE;
     }
-    cq_topicmap_visit_from(table->map, at, visit, data);
+    cq_catalog_visit_from(follower->catalog, topic, at, visit, data);
     return TRUE;
 }
 
@@ -580,7 +557,7 @@
 cq_follower_add_record(cq_follower_t *follower, cq_topic_t topic,
                        const cq_store_record_t *record)
 {
-    apply_record(&follower->tables[topic], record);
+    cq_catalog_apply(follower->catalog, topic, record);
 }
 
 void
@@ -592,5 +569,5 @@
         table->next = MAX(table->next, at);
         table->current = TRUE;
     }
-    post_hosts(follower);
+    cq_catalog_post(follower->catalog);
 }
--- a/packages/router/follower.h
+++ b/packages/router/follower.h
@@ -49,6 +49,16 @@
 void
 cq_follower_reread(cq_follower_t *follower);
 
+/** cq_follower_era() - Return: the era of the store to which the offsets
+ * belong, or 0 if not known */
+guint64
+cq_follower_era(const cq_follower_t *follower);
+
+/** cq_follower_note_era() - note that a peer knows the store in @era, or 0;
+ * Return: whether its offsets mean the same records as those of this host */
+gboolean
+cq_follower_note_era(cq_follower_t *follower, guint64 era);
+
 /** cq_follower_offset() - Return: offset after the last known record of @topic
  */
 guint64
--- a/packages/router/gossip.c
+++ b/packages/router/gossip.c
@@ -40,8 +40,9 @@
 }
 
 static void
-send_records(cq_link_t *link, Cq__Records *records)
+send_records(cq_app_t *app, cq_link_t *link, Cq__Records *records)
 {
+    records->store_era = cq_follower_era(cq_app_follower(app));
     GBytes *bytes = pack_records(records);
     cq_link_send(link, bytes);
     g_bytes_unref(bytes);
@@ -108,7 +109,7 @@
     records.topic = topic;
     records.n_rows = 1;
     records.rows = rows;
-    send_records(transfer->link, &records);
+    send_records(transfer->app, transfer->link, &records);
 }
 
 void
@@ -116,6 +117,10 @@
 {
     cq_follower_t *follower = cq_app_follower(app);
     gsize len = MIN(summary->n_topics_at, CQ_TOPIC_COUNT);
+    if (follower != NULL &&
+        !cq_follower_note_era(follower, summary->store_era)) {
+        return;
+    }
     for (gsize i = 0; follower != NULL && i < len; i++) {
         cq_topic_t topic = (cq_topic_t)i;
         if (i < summary->n_topics_age_ms) {
@@ -134,7 +139,7 @@
             records.topic = topic;
             records.from = summary->topics_at[i];
             records.at = cq_follower_offset(follower, topic);
-            send_records(link, &records);
+            send_records(app, link, &records);
         }
     }
 }
@@ -156,6 +161,7 @@
     Cq__Records message = CQ__RECORDS__INIT;
     message.topic = topic;
     message.from = from;
+    message.store_era = cq_follower_era(cq_app_follower(app));
     message.rows = row_ptrs;
     gsize bytes = 0;
     for (guint i = 0; i < records->len && bytes <= PUSH_BYTES_MAX; i++) {
@@ -183,6 +189,9 @@
     if (follower == NULL || records->topic >= CQ_TOPIC_COUNT) {
         return FALSE;
     }
+    if (!cq_follower_note_era(follower, records->store_era)) {
+        return TRUE;
+    }
     cq_topic_t topic = (cq_topic_t)records->topic;
     for (gsize i = 0; i < records->n_rows; i++) {
         const Cq__Record *row = records->rows[i];
--- a/packages/router/links.c
+++ b/packages/router/links.c
@@ -548,9 +548,14 @@
         offsets[i] = cq_follower_offset(follower, (cq_topic_t)i);
         ages_ms[i] = cq_follower_read_age_ms(follower, (cq_topic_t)i);
     }
-    GBytes *frame =
-        cq_codec_encode_summary(summary, clock, offsets, ages_ms,
-                                follower != NULL ? CQ_TOPIC_COUNT : 0);
+    cq_topics_known_t known = {
+        .offsets = offsets,
+        .ages_ms = ages_ms,
+        .len = CQ_TOPIC_COUNT,
+        .era = follower != NULL ? cq_follower_era(follower) : 0,
+    };
+    GBytes *frame = cq_codec_encode_summary(summary, clock,
+                                            follower != NULL ? &known : NULL);
     cq_links_send_frame(links, CQ_LINKS_ALL, NULL, frame);
     g_bytes_unref(frame);
 }
--- a/packages/router/registration.c
+++ b/packages/router/registration.c
@@ -95,3 +95,11 @@
         write_entry(registration);
     }
 }
+
+void
+cq_registration_renew(cq_registration_t *registration)
+{
+    if (!registration->removed && registration->timer == 0) {
+        write_entry(registration);
+    }
+}
--- a/packages/router/registration.h
+++ b/packages/router/registration.h
@@ -27,6 +27,11 @@
 void
 cq_registration_remove(cq_registration_t *registration);
 
+/** cq_registration_renew() - write the entry again, which the store may have
+ * lost */
+void
+cq_registration_renew(cq_registration_t *registration);
+
 /** cq_registration_resume() - repeat the call in progress, if any; to be
  * called after the store client was reset */
 void
--- a/packages/router/topicmap.c
+++ b/packages/router/topicmap.c
@@ -12,6 +12,9 @@
  * left: the key was deleted before listed, which says that the upstream is
  *   leaving, was told
  * seen: the key is part of the snapshot being read
+ * carried: the record is of an earlier era of the store
+ * doubted: a record of this era, or one without a key; it says that an
+ *   upstream or host is there that had left in the earlier era
  */
 typedef struct {
     cq_store_record_t record;
@@ -20,6 +23,8 @@
     gboolean told;
     gboolean left;
     gboolean seen;
+    gboolean carried;
+    cq_store_record_t doubted;
 } entry_t;
 
 struct cq_topicmap {
@@ -28,12 +33,27 @@
     GHashTable *entries;
 };
 
+static void
+clear_record(cq_store_record_t *record)
+{
+    g_clear_pointer(&record->key, g_free);
+    g_clear_pointer(&record->value, g_bytes_unref);
+}
+
+static void
+copy_record(cq_store_record_t *to, const cq_store_record_t *from)
+{
+    to->key = g_strdup(from->key);
+    to->offset = from->offset;
+    to->value = from->value != NULL ? g_bytes_ref(from->value) : NULL;
+}
+
 static void
 free_entry(gpointer data)
 {
     entry_t *entry = data;
-    g_free(entry->record.key);
-    g_clear_pointer(&entry->record.value, g_bytes_unref);
+    clear_record(&entry->record);
+    clear_record(&entry->doubted);
     g_free(entry);
 }
 
@@ -121,10 +141,36 @@
                error->text);
 }
 
+/* An older copy of the store has upstreams and hosts that have left since. A
+ * record of one that had left, of the same start, is kept apart until they
+ * have had time to write again. Return: whether @record is doubted. */
+static gboolean
+doubt(const cq_topicmap_t *map, entry_t *old, const cq_store_record_t *record)
+{
+    if (map->topic == CQ_TOPIC_CONFIG || old->record.value != NULL ||
+        record->value == NULL) {
+        return FALSE;
+    }
+    entry_t said = {.record = *record};
+    if (!cq_partstore_owns(record->key)) {
+        parse_entry(map, &said);
+    }
+    if (said.valid && said.listed.incarnation > old->listed.incarnation) {
+        return FALSE;
+    }
+    clear_record(&old->doubted);
+    copy_record(&old->doubted, record);
+    old->seen = TRUE;
+    return TRUE;
+}
+
 gboolean
 cq_topicmap_is_new(cq_topicmap_t *map, const cq_store_record_t *record)
 {
     entry_t *old = g_hash_table_lookup(map->entries, record->key);
+    if (old != NULL && old->carried) {
+        return !doubt(map, old, record);
+    }
     if (old == NULL || old->record.offset < record->offset) {
         return TRUE;
     }
@@ -144,10 +190,9 @@
     gboolean changed = FALSE;
     entry_t *entry = g_new0(entry_t, 1);
     entry->seen = TRUE;
-    entry->record.key = g_strdup(record->key);
-    entry->record.offset = record->offset;
-    if (record->value != NULL) {
-        entry->record.value = g_bytes_ref(record->value);
+    copy_record(&entry->record, record);
+    if (record->value == NULL && old != NULL) {
+        entry->listed = old->listed;
     }
     if (map->topic != CQ_TOPIC_CONFIG && !cq_partstore_owns(record->key)) {
         parse_entry(map, entry);
@@ -216,7 +261,9 @@
     g_hash_table_iter_init(&iter, map->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         entry_t *entry = value;
-        if (!entry->seen && entry->record.offset < end && entry->valid) {
+        gboolean written_before = entry->record.offset < end;
+        if (!entry->seen && !entry->carried && written_before &&
+            entry->valid) {
             entry->valid = FALSE;
             g_clear_pointer(&entry->record.value, g_bytes_unref);
             dropped = TRUE;
@@ -234,8 +281,61 @@
     g_hash_table_iter_init(&iter, map->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const entry_t *entry = value;
-        if (entry->record.offset >= from) {
+        if (entry->record.offset >= from && !entry->carried) {
             visit(map->topic, &entry->record, data);
         }
     }
 }
+
+void
+cq_topicmap_begin_era(cq_topicmap_t *map)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, map->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        entry_t *entry = value;
+        entry->carried = TRUE;
+        clear_record(&entry->doubted);
+    }
+}
+
+/* Drops an entry that nobody has written again, or takes over what was
+ * doubted. Return: whether this changes the list. */
+static gboolean
+settle(cq_topicmap_t *map, entry_t *entry)
+{
+    entry->carried = FALSE;
+    entry->record.offset = 0;
+    if (entry->doubted.key == NULL || cq_partstore_owns(entry->record.key)) {
+        gboolean changed = entry->valid;
+        entry->valid = FALSE;
+        g_clear_pointer(&entry->record.value, g_bytes_unref);
+        return changed;
+    }
+    cq_store_record_t record;
+    copy_record(&record, &entry->doubted);
+    gboolean changed = cq_topicmap_add(map, &record);
+    clear_record(&record);
+    return changed;
+}
+
+gboolean
+cq_topicmap_end_era(cq_topicmap_t *map)
+{
+    gboolean changed = FALSE;
+    GPtrArray *carried = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, map->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (((const entry_t *)value)->carried) {
+            g_ptr_array_add(carried, value);
+        }
+    }
+    for (guint i = 0; i < carried->len; i++) {
+        changed |= settle(map, g_ptr_array_index(carried, i));
+    }
+    g_ptr_array_unref(carried);
+    return changed;
+}
--- a/packages/router/topicmap.h
+++ b/packages/router/topicmap.h
@@ -71,6 +71,19 @@
 gboolean
 cq_topicmap_end_snapshot(cq_topicmap_t *map, guint64 end);
 
+/** cq_topicmap_begin_era() - the store has come back from an older copy: its
+ * records replace those of the map whatever their offsets are, except those of
+ * upstreams and hosts that had left. The others stay until
+ * cq_topicmap_end_era() */
+void
+cq_topicmap_begin_era(cq_topicmap_t *map);
+
+/** cq_topicmap_end_era() - upstreams and hosts have had time to write again:
+ * take what the store has. Return: whether this changes what
+ * cq_topicmap_list_hosts() gives */
+gboolean
+cq_topicmap_end_era(cq_topicmap_t *map);
+
 /** cq_topicmap_visit_from() - call @visit with each record whose offset is
  * @from or higher */
 void
--- a/packages/wire/codec.c
+++ b/packages/wire/codec.c
@@ -31,8 +31,7 @@
 
 GBytes *
 cq_codec_encode_summary(const cq_summary_t *summary, cq_hlc_t clock,
-                        const guint64 *offsets, const guint64 *ages_ms,
-                        guint topics_len)
+                        const cq_topics_known_t *known)
 {
     cq_summary_t copy = *summary;
     Cq__Share shares[CQ_UPSTREAM_SUBSET_MAX];
@@ -59,10 +58,13 @@
     message.leaving = leaving_ptrs;
     message.clock_us = clock.wall_us;
     message.clock_logical = clock.logical;
-    message.n_topics_at = topics_len;
-    message.topics_at = (uint64_t *)offsets;
-    message.n_topics_age_ms = topics_len;
-    message.topics_age_ms = (uint64_t *)ages_ms;
+    if (known != NULL) {
+        message.n_topics_at = known->len;
+        message.topics_at = (uint64_t *)known->offsets;
+        message.n_topics_age_ms = known->len;
+        message.topics_age_ms = (uint64_t *)known->ages_ms;
+        message.store_era = known->era;
+    }
     Cq__Frame frame = CQ__FRAME__INIT;
     frame.kind_case = CQ__FRAME__KIND_SUMMARY;
     frame.summary = &message;
--- a/packages/wire/codec.h
+++ b/packages/wire/codec.h
@@ -19,14 +19,26 @@
 GBytes *
 cq_codec_pack(const Cq__Frame *frame);
 
+/**
+ * struct cq_topics_known_t - what a process knows of the platform's store
+ * @offsets: for each topic, the offset up to which it knows the records
+ * @ages_ms: for each topic, the age of its last read in ms plus 1, or 0 if it
+ *   does not read the topic
+ * @len: number of topics
+ * @era: era of the store to which the offsets belong, or 0 if not known
+ */
+typedef struct {
+    const guint64 *offsets;
+    const guint64 *ages_ms;
+    guint len;
+    guint64 era;
+} cq_topics_known_t;
+
 /** cq_codec_encode_summary() - Return: a framed summary stamped with @clock;
- * @offsets and @ages_ms have, for each of @topics_len topics of the store, the
- * offset up to which the sender knows its records, and the age of its last
- * read in ms plus 1, or 0 if it does not read the topic; unref it */
+ * @known is NULL in a process that does not use the store; unref it */
 GBytes *
 cq_codec_encode_summary(const cq_summary_t *summary, cq_hlc_t clock,
-                        const guint64 *offsets, const guint64 *ages_ms,
-                        guint topics_len);
+                        const cq_topics_known_t *known);
 
 /** cq_codec_encode_tasks() - Return: a frame with @len task updates of @host;
  * unref it */
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -1015,7 +1015,7 @@
   (ProtobufCMessageInit) cq__leaving__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cq__summary__field_descriptors[9] =
+static const ProtobufCFieldDescriptor cq__summary__field_descriptors[10] =
 {
   {
     "host",
@@ -1125,6 +1125,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_era",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Summary, store_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cq__summary__field_indices_by_name[] = {
   6,   /* field[6] = clock_logical */
@@ -1134,13 +1146,14 @@
   1,   /* field[1] = incarnation */
   4,   /* field[4] = leaving */
   3,   /* field[3] = shares */
+  9,   /* field[9] = store_era */
   8,   /* field[8] = topics_age_ms */
   7,   /* field[7] = topics_at */
 };
 static const ProtobufCIntRange cq__summary__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor cq__summary__descriptor =
 {
@@ -1150,7 +1163,7 @@
   "Cq__Summary",
   "cq",
   sizeof(Cq__Summary),
-  9,
+  10,
   cq__summary__field_descriptors,
   cq__summary__field_indices_by_name,
   1,  cq__summary__number_ranges,
@@ -1696,7 +1709,7 @@
   (ProtobufCMessageInit) cq__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cq__records__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cq__records__field_descriptors[5] =
 {
   {
     "rows",
@@ -1746,17 +1759,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_era",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Records, store_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cq__records__field_indices_by_name[] = {
   2,   /* field[2] = at */
   3,   /* field[3] = from */
   0,   /* field[0] = rows */
+  4,   /* field[4] = store_era */
   1,   /* field[1] = topic */
 };
 static const ProtobufCIntRange cq__records__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cq__records__descriptor =
 {
@@ -1766,7 +1792,7 @@
   "Cq__Records",
   "cq",
   sizeof(Cq__Records),
-  4,
+  5,
   cq__records__field_descriptors,
   cq__records__field_indices_by_name,
   1,  cq__records__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -117,10 +117,14 @@
    */
   size_t n_topics_age_ms;
   uint64_t *topics_age_ms;
+  /*
+   * Era of the store to which the offsets belong; 0: not known.
+   */
+  uint64_t store_era;
 };
 #define CQ__SUMMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cq__summary__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 struct  Cq__Version
@@ -245,10 +249,14 @@
   uint32_t topic;
   uint64_t at;
   uint64_t from;
+  /*
+   * Era of the store to which the offsets belong; 0: not known.
+   */
+  uint64_t store_era;
 };
 #define CQ__RECORDS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cq__records__descriptor) \
-    , 0,NULL, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/proc/relayera.sh
+++ b/tests/proc/relayera.sh
@@ -59,3 +59,8 @@
 for i in $(seq 10); do ask /safe/ok; done
 expect "requests that reached the upstream that has left, later" "$(($(grep -c "^$left " "$ARRIVALS_FILE") - before))" 0
 expect_ask "a call on the route that was added" "200 from p?" /added/ok
+# A lower era than the one known is believed when the store goes on naming it.
+curl -sf "http://$STORE_ADDR/era?to=1" >/dev/null
+config 8 "$ROUTES"
+for name in a b; do wait_for_output "event=config version=8" cat "$DIR/$name.log"; done
+say "a store whose era went back is followed again"
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -276,12 +276,16 @@
     }
 }
 
-/* Calls of the test scripts: /put and /drop add a record or a deletion,
- * /forget makes the records so far unreadable, /refuse makes the store answer
- * 503 to every call of an entry host. /silence makes it ignore every call of
- * an entry host, also later; reads that wait already are answered as usual, or
- * dropped with reads=drop. All answer with the topic's number of read calls.
- */
+/* Calls of the test scripts:
+ *   /put, /drop  add a record or a deletion
+ *   /forget      makes the records so far unreadable
+ *   /refuse      answers 503 to every call of an entry host, while on=1
+ *   /silence     ignores every call of an entry host, while on=1. A read that
+ *                waited before goes on waiting, but is never answered if its
+ *                time ends meanwhile, or with reads=drop
+ *   /restore     comes back from a copy in which the topic has len records
+ *   /era         changes only the era that it names
+ * All answer with the topic's number of read calls. */
 static void
 serve_control(store_t *store, standin_conn_t *conn, const char *path,
               const char *query, topic_t *topic, const GByteArray *body)
@@ -308,6 +312,9 @@
         g_free(reads);
         answer_waiters(store);
     }
+    if (strcmp(path, "/era") == 0) {
+        store->era = (guint)standin_query_number(query, "to", 1);
+    }
     if (strcmp(path, "/restore") == 0) {
         restore(store, topic, (guint)standin_query_number(query, "len", 0));
     }
--- a/tests/unit/wire_test.cc
+++ b/tests/unit/wire_test.cc
@@ -57,7 +57,7 @@
     summary.leaving_len = 1;
     summary.leaving[0] = {8, 2};
     GBytes *wrapped =
-        cq_codec_encode_summary(&summary, {10, 11}, nullptr, nullptr, 0);
+        cq_codec_encode_summary(&summary, {10, 11}, nullptr);
     Cq__Frame *frame = unpack(wrapped);
     ASSERT_NE(nullptr, frame);
     cq_summary_t decoded;
