--- a/tests/unit/wire_test.cc
+++ b/tests/unit/wire_test.cc
@@ -56,8 +56,7 @@
     summary.shares[0] = {G_MAXUINT64, {1, 2, 3, 4}, 5, 6};
     summary.leaving_len = 1;
     summary.leaving[0] = {8, 2};
-    GBytes *wrapped =
-        cq_codec_encode_summary(&summary, {10, 11}, nullptr);
+    GBytes *wrapped = cq_codec_encode_summary(&summary, {10, 11}, nullptr);
     Cq__Frame *frame = unpack(wrapped);
     ASSERT_NE(nullptr, frame);
     cq_summary_t decoded;
