Bound the memory of all plain answers together

What could happen: an upstream in trouble sends a body without a length that never ends. Each answer is cut off at 16 MiB, but nothing bounded all of them: 32 at once took a host 293 MB more, over the memory of the smallest host, and the platform kills a process above it.

Now plain answers hold at most 48 MiB together, twice that in the buffers; the answer that goes over it is broken off.

Streams as before.

--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -15,6 +15,9 @@
 /* Longest body of an answer that is not a stream. Such an answer is buffered
  * completely before it is forwarded. */
 #define BODY_BYTES_MAX (16 * 1024 * 1024)
+/* Bytes of all such bodies together; the answer that exceeds it is broken off.
+ * Buffers grow to twice that, which the smallest host can hold. */
+#define ALL_BODIES_BYTES_MAX (48 * 1024 * 1024)
 #define EVENT_END "\n\n"
 #define EVENT_ID "id:"
 
@@ -38,7 +41,8 @@
  * connection has ended before.
  * resumes: the caller already has the first events of the stream
  * unparsed: bytes of a stream that are not yet split into events
- * body: bytes ready to be forwarded */
+ * body: bytes ready to be forwarded
+ * buffered: bytes of it that count as buffered in the outbound */
 struct call {
     guint64 request;
     guint32 attempt;
@@ -55,6 +59,7 @@
     gboolean resumes;
     GByteArray *unparsed;
     GByteArray *body;
+    gsize buffered;
     gint64 last_event;
     gint64 event_count;
 };
@@ -64,6 +69,7 @@
     GHashTable *by_request;
     cq_list_t idle;
     cq_list_t busy;
+    gsize buffered; /* bytes of bodies that are no streams */
 };
 
 static void
@@ -99,6 +105,7 @@
     if (call->conn != NULL) {
         conn_close(call->conn);
     }
+    call->outbound->buffered -= call->buffered;
     cq_h1_clear_head(&call->head);
     g_byte_array_unref(call->unparsed);
     g_byte_array_unref(call->body);
@@ -297,10 +304,14 @@
         }
         return;
     }
-    if (call->body->len + len > BODY_BYTES_MAX) {
+    cq_outbound_t *outbound = call->outbound;
+    if (call->body->len + len > BODY_BYTES_MAX ||
+        outbound->buffered + len > ALL_BODIES_BYTES_MAX) {
         fail(call, CQ_FAIL_BROKEN);
         return;
     }
+    call->buffered += len;
+    outbound->buffered += len;
     g_byte_array_append(call->body, (const guint8 *)bytes, (guint)len);
 }
 
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -14,6 +14,7 @@
  *   bare           answers without an attempt id and without the seal
  *   nolength       ends an answer without a length by closing the connection
  *   nolengthreset  ends an answer without a length by a reset
+ *   endless        sends a body without a length that never ends
  *   cut            resets the connection without an answer
  *   other words    no answer
  *
@@ -182,6 +183,20 @@
     g_timeout_add(ms, on_event, stream);
 }
 
+static gboolean
+on_more_body(gpointer data)
+{
+    standin_conn_t *conn = data;
+    if (!standin_is_open(conn)) {
+        standin_unref(conn);
+        return G_SOURCE_REMOVE;
+    }
+    char bytes[ENDLESS_CHUNK_BYTES];
+    memset(bytes, 'x', sizeof bytes);
+    standin_write(conn, bytes, sizeof bytes);
+    return G_SOURCE_CONTINUE;
+}
+
 static void
 serve_plain(replica_t *replica, standin_conn_t *conn, const cq_h1_head_t *head,
             const char *behaviour)
@@ -238,6 +253,10 @@
         standin_printf(conn, "HTTP/1.1 200 OK\r\n%s\r\n%s", fields, body);
         standin_disconnect(conn, TRUE);
     }
+    else if (strcmp(behaviour, "endless") == 0) {
+        standin_printf(conn, "HTTP/1.1 200 OK\r\n%s\r\n", fields);
+        g_timeout_add(1, on_more_body, standin_ref(conn));
+    }
     else if (strcmp(behaviour, "cut") == 0) {
         standin_disconnect(conn, TRUE);
     }
