Refuse at once what no upstream can take before its deadline

What callers saw: with the only upstream of a service just found broken, the next requests waited out their whole time and got 504, though the host would not try that upstream before they were over.

Cause: a request was refused at its arrival only if the service had no upstream at all; one that is avoided for some seconds counted as an upstream.

Now a request is refused when all upstreams of its service are avoided until after its deadline: at its arrival, after a failed attempt, and, for plain services, while it waits.

Evidence: Retry.ARequestThatNoUpstream* and Retry.AWaitingRequestIs* failed before.

--- a/packages/core/admission.c
+++ b/packages/core/admission.c
@@ -7,6 +7,7 @@
 #include "core/claim.h"
 #include "core/flow.h"
 #include "core/load.h"
+#include "core/member.h"
 #include "core/place.h"
 #include "core/quarantine.h"
 #include "core/table.h"
@@ -184,6 +185,9 @@
     if (service->local->len + service->remote->len == 0) {
         return CQ_OUTCOME_NO_UPSTREAM;
     }
+    if (cq_member_usable_from_us(core, service) >= request->deadline_us) {
+        return CQ_OUTCOME_NO_UPSTREAM;
+    }
     if (g_hash_table_size(core->request_by_id) > CQ_REQUESTS_MAX) {
         return CQ_OUTCOME_OVERLOADED;
     }
--- a/packages/core/answer.c
+++ b/packages/core/answer.c
@@ -3,6 +3,7 @@
 #include "core/claim.h"
 #include "core/flow.h"
 #include "core/group.h"
+#include "core/member.h"
 #include "core/place.h"
 #include "core/quarantine.h"
 #include "core/attempt.h"
@@ -28,6 +29,16 @@
     return least_us + g_rand_int_range(core->rand, 0, (gint32)RETRY_SPREAD_US);
 }
 
+/* Time until an upstream accepts new work; CQ_SECOND_US if that is not known.
+ */
+static gint64
+upstream_delay_us(const cq_core_t *core, const cq_request_t *request)
+{
+    gint64 from_us = cq_member_usable_from_us(core, request->service);
+    return from_us == G_MAXINT64 ? CQ_SECOND_US
+                                 : MAX(from_us - core->now_us, CQ_SECOND_US);
+}
+
 static gint64
 retry_delay_us(cq_core_t *core, cq_request_t *request, cq_outcome_t outcome)
 {
@@ -35,6 +46,7 @@
     case CQ_OUTCOME_OVERLOADED:
         return cq_flow_retry_after_us(core, request);
     case CQ_OUTCOME_NO_UPSTREAM:
+        return random_delay_us(core, upstream_delay_us(core, request));
     case CQ_OUTCOME_NO_LOG:
         return random_delay_us(core, CQ_SECOND_US);
     case CQ_OUTCOME_IN_PROGRESS:
--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -210,7 +210,9 @@
         cq_answer_outcome(core, request, CQ_OUTCOME_PART_BLOCKED);
         return;
     }
-    if (!blocked && may_run_again(request, failure) &&
+    gboolean in_time = cq_member_usable_from_us(core, request->service) <
+                       request->deadline_us;
+    if (!blocked && in_time && may_run_again(request, failure) &&
         retry_budget_allows(core, request, failure)) {
         requeue(core, request);
         return;
--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -381,6 +381,31 @@
            zone_silent(core, upstream->zone);
 }
 
+/* A zone that is cut off may come back at any moment. */
+static gint64
+first_usable_us(const cq_core_t *core, const GPtrArray *upstreams)
+{
+    gint64 first_us = G_MAXINT64;
+    for (guint i = 0; i < upstreams->len; i++) {
+        const cq_upstream_t *upstream = g_ptr_array_index(upstreams, i);
+        if (upstream->leaving) {
+            continue;
+        }
+        gint64 usable_us = cq_member_zone_cut_off(core, upstream)
+                               ? core->now_us
+                               : upstream->suspect_until_us;
+        first_us = MIN(first_us, MAX(usable_us, core->now_us));
+    }
+    return first_us;
+}
+
+gint64
+cq_member_usable_from_us(const cq_core_t *core, const cq_service_t *service)
+{
+    return MIN(first_usable_us(core, service->local),
+               first_usable_us(core, service->remote));
+}
+
 static gboolean
 is_unused(const cq_upstream_t *upstream)
 {
--- a/packages/core/member.h
+++ b/packages/core/member.h
@@ -27,6 +27,13 @@
 gboolean
 cq_member_zone_cut_off(const cq_core_t *core, const cq_upstream_t *upstream);
 
+/** cq_member_usable_from_us() - Return: when the first upstream of @service
+ * accepts new work, as far as is known: now or later; G_MAXINT64 if it has
+ * none
+ */
+gint64
+cq_member_usable_from_us(const cq_core_t *core, const cq_service_t *service);
+
 /** cq_member_upstream_says() - apply what an upstream says of itself */
 void
 cq_member_upstream_says(cq_core_t *core, const cq_ev_upstream_t *said);
--- a/packages/core/watchdog.c
+++ b/packages/core/watchdog.c
@@ -3,6 +3,7 @@
 #include "core/answer.h"
 #include "core/group.h"
 #include "core/load.h"
+#include "core/member.h"
 #include "core/attempt.h"
 #include "core/table.h"
 
@@ -128,6 +129,12 @@
     if (core->policy != CQ_POLICY_COST || request->forwarded > 0) {
         return;
     }
+    if (request->service->rules->kind == CQ_SERVICE_PLAIN &&
+        cq_member_usable_from_us(core, request->service) >=
+            request->deadline_us) {
+        cq_answer_outcome(core, request, CQ_OUTCOME_NO_UPSTREAM);
+        return;
+    }
     if (request->service->rules->kind == CQ_SERVICE_BATCH) {
         check_late(core, request);
         return;
--- a/tests/unit/retry_test.cc
+++ b/tests/unit/retry_test.cc
@@ -107,6 +107,53 @@
     EXPECT_TRUE(used) << "it has started again";
 }
 
+// The load: a small service whose only upstreams have just broken off answers,
+// and callers that wait half a second.
+TEST_F(Retry, ARequestThatNoUpstreamCanTakeInTimeIsRefusedAtOnce)
+{
+    start_core(0, 1);
+    timeout_us = 500 * kMs;
+    guint64 first = submit(1, 300 * kMs, 0, "p");
+    attempt_event(first, CQ_EV_SENT);
+    attempt_event(first, CQ_EV_FAILED);
+    ASSERT_NE(answer_of(first), nullptr) << "there is no other upstream";
+    EXPECT_EQ(answer_of(first)->status, 502);
+    EXPECT_EQ(answer_of(first)->ran, CQ_RAN_UNKNOWN);
+    advance(100 * kMs);
+    guint64 next = submit(1, 300 * kMs, 0, "p");
+    ASSERT_NE(answer_of(next), nullptr);
+    EXPECT_EQ(answer_of(next)->status, 503);
+    EXPECT_EQ(answer_of(next)->ran, CQ_RAN_NO);
+    EXPECT_GE(answer_of(next)->retry_after_us, 900 * kMs);
+    advance(500 * kMs);
+    guint64 later = submit(1, 300 * kMs, 0, "p");
+    EXPECT_EQ(answer_of(later), nullptr) << "it can be tried in time";
+    advance(450 * kMs);
+    EXPECT_NE(last_send(later), nullptr);
+}
+
+TEST_F(Retry, AWaitingRequestIsRefusedOnceNoUpstreamCanTakeIt)
+{
+    start_core(0, 1);
+    timeout_us = 1500 * kMs;
+    std::vector<guint64> running;
+    guint64 waiting = 0;
+    while (waiting == 0) {
+        guint64 id = submit(1, 1500 * kMs, 0, "p");
+        (last_send(id) != nullptr ? running.push_back(id)
+                                  : (void)(waiting = id));
+    }
+    advance(kSecond);
+    for (guint64 id : running) {
+        attempt_event(id, CQ_EV_SENT);
+        attempt_event(id, CQ_EV_FAILED);
+    }
+    advance(50 * kMs);
+    ASSERT_NE(answer_of(waiting), nullptr);
+    EXPECT_EQ(answer_of(waiting)->ran, CQ_RAN_NO);
+    EXPECT_EQ(answer_of(waiting)->status, 503);
+}
+
 TEST_F(Retry, WhatAnEarlierIncarnationSaidIsIgnored)
 {
     start_core(0, 1);
