Name the team of a crash by the request's own team

What could happen: a configuration removes teams while a request runs, and the upstream crashes under it: the team was looked up by its index in the new, shorter list, beyond its end. Found by reading; Quarantine.ATeamMayBeRemoved* failed before (another team was named).

--- a/packages/core/admission.c
+++ b/packages/core/admission.c
@@ -114,6 +114,7 @@
     if (request->team < 0) {
         return FALSE;
     }
+    request->team_id = cq_ident_hash(event->team);
     gboolean is_model_service = rules->kind == CQ_SERVICE_MODEL;
     if (is_model_service && !cq_rules_has_model(rules, event->model)) {
         return FALSE;
--- a/packages/core/quarantine.c
+++ b/packages/core/quarantine.c
@@ -37,15 +37,6 @@
     return cq_ident_hash(request->service->name);
 }
 
-static guint64
-team_id(const cq_request_t *request)
-{
-    const GArray *teams = request->service->rules->teams;
-    const cq_team_rule_t *team =
-        &g_array_index(teams, cq_team_rule_t, (guint)request->team);
-    return cq_ident_hash(team->name);
-}
-
 static cq_suspects_t *
 suspects_of(const cq_core_t *core)
 {
@@ -60,7 +51,7 @@
         cq_suspect_t *part = cq_suspects_find(
             suspects_of(core), service_id(request), request->parts.ids[i]);
         if (part != NULL && cq_suspect_is_blocked(part, core->now_us) &&
-            cq_suspect_concerns_team(part, team_id(request))) {
+            cq_suspect_concerns_team(part, request->team_id)) {
             return part;
         }
     }
@@ -267,7 +258,7 @@
     }
     cq_crash_t crash = {
         .id = cq_place_mix(upstream->id ^ cq_place_mix(upstream->incarnation)),
-        .team = team_id(request),
+        .team = request->team_id,
         .at_us = core->now_us,
     };
     cq_suspect_t *known = blocked_part(core, request);
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -244,6 +244,7 @@
  * @link: in the core's list
  * @queue_link: in the list of its flow
  * @team: index of its team in the service's rules
+ * @team_id: hash of the name of its team
  * @length_class: its length class
  * @priority_class: the class by which engines order its prefill:
  *   @length_class, or the last class for a team above its share
@@ -305,6 +306,7 @@
     cq_service_t *service;
     cq_flow_t *flow;
     int team;
+    guint64 team_id;
     cq_class_t length_class;
     cq_class_t priority_class;
     cq_phase_t phase;
--- a/tests/unit/quarantine_test.cc
+++ b/tests/unit/quarantine_test.cc
@@ -255,6 +255,30 @@
     EXPECT_TRUE(is_blocked({kOther}));
 }
 
+TEST_F(Quarantine, ATeamMayBeRemovedWhileItsRequestRuns)
+{
+    more_teams = {"u"};
+    start_core(4);
+    team = "u";
+    parts = {kBad};
+    guint64 id = submit_short();
+    attempt_event(id, CQ_EV_SENT);
+    cq_rules_t *newer = core_test::make_rules("m", CQ_SERVICE_BATCH);
+    newer->version = 2;
+    cq_event_t event = {};
+    event.kind = CQ_EV_RULES;
+    event.rules = newer;
+    step(event);
+    cq_rules_unref(newer);
+    attempt_event(id, CQ_EV_FAILED);
+    EXPECT_EQ(reports(CQ_PART_CRASHED, kBad), 1u);
+    for (const cq_action_t &action : all_actions) {
+        if (action.kind == CQ_AC_PART) {
+            EXPECT_EQ(action.part.team, cq_ident_hash("u"));
+        }
+    }
+}
+
 TEST_F(Quarantine, SeveralTeamsHaveAPartBlockedForAll)
 {
     more_teams = {"u", "v"};
