Don't repeat a trial whose upstream falls silent

What could happen: a request that is sent to see whether a part still crashes upstreams was repeated on a second one if the first one stopped answering instead of ending the connection. Found by reading; Quarantine.ATrialThatFallsSilent* failed before.

--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -174,6 +174,9 @@
     if (failure == CQ_FAIL_CONNECT && request->sent) {
         failure = CQ_FAIL_BROKEN;
     }
+    if (failure == CQ_FAIL_BROKEN || failure == CQ_FAIL_FAULT) {
+        request->is_trial = FALSE;
+    }
     cq_table_log_event(core, request, "failed",
                        "upstream=%s how=%s events=%" G_GINT64_FORMAT,
                        upstream->name, failure_names[failure],
@@ -349,7 +352,6 @@
         if (detail->failure == CQ_FAIL_BROKEN) {
             cq_quarantine_crashed(core, request);
         }
-        request->is_trial = FALSE;
         cq_attempt_fail(core, request, detail->failure);
         break;
     default:
--- a/tests/unit/quarantine_test.cc
+++ b/tests/unit/quarantine_test.cc
@@ -279,6 +279,21 @@
     }
 }
 
+TEST_F(Quarantine, ATrialThatFallsSilentIsNotRepeated)
+{
+    start_core(12);
+    for (int i = 0; i < 3; i++) {
+        crash_under({kBad});
+    }
+    advance(35 * kSecond);
+    parts = {kBad};
+    guint64 id = submit_short();
+    ASSERT_NE(last_send(id), nullptr);
+    attempt_event(id, CQ_EV_SENT);
+    advance(4 * kSecond);
+    EXPECT_EQ(last_send(id)->attempt, 1u);
+}
+
 TEST_F(Quarantine, SeveralTeamsHaveAPartBlockedForAll)
 {
     more_teams = {"u", "v"};
