Tell a new peer of blocked parts before suspects

What could happen: a message holds 1,024 reports, and with many suspects those on blocked parts could be left out, so that a host that starts did not know them. Found by reading; Quarantine.ANewHostLearnsOfBlocked* failed before.

--- a/packages/core/quarantine.c
+++ b/packages/core/quarantine.c
@@ -340,14 +340,18 @@
     }
 }
 
-void
-cq_quarantine_list(const cq_core_t *core, GArray *reports)
+/* Appends the crashes of the parts that are blocked, or of the others. */
+static void
+list_crashes(const cq_core_t *core, gboolean blocked, GArray *reports)
 {
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, suspects_of(core)->parts);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const cq_suspect_t *part = value;
+        if (cq_suspect_is_blocked(part, core->now_us) != blocked) {
+            continue;
+        }
         for (guint i = 0; i < part->crashes_len; i++) {
             cq_part_report_t row = report_of_crash(core, part, i);
             if (reports->len < CQ_PART_REPORTS_MAX) {
@@ -357,6 +361,13 @@
     }
 }
 
+void
+cq_quarantine_list(const cq_core_t *core, GArray *reports)
+{
+    list_crashes(core, TRUE, reports);
+    list_crashes(core, FALSE, reports);
+}
+
 void
 cq_quarantine_enforce(cq_core_t *core)
 {
--- a/tests/unit/quarantine_test.cc
+++ b/tests/unit/quarantine_test.cc
@@ -294,6 +294,32 @@
     EXPECT_EQ(last_send(id)->attempt, 1u);
 }
 
+TEST_F(Quarantine, ANewHostLearnsOfBlockedPartsFirst)
+{
+    start_core(2);
+    for (guint64 part = 1; part <= 1500; part++) {
+        cq_part_report_t row = {};
+        row.service = cq_ident_hash("m");
+        row.part = 0x10000 + part;
+        row.crash = part;
+        cq_event_t event = {};
+        event.kind = CQ_EV_PARTS;
+        event.parts.rows = &row;
+        event.parts.len = 1;
+        step(event);
+    }
+    for (const char *crash : {"x", "y", "z"}) {
+        peer_reports(CQ_PART_CRASHED, kBad, crash);
+    }
+    GArray *rows = g_array_new(FALSE, FALSE, sizeof(cq_part_report_t));
+    cq_core_part_reports(core, rows);
+    ASSERT_GE(rows->len, 3u);
+    for (guint i = 0; i < 3; i++) {
+        EXPECT_EQ(g_array_index(rows, cq_part_report_t, i).part, kBad);
+    }
+    g_array_unref(rows);
+}
+
 TEST_F(Quarantine, SeveralTeamsHaveAPartBlockedForAll)
 {
     more_teams = {"u", "v"};
