--- a/tests/proc/relayoutage.sh
+++ b/tests/proc/relayoutage.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# An outage of the store swallows a read. An upstream that says that it is
+# A read is lost in an outage of the store. An upstream that says that it is
 # leaving 2.5 s after the store is back is known to be leaving within 2 s.
 BUILD=${1:-build}
 . tests/proc/relaylib.sh
