--- a/packages/router/topicmap.c
+++ b/packages/router/topicmap.c
@@ -13,8 +13,8 @@
  *   leaving, was told
  * seen: the key is part of the snapshot being read
  * carried: the record is of an earlier era of the store
- * doubted: a record of this era, or one without a key; it says that an
- *   upstream or host is there that had left in the earlier era
+ * doubted: a record of this era that lists an upstream or host which had left
+ *   in the earlier one; its key is NULL if there is none
  */
 typedef struct {
     cq_store_record_t record;
@@ -300,8 +300,9 @@
     }
 }
 
-/* Drops an entry that nobody has written again, or takes over what was
- * doubted. Return: whether this changes the list. */
+/* Ends the exception for an entry of an earlier era: takes over the doubted
+ * record, or drops the entry, as nobody has written it again. Return: whether
+ * this changes the list. */
 static gboolean
 settle(cq_topicmap_t *map, entry_t *entry)
 {
