Core: one test of usable upstreams, fewer lookups for blocked parts

Admission, retries and the watchdog asked in the same words whether an upstream can take a request in time, and admission also whether there is one at all, which the former includes: cq_member_usable_in_time(). The hash of a service's name was worked out for each part of each request: it is kept with the service. A request was looked up among blocked parts three times at its arrival, now twice. An answer on a part was noted in two places, and whether a status is a success twice in one function. A doc line no longer speaks of a choice.

--- a/packages/core/admission.c
+++ b/packages/core/admission.c
@@ -183,10 +183,7 @@
     if (cq_place_group_size(request) > service->rules->group_max) {
         return CQ_OUTCOME_TOO_LONG;
     }
-    if (service->local->len + service->remote->len == 0) {
-        return CQ_OUTCOME_NO_UPSTREAM;
-    }
-    if (cq_member_usable_from_us(core, service) >= request->deadline_us) {
+    if (!cq_member_usable_in_time(core, request)) {
         return CQ_OUTCOME_NO_UPSTREAM;
     }
     if (g_hash_table_size(core->request_by_id) > CQ_REQUESTS_MAX) {
@@ -248,9 +245,7 @@
     }
     add_demand(request);
     cq_place_update_candidates(core, request->service);
-    if (cq_quarantine_blocks(core, request)) {
-        request->is_trial = cq_quarantine_admits_trial(core, request);
-    }
+    request->is_trial = cq_quarantine_admits_trial(core, request);
     cq_outcome_t outcome = check_admission(core, request);
     if (outcome != CQ_OUTCOME_DONE) {
         cq_answer_outcome(core, request, outcome);
--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -213,9 +213,8 @@
         cq_answer_outcome(core, request, CQ_OUTCOME_PART_BLOCKED);
         return;
     }
-    gboolean in_time = cq_member_usable_from_us(core, request->service) <
-                       request->deadline_us;
-    if (!blocked && in_time && may_run_again(request, failure) &&
+    if (!blocked && may_run_again(request, failure) &&
+        cq_member_usable_in_time(core, request) &&
         retry_budget_allows(core, request, failure)) {
         requeue(core, request);
         return;
@@ -283,8 +282,9 @@
 on_done(cq_core_t *core, cq_request_t *request, int status)
 {
     on_sent(core, request);
+    gboolean success = status >= 200 && status < 300;
     request->upstream->broken_streak = 0;
-    if (status >= 200 && status < 300) {
+    if (success) {
         cq_quarantine_progress(core, request, 0, TRUE);
     }
     cq_member_reached(core, request->upstream);
@@ -293,7 +293,6 @@
     }
     cq_load_remove_attempt(core, request);
     /* A stream that the caller has in part ends only as a success. */
-    gboolean success = status >= 200 && status < 300;
     if (request->forwarded > 0 && !success) {
         cq_answer_outcome(core, request, CQ_OUTCOME_BROKEN);
         return;
--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -150,7 +150,7 @@
     return candidates;
 }
 
-/* Number of the peers chosen so far that are in @zone. */
+/* Return: how many of core->peers are in @zone. */
 static guint
 count_peers_in(const cq_core_t *core, const char *zone)
 {
@@ -406,6 +406,13 @@
                first_usable_us(core, service->remote));
 }
 
+gboolean
+cq_member_usable_in_time(const cq_core_t *core, const cq_request_t *request)
+{
+    return cq_member_usable_from_us(core, request->service) <
+           request->deadline_us;
+}
+
 static gboolean
 is_unused(const cq_upstream_t *upstream)
 {
--- a/packages/core/member.h
+++ b/packages/core/member.h
@@ -34,6 +34,11 @@
 gint64
 cq_member_usable_from_us(const cq_core_t *core, const cq_service_t *service);
 
+/** cq_member_usable_in_time() - Return: whether an upstream of its service
+ * accepts new work before the deadline of @request, as far as is known */
+gboolean
+cq_member_usable_in_time(const cq_core_t *core, const cq_request_t *request);
+
 /** cq_member_upstream_says() - apply what an upstream says of itself */
 void
 cq_member_upstream_says(cq_core_t *core, const cq_ev_upstream_t *said);
--- a/packages/core/quarantine.c
+++ b/packages/core/quarantine.c
@@ -31,12 +31,6 @@
     gint64 reports_since_us;
 };
 
-static guint64
-service_id(const cq_request_t *request)
-{
-    return cq_ident_hash(request->service->name);
-}
-
 static cq_suspects_t *
 suspects_of(const cq_core_t *core)
 {
@@ -49,7 +43,7 @@
 {
     for (guint i = 0; i < request->parts.len; i++) {
         cq_suspect_t *part = cq_suspects_find(
-            suspects_of(core), service_id(request), request->parts.ids[i]);
+            suspects_of(core), request->service->id, request->parts.ids[i]);
         if (part != NULL && cq_suspect_is_blocked(part, core->now_us) &&
             cq_suspect_concerns_team(part, request->team_id)) {
             return part;
@@ -75,7 +69,6 @@
     part->blocked_us = core->now_us;
     part->blocks++;
     part->trials = 0;
-    core->quarantine->enforce_due = TRUE;
     cq_counters_add(&core->counters, CQ_N_PARTS_BLOCKED, 1);
     cq_ring_add(&core->ring, core->now_us, 0, 0, "part_blocked",
                 "part=%" G_GINT64_MODIFIER "x crashes=%u times=%u", part->id,
@@ -158,7 +151,7 @@
        const cq_crash_t *crash)
 {
     cq_suspect_t *part =
-        cq_suspects_find_or_add(suspects_of(core), service_id(request), id);
+        cq_suspects_find_or_add(suspects_of(core), request->service->id, id);
     if (part != NULL && cq_suspect_is_separate(part, crash)) {
         report(core, CQ_PART_CRASHED, part, crash);
         add_crash(core, part, crash);
@@ -168,18 +161,20 @@
     }
 }
 
-/* A part on which an answer has begun is innocent of the crashes so far. */
+/* An answer has begun on a part, so it is innocent of the crashes so far.
+ * @part is NULL if it is no suspect. */
 static void
-clear_part(cq_core_t *core, cq_suspect_t *part)
+note_answered(cq_core_t *core, const cq_suspect_t *part, guint64 service,
+              guint64 id)
 {
-    if (part == NULL) {
-        return;
-    }
-    if (part->blocked_us > 0) {
+    if (part != NULL && part->blocked_us > 0) {
         cq_ring_add(&core->ring, core->now_us, 0, 0, "part_cleared",
-                    "part=%" G_GINT64_MODIFIER "x", part->id);
+                    "part=%" G_GINT64_MODIFIER "x", id);
     }
-    cq_suspects_remove(suspects_of(core), part);
+    if (part != NULL) {
+        cq_suspects_remove(suspects_of(core), part);
+    }
+    cq_suspects_note_answered(suspects_of(core), service, id, core->now_us);
 }
 
 /* Whether this host is the one that sends trials of @part. All hosts order the
@@ -286,19 +281,18 @@
     if (!begins && !(done && after < BEGUN_EVENTS)) {
         return;
     }
+    guint64 service = request->service->id;
     for (guint i = 0; i < request->parts.len; i++) {
         guint64 id = request->parts.ids[i];
-        cq_suspect_t *part =
-            cq_suspects_find(suspects_of(core), service_id(request), id);
+        const cq_suspect_t *part =
+            cq_suspects_find(suspects_of(core), service, id);
         if (part != NULL) {
             report(core, CQ_PART_ANSWERED, part, NULL);
-            if (part->blocked_us > 0) {
-                write_record(core, part, FALSE);
-            }
         }
-        clear_part(core, part);
-        cq_suspects_note_answered(suspects_of(core), service_id(request), id,
-                                  core->now_us);
+        if (part != NULL && part->blocked_us > 0) {
+            write_record(core, part, FALSE);
+        }
+        note_answered(core, part, service, id);
     }
 }
 
@@ -329,14 +323,17 @@
 {
     for (guint i = 0; i < event->len; i++) {
         const cq_part_report_t *row = &event->rows[i];
-        if (row->kind == CQ_PART_ANSWERED) {
-            clear_part(core, cq_suspects_find(suspects_of(core), row->service,
-                                              row->part));
-            cq_suspects_note_answered(suspects_of(core), row->service,
-                                      row->part, core->now_us);
-            continue;
+        switch (row->kind) {
+        case CQ_PART_CRASHED:
+            apply_crash(core, row);
+            break;
+        case CQ_PART_ANSWERED:
+            note_answered(
+                core,
+                cq_suspects_find(suspects_of(core), row->service, row->part),
+                row->service, row->part);
+            break;
         }
-        apply_crash(core, row);
     }
 }
 
--- a/packages/core/quarantine.h
+++ b/packages/core/quarantine.h
@@ -35,8 +35,9 @@
 gboolean
 cq_quarantine_blocks(const cq_core_t *core, const cq_request_t *request);
 
-/** cq_quarantine_admits_trial() - Return: whether @request, which is blocked,
- * is sent nevertheless, to see whether its part still crashes upstreams */
+/** cq_quarantine_admits_trial() - Return: whether @request is sent although a
+ * part of its prompt is blocked, to see whether that still crashes upstreams
+ */
 gboolean
 cq_quarantine_admits_trial(cq_core_t *core, const cq_request_t *request);
 
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -202,6 +202,7 @@
 
 /**
  * struct cq_service_t - a service
+ * @id: hash of @name
  * @rules: its rules, or NULL before the first ones arrive
  * @upstreams: list of cq_upstream_t
  * @local: candidate array: cq_upstream_t* in this host's zone
@@ -222,6 +223,7 @@
  */
 typedef struct cq_service {
     char name[CQ_NAME_BYTES];
+    guint64 id;
     cq_rules_t *rules;
     cq_list_t upstreams;
     GPtrArray *local;
--- a/packages/core/table.c
+++ b/packages/core/table.c
@@ -147,6 +147,7 @@
     }
     service = g_new0(cq_service_t, 1);
     g_strlcpy(service->name, name, sizeof service->name);
+    service->id = cq_ident_hash(service->name);
     cq_list_init(&service->upstreams);
     service->local = g_ptr_array_new();
     service->remote = g_ptr_array_new();
--- a/packages/core/watchdog.c
+++ b/packages/core/watchdog.c
@@ -130,8 +130,7 @@
         return;
     }
     if (request->service->rules->kind == CQ_SERVICE_PLAIN &&
-        cq_member_usable_from_us(core, request->service) >=
-            request->deadline_us) {
+        !cq_member_usable_in_time(core, request)) {
         cq_answer_outcome(core, request, CQ_OUTCOME_NO_UPSTREAM);
         return;
     }
