--- a/packages/router/follower.c
+++ b/packages/router/follower.c
@@ -253,18 +253,24 @@
     cq_catalog_post(table->follower->catalog);
 }
 
+/* Goes on after an answer that has no records. */
+static void
+read_failed(table_t *table, cq_store_outcome_t outcome)
+{
+    if (outcome == CQ_STORE_EXPIRED) {
+        table->snapshot_complete = FALSE;
+        schedule_read(table, 0);
+        return;
+    }
+    retry_read(table);
+}
+
 static void
 on_snapshot_page(const cq_store_page_t *page, void *data)
 {
     table_t *table = data;
     if (page->outcome != CQ_STORE_DONE) {
-        table->snapshot_complete = FALSE;
-        if (page->outcome == CQ_STORE_EXPIRED) {
-            schedule_read(table, 0);
-        }
-        else {
-            retry_read(table);
-        }
+        read_failed(table, page->outcome);
         return;
     }
     if (table->snapshot_end == 0) {
@@ -317,16 +323,9 @@
 on_read(const cq_store_page_t *page, void *data)
 {
     table_t *table = data;
-    switch (page->outcome) {
-    case CQ_STORE_FAILED:
-        retry_read(table);
-        return;
-    case CQ_STORE_EXPIRED:
-        table->snapshot_complete = FALSE;
-        schedule_read(table, 0);
+    if (page->outcome != CQ_STORE_DONE) {
+        read_failed(table, page->outcome);
         return;
-    case CQ_STORE_DONE:
-        break;
     }
     apply_page(table, page);
     if (page->records->len > 0 && sends_to_peers(table)) {
--- a/packages/router/topicmap.c
+++ b/packages/router/topicmap.c
@@ -33,13 +33,6 @@
     GHashTable *entries;
 };
 
-static void
-clear_record(cq_store_record_t *record)
-{
-    g_clear_pointer(&record->key, g_free);
-    g_clear_pointer(&record->value, g_bytes_unref);
-}
-
 static void
 copy_record(cq_store_record_t *to, const cq_store_record_t *from)
 {
@@ -52,8 +45,8 @@
 free_entry(gpointer data)
 {
     entry_t *entry = data;
-    clear_record(&entry->record);
-    clear_record(&entry->doubted);
+    cq_store_record_clear(&entry->record);
+    cq_store_record_clear(&entry->doubted);
     g_free(entry);
 }
 
@@ -158,7 +151,7 @@
     if (said.valid && said.listed.incarnation > old->listed.incarnation) {
         return FALSE;
     }
-    clear_record(&old->doubted);
+    cq_store_record_clear(&old->doubted);
     copy_record(&old->doubted, record);
     old->seen = TRUE;
     return TRUE;
@@ -296,7 +289,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         entry_t *entry = value;
         entry->carried = TRUE;
-        clear_record(&entry->doubted);
+        cq_store_record_clear(&entry->doubted);
     }
 }
 
@@ -314,10 +307,11 @@
         g_clear_pointer(&entry->record.value, g_bytes_unref);
         return changed;
     }
-    cq_store_record_t record;
-    copy_record(&record, &entry->doubted);
+    /* Adding the record frees the entry. */
+    cq_store_record_t record = entry->doubted;
+    entry->doubted = (cq_store_record_t){0};
     gboolean changed = cq_topicmap_add(map, &record);
-    clear_record(&record);
+    cq_store_record_clear(&record);
     return changed;
 }
 
