--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -41,8 +41,7 @@
  * connection has ended before.
  * resumes: the caller already has the first events of the stream
  * unparsed: bytes of a stream that are not yet split into events
- * body: bytes ready to be forwarded
- * buffered: bytes of it that count as buffered in the outbound */
+ * body: bytes ready to be forwarded */
 struct call {
     guint64 request;
     guint32 attempt;
@@ -59,7 +58,6 @@
     gboolean resumes;
     GByteArray *unparsed;
     GByteArray *body;
-    gsize buffered;
     gint64 last_event;
     gint64 event_count;
 };
@@ -98,6 +96,18 @@
     conn_unref(conn);
 }
 
+static gboolean
+is_success(const cq_h1_head_t *head)
+{
+    return head->status >= 200 && head->status < 300;
+}
+
+static gboolean
+is_stream(const call_t *call)
+{
+    return call->reply.stream && is_success(&call->head);
+}
+
 static void
 call_free(gpointer data)
 {
@@ -105,7 +115,9 @@
     if (call->conn != NULL) {
         conn_close(call->conn);
     }
-    call->outbound->buffered -= call->buffered;
+    if (!is_stream(call)) {
+        call->outbound->buffered -= call->body->len;
+    }
     cq_h1_clear_head(&call->head);
     g_byte_array_unref(call->unparsed);
     g_byte_array_unref(call->body);
@@ -182,12 +194,6 @@
     post(call, CQ_EV_SENT, &event);
 }
 
-static gboolean
-is_success(const cq_h1_head_t *head)
-{
-    return head->status >= 200 && head->status < 300;
-}
-
 /* Reported before the answer itself, so that a retry avoids the upstream. */
 static void
 report_upstream(const call_t *call, const cq_response_fields_t *reply)
@@ -282,12 +288,6 @@
     }
 }
 
-static gboolean
-is_stream(const call_t *call)
-{
-    return call->reply.stream && is_success(&call->head);
-}
-
 static void
 on_body(void *data, const char *bytes, gsize len)
 {
@@ -310,7 +310,6 @@
         fail(call, CQ_FAIL_BROKEN);
         return;
     }
-    call->buffered += len;
     outbound->buffered += len;
     g_byte_array_append(call->body, (const guint8 *)bytes, (guint)len);
 }
