Tests: share the start of one and of two hosts, and what the scripts ask the store

Assertions are the same. Ten scripts wrote the same start of hosts, the same calls of the stand-ins, or a record of an upstream again; the tests of blocked parts built the same event in four places.

--- a/tests/proc/relayera.sh
+++ b/tests/proc/relayera.sh
@@ -4,16 +4,10 @@
 # they know of upstreams that have left, and write their own entries again.
 BUILD=${1:-build}
 . tests/proc/relaylib.sh
-PORT_A=$((BASE + 10)) PORT_B=$((BASE + 15))
-PORT=$PORT_A
-SEEDS="\"127.0.0.1:$((PORT_A + 2))\", \"127.0.0.1:$((PORT_B + 2))\""
 two_replicas
 replica p3 $((BASE + 22)) p
-entry_with_store a "$PORT_A"
-entry_with_store b "$PORT_B"
-for name in a b; do wait_for_output "name=p3" cat "$DIR/$name.log"; done
-wait_for_http "http://127.0.0.1:$((PORT_A + 1))/readyz"
-wait_for_http "http://127.0.0.1:$((PORT_B + 1))/readyz"
+hosts_a_and_b p3
+PORT=$PORT_A
 restore() { curl -sf "http://$STORE_ADDR/restore?topic=$1&len=$2" >/dev/null; }
 # newest TOPIC: prints the newest records of the topic
 newest() { curl -sf "http://$STORE_ADDR/v1/log-newest?topic=$1&part=0"; }
@@ -34,12 +28,12 @@
 restore keyed.servers 3
 restore keyed.hosts 0
 restore keyed.op 1
-before=$(grep -c "^$left " "$ARRIVALS_FILE")
+before=$(arrivals "$left")
 for i in $(seq 10); do
     ask /safe/ok
     sleep 0.1
 done
-expect "requests that reached the upstream that has left" "$(($(grep -c "^$left " "$ARRIVALS_FILE") - before))" 0
+expect "requests that reached the upstream that has left" "$(($(arrivals "$left") - before))" 0
 # The operator and the upstreams write again.
 drop keyed.servers "$left"
 other=p1
@@ -57,7 +51,7 @@
 say "the hosts have written their entries again"
 sleep 4
 for i in $(seq 10); do ask /safe/ok; done
-expect "requests that reached the upstream that has left, later" "$(($(grep -c "^$left " "$ARRIVALS_FILE") - before))" 0
+expect "requests that reached the upstream that has left, later" "$(($(arrivals "$left") - before))" 0
 expect_ask "a call on the route that was added" "200 from p?" /added/ok
 # A lower era than the one known is believed when the store goes on naming it.
 curl -sf "http://$STORE_ADDR/era?to=1" >/dev/null
--- a/tests/proc/relayleaving.sh
+++ b/tests/proc/relayleaving.sh
@@ -3,14 +3,8 @@
 # no requests for some time.
 BUILD=${1:-build}
 . tests/proc/relaylib.sh
-PORT=$((BASE + 10))
 two_replicas
-entry_with_store h "$PORT"
-wait_for_http "http://127.0.0.1:$((PORT + 1))/readyz"
-wait_for_output "name=p1" cat "$DIR/h.log"
-wait_for_output "name=p2" cat "$DIR/h.log"
-# arrivals NAME: prints how many requests the upstream has received
-arrivals() { grep -c "^$1 " "$ARRIVALS_FILE"; }
+host_h p1 p2
 expect_ask "both upstreams ask for a pause" "503 *\"no\"*" /safe/pause
 wait_for_output "event=paused.*upstream=p1 for_ms=2500" cat "$DIR/h.log"
 wait_for_output "event=paused.*upstream=p2 for_ms=2500" cat "$DIR/h.log"
--- a/tests/proc/relaylib.sh
+++ b/tests/proc/relaylib.sh
@@ -34,10 +34,10 @@
     put_upstream "$1" "$2" "$3" ready
 }
 
-# put_upstream NAME PORT SERVICE STATE: writes an upstream's record to the
+# put_upstream NAME PORT SERVICE STATE [BORN]: writes an upstream's record to the
 # store
 put_upstream() {
-    put keyed.servers "$1" "{\"service\":\"$3\",\"address\":\"127.0.0.1:$2\",\"zone\":\"a\",\"slots\":16,\"state\":\"$4\",\"born\":1}"
+    put keyed.servers "$1" "{\"service\":\"$3\",\"address\":\"127.0.0.1:$2\",\"zone\":\"a\",\"slots\":16,\"state\":\"$4\",\"born\":${5:-1}}"
 }
 
 # keep_replica NAME PORT: starts an upstream that crashes on the part POISON; it
@@ -50,7 +50,7 @@
             "$BUILD/tests/fleetstandin" replica --listen "127.0.0.1:$2" --name "$1" \
                 --log "$ARRIVALS_FILE" --crash-part $POISON 2>>"$DIR/standin.log" &
             child=$!
-            put keyed.servers "$1" "{\"service\":\"p\",\"address\":\"127.0.0.1:$2\",\"zone\":\"a\",\"slots\":16,\"state\":\"ready\",\"born\":$born}"
+            put_upstream "$1" "$2" p ready $born
             wait $child
             sleep 1.5
             born=$((born + 1))
@@ -95,6 +95,36 @@
     start_host "$1"
 }
 
+# host_h [NAME...]: starts the entry host h at PORT, and waits until it is ready
+# and knows these upstreams
+host_h() {
+    local name
+    PORT=$((BASE + 10))
+    entry_with_store h "$PORT"
+    wait_for_http "http://127.0.0.1:$((PORT + 1))/readyz"
+    for name in "$@"; do wait_for_output "name=$name" cat "$DIR/h.log"; done
+}
+
+# hosts_a_and_b NAME: starts the entry hosts a, at PORT_A, and b, at PORT_B, and
+# waits until both are ready and know the upstream
+hosts_a_and_b() {
+    local name
+    PORT_A=$((BASE + 10)) PORT_B=$((BASE + 15))
+    SEEDS="\"127.0.0.1:$((PORT_A + 2))\", \"127.0.0.1:$((PORT_B + 2))\""
+    entry_with_store a "$PORT_A"
+    entry_with_store b "$PORT_B"
+    for name in a b; do wait_for_output "name=$1" cat "$DIR/$name.log"; done
+    wait_for_http "http://127.0.0.1:$((PORT_A + 1))/readyz"
+    wait_for_http "http://127.0.0.1:$((PORT_B + 1))/readyz"
+}
+
+# silence 1|0 [reads=drop]: makes the store ignore calls, or answer them again;
+# with reads=drop the reads that wait are never answered
+silence() { curl -sf "http://$STORE_ADDR/silence?on=$1&${2:-}" >/dev/null; }
+
+# reads TOPIC: prints how many reads of the topic the store has received
+reads() { curl -sf "http://$STORE_ADDR/reads?topic=$1"; }
+
 # ask PATH [CURL OPTION...]: sends a request to the host at PORT; ANSWER gets
 # the status, a blank and the body. Each request has a new attempt id,
 # a$REQUEST_NUMBER.
@@ -129,6 +159,9 @@
 # arrived: prints how often the last request reached an upstream
 arrived() { grep -c "attempt=a$REQUEST_NUMBER " "$ARRIVALS_FILE"; }
 
+# arrivals NAME: prints how many requests the upstream has received
+arrivals() { grep -c "^$1 " "$ARRIVALS_FILE"; }
+
 # expect WHAT GOT WANTED: fails unless GOT matches the shell pattern WANTED
 expect() {
     case "$2" in
--- a/tests/proc/relaylostpoll.sh
+++ b/tests/proc/relaylostpoll.sh
@@ -4,18 +4,14 @@
 # the host knows both within 2 s.
 BUILD=${1:-build}
 . tests/proc/relaylib.sh
-PORT=$((BASE + 10))
 two_replicas
-entry_with_store h "$PORT"
-wait_for_http "http://127.0.0.1:$((PORT + 1))/readyz"
-wait_for_output "name=p2" cat "$DIR/h.log"
-silence() { curl -sf "http://$STORE_ADDR/silence?on=$1&reads=drop" >/dev/null; }
+host_h p2
 sleep 1
 # A new record ends the read of the upstreams, and the next one starts.
 replica p3 $((BASE + 22)) p
 wait_for_output "name=p3" cat "$DIR/h.log"
 sleep 0.4
-silence 1
+silence 1 reads=drop
 silence 0
 sleep 3
 put_upstream p1 $((BASE + 20)) p draining
--- a/tests/proc/relaypoison.sh
+++ b/tests/proc/relaypoison.sh
@@ -6,17 +6,11 @@
 # half of the latter are answered at the first attempt.
 BUILD=${1:-build}
 . tests/proc/relaylib.sh
-PORT_A=$((BASE + 10)) PORT_B=$((BASE + 15))
-SEEDS="\"127.0.0.1:$((PORT_A + 2))\", \"127.0.0.1:$((PORT_B + 2))\""
 fleetstandin store "$BASE"
 wait_for_http "http://$STORE_ADDR/ok"
 for i in 1 2 3 4 5 6 7 8; do keep_replica p$i $((BASE + 20 + i)); done
 config 5 "$ROUTES"
-entry_with_store a "$PORT_A"
-entry_with_store b "$PORT_B"
-for name in a b; do wait_for_output "name=p8" cat "$DIR/$name.log"; done
-wait_for_http "http://127.0.0.1:$((PORT_A + 1))/readyz"
-wait_for_http "http://127.0.0.1:$((PORT_B + 1))/readyz"
+hosts_a_and_b p8
 # send KIND NUMBER PARTS PORT: sends a stream request in the background, and
 # writes its kind, the time and the answer's status to the file of answers
 send() {
--- a/tests/proc/relaypoisonkept.sh
+++ b/tests/proc/relaypoisonkept.sh
@@ -3,20 +3,11 @@
 # killed and start again together.
 BUILD=${1:-build}
 . tests/proc/relaylib.sh
-PORT_A=$((BASE + 10)) PORT_B=$((BASE + 15))
-SEEDS="\"127.0.0.1:$((PORT_A + 2))\", \"127.0.0.1:$((PORT_B + 2))\""
 fleetstandin store "$BASE"
 wait_for_http "http://$STORE_ADDR/ok"
 for i in 1 2 3 4 5 6; do keep_replica p$i $((BASE + 20 + i)); done
 config 5 "$ROUTES"
-start_hosts() {
-    entry_with_store a "$PORT_A"
-    entry_with_store b "$PORT_B"
-    wait_for_http "http://127.0.0.1:$((PORT_A + 1))/readyz"
-    wait_for_http "http://127.0.0.1:$((PORT_B + 1))/readyz"
-}
-start_hosts
-for name in a b; do wait_for_output "name=p6" cat "$DIR/$name.log"; done
+hosts_a_and_b p6
 # poison PORT: sends a request with the part to the host
 poison() {
     PORT=$1
@@ -35,8 +26,7 @@
 before=$(grep -c "parts=.*$POISON" "$ARRIVALS_FILE")
 : >"$DIR/a.log"
 : >"$DIR/b.log"
-start_hosts
-for name in a b; do wait_for_output "name=p6" cat "$DIR/$name.log"; done
+hosts_a_and_b p6
 for i in 1 2 3 4; do
     poison "$PORT_A"
     poison "$PORT_B"
--- a/tests/proc/relayreaders.sh
+++ b/tests/proc/relayreaders.sh
@@ -12,8 +12,6 @@
 for name in $NAMES; do entry_with_store $name "$(port_of $name)"; done
 for name in $NAMES; do wait_for_http "http://127.0.0.1:$(($(port_of $name) + 1))/readyz"; done
 for name in $NAMES; do wait_for_output "name=p2" cat "$DIR/$name.log"; done
-# reads TOPIC: prints how many reads of the topic the store has received
-reads() { curl -sf "http://$STORE_ADDR/reads?topic=$1"; }
 # reader NAME: does the host read the upstreams for the others?
 reader() { [ "$(grep -o "event=store_reader .*role=[a-z_]*" "$DIR/$1.log" | tail -1 | sed 's/.*role=//')" = for_peers ]; }
 # all_left NAMES UPSTREAM: waits until all these hosts know that it is leaving
--- a/tests/proc/relayreads.sh
+++ b/tests/proc/relayreads.sh
@@ -4,16 +4,8 @@
 # with SIGSTOP for 1.5 s reads again when it continues.
 BUILD=${1:-build}
 . tests/proc/relaylib.sh
-PORT_A=$((BASE + 10)) PORT_B=$((BASE + 15))
-SEEDS="\"127.0.0.1:$((PORT_A + 2))\", \"127.0.0.1:$((PORT_B + 2))\""
 two_replicas
-entry_with_store a "$PORT_A"
-entry_with_store b "$PORT_B"
-wait_for_http "http://127.0.0.1:$((PORT_A + 1))/readyz"
-wait_for_http "http://127.0.0.1:$((PORT_B + 1))/readyz"
-wait_for_output "name=p2" cat "$DIR/b.log"
-# reads TOPIC: prints how many reads of the topic the store has received
-reads() { curl -sf "http://$STORE_ADDR/reads?topic=$1"; }
+hosts_a_and_b p2
 sleep 1
 # expect_reads TOPIC MAX: fails if the two hosts read the topic more often in 4 s
 expect_reads() {
--- a/tests/proc/relayremoved.sh
+++ b/tests/proc/relayremoved.sh
@@ -3,18 +3,11 @@
 # out of reach. It gets no requests once the host has read both.
 BUILD=${1:-build}
 . tests/proc/relaylib.sh
-PORT=$((BASE + 10))
 two_replicas
-entry_with_store h "$PORT"
-wait_for_http "http://127.0.0.1:$((PORT + 1))/readyz"
-wait_for_output "name=p1" cat "$DIR/h.log"
-wait_for_output "name=p2" cat "$DIR/h.log"
-# arrivals NAME: prints how many requests the upstream has received
-arrivals() { grep -c "^$1 " "$ARRIVALS_FILE"; }
+host_h p1 p2
 expect_ask "a call to the upstream that is chosen first" "200 from p?" /safe/ok
 left=${ANSWER#200 from }
-silence() { curl -sf "http://$STORE_ADDR/silence?on=$1&reads=drop" >/dev/null; }
-silence 1
+silence 1 reads=drop
 wait_for_output "event=store_read_failed topic=upstreams" cat "$DIR/h.log"
 put_upstream "$left" $((BASE + 19 + ${left#p})) p draining
 drop keyed.servers "$left"
--- a/tests/proc/relaywake.sh
+++ b/tests/proc/relaywake.sh
@@ -3,11 +3,8 @@
 # and get an answer.
 BUILD=${1:-build}
 . tests/proc/relaylib.sh
-PORT=$((BASE + 10))
 two_replicas
-entry_with_store h "$PORT"
-wait_for_http "http://127.0.0.1:$((PORT + 1))/readyz"
-wait_for_output "name=p2" cat "$DIR/h.log"
+host_h p2
 ANSWER=$("$BUILD/tests/fleetstandin" wake --listen 127.0.0.1:$PORT)
 say "$ANSWER"
 expect "answers to 500 callers" "$ANSWER" "*opened=500 answered=500 *"
--- a/tests/unit/quarantine_test.cc
+++ b/tests/unit/quarantine_test.cc
@@ -71,6 +71,15 @@
         return blocked;
     }
     void
+    peer_sends(const std::vector<cq_part_report_t> &sent)
+    {
+        cq_event_t event = {};
+        event.kind = CQ_EV_PARTS;
+        event.parts.rows = sent.data();
+        event.parts.len = (guint)sent.size();
+        step(event);
+    }
+    void
     peer_reports(cq_part_report_kind_t kind, guint64 part, const char *crash,
                  const char *by_team = "t", gint64 age_us = 0)
     {
@@ -81,13 +90,21 @@
         row.team = cq_ident_hash(by_team);
         row.crash = cq_ident_hash(crash);
         row.age_us = age_us;
-        cq_event_t event = {};
-        event.kind = CQ_EV_PARTS;
-        event.parts.rows = &row;
-        event.parts.len = 1;
-        step(event);
+        peer_sends({row});
         advance(50 * kMs);
     }
+    // Reports one crash each under so many parts.
+    void
+    peer_accuses_parts(guint64 count)
+    {
+        for (guint64 part = 1; part <= count; part++) {
+            cq_part_report_t row = {};
+            row.service = cq_ident_hash("m");
+            row.part = 0x10000 + part;
+            row.crash = part;
+            peer_sends({row});
+        }
+    }
     guint
     reports(cq_part_report_kind_t kind, guint64 part)
     {
@@ -232,11 +249,7 @@
             row.age_us = i * apart_us;
             reported.push_back(row);
         }
-        cq_event_t event = {};
-        event.kind = CQ_EV_PARTS;
-        event.parts.rows = reported.data();
-        event.parts.len = 3;
-        step(event);
+        peer_sends(reported);
         EXPECT_EQ(is_blocked({kBad}), apart_us > 20 * kMs);
         advance(70 * kSecond);
     }
@@ -312,17 +325,7 @@
 TEST_F(Quarantine, ANewHostLearnsOfBlockedPartsFirst)
 {
     start_core(2);
-    for (guint64 part = 1; part <= 1500; part++) {
-        cq_part_report_t row = {};
-        row.service = cq_ident_hash("m");
-        row.part = 0x10000 + part;
-        row.crash = part;
-        cq_event_t event = {};
-        event.kind = CQ_EV_PARTS;
-        event.parts.rows = &row;
-        event.parts.len = 1;
-        step(event);
-    }
+    peer_accuses_parts(1500);
     for (const char *crash : {"x", "y", "z"}) {
         peer_reports(CQ_PART_CRASHED, kBad, crash);
     }
@@ -395,11 +398,8 @@
     ASSERT_EQ(rows->len, 3u);
     TearDown();
     start_core(2);
-    cq_event_t event = {};
-    event.kind = CQ_EV_PARTS;
-    event.parts.rows = &g_array_index(rows, cq_part_report_t, 0);
-    event.parts.len = rows->len;
-    step(event);
+    const auto *first = &g_array_index(rows, cq_part_report_t, 0);
+    peer_sends({first, first + rows->len});
     g_array_unref(rows);
     EXPECT_TRUE(is_blocked({kBad}));
 }
@@ -489,17 +489,7 @@
     for (const char *crash : {"x", "y", "z"}) {
         peer_reports(CQ_PART_CRASHED, kBad, crash);
     }
-    for (guint64 part = 1; part <= 5000; part++) {
-        cq_part_report_t row = {};
-        row.service = cq_ident_hash("m");
-        row.part = 0x10000 + part;
-        row.crash = part;
-        cq_event_t event = {};
-        event.kind = CQ_EV_PARTS;
-        event.parts.rows = &row;
-        event.parts.len = 1;
-        step(event);
-    }
+    peer_accuses_parts(5000);
     EXPECT_TRUE(is_blocked({kBad}));
     GArray *rows = g_array_new(FALSE, FALSE, sizeof(cq_part_report_t));
     cq_core_part_reports(core, rows);
