--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -159,6 +159,9 @@
 #define CQ_SUSPECT_AVOID_US (5 * CQ_SECOND_US)
 /* Longest time for which an upstream can ask for no requests. */
 #define CQ_UPSTREAM_PAUSE_MAX_US (3600 * CQ_SECOND_US)
+/* Higher rate limits of upstreams, in requests a second, are reduced to this
+ * value. */
+#define CQ_RATE_PER_S_MAX 1e6
 /* Default size of the retry budget. */
 #define CQ_RETRY_BURST 32
 /* Bounds of the Retry-After that callers are sent. */
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -15,6 +15,7 @@
 #include "base/lease.h"
 #include "base/limits.h"
 #include "base/parts.h"
+#include "base/rate.h"
 #include "base/rules.h"
 
 G_BEGIN_DECLS
@@ -334,12 +335,14 @@
  * @incarnation: the incarnation to which the request was sent
  * @leaving: it is leaving
  * @pause_us: how long it wants no requests of this host, or 0
+ * @rate: what it says of its rate limit
  */
 typedef struct {
     guint64 upstream;
     guint64 incarnation;
     gboolean leaving;
     gint64 pause_us;
+    cq_rate_statement_t rate;
 } cq_ev_upstream_t;
 
 /**
--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -2,6 +2,7 @@
 
 #include "core/lending.h"
 #include "core/place.h"
+#include "core/rate.h"
 #include "core/table.h"
 
 /* A zone is suspect if connections to two of its upstreams fail within
@@ -38,6 +39,7 @@
     if (said->leaving) {
         cq_member_leaving(core, upstream, said->incarnation);
     }
+    cq_rate_heard(core, upstream, &said->rate);
     if (said->pause_us > 0) {
         upstream->suspect_until_us =
             MAX(upstream->suspect_until_us, core->now_us + said->pause_us);
@@ -60,6 +62,7 @@
         upstream->leaving = FALSE;
         upstream->suspect_until_us = 0;
         upstream->broken_streak = 0;
+        upstream->rate = (cq_rate_t){.limited = FALSE};
         upstream->service->candidates_stale = TRUE;
         upstream->models_len = 0;
         upstream->loading_model = 0;
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -77,6 +77,16 @@
     gboolean decoding;
 } cq_task_t;
 
+/**
+ * struct cq_rate_t - the rate limit that an upstream has named
+ * @limited: it has named one
+ * @per_s: if so, the requests a second that it takes from all hosts together
+ */
+typedef struct {
+    gboolean limited;
+    double per_s;
+} cq_rate_t;
+
 /**
  * struct cq_upstream_t - an upstream
  * @link: in its service's list
@@ -110,6 +120,7 @@
  * @offered_until_us: until when the hosts of its zone offer it to this zone
  * @broken_streak: attempts in a row whose connection ended early
  * @unlisted_us: when it disappeared from the host list
+ * @rate: its rate limit
  */
 typedef struct cq_upstream {
     cq_list_t link;
@@ -149,6 +160,7 @@
     gint64 offered_until_us;
     guint broken_streak;
     gint64 unlisted_us;
+    cq_rate_t rate;
 } cq_upstream_t;
 
 /**
--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -199,12 +199,14 @@
 report_upstream(const call_t *call, const cq_response_fields_t *reply)
 {
     /* After 421 the address belongs to another upstream. */
-    if (!reply->misdirected && (reply->leaving || reply->pause_us > 0)) {
+    if (!reply->misdirected && (reply->leaving || reply->pause_us > 0 ||
+                                reply->rate.kind != CQ_RATE_UNSTATED)) {
         cq_event_t event = {.kind = CQ_EV_UPSTREAM};
         event.upstream.upstream = call->upstream;
         event.upstream.incarnation = call->incarnation;
         event.upstream.leaving = reply->leaving;
         event.upstream.pause_us = reply->pause_us;
+        event.upstream.rate = reply->rate;
         call->outbound->ops.post(&event, call->outbound->ops.data);
     }
 }
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -421,4 +421,60 @@
     }
 }
 
+TEST(Heads, ParsesTheRateLimitOfAnUpstream)
+{
+    const struct {
+        const char *status;
+        const char *fields;
+        cq_rate_kind_t kind;
+        double per_s;
+    } cases[] = {
+        {"200", "Server-Limit: 1.7\r\n", CQ_RATE_LIMITED, 1.7},
+        {"200", "server-limit: 0\r\n", CQ_RATE_LIMITED, 0},
+        {"500", "Server-Limit: 0.2\r\n", CQ_RATE_LIMITED, 0.2},
+        {"200", "Server-Limit: 99999999999\r\n", CQ_RATE_LIMITED,
+         CQ_RATE_PER_S_MAX},
+        {"200", "Server-Limit: 3\r\nServer-Limit: 2\r\n", CQ_RATE_LIMITED, 2},
+        {"200", "Server-Limit: 3\r\nServer-Limit: x\r\n", CQ_RATE_LIMITED, 3},
+        {"200", "", CQ_RATE_UNLIMITED, 0},
+        {"200", "Server-Limit:\r\n", CQ_RATE_UNSTATED, 0},
+        {"200", "Server-Limit: .\r\n", CQ_RATE_UNSTATED, 0},
+        {"200", "Server-Limit: -1\r\n", CQ_RATE_UNSTATED, 0},
+        {"200", "Server-Limit: 1e3\r\n", CQ_RATE_UNSTATED, 0},
+        {"200", "Server-Limit: nan\r\n", CQ_RATE_UNSTATED, 0},
+        {"200", "Server-Limit: inf\r\n", CQ_RATE_UNSTATED, 0},
+        {"200", "Server-Limit: 1.7 a second\r\n", CQ_RATE_UNSTATED, 0},
+        {"421", "Server-Limit: 1\r\n", CQ_RATE_UNSTATED, 0},
+    };
+    for (const auto &c : cases) {
+        std::string text = std::string("HTTP/1.1 ") + c.status +
+                           " X\r\nContent-Length: 0\r\n"
+                           "Cuminquay-Replica-Seal: s\r\n" +
+                           c.fields + "\r\n";
+        parsed_head_t parsed = parse_head(text.c_str(), TRUE);
+        cq_response_fields_t fields = cq_headers_parse_response(&parsed.head);
+        EXPECT_EQ(fields.rate.kind, c.kind) << text;
+        EXPECT_EQ(fields.rate.per_s, c.per_s) << text;
+        cq_h1_clear_head(&parsed.head);
+    }
+}
+
+// An answer that is not the upstream's own says nothing of its limit.
+TEST(Heads, TakesNoRateLimitFromOthers)
+{
+    parsed_head_t parsed = parse_head("HTTP/1.1 200 X\r\nContent-Length: 0\r\n"
+                                      "Server-Limit: 1\r\n\r\n",
+                                      TRUE);
+    EXPECT_EQ(cq_headers_parse_response(&parsed.head).rate.kind,
+              CQ_RATE_UNSTATED);
+    cq_h1_clear_head(&parsed.head);
+    parsed = parse_head("HTTP/1.1 503 X\r\nContent-Length: 0\r\n"
+                        "Cuminquay-Not-Executed: 1\r\n"
+                        "Server-Limit: 1\r\n\r\n",
+                        TRUE);
+    EXPECT_EQ(cq_headers_parse_response(&parsed.head).rate.kind,
+              CQ_RATE_LIMITED);
+    cq_h1_clear_head(&parsed.head);
+}
+
 } // namespace
