Test of an upstream that names a rate limit, failing

Four hosts, three upstreams, 40 requests a second, one upstream names 1.7 a second: 48 requests reach it in the worst 4 s, 15 are allowed. The bound is the rule's.

--- a/tests/run.sh
+++ b/tests/run.sh
@@ -62,7 +62,7 @@
 done
 for script in demo badinput hangup operator drain holds giant orders retention \
     relay relaywake relaypeers relayreads relayreaders relayleft relayendless relayleaving relaymany \
-    relayoutage relayremoved relaylostpoll relaypoison relaypoisonkept relaycells relayera; do
+    relayoutage relayremoved relaylostpoll relaypoison relaypoisonkept relaycells relayera relaylimit; do
     run_script "tests/proc/$script.sh"
 done
 
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -37,9 +37,11 @@
 #define EVENT_BYTES 64
 #define ENDLESS_CHUNK_BYTES 16384
 
+/* limit_field: the header line that names a rate limit, or "" */
 typedef struct {
     const fleet_options_t *options;
     FILE *log;
+    char limit_field[64];
 } replica_t;
 
 /* An event stream that is being written. */
@@ -59,6 +61,21 @@
     return value != NULL ? value : "-";
 }
 
+/* POST /limit?per_s=TEXT: from now on every answer names this rate limit, or
+ * none if there is no TEXT. */
+static void
+set_limit(replica_t *replica, standin_conn_t *conn, const char *query)
+{
+    char *per_s = standin_query_text(query, "per_s");
+    replica->limit_field[0] = '\0';
+    if (per_s != NULL) {
+        g_snprintf(replica->limit_field, sizeof replica->limit_field,
+                   "Server-Limit: %s\r\n", per_s);
+    }
+    g_free(per_s);
+    standin_answer(conn, 200, "", "", 0);
+}
+
 static void
 log_request(replica_t *replica, const cq_h1_head_t *head, const char *path,
             const GByteArray *body)
@@ -173,8 +190,9 @@
     standin_printf(conn,
                    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                    "Cuminquay-Attempt-Id: %s\r\n" SEAL_FIELD
-                   "Transfer-Encoding: chunked\r\n\r\n",
-                   field_or_dash(head, "Cuminquay-Attempt-Id"));
+                   "%sTransfer-Encoding: chunked\r\n\r\n",
+                   field_or_dash(head, "Cuminquay-Attempt-Id"),
+                   replica->limit_field);
     guint ms = (guint)standin_query_number(query, "ms", 20);
     if (is_poison(replica, head)) {
         g_timeout_add(ms, on_crash, replica);
@@ -204,8 +222,9 @@
     char fields[256];
     char body[128];
     g_snprintf(fields, sizeof fields,
-               "Cuminquay-Attempt-Id: %s\r\n" SEAL_FIELD "X-Own: 1\r\n",
-               field_or_dash(head, "Cuminquay-Attempt-Id"));
+               "Cuminquay-Attempt-Id: %s\r\n" SEAL_FIELD "X-Own: 1\r\n%s",
+               field_or_dash(head, "Cuminquay-Attempt-Id"),
+               replica->limit_field);
     g_snprintf(body, sizeof body, "from %s", replica->options->name);
     gsize len = strlen(body);
     if (strcmp(behaviour, "ok") == 0) {
@@ -267,6 +286,10 @@
            const char *query, const GByteArray *body, void *data)
 {
     replica_t *replica = data;
+    if (strcmp(path, "/limit") == 0) {
+        set_limit(replica, conn, query);
+        return;
+    }
     log_request(replica, head, path, body);
     if (strcmp(path, "/v1/order") == 0) {
         fprintf(replica->log, "%s order %.*s\n", replica->options->name,
