Keep the rate limits that upstreams name, divided among the hosts

Callers saw nothing: the upstream in need did, and the users' rule LIMIT was broken. Cause: the limit was not read. Class: a statement of an upstream that holds for all hosts together, of which each knew, and cared, by itself.

The test 'rate' holds the rule's bound for fleets of 4, 35, 117 and 330 hosts over restarts, freezes and a cut zone.

When only upstreams at their limit are left, a request waits for at most an eighth of its target time and is refused as not run, with a time to come back that is booked for its team.

--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -124,6 +124,9 @@
  * missing from the host list are still used: the entries may have expired
  * during the outage and are then written again. */
 #define CQ_UNLISTED_GRACE_US (2 * CQ_SECOND_US)
+/* Rate limits of upstreams in a summary. If there are more, each summary has
+ * others of them. */
+#define CQ_SUMMARY_RATES_MAX 64
 /* Interval at which expired entries are removed from the tables. */
 #define CQ_SWEEP_INTERVAL_US (2 * CQ_SECOND_US)
 /* Time during which summaries report that an upstream is leaving. */
--- a/packages/core/action.c
+++ b/packages/core/action.c
@@ -36,6 +36,8 @@
                                  "leave out the part of the prompt under "
                                  "which upstreams crash, or send it again "
                                  "after retry_after_ms"},
+    [CQ_OUTCOME_RATE_LIMITED] = {"rate_limited", 503,
+                                 "send it again after retry_after_ms"},
     [CQ_OUTCOME_HUNG_UP] = {"caller_left", 499, ""},
 };
 
--- a/packages/core/admission.c
+++ b/packages/core/admission.c
@@ -10,6 +10,7 @@
 #include "core/member.h"
 #include "core/place.h"
 #include "core/quarantine.h"
+#include "core/rate.h"
 #include "core/table.h"
 #include "core/usage.h"
 
@@ -157,16 +158,6 @@
     return needed_us <= left_us * DEADLINE_PERCENT / 100;
 }
 
-static guint
-queued_count(const cq_service_t *service)
-{
-    guint count = 0;
-    for (int i = 0; i < CQ_CLASSES; i++) {
-        count += service->class_queues[i].count;
-    }
-    return count;
-}
-
 /* Return: CQ_OUTCOME_DONE when the request may be queued, else the reason why
  * not.
  */
@@ -186,6 +177,9 @@
     if (!cq_member_usable_in_time(core, request)) {
         return CQ_OUTCOME_NO_UPSTREAM;
     }
+    if (cq_rate_delays(core, request)) {
+        return CQ_OUTCOME_RATE_LIMITED;
+    }
     if (g_hash_table_size(core->request_by_id) > CQ_REQUESTS_MAX) {
         return CQ_OUTCOME_OVERLOADED;
     }
@@ -193,7 +187,7 @@
         service->rules->kind == CQ_SERVICE_BATCH) {
         return CQ_OUTCOME_DONE;
     }
-    if (queued_count(service) >= service->rules->queue_max) {
+    if (cq_flow_queued_count(service) >= service->rules->queue_max) {
         return CQ_OUTCOME_OVERLOADED;
     }
     return can_finish_in_time(core, request) ? CQ_OUTCOME_DONE
--- a/packages/core/answer.c
+++ b/packages/core/answer.c
@@ -6,6 +6,7 @@
 #include "core/member.h"
 #include "core/place.h"
 #include "core/quarantine.h"
+#include "core/rate.h"
 #include "core/attempt.h"
 #include "core/table.h"
 #include "core/task.h"
@@ -55,6 +56,8 @@
         return CQ_RETRY_AFTER_MIN_US;
     case CQ_OUTCOME_PART_BLOCKED:
         return cq_quarantine_retry_after_us(core, request);
+    case CQ_OUTCOME_RATE_LIMITED:
+        return cq_rate_retry_after_us(core, request);
     case CQ_OUTCOME_DONE:
     case CQ_OUTCOME_UNKNOWN_NAME:
     case CQ_OUTCOME_TOO_LONG:
--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -8,6 +8,7 @@
 #include "core/pass.h"
 #include "core/place.h"
 #include "core/quarantine.h"
+#include "core/rate.h"
 #include "core/table.h"
 #include "core/task.h"
 
@@ -72,6 +73,7 @@
     request->sent = FALSE;
     request->forwarded_at_start = request->forwarded;
     add_load(core, request);
+    cq_rate_note_sent(core, upstream);
     cq_counters_add(&core->counters, CQ_N_ATTEMPTS, 1);
     cq_table_log_event(core, request, "placed",
                        "upstream=%s ahead_ms=%" G_GINT64_FORMAT
--- a/packages/core/batchplace.c
+++ b/packages/core/batchplace.c
@@ -118,6 +118,9 @@
 is_better(const cq_request_t *request, const cq_candidate_t *candidate,
           const cq_candidate_t *best, gint64 prefill_us)
 {
+    if (candidate->recheck_due != best->recheck_due) {
+        return candidate->recheck_due;
+    }
     gint64 sooner_us = first_token_delay_us(best, prefill_us) -
                        first_token_delay_us(candidate, prefill_us);
     gint64 fuller = candidate->pass.streams - best->pass.streams;
@@ -226,7 +229,9 @@
 }
 
 /* Lists the engines on which a part of @part_us exceeds the gap limit of at
- * most @gaps_broken_max streams, the best ones first. */
+ * most @gaps_broken_max streams, the best ones first. An engine with a rate
+ * limit gets no parts: they would count against it, and can't be shared out
+ * ahead. */
 static guint
 list_part_options(const cq_candidate_list_t *candidates, gint64 part_us,
                   guint gaps_broken_max, part_option_t *options)
@@ -234,6 +239,9 @@
     guint len = 0;
     for (guint i = 0; i < candidates->len; i++) {
         const cq_candidate_t *candidate = &candidates->items[i];
+        if (candidate->engine->rate.limited) {
+            continue;
+        }
         guint gaps_broken = candidate->prefill_room_us < part_us
                                 ? candidate->pass.tight_streams
                                 : 0;
@@ -404,7 +412,7 @@
 {
     gint64 until_us = late ? request->deadline_us : request->target_us;
     gint64 left_us = until_us - core->now_us - NETWORK_MARGIN_US;
-    gboolean is_short_prompt = prefill_us <= SHORT_PREFILL_US;
+    gboolean is_short_prompt = cq_batchplace_takes_one(request);
     if (!peer_load_known(core)) {
         return is_short_prompt &&
                plan_at_random(core, request, candidates, prefill_us, plan);
@@ -426,6 +434,15 @@
                      plan);
 }
 
+gboolean
+cq_batchplace_takes_one(const cq_request_t *request)
+{
+    const cq_rules_t *rules = request->service->rules;
+    return rules->kind != CQ_SERVICE_BATCH ||
+           cq_batchcost_prefill_us(&rules->speed, request->prompt_tokens) <=
+               SHORT_PREFILL_US;
+}
+
 gboolean
 cq_batchplace_choose(cq_core_t *core, const cq_request_t *request,
                      gboolean late, cq_task_plan_t *plan)
--- a/packages/core/batchplace.h
+++ b/packages/core/batchplace.h
@@ -28,6 +28,11 @@
 cq_batchplace_choose(cq_core_t *core, const cq_request_t *request,
                      gboolean late, cq_task_plan_t *plan);
 
+/** cq_batchplace_takes_one() - Return: whether one engine is enough for
+ * @request */
+gboolean
+cq_batchplace_takes_one(const cq_request_t *request);
+
 /** cq_batchplace_queued() - place as many waiting requests of @service as
  * possible, and start booked ones that are due */
 void
--- a/packages/core/booking.c
+++ b/packages/core/booking.c
@@ -72,7 +72,8 @@
 cq_booking_usable(const cq_core_t *core, const cq_task_t *task)
 {
     for (guint i = 0; i < task->engines_len; i++) {
-        if (!cq_place_usable(core, task->engines[i])) {
+        if (!cq_place_usable(core, task->engines[i]) ||
+            task->engines[i]->rate.limited) {
             return FALSE;
         }
     }
--- a/packages/core/candidate.c
+++ b/packages/core/candidate.c
@@ -3,6 +3,7 @@
 #include "core/batchcost.h"
 #include "core/lending.h"
 #include "core/place.h"
+#include "core/rate.h"
 
 static void
 assess_engine(const cq_core_t *core, const cq_request_t *request,
@@ -11,6 +12,7 @@
     const cq_engine_speed_t *speed = &request->service->rules->speed;
     *candidate =
         (cq_candidate_t){.engine = engine, .prefill_room_us = G_MAXINT64};
+    candidate->recheck_due = cq_rate_recheck_due(core, engine);
     cq_pass_t *pass = &candidate->pass;
     cq_pass_estimate(core, engine, pass);
     candidate->decode_us =
@@ -32,7 +34,7 @@
 {
     for (guint i = 0; i < upstreams->len; i++) {
         cq_upstream_t *engine = g_ptr_array_index(upstreams, i);
-        if (!cq_place_usable(core, engine) ||
+        if (!cq_place_usable(core, engine) || !cq_rate_allows(core, engine) ||
             engine->id == request->last_failed) {
             continue;
         }
@@ -50,7 +52,7 @@
     for (guint i = 0; i < guests->len; i++) {
         cq_upstream_t *engine = g_ptr_array_index(guests, i);
         if (cq_lending_is_offered(core, engine) &&
-            cq_place_usable(core, engine) &&
+            cq_place_usable(core, engine) && !engine->rate.limited &&
             engine->id != request->last_failed) {
             assess_engine(core, request, engine,
                           &candidates->items[candidates->len++]);
--- a/packages/core/candidate.h
+++ b/packages/core/candidate.h
@@ -21,6 +21,7 @@
  * @pass: its estimated state
  * @decode_us: time of a pass's decode steps once the request decodes there
  * @wait_us: time until its prefill could begin
+ * @recheck_due: see cq_rate_recheck_due()
  * @prefill_room_us: prefill that the next pass can take without exceeding a
  *   stream's gap limit
  */
@@ -29,6 +30,7 @@
     cq_pass_t pass;
     gint64 decode_us;
     gint64 wait_us;
+    gboolean recheck_due;
     gint64 prefill_room_us;
 } cq_candidate_t;
 
--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -14,6 +14,7 @@
 #include "core/peer.h"
 #include "core/place.h"
 #include "core/quarantine.h"
+#include "core/rate.h"
 #include "core/orphans.h"
 #include "core/attempt.h"
 #include "core/table.h"
@@ -238,11 +239,12 @@
 
 /* Periodic work, in the order in which each tick runs it. */
 static const tick_job_t tick_jobs[] = {
-    {"estimate", end_window}, {"watch", cq_watchdog_tick},
-    {"sweep", sweep},         {"place", place_waiting},
-    {"lease", cq_lease_tick}, {"order", cq_order_tick},
-    {"peers", cq_peer_tick},  {"tasks", cq_task_tick},
-    {"drain", drain},         {"lend", cq_lending_tick},
+    {"estimate", end_window},    {"rates", cq_rate_tick},
+    {"watch", cq_watchdog_tick}, {"sweep", sweep},
+    {"place", place_waiting},    {"lease", cq_lease_tick},
+    {"order", cq_order_tick},    {"peers", cq_peer_tick},
+    {"tasks", cq_task_tick},     {"drain", drain},
+    {"lend", cq_lending_tick},
 };
 
 static void
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -270,6 +270,22 @@
     guint64 incarnation;
 } cq_leaving_t;
 
+/**
+ * struct cq_rate_row_t - what a process knows of the rate limit of an upstream
+ * @upstream: its id
+ * @incarnation: the incarnation that stated it
+ * @version: number of the statement
+ * @limited: it has a limit
+ * @per_s: the limit in requests a second
+ */
+typedef struct {
+    guint64 upstream;
+    guint64 incarnation;
+    guint64 version;
+    gboolean limited;
+    double per_s;
+} cq_rate_row_t;
+
 /**
  * struct cq_summary_t - the load summary that a process sends to its peers
  * @host: sender's host id
@@ -279,6 +295,8 @@
  * @shares_len: number of @shares
  * @leaving: upstreams that are leaving
  * @leaving_len: number of @leaving
+ * @rates: rate limits of upstreams
+ * @rates_len: number of @rates
  */
 typedef struct {
     guint32 host;
@@ -288,6 +306,8 @@
     guint shares_len;
     cq_leaving_t leaving[8];
     guint leaving_len;
+    cq_rate_row_t rates[CQ_SUMMARY_RATES_MAX];
+    guint rates_len;
 } cq_summary_t;
 
 /** enum cq_task_kind_t - how a task of a peer changed. A task is a request
@@ -333,6 +353,7 @@
  * struct cq_ev_upstream_t - what an upstream says of itself in an answer
  * @upstream: its id
  * @incarnation: the incarnation to which the request was sent
+ * @request: the request that it answers
  * @leaving: it is leaving
  * @pause_us: how long it wants no requests of this host, or 0
  * @rate: what it says of its rate limit
@@ -340,6 +361,7 @@
 typedef struct {
     guint64 upstream;
     guint64 incarnation;
+    guint64 request;
     gboolean leaving;
     gint64 pause_us;
     cq_rate_statement_t rate;
--- a/packages/core/flow.c
+++ b/packages/core/flow.c
@@ -172,6 +172,16 @@
     return own->backlog_cost * weights / (double)own->weight;
 }
 
+guint
+cq_flow_queued_count(const cq_service_t *service)
+{
+    guint count = 0;
+    for (int i = 0; i < CQ_CLASSES; i++) {
+        count += service->class_queues[i].count;
+    }
+    return count;
+}
+
 gint64
 cq_flow_wait_us(const cq_core_t *core, const cq_request_t *request)
 {
--- a/packages/core/flow.h
+++ b/packages/core/flow.h
@@ -38,6 +38,10 @@
 cq_request_t *
 cq_flow_next(const cq_class_queue_t *queue, double after, gint64 now_us);
 
+/** cq_flow_queued_count() - Return: number of waiting requests of @service */
+guint
+cq_flow_queued_count(const cq_service_t *service);
+
 /** cq_flow_wait_us() - Return: expected time in queue of the new @request:
  * behind all requests of its class, or behind those of its own team at the
  * share of the team, whichever is less */
--- a/packages/core/lending.c
+++ b/packages/core/lending.c
@@ -63,7 +63,8 @@
 static gboolean
 is_idle(const cq_core_t *core, const cq_upstream_t *engine)
 {
-    return engine->tasks->len == 0 && cq_place_usable(core, engine);
+    return engine->tasks->len == 0 && !engine->rate.limited &&
+           cq_place_usable(core, engine);
 }
 
 /* Adds @engine to the offer for its guest zone. */
--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -39,7 +39,7 @@
     if (said->leaving) {
         cq_member_leaving(core, upstream, said->incarnation);
     }
-    cq_rate_heard(core, upstream, &said->rate);
+    cq_rate_heard(core, upstream, said);
     if (said->pause_us > 0) {
         upstream->suspect_until_us =
             MAX(upstream->suspect_until_us, core->now_us + said->pause_us);
@@ -397,6 +397,7 @@
         gint64 usable_us = cq_member_zone_cut_off(core, upstream)
                                ? core->now_us
                                : upstream->suspect_until_us;
+        usable_us = MAX(usable_us, cq_rate_next_us(upstream));
         first_us = MIN(first_us, MAX(usable_us, core->now_us));
     }
     return first_us;
--- a/packages/core/peer.c
+++ b/packages/core/peer.c
@@ -4,6 +4,7 @@
 
 #include "core/load.h"
 #include "core/member.h"
+#include "core/rate.h"
 #include "core/table.h"
 #include "core/task.h"
 
@@ -90,6 +91,9 @@
     for (guint i = 0; i < summary->leaving_len; i++) {
         apply_leaving(core, &summary->leaving[i]);
     }
+    for (guint i = 0; i < summary->rates_len; i++) {
+        cq_rate_apply(core, &summary->rates[i]);
+    }
 }
 
 static void
@@ -157,7 +161,8 @@
 static gint64
 summary_bytes(const cq_core_t *core, const cq_summary_t *summary)
 {
-    guint entries = summary->shares_len + summary->leaving_len;
+    guint entries =
+        summary->shares_len + summary->leaving_len + summary->rates_len;
     gint64 bytes = CQ_SUMMARY_HEAD_BYTES + entries * CQ_SUMMARY_ENTRY_BYTES;
     return bytes * MAX(g_hash_table_size(core->peer_by_host), 1);
 }
@@ -193,6 +198,7 @@
         add_shares(core, summary, service->local);
         add_shares(core, summary, service->remote);
         add_leaving(core, summary, service);
+        cq_rate_add_rows(core, service, summary);
     }
     core->summary_due_us = core->now_us + next_summary_delay_us(core, summary);
     cq_action_t action = {.kind = CQ_AC_SUMMARY, .summary = summary};
--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -4,6 +4,7 @@
 #include "core/load.h"
 #include "core/member.h"
 #include "core/order.h"
+#include "core/rate.h"
 #include "core/table.h"
 #include "core/usage.h"
 
@@ -193,7 +194,7 @@
          const cq_upstream_t *upstream, gint64 need, gint64 streams_max)
 {
     const cq_rules_t *rules = request->service->rules;
-    if (!cq_place_usable(core, upstream)) {
+    if (!cq_place_usable(core, upstream) || !cq_rate_allows(core, upstream)) {
         return FALSE;
     }
     if (upstream->id == request->last_failed) {
@@ -334,7 +335,9 @@
         return;
     }
     gint64 candidate_score_us =
-        score_us(core, request, upstream, choice->home);
+        cq_rate_recheck_due(core, upstream)
+            ? G_MININT64
+            : score_us(core, request, upstream, choice->home);
     if (choice->best == NULL || candidate_score_us < choice->best_score_us) {
         choice->best = upstream;
         choice->best_score_us = candidate_score_us;
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -81,10 +81,24 @@
  * struct cq_rate_t - the rate limit that an upstream has named
  * @limited: it has named one
  * @per_s: if so, the requests a second that it takes from all hosts together
+ * @version: number of the statement; higher ones replace lower ones, whichever
+ *   host received them; 0: none yet
+ * @learned_us: when this process learned of the statement
+ * @confirmed_us: when an answer to this process last stated the rate
+ * @share_per_s: this host's share of the limit; 0: it has none
+ * @is_first: this host has the lowest rank of those that have a share
+ * @spaced_from_us: the next request is sent the time of one request at
+ *   @share_per_s after this
  */
 typedef struct {
     gboolean limited;
     double per_s;
+    guint64 version;
+    gint64 learned_us;
+    gint64 confirmed_us;
+    double share_per_s;
+    gboolean is_first;
+    gint64 spaced_from_us;
 } cq_rate_t;
 
 /**
@@ -183,10 +197,13 @@
  * struct cq_usage_t - what a team has running in this process
  * @cost: cost of its running requests
  * @open: its requests without an answer
+ * @comeback_us: latest time to come back that was given to its requests while
+ *   all upstreams were limited
  */
 typedef struct {
     double cost;
     guint open;
+    gint64 comeback_us;
 } cq_usage_t;
 
 /**
@@ -465,6 +482,7 @@
  * @summary_sent_us: when the last one was sent
  * @summary_credit_bytes: unspent part of the byte budget; negative: overspent
  * @summary_needed: some share changed that no summary contains yet
+ * @rates_checked_us: when the shares of rate limits were last worked out
  * @now_us: time of the current step
  * @placement_due: something changed that may let a waiting request be placed
  * @actions: where the current step appends its actions; borrowed
@@ -514,6 +532,7 @@
     gint64 summary_credit_bytes;
     gboolean summary_needed;
     gint64 last_sweep_us;
+    gint64 rates_checked_us;
     gint64 started_us;
     gint64 now_us;
     gboolean placement_due;
--- a/packages/core/usage.c
+++ b/packages/core/usage.c
@@ -9,8 +9,8 @@
  * share. */
 #define RUNNING_COST_MIN 8.0
 
-static cq_usage_t *
-usage_of(const cq_request_t *request)
+cq_usage_t *
+cq_usage_of(const cq_request_t *request)
 {
     GArray *usage = request->service->usage;
     guint team = (guint)request->team;
@@ -23,13 +23,13 @@
 void
 cq_usage_open(const cq_request_t *request)
 {
-    usage_of(request)->open++;
+    cq_usage_of(request)->open++;
 }
 
 void
 cq_usage_close(const cq_request_t *request)
 {
-    cq_usage_t *usage = usage_of(request);
+    cq_usage_t *usage = cq_usage_of(request);
     g_assert(usage->open > 0);
     usage->open--;
 }
@@ -37,14 +37,14 @@
 void
 cq_usage_start(const cq_request_t *request)
 {
-    usage_of(request)->cost += request->cost;
+    cq_usage_of(request)->cost += request->cost;
     request->service->running_cost += request->cost;
 }
 
 void
 cq_usage_stop(const cq_request_t *request)
 {
-    usage_of(request)->cost -= request->cost;
+    cq_usage_of(request)->cost -= request->cost;
     request->service->running_cost -= request->cost;
 }
 
@@ -75,5 +75,5 @@
         service->running_cost * own_weight / MAX(weights_sum, own_weight);
     double allowed_cost =
         EXCESS_FACTOR * fair_cost + EXCESS_SLACK_SHARE * service->running_cost;
-    return usage_of(request)->cost > allowed_cost;
+    return cq_usage_of(request)->cost > allowed_cost;
 }
--- a/packages/core/usage.h
+++ b/packages/core/usage.h
@@ -11,6 +11,10 @@
 
 G_BEGIN_DECLS
 
+/** cq_usage_of() - Return: the account of the team of @request */
+cq_usage_t *
+cq_usage_of(const cq_request_t *request);
+
 /** cq_usage_open() - note that @request was received */
 void
 cq_usage_open(const cq_request_t *request);
--- a/packages/core/watchdog.c
+++ b/packages/core/watchdog.c
@@ -5,6 +5,7 @@
 #include "core/load.h"
 #include "core/member.h"
 #include "core/attempt.h"
+#include "core/rate.h"
 #include "core/table.h"
 
 /* An attempt counts as failed after this many probes in a row without an
@@ -129,6 +130,10 @@
     if (core->policy != CQ_POLICY_COST || request->forwarded > 0) {
         return;
     }
+    if (request->task == NULL && cq_rate_delays(core, request)) {
+        cq_answer_outcome(core, request, CQ_OUTCOME_RATE_LIMITED);
+        return;
+    }
     if (request->service->rules->kind == CQ_SERVICE_PLAIN &&
         !cq_member_usable_in_time(core, request)) {
         cq_answer_outcome(core, request, CQ_OUTCOME_NO_UPSTREAM);
--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -205,6 +205,7 @@
         event.upstream.upstream = call->upstream;
         event.upstream.incarnation = call->incarnation;
         event.upstream.leaving = reply->leaving;
+        event.upstream.request = call->request;
         event.upstream.pause_us = reply->pause_us;
         event.upstream.rate = reply->rate;
         call->outbound->ops.post(&event, call->outbound->ops.data);
--- a/packages/wire/codec.c
+++ b/packages/wire/codec.c
@@ -29,6 +29,17 @@
     to->kv_tokens = (guint64)share->kv_tokens;
 }
 
+static void
+encode_rate(Cq__Rate *to, const cq_rate_row_t *row)
+{
+    cq__rate__init(to);
+    to->upstream = row->upstream;
+    to->incarnation = row->incarnation;
+    to->version = row->version;
+    to->limited = row->limited;
+    to->per_s = row->per_s;
+}
+
 GBytes *
 cq_codec_encode_summary(const cq_summary_t *summary, cq_hlc_t clock,
                         const cq_topics_known_t *known)
@@ -48,6 +59,12 @@
         leaving[i].incarnation = copy.leaving[i].incarnation;
         leaving_ptrs[i] = &leaving[i];
     }
+    Cq__Rate rates[CQ_SUMMARY_RATES_MAX];
+    Cq__Rate *rate_ptrs[CQ_SUMMARY_RATES_MAX];
+    for (guint i = 0; i < copy.rates_len; i++) {
+        encode_rate(&rates[i], &copy.rates[i]);
+        rate_ptrs[i] = &rates[i];
+    }
     Cq__Summary message = CQ__SUMMARY__INIT;
     message.host = copy.host;
     message.incarnation = copy.incarnation;
@@ -56,6 +73,8 @@
     message.shares = share_ptrs;
     message.n_leaving = copy.leaving_len;
     message.leaving = leaving_ptrs;
+    message.n_rates = copy.rates_len;
+    message.rates = rate_ptrs;
     message.clock_us = clock.wall_us;
     message.clock_logical = clock.logical;
     if (known != NULL) {
@@ -176,6 +195,20 @@
     return share->kv_tokens >= 0;
 }
 
+static gboolean
+decode_rate(const Cq__Rate *from, cq_rate_row_t *row)
+{
+    *row = (cq_rate_row_t){
+        .upstream = from->upstream,
+        .incarnation = from->incarnation,
+        .version = from->version,
+        .limited = from->limited,
+        .per_s = from->per_s,
+    };
+    /* The comparison is false for NaN. */
+    return row->per_s >= 0 && row->per_s <= CQ_RATE_PER_S_MAX;
+}
+
 gboolean
 cq_codec_decode_summary(const Cq__Summary *from, cq_summary_t *summary)
 {
@@ -185,9 +218,16 @@
         .draining = from->draining,
     };
     if (from->n_shares > G_N_ELEMENTS(summary->shares) ||
-        from->n_leaving > G_N_ELEMENTS(summary->leaving)) {
+        from->n_leaving > G_N_ELEMENTS(summary->leaving) ||
+        from->n_rates > G_N_ELEMENTS(summary->rates)) {
         return FALSE;
     }
+    for (gsize i = 0; i < from->n_rates; i++) {
+        if (!decode_rate(from->rates[i], &summary->rates[i])) {
+            return FALSE;
+        }
+    }
+    summary->rates_len = (guint)from->n_rates;
     for (gsize i = 0; i < from->n_shares; i++) {
         if (!decode_share(from->shares[i], &summary->shares[i])) {
             return FALSE;
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -187,6 +187,51 @@
   assert(message->base.descriptor == &cq__leaving__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cq__rate__init
+                     (Cq__Rate         *message)
+{
+  static const Cq__Rate init_value = CQ__RATE__INIT;
+  *message = init_value;
+}
+size_t cq__rate__get_packed_size
+                     (const Cq__Rate *message)
+{
+  assert(message->base.descriptor == &cq__rate__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cq__rate__pack
+                     (const Cq__Rate *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cq__rate__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cq__rate__pack_to_buffer
+                     (const Cq__Rate *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cq__rate__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cq__Rate *
+       cq__rate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cq__Rate *)
+     protobuf_c_message_unpack (&cq__rate__descriptor,
+                                allocator, len, data);
+}
+void   cq__rate__free_unpacked
+                     (Cq__Rate *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cq__rate__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cq__summary__init
                      (Cq__Summary         *message)
 {
@@ -1015,7 +1060,97 @@
   (ProtobufCMessageInit) cq__leaving__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cq__summary__field_descriptors[10] =
+static const ProtobufCFieldDescriptor cq__rate__field_descriptors[5] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Rate, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Rate, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Rate, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limited",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Rate, limited),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_s",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Rate, per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cq__rate__field_indices_by_name[] = {
+  1,   /* field[1] = incarnation */
+  3,   /* field[3] = limited */
+  4,   /* field[4] = per_s */
+  0,   /* field[0] = upstream */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange cq__rate__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cq__rate__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cq.Rate",
+  "Rate",
+  "Cq__Rate",
+  "cq",
+  sizeof(Cq__Rate),
+  5,
+  cq__rate__field_descriptors,
+  cq__rate__field_indices_by_name,
+  1,  cq__rate__number_ranges,
+  (ProtobufCMessageInit) cq__rate__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cq__summary__field_descriptors[11] =
 {
   {
     "host",
@@ -1137,6 +1272,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rates",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cq__Summary, n_rates),
+    offsetof(Cq__Summary, rates),
+    &cq__rate__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cq__summary__field_indices_by_name[] = {
   6,   /* field[6] = clock_logical */
@@ -1145,6 +1292,7 @@
   0,   /* field[0] = host */
   1,   /* field[1] = incarnation */
   4,   /* field[4] = leaving */
+  10,   /* field[10] = rates */
   3,   /* field[3] = shares */
   9,   /* field[9] = store_era */
   8,   /* field[8] = topics_age_ms */
@@ -1153,7 +1301,7 @@
 static const ProtobufCIntRange cq__summary__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor cq__summary__descriptor =
 {
@@ -1163,7 +1311,7 @@
   "Cq__Summary",
   "cq",
   sizeof(Cq__Summary),
-  10,
+  11,
   cq__summary__field_descriptors,
   cq__summary__field_indices_by_name,
   1,  cq__summary__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -19,6 +19,7 @@
 typedef struct Cq__Proof Cq__Proof;
 typedef struct Cq__Share Cq__Share;
 typedef struct Cq__Leaving Cq__Leaving;
+typedef struct Cq__Rate Cq__Rate;
 typedef struct Cq__Summary Cq__Summary;
 typedef struct Cq__Version Cq__Version;
 typedef struct Cq__Offer Cq__Offer;
@@ -93,6 +94,23 @@
     , 0, 0 }
 
 
+/*
+ * What the sender knows of the rate limit of an upstream.
+ */
+struct  Cq__Rate
+{
+  ProtobufCMessage base;
+  uint64_t upstream;
+  uint64_t incarnation;
+  uint64_t version;
+  protobuf_c_boolean limited;
+  double per_s;
+};
+#define CQ__RATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cq__rate__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
 struct  Cq__Summary
 {
   ProtobufCMessage base;
@@ -121,10 +139,12 @@
    * Era of the store to which the offsets belong; 0: not known.
    */
   uint64_t store_era;
+  size_t n_rates;
+  Cq__Rate **rates;
 };
 #define CQ__SUMMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cq__summary__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 struct  Cq__Version
@@ -424,6 +444,25 @@
 void   cq__leaving__free_unpacked
                      (Cq__Leaving *message,
                       ProtobufCAllocator *allocator);
+/* Cq__Rate methods */
+void   cq__rate__init
+                     (Cq__Rate         *message);
+size_t cq__rate__get_packed_size
+                     (const Cq__Rate   *message);
+size_t cq__rate__pack
+                     (const Cq__Rate   *message,
+                      uint8_t             *out);
+size_t cq__rate__pack_to_buffer
+                     (const Cq__Rate   *message,
+                      ProtobufCBuffer     *buffer);
+Cq__Rate *
+       cq__rate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cq__rate__free_unpacked
+                     (Cq__Rate *message,
+                      ProtobufCAllocator *allocator);
 /* Cq__Summary methods */
 void   cq__summary__init
                      (Cq__Summary         *message);
@@ -685,6 +724,9 @@
 typedef void (*Cq__Leaving_Closure)
                  (const Cq__Leaving *message,
                   void *closure_data);
+typedef void (*Cq__Rate_Closure)
+                 (const Cq__Rate *message,
+                  void *closure_data);
 typedef void (*Cq__Summary_Closure)
                  (const Cq__Summary *message,
                   void *closure_data);
@@ -734,6 +776,7 @@
 extern const ProtobufCMessageDescriptor cq__proof__descriptor;
 extern const ProtobufCMessageDescriptor cq__share__descriptor;
 extern const ProtobufCMessageDescriptor cq__leaving__descriptor;
+extern const ProtobufCMessageDescriptor cq__rate__descriptor;
 extern const ProtobufCMessageDescriptor cq__summary__descriptor;
 extern const ProtobufCMessageDescriptor cq__version__descriptor;
 extern const ProtobufCMessageDescriptor cq__offer__descriptor;
