--- a/packages/core/candidate.h
+++ b/packages/core/candidate.h
@@ -21,7 +21,8 @@
  * @pass: its estimated state
  * @decode_us: time of a pass's decode steps once the request decodes there
  * @wait_us: time until its prefill could begin
- * @recheck_due: see cq_rate_recheck_due()
+ * @recheck_due: it has a rate limit, and a request should go there to learn
+ *   whether that still holds
  * @prefill_room_us: prefill that the next pass can take without exceeding a
  *   stream's gap limit
  */
--- a/tests/unit/rate_test.cc
+++ b/tests/unit/rate_test.cc
@@ -83,7 +83,8 @@
         cq_rules_unref(rules);
     }
     Fleet(const Fleet &) = delete;
-    Fleet &operator=(const Fleet &) = delete;
+    Fleet &
+    operator=(const Fleet &) = delete;
     void
     start(guint i)
     {
@@ -123,10 +124,9 @@
     void
     run(gint64 us)
     {
-        gint64 per_request =
-            (gint64)(kSecond / (options.requests_per_s > 0
-                                    ? options.requests_per_s
-                                    : 1e-3));
+        gint64 per_request = (gint64)(kSecond / (options.requests_per_s > 0
+                                                     ? options.requests_per_s
+                                                     : 1e-3));
         for (gint64 until_us = now_us + us; now_us < until_us;) {
             now_us += kTick;
             deliver();
@@ -287,8 +287,7 @@
         EXPECT_EQ(answer.ran, CQ_RAN_NO);
         EXPECT_GT(answer.retry_after_us, 0);
         refused_late += now_us - arrived_at[answer.request] > 80 * kMs;
-        told_longest[team] =
-            MAX(told_longest[team], answer.retry_after_us);
+        told_longest[team] = MAX(told_longest[team], answer.retry_after_us);
     }
     void
     on_send(guint i, const cq_ac_send_t &send)
@@ -309,12 +308,11 @@
     {
         auto copy = std::make_shared<cq_summary_t>(summary);
         guint len;
-        const cq_host_row_t *peers =
-            cq_core_peers(hosts[from]->core, &len);
+        const cq_host_row_t *peers = cq_core_peers(hosts[from]->core, &len);
         for (guint i = 0; i < len; i++) {
             guint to = (guint)atoi(peers[i].name + 1);
-            gint64 delay = hosts[to]->zone == hosts[from]->zone ? 1 * kMs
-                                                                : 30 * kMs;
+            gint64 delay =
+                hosts[to]->zone == hosts[from]->zone ? 1 * kMs : 30 * kMs;
             messages.emplace(now_us + delay, message_t{from, to, copy});
         }
     }
@@ -433,17 +431,16 @@
     EXPECT_GE(fleet.sent_since(0, from_us), 1u);
 }
 
-INSTANTIATE_TEST_SUITE_P(
-    Sizes, RateLimit,
-    ::testing::Values(size_case_t{{4, 3, 3, 40}, 1},
-                      size_case_t{{4, 3, 3, 40}, 1.7},
-                      size_case_t{{4, 3, 3, 40}, 0.2},
-                      size_case_t{{4, 3, 1, 40}, 2.4},
-                      size_case_t{{35, 3, 7, 100}, 1},
-                      size_case_t{{35, 3, 2, 100}, 6},
-                      size_case_t{{117, 5, 6, 200}, 1},
-                      size_case_t{{117, 5, 5, 200}, 3.3},
-                      size_case_t{{330, 5, 5, 300}, 2}));
+INSTANTIATE_TEST_SUITE_P(Sizes, RateLimit,
+                         ::testing::Values(size_case_t{{4, 3, 3, 40}, 1},
+                                           size_case_t{{4, 3, 3, 40}, 1.7},
+                                           size_case_t{{4, 3, 3, 40}, 0.2},
+                                           size_case_t{{4, 3, 1, 40}, 2.4},
+                                           size_case_t{{35, 3, 7, 100}, 1},
+                                           size_case_t{{35, 3, 2, 100}, 6},
+                                           size_case_t{{117, 5, 6, 200}, 1},
+                                           size_case_t{{117, 5, 5, 200}, 3.3},
+                                           size_case_t{{330, 5, 5, 300}, 2}));
 
 // Over a long time the upstream gets no more than the limit itself, and most
 // of it where it is needed.
