Log a fingerprint of each request

Observability for the incident of the request that crashes upstreams: the first line of a request now shows whether it is an earlier one, sent again by the same team with the same path and body. Keyed, so that no caller can make a request with the fingerprint of another's.

--- a/packages/base/ident.c
+++ b/packages/base/ident.c
@@ -59,3 +59,41 @@
     memcpy(&result.lo, digest + sizeof result.hi, sizeof result.lo);
     return result;
 }
+
+/* The length keeps the end of one field and the start of the next apart. */
+static void
+update_field(GHmac *hmac, const void *bytes, gsize len)
+{
+    guint64 length = GUINT64_TO_LE((guint64)len);
+    g_hmac_update(hmac, (const guchar *)&length, sizeof length);
+    g_hmac_update(hmac, bytes, (gssize)len);
+}
+
+static void
+update_text(GHmac *hmac, const char *text)
+{
+    const char *given = text != NULL ? text : "";
+    update_field(hmac, given, strlen(given));
+}
+
+guint64
+cq_ident_fingerprint(const char *secret, const cq_request_content_t *content)
+{
+    GHmac *hmac =
+        g_hmac_new(G_CHECKSUM_SHA256, (const guchar *)secret, strlen(secret));
+    update_text(hmac, content->team);
+    update_text(hmac, content->method);
+    update_text(hmac, content->host);
+    update_text(hmac, content->target);
+    update_field(hmac, content->body != NULL ? content->body : (guint8 *)"",
+                 content->body_len);
+    guint8 digest[32];
+    gsize len = sizeof digest;
+    g_hmac_get_digest(hmac, digest, &len);
+    g_hmac_unref(hmac);
+    guint64 fingerprint = 0;
+    for (guint i = 0; i < sizeof fingerprint; i++) {
+        fingerprint = fingerprint << 8 | digest[i];
+    }
+    return MAX(fingerprint, 1);
+}
--- a/packages/base/ident.h
+++ b/packages/base/ident.h
@@ -49,6 +49,30 @@
 guint32
 cq_ident_owner(guint64 request);
 
+/**
+ * struct cq_request_content_t - what makes two requests the same one, sent
+ * again; all borrowed
+ * @team: the team that it is charged to
+ * @method: HTTP method
+ * @host: host name, or NULL
+ * @target: path and query
+ * @body: the body
+ * @body_len: its length in bytes
+ */
+typedef struct {
+    const char *team;
+    const char *method;
+    const char *host;
+    const char *target;
+    const guint8 *body;
+    gsize body_len;
+} cq_request_content_t;
+
+/** cq_ident_fingerprint() - Return: a keyed hash of @content, never 0. Without
+ * @secret nobody can make a request with the fingerprint of another one. */
+guint64
+cq_ident_fingerprint(const char *secret, const cq_request_content_t *content);
+
 /** cq_ident_key() - Return: the hash, from SHA-256, of the idempotency key
  * @key of @team for @service */
 cq_idempotency_key_t
--- a/packages/router/relay.c
+++ b/packages/router/relay.c
@@ -118,6 +118,24 @@
     }
 }
 
+static guint64
+fingerprint_of(const cq_relay_t *relay, cq_exchange_t *exchange,
+               const cq_request_fields_t *fields, const char *team)
+{
+    const cq_h1_head_t *head = cq_exchange_head(exchange);
+    const GByteArray *body = cq_exchange_body(exchange);
+    cq_request_content_t content = {
+        .team = team,
+        .method = head->method,
+        .host = fields->host,
+        .target = head->target,
+        .body = body->data,
+        .body_len = body->len,
+    };
+    return cq_ident_fingerprint(cq_app_settings(relay->app)->peer_key,
+                                &content);
+}
+
 static void
 admit(cq_relay_t *relay, cq_exchange_t *exchange,
       const cq_request_fields_t *fields, const cq_route_t *route,
@@ -138,17 +156,18 @@
     cq_exchange_set_owner(exchange, open_request);
     g_hash_table_insert(relay->requests, &open_request->id, open_request);
     const char *service = cq_route_pick(route, g_rand_double(relay->rand));
+    guint64 fingerprint = fingerprint_of(relay, exchange, fields, team);
     char parts[PARTS_BYTES];
     format_parts(&fields->parts, parts, sizeof parts);
     cq_app_log(relay->app, "asked",
                "request=%016" G_GINT64_MODIFIER "x attempt=%s team=%s "
                "service=%s tokens=%" G_GINT64_FORMAT
                " left_ms=%" G_GINT64_FORMAT " config=%" G_GUINT64_FORMAT
-               " parts=%s",
+               " parts=%s fingerprint=%016" G_GINT64_MODIFIER "x",
                open_request->id,
                fields->attempt_id != NULL ? fields->attempt_id : "-", team,
                service, fields->prompt_tokens, timeout_us / CQ_MS_US,
-               relay->routes->version, parts);
+               relay->routes->version, parts, fingerprint);
     cq_event_t event = {
         .kind = CQ_EV_REQUEST,
         .request = {.id = open_request->id,
