--- a/tests/proc/relaylib.sh
+++ b/tests/proc/relaylib.sh
@@ -7,6 +7,8 @@
 CREDENTIAL="Cuminquay-Credential: secret-1"
 # The part of a prompt under which upstreams of keep_replica crash.
 POISON=badbad01
+# The body of the requests under which they crash.
+POISON_BODY=poison
 REQUEST_NUMBER=0
 : >"$ARRIVALS_FILE"
 
@@ -40,15 +42,15 @@
     put keyed.servers "$1" "{\"service\":\"$3\",\"address\":\"127.0.0.1:$2\",\"zone\":\"a\",\"slots\":16,\"state\":\"$4\",\"born\":${5:-1}}"
 }
 
-# keep_replica NAME PORT: starts an upstream that crashes on the part POISON; it
-# is back 1.5 s after each crash
+# keep_replica NAME PORT: starts an upstream that crashes on the part POISON and
+# on the body POISON_BODY; it is back 1.5 s after each crash
 keep_replica() {
     (
         born=1
         trap 'kill -TERM $child 2>/dev/null; exit 0' TERM
         while true; do
             "$BUILD/tests/fleetstandin" replica --listen "127.0.0.1:$2" --name "$1" \
-                --log "$ARRIVALS_FILE" --crash-part $POISON 2>>"$DIR/standin.log" &
+                --log "$ARRIVALS_FILE" --crash-part $POISON --crash-body $POISON_BODY 2>>"$DIR/standin.log" &
             child=$!
             put_upstream "$1" "$2" p ready $born
             wait $child
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -62,7 +62,7 @@
 done
 for script in demo badinput hangup operator drain holds giant orders retention \
     relay relaywake relaypeers relayreads relayreaders relayleft relayendless relayleaving relaymany \
-    relayoutage relayremoved relaylostpoll relaypoison relaypoisonkept relaycells relayera relaylimit; do
+    relayoutage relayremoved relaylostpoll relaypoison relaypoisonkept relaycells relayera relaylimit relaycrashcall; do
     run_script "tests/proc/$script.sh"
 done
 
--- a/tests/standin/fleet.h
+++ b/tests/standin/fleet.h
@@ -18,12 +18,14 @@
  * @log: replica: file that gets a line for each request received
  * @crash_part: replica: id of a part; the program exits when it begins to
  *   write a stream on a prompt in which this is not the last part
+ * @crash_body: replica: body of the requests under which the program exits
  */
 typedef struct {
     char *listen_addr;
     char *name;
     char *log;
     char *crash_part;
+    char *crash_body;
 } fleet_options_t;
 
 /** fleet_store() - serve as the store; Return: FALSE when it can't listen */
--- a/tests/standin/fleet_main.c
+++ b/tests/standin/fleet_main.c
@@ -26,6 +26,8 @@
         {"log", 0, 0, G_OPTION_ARG_FILENAME, &options.log, "", NULL},
         {"crash-part", 0, 0, G_OPTION_ARG_STRING, &options.crash_part, "",
          NULL},
+        {"crash-body", 0, 0, G_OPTION_ARG_STRING, &options.crash_body, "",
+         NULL},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
     };
     GOptionContext *context = g_option_context_new("MODE");
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -35,6 +35,8 @@
 /* Header field that shows that an answer comes from a replica. */
 #define SEAL_FIELD "Cuminquay-Replica-Seal: s\r\n"
 #define EVENT_BYTES 64
+/* Time for which a request runs before the program crashes under it. */
+#define CRASH_AFTER_MS 50
 #define ENDLESS_CHUNK_BYTES 16384
 
 /* limit_field: the header line that names a rate limit, or "" */
@@ -107,6 +109,15 @@
     return found != NULL && found < last;
 }
 
+/* Whether the program crashes while it runs the plain request. */
+static gboolean
+is_poison_body(const replica_t *replica, const GByteArray *body)
+{
+    const char *poison = replica->options->crash_body;
+    return poison != NULL && body->len == strlen(poison) &&
+           memcmp(body->data, poison, body->len) == 0;
+}
+
 static gboolean
 on_crash(gpointer data)
 {
@@ -315,6 +326,10 @@
         serve_plain(replica, conn, head, "ok");
         return;
     }
+    if (is_poison_body(replica, body)) {
+        g_timeout_add(CRASH_AFTER_MS, on_crash, replica);
+        return;
+    }
     if (strstr(path, "/stream/") != NULL) {
         serve_stream(replica, conn, head, behaviour, query);
         return;
