Keep a request that crashes upstreams from them, by its fingerprint

Callers of a plain service got 502 and 503 again and again: one call crashed each upstream that ran it. Cause: blame was kept by parts of prompts, and a plain call has none, so nothing was remembered of it. Class: a memory of failures that is keyed by one kind of request only.

--- a/packages/core/action.c
+++ b/packages/core/action.c
@@ -36,6 +36,10 @@
                                  "leave out the part of the prompt under "
                                  "which upstreams crash, or send it again "
                                  "after retry_after_ms"},
+    [CQ_OUTCOME_REQUEST_BLOCKED] = {"request_blocked", 503,
+                                    "change the request, under which "
+                                    "upstreams crash, or send it again after "
+                                    "retry_after_ms"},
     [CQ_OUTCOME_RATE_LIMITED] = {"rate_limited", 503,
                                  "send it again after retry_after_ms"},
     [CQ_OUTCOME_HUNG_UP] = {"caller_left", 499, ""},
--- a/packages/core/action.h
+++ b/packages/core/action.h
@@ -54,6 +54,7 @@
     CQ_OUTCOME_BROKEN,      /* the upstream failed and no retry is allowed */
     CQ_OUTCOME_DRAINING,    /* this process is stopping */
     CQ_OUTCOME_PART_BLOCKED, /* upstreams crash under a part of the prompt */
+    CQ_OUTCOME_REQUEST_BLOCKED, /* upstreams crash under this very request */
     CQ_OUTCOME_RATE_LIMITED, /* only upstreams at their rate limit are left */
     CQ_OUTCOME_HUNG_UP,      /* the caller closed its connection */
     CQ_OUTCOME_COUNT,
--- a/packages/core/admission.c
+++ b/packages/core/admission.c
@@ -94,7 +94,12 @@
     }
     request->length_class = class_of(request->prompt_tokens);
     request->priority_class = request->length_class;
-    request->parts = event->parts;
+    memcpy(request->suspects, event->parts.ids, sizeof event->parts.ids);
+    request->suspects_len = event->parts.len;
+    request->fingerprint = event->fingerprint;
+    if (request->fingerprint != 0) {
+        request->suspects[request->suspects_len++] = request->fingerprint;
+    }
     request->prefixes_len = event->prefixes_len;
     memcpy(request->prefixes, event->prefixes, sizeof request->prefixes);
     return request;
@@ -169,7 +174,7 @@
         return CQ_OUTCOME_DRAINING;
     }
     if (cq_quarantine_blocks(core, request)) {
-        return CQ_OUTCOME_PART_BLOCKED;
+        return cq_quarantine_outcome(core, request);
     }
     if (cq_place_group_size(request) > service->rules->group_max) {
         return CQ_OUTCOME_TOO_LONG;
--- a/packages/core/answer.c
+++ b/packages/core/answer.c
@@ -55,6 +55,7 @@
     case CQ_OUTCOME_DRAINING:
         return CQ_RETRY_AFTER_MIN_US;
     case CQ_OUTCOME_PART_BLOCKED:
+    case CQ_OUTCOME_REQUEST_BLOCKED:
         return cq_quarantine_retry_after_us(core, request);
     case CQ_OUTCOME_RATE_LIMITED:
         return cq_rate_retry_after_us(core, request);
--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -212,7 +212,7 @@
     cq_group_release(core, request);
     gboolean blocked = cq_quarantine_blocks(core, request);
     if (blocked && failure != CQ_FAIL_FAULT) {
-        cq_answer_outcome(core, request, CQ_OUTCOME_PART_BLOCKED);
+        cq_answer_outcome(core, request, cq_quarantine_outcome(core, request));
         return;
     }
     if (!blocked && may_run_again(request, failure) &&
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -75,6 +75,7 @@
  * @attempts_max: upstreams that may run it; 0: as the service's rules say
  * @resumable: whether another upstream can continue its stream
  * @parts: parts of the prompt that other prompts may contain too
+ * @fingerprint: hash of all that makes another request the same one, or 0
  * @prefixes: prefixes of the prompt, the shortest first
  * @prefixes_len: number of @prefixes
  */
@@ -93,6 +94,7 @@
     guint attempts_max;
     gboolean resumable;
     cq_parts_t parts;
+    guint64 fingerprint;
     cq_prefix_t prefixes[CQ_PREFIX_LEVELS];
     guint prefixes_len;
 } cq_ev_request_t;
@@ -395,17 +397,20 @@
     guint len;
 } cq_spare_t;
 
-/** enum cq_part_report_kind_t - what is reported of a part of prompts */
+/** enum cq_part_report_kind_t - what is reported of a part of prompts, or of a
+ * whole request */
 typedef enum {
     CQ_PART_CRASHED,  /* an upstream crashed under a request that has it */
     CQ_PART_ANSWERED, /* an answer has begun to a request that has it */
 } cq_part_report_kind_t;
 
 /**
- * struct cq_part_report_t - a report on a part of prompts, sent to peers
+ * struct cq_part_report_t - a report on a part of prompts, or on a whole
+ * request, sent to peers
  * @kind: what is reported
  * @service: hash of the name of the request's service
- * @part: id of the part
+ * @part: id of the part, or the request's fingerprint
+ * @whole: @part is a fingerprint
  * @team: CRASHED: hash of the name of the request's team
  * @crash: CRASHED: hash of the upstream and its incarnation
  * @age_us: CRASHED: time since the crash
@@ -414,15 +419,17 @@
     cq_part_report_kind_t kind;
     guint64 service;
     guint64 part;
+    gboolean whole;
     guint64 team;
     guint64 crash;
     gint64 age_us;
 } cq_part_report_t;
 
 /**
- * struct cq_part_record_t - what outlasts the hosts of a blocked part
+ * struct cq_part_record_t - what outlasts the hosts of a blocked part or
+ * request
  * @service: hash of the name of the service
- * @part: id of the part
+ * @part: id of the part, or the request's fingerprint
  * @crashes: the crashes that accuse it; their @kind is CRASHED
  * @len: number of @crashes; 0: it is no longer blocked
  */
--- a/packages/core/quarantine.c
+++ b/packages/core/quarantine.c
@@ -37,13 +37,20 @@
     return &core->quarantine->suspects;
 }
 
-/* Return: the blocked part of @request, or NULL. */
+static gboolean
+is_whole(const cq_request_t *request, guint64 id)
+{
+    return id == request->fingerprint;
+}
+
+/* Return: the blocked part of @request or the blocked request itself, or NULL.
+ */
 static cq_suspect_t *
 blocked_part(const cq_core_t *core, const cq_request_t *request)
 {
-    for (guint i = 0; i < request->parts.len; i++) {
+    for (guint i = 0; i < request->suspects_len; i++) {
         cq_suspect_t *part = cq_suspects_find(
-            suspects_of(core), request->service->id, request->parts.ids[i]);
+            suspects_of(core), request->service->id, request->suspects[i]);
         if (part != NULL && cq_suspect_is_blocked(part, core->now_us) &&
             cq_suspect_concerns_team(part, request->team_id)) {
             return part;
@@ -58,6 +65,10 @@
     if (part->blocks > 0) {
         return 1;
     }
+    /* Sound prompts share a part; nothing sound is the same request. */
+    if (part->whole) {
+        return CRASHES_TO_BLOCK;
+    }
     return cq_suspects_was_answered(suspects_of(core), part)
                ? CRASHES_TO_BLOCK_ANSWERED
                : CRASHES_TO_BLOCK;
@@ -111,6 +122,7 @@
     action.part.kind = kind;
     action.part.service = part->service;
     action.part.part = part->id;
+    action.part.whole = part->whole;
     if (crash != NULL) {
         action.part.team = crash->team;
         action.part.crash = crash->id;
@@ -125,6 +137,7 @@
         .kind = CQ_PART_CRASHED,
         .service = part->service,
         .part = part->id,
+        .whole = part->whole,
         .team = part->crashes[i].team,
         .crash = part->crashes[i].id,
         .age_us = core->now_us - part->crashes[i].at_us,
@@ -150,8 +163,8 @@
 accuse(cq_core_t *core, const cq_request_t *request, guint64 id,
        const cq_crash_t *crash)
 {
-    cq_suspect_t *part =
-        cq_suspects_find_or_add(suspects_of(core), request->service->id, id);
+    cq_suspect_t *part = cq_suspects_find_or_add(
+        suspects_of(core), request->service->id, id, is_whole(request, id));
     if (part != NULL && cq_suspect_is_separate(part, crash)) {
         report(core, CQ_PART_CRASHED, part, crash);
         add_crash(core, part, crash);
@@ -161,6 +174,25 @@
     }
 }
 
+/* Earlier parts are shared by more requests. If none has been answered yet,
+ * the last one is blocked first, and explains the crashes. */
+static void
+accuse_parts(cq_core_t *core, const cq_request_t *request,
+             const cq_crash_t *crash)
+{
+    for (guint i = request->suspects_len; i > 0; i--) {
+        guint64 id = request->suspects[i - 1];
+        if (is_whole(request, id)) {
+            continue;
+        }
+        if (cq_suspects_is_explained(suspects_of(core), crash->id, FALSE,
+                                     core->now_us)) {
+            return;
+        }
+        accuse(core, request, id, crash);
+    }
+}
+
 /* An answer has begun on a part, so it is innocent of the crashes so far.
  * @part is NULL if it is no suspect. */
 static void
@@ -215,6 +247,14 @@
     return !request->is_trial && blocked_part(core, request) != NULL;
 }
 
+cq_outcome_t
+cq_quarantine_outcome(const cq_core_t *core, const cq_request_t *request)
+{
+    const cq_suspect_t *part = blocked_part(core, request);
+    return part != NULL && part->whole ? CQ_OUTCOME_REQUEST_BLOCKED
+                                       : CQ_OUTCOME_PART_BLOCKED;
+}
+
 gboolean
 cq_quarantine_admits_trial(cq_core_t *core, const cq_request_t *request)
 {
@@ -248,7 +288,7 @@
 {
     const cq_upstream_t *upstream = request->upstream;
     gint64 events = request->forwarded - request->forwarded_at_start;
-    if (events >= BEGUN_EVENTS || request->parts.len == 0) {
+    if (events >= BEGUN_EVENTS || request->suspects_len == 0) {
         return;
     }
     cq_crash_t crash = {
@@ -256,19 +296,18 @@
         .team = request->team_id,
         .at_us = core->now_us,
     };
-    cq_suspect_t *known = blocked_part(core, request);
+    const cq_suspect_t *known = blocked_part(core, request);
     if (known != NULL) {
         accuse(core, request, known->id, &crash);
-        return;
     }
-    /* Earlier parts are shared by more requests. If none has been answered
-     * yet, the last one is blocked first, and explains the crashes. */
-    for (guint i = request->parts.len; i > 0; i--) {
-        if (cq_suspects_is_explained(suspects_of(core), crash.id,
-                                     core->now_us)) {
-            return;
-        }
-        accuse(core, request, request->parts.ids[i - 1], &crash);
+    else {
+        accuse_parts(core, request, &crash);
+    }
+    if (request->fingerprint != 0 &&
+        (known == NULL || known->id != request->fingerprint) &&
+        !cq_suspects_is_explained(suspects_of(core), crash.id, TRUE,
+                                  core->now_us)) {
+        accuse(core, request, request->fingerprint, &crash);
     }
 }
 
@@ -282,8 +321,8 @@
         return;
     }
     guint64 service = request->service->id;
-    for (guint i = 0; i < request->parts.len; i++) {
-        guint64 id = request->parts.ids[i];
+    for (guint i = 0; i < request->suspects_len; i++) {
+        guint64 id = request->suspects[i];
         const cq_suspect_t *part =
             cq_suspects_find(suspects_of(core), service, id);
         if (part != NULL) {
@@ -292,7 +331,9 @@
         if (part != NULL && part->blocked_us > 0) {
             write_record(core, part, FALSE);
         }
-        note_answered(core, part, service, id);
+        if (part != NULL || !is_whole(request, id)) {
+            note_answered(core, part, service, id);
+        }
     }
 }
 
@@ -308,11 +349,12 @@
         cq_suspects_find(suspects_of(core), row->service, row->part);
     gboolean blocked =
         part != NULL && cq_suspect_is_blocked(part, core->now_us);
-    if (!blocked &&
-        cq_suspects_is_explained(suspects_of(core), crash.id, core->now_us)) {
+    if (!blocked && cq_suspects_is_explained(suspects_of(core), crash.id,
+                                             row->whole, core->now_us)) {
         return;
     }
-    part = cq_suspects_find_or_add(suspects_of(core), row->service, row->part);
+    part = cq_suspects_find_or_add(suspects_of(core), row->service, row->part,
+                                   row->whole);
     if (part != NULL && cq_suspect_is_separate(part, &crash)) {
         add_crash(core, part, &crash);
     }
@@ -380,7 +422,8 @@
         gboolean writes = request->upstream != NULL &&
                           request->forwarded > request->forwarded_at_start;
         if (!writes && cq_quarantine_blocks(core, request)) {
-            cq_answer_outcome(core, request, CQ_OUTCOME_PART_BLOCKED);
+            cq_answer_outcome(core, request,
+                              cq_quarantine_outcome(core, request));
         }
     }
 }
--- a/packages/core/quarantine.h
+++ b/packages/core/quarantine.h
@@ -1,13 +1,16 @@
 /**
  * DOC: quarantine
  *
- * Keeps requests from the upstreams whose prompts hold a part under which
- * upstreams crash. An upstream that ends breaks all its requests, so each part
- * of those that it had not begun to answer is a suspect. A part is blocked
+ * Keeps requests from the upstreams under which upstreams crash, because of a
+ * part of their prompts or as a whole. An upstream that ends breaks all its
+ * requests, so each of those that it had not begun to answer is a suspect, by
+ * its fingerprint, and so is each part of its prompt. A suspect is blocked
  * after several crashes without an answer on it in between. Each crash has one
  * cause: what a blocked part explains no longer counts against other parts.
  * Hosts tell each other of crashes, and of answers on suspects.
  *
+ * What is said of parts below holds for fingerprints as well.
+ *
  * Load: one caller repeats a part a few times a second, at any host; each
  * request takes an upstream with the requests on it, and each retry another.
  *
@@ -35,6 +38,10 @@
 gboolean
 cq_quarantine_blocks(const cq_core_t *core, const cq_request_t *request);
 
+/** cq_quarantine_outcome() - Return: how a blocked @request ends */
+cq_outcome_t
+cq_quarantine_outcome(const cq_core_t *core, const cq_request_t *request);
+
 /** cq_quarantine_admits_trial() - Return: whether @request is sent although a
  * part of its prompt is blocked, to see whether that still crashes upstreams
  */
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -285,8 +285,11 @@
  * @claimed: a claim record was written for @key
  * @repeatable: it may run more than once
  * @output_tokens: longest answer; an assumed length unless @output_known
- * @parts: parts of its prompt that other prompts may contain too
- * @is_trial: it is sent although one of @parts is blocked
+ * @suspects: what crashes of its upstreams accuse: the parts of its prompt
+ * that other prompts may contain too and, last, its fingerprint
+ * @suspects_len: number of @suspects
+ * @fingerprint: hash of all that makes another request the same one, or 0
+ * @is_trial: it is sent although one of @suspects is blocked
  * @prefixes: prefixes of its prompt, ascending
  * @phase_start_us: when @phase was entered
  * @ready_us: it is not placed before this time
@@ -348,7 +351,9 @@
     gint64 prompt_tokens;
     gint64 output_tokens;
     gboolean output_known;
-    cq_parts_t parts;
+    guint64 suspects[CQ_PROMPT_PARTS_MAX + 1];
+    guint suspects_len;
+    guint64 fingerprint;
     gboolean is_trial;
     cq_prefix_t prefixes[CQ_PREFIX_LEVELS];
     guint prefixes_len;
--- a/packages/core/suspect.c
+++ b/packages/core/suspect.c
@@ -56,26 +56,35 @@
     }
 }
 
-/* Removes the part whose last crash is the longest ago, of those that were
- * never blocked. */
+/* Whether @suspect is forgotten before @other: a caller that sends many
+ * requests which crash once each must not hide one that crashes again and
+ * again. */
+static gboolean
+goes_first(const cq_suspect_t *suspect, const cq_suspect_t *other)
+{
+    if (suspect->crashes_len != other->crashes_len) {
+        return suspect->crashes_len < other->crashes_len;
+    }
+    return cq_suspect_last_crash_us(suspect) < cq_suspect_last_crash_us(other);
+}
+
+/* Removes one of those that were never blocked. */
 static void
 make_room(cq_suspects_t *suspects)
 {
-    const cq_suspect_t *oldest = NULL;
+    const cq_suspect_t *first = NULL;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, suspects->parts);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const cq_suspect_t *suspect = value;
-        gboolean older =
-            oldest == NULL || cq_suspect_last_crash_us(suspect) <
-                                  cq_suspect_last_crash_us(oldest);
-        if (suspect->blocked_us == 0 && older) {
-            oldest = suspect;
+        if (suspect->blocked_us == 0 &&
+            (first == NULL || goes_first(suspect, first))) {
+            first = suspect;
         }
     }
-    if (oldest != NULL) {
-        cq_suspects_remove(suspects, oldest);
+    if (first != NULL) {
+        cq_suspects_remove(suspects, first);
     }
 }
 
@@ -104,7 +113,8 @@
 }
 
 cq_suspect_t *
-cq_suspects_find_or_add(cq_suspects_t *suspects, guint64 service, guint64 id)
+cq_suspects_find_or_add(cq_suspects_t *suspects, guint64 service, guint64 id,
+                        gboolean whole)
 {
     cq_suspect_t *suspect = cq_suspects_find(suspects, service, id);
     if (suspect != NULL) {
@@ -120,6 +130,7 @@
     suspect->key = key_of(service, id);
     suspect->service = service;
     suspect->id = id;
+    suspect->whole = whole;
     g_hash_table_insert(suspects->parts, &suspect->key, suspect);
     return suspect;
 }
@@ -158,13 +169,16 @@
 
 gboolean
 cq_suspects_is_explained(const cq_suspects_t *suspects, guint64 crash,
-                         gint64 now_us)
+                         gboolean whole, gint64 now_us)
 {
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, suspects->parts);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        if (cq_suspect_is_blocked(value, now_us) && has_crash(value, crash)) {
+        const cq_suspect_t *suspect = value;
+        if ((suspect->whole || !whole) &&
+            cq_suspect_is_blocked(suspect, now_us) &&
+            has_crash(suspect, crash)) {
             return TRUE;
         }
     }
@@ -179,7 +193,7 @@
     g_hash_table_iter_init(&iter, suspects->parts);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         cq_suspect_t *suspect = value;
-        if (suspect->blocked_us > 0) {
+        if (suspect->blocked_us > 0 || (suspect->whole && !cause->whole)) {
             continue;
         }
         for (guint i = 0; i < cause->crashes_len; i++) {
--- a/packages/core/suspect.h
+++ b/packages/core/suspect.h
@@ -1,9 +1,9 @@
 /**
  * DOC: suspect
  *
- * The table of parts of prompts that crashes of upstreams accuse, and of those
- * on which answers were written a short time ago. Both are bounded, since the
- * ids of parts come from callers.
+ * The table of parts of prompts, and of whole requests by their fingerprints,
+ * that crashes of upstreams accuse, and of parts on which answers were written
+ * a short time ago. Both are bounded, since callers choose what they send.
  */
 #ifndef CQ_SUSPECT_H
 #define CQ_SUSPECT_H
@@ -27,10 +27,11 @@
 } cq_crash_t;
 
 /**
- * struct cq_suspect_t - a part that crashes accuse
+ * struct cq_suspect_t - a part, or a whole request, that crashes accuse
  * @key: hash of @service and @id
  * @service: hash of the service's name
- * @id: the part's id
+ * @id: the part's id, or the request's fingerprint
+ * @whole: it is a whole request
  * @crashes: the newest of them
  * @crashes_len: number of @crashes
  * @blocked_us: when it was blocked last, or 0
@@ -42,6 +43,7 @@
     guint64 key;
     guint64 service;
     guint64 id;
+    gboolean whole;
     cq_crash_t crashes[CQ_PART_CRASHES_MAX];
     guint crashes_len;
     gint64 blocked_us;
@@ -75,9 +77,10 @@
 cq_suspects_find(const cq_suspects_t *suspects, guint64 service, guint64 id);
 
 /** cq_suspects_find_or_add() - Return: the suspect, which is added if it is
- * new; NULL if the table is full of blocked parts */
+ * new; NULL if the table is full of blocked ones */
 cq_suspect_t *
-cq_suspects_find_or_add(cq_suspects_t *suspects, guint64 service, guint64 id);
+cq_suspects_find_or_add(cq_suspects_t *suspects, guint64 service, guint64 id,
+                        gboolean whole);
 
 /** cq_suspects_remove() - remove and free @suspect */
 void
@@ -94,14 +97,16 @@
 cq_suspects_was_answered(const cq_suspects_t *suspects,
                          const cq_suspect_t *suspect);
 
-/** cq_suspects_is_explained() - Return: whether a blocked part is the cause of
- * @crash */
+/** cq_suspects_is_explained() - Return: whether what is blocked is the cause
+ * of
+ * @crash, so that it counts against no other part; if @whole, against no other
+ * request, which a part doesn't show: the request may crash by itself */
 gboolean
 cq_suspects_is_explained(const cq_suspects_t *suspects, guint64 crash,
-                         gint64 now_us);
+                         gboolean whole, gint64 now_us);
 
 /** cq_suspects_explain() - no longer count the crashes of @cause, which is
- * blocked, against parts that are not */
+ * blocked, against the suspects that it explains */
 void
 cq_suspects_explain(cq_suspects_t *suspects, const cq_suspect_t *cause);
 
--- a/packages/router/relay.c
+++ b/packages/router/relay.c
@@ -182,7 +182,8 @@
                     .gap_max_us = route->gap_max_us,
                     .attempts_max = route->attempts_max,
                     .resumable = route->retry_policy == CQ_RETRY_RESUME,
-                    .parts = fields->parts},
+                    .parts = fields->parts,
+                    .fingerprint = fingerprint},
     };
     cq_app_post(relay->app, &event);
 }
--- a/packages/wire/codec.c
+++ b/packages/wire/codec.c
@@ -273,6 +273,7 @@
     to->kind = (guint32)report->kind;
     to->service = report->service;
     to->part = report->part;
+    to->whole = report->whole;
     to->team = report->team;
     to->crash = report->crash;
     to->age_us = (guint64)report->age_us;
@@ -362,6 +363,7 @@
             .kind = (cq_part_report_kind_t)report->kind,
             .service = report->service,
             .part = report->part,
+            .whole = report->whole,
             .team = report->team,
             .crash = report->crash,
             .age_us = (gint64)report->age_us,
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -1998,7 +1998,7 @@
   (ProtobufCMessageInit) cq__spare__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cq__part_report__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cq__part_report__field_descriptors[7] =
 {
   {
     "kind",
@@ -2072,6 +2072,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "whole",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cq__PartReport, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cq__part_report__field_indices_by_name[] = {
   5,   /* field[5] = age_us */
@@ -2080,11 +2092,12 @@
   2,   /* field[2] = part */
   1,   /* field[1] = service */
   3,   /* field[3] = team */
+  6,   /* field[6] = whole */
 };
 static const ProtobufCIntRange cq__part_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cq__part_report__descriptor =
 {
@@ -2094,7 +2107,7 @@
   "Cq__PartReport",
   "cq",
   sizeof(Cq__PartReport),
-  6,
+  7,
   cq__part_report__field_descriptors,
   cq__part_report__field_indices_by_name,
   1,  cq__part_report__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -307,10 +307,14 @@
   uint64_t team;
   uint64_t crash;
   uint64_t age_us;
+  /*
+   * part is the fingerprint of a whole request.
+   */
+  protobuf_c_boolean whole;
 };
 #define CQ__PART_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cq__part_report__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -57,12 +57,12 @@
     rm -f "$out"
 }
 
-for program in config wire h1 platform quarantine rate batchplace cell retry replay hist scn soak targets; do
+for program in config wire h1 platform quarantine crashcall rate batchplace cell retry replay hist scn soak targets; do
     run_unit "$BUILD/tests/${program}_test"
 done
 for script in demo badinput hangup operator drain holds giant orders retention \
     relay relaywake relaypeers relayreads relayreaders relayleft relayendless relayleaving relaymany \
-    relayoutage relayremoved relaylostpoll relaypoison relaypoisonkept relaycells relayera relaylimit relaycrashcall; do
+    relayoutage relayremoved relaylostpoll relaypoison relaypoisonkept relaycells relayera relaylimit relaycrashcall relaycrashkept; do
     run_script "tests/proc/$script.sh"
 done
 
--- a/tests/unit/corefixture.h
+++ b/tests/unit/corefixture.h
@@ -158,6 +158,7 @@
         for (guint64 part : parts) {
             event.request.parts.ids[event.request.parts.len++] = part;
         }
+        event.request.fingerprint = fingerprint;
         step(event);
         return event.request.id;
     }
@@ -292,6 +293,8 @@
     // Team and shared parts of the prompts of the requests that follow.
     const char *team = "t";
     std::vector<guint64> parts;
+    // Fingerprint of the requests that follow; 0: none.
+    guint64 fingerprint = 0;
     // Time limit of the requests that follow.
     gint64 timeout_us = 10 * kSecond;
     gint64 now_us = 1000 * kSecond;
--- /dev/null
+++ b/tests/unit/crashcall_test.cc
@@ -0,0 +1,246 @@
+// Requests that crash each upstream which runs them. The load: one call comes
+// again and again at every host, beside sound calls of the same team.
+#include "corefixture.h"
+
+#include <set>
+
+namespace {
+
+using core_test::kMs;
+using core_test::kSecond;
+
+constexpr guint64 kBad = 0xbadca11;
+constexpr guint64 kSound = 0x50;
+
+class CrashCall : public core_test::CoreTest {
+  protected:
+    guint64
+    call(guint64 content)
+    {
+        fingerprint = content;
+        return submit(1, 300 * kMs, 0, service);
+    }
+    bool
+    is_blocked(guint64 id)
+    {
+        const cq_ac_answer_t *answer = answer_of(id);
+        return answer != nullptr &&
+               answer->outcome == CQ_OUTCOME_REQUEST_BLOCKED;
+    }
+    // The upstream of the request crashes; it is back at once.
+    void
+    crash(guint64 id)
+    {
+        guint64 upstream = last_send(id)->upstream;
+        attempt_event(id, CQ_EV_FAILED);
+        for (cq_host_row_t &row : rows) {
+            row.incarnation += cq_ident_hash(row.name) == upstream;
+        }
+        send_host_list();
+    }
+    // Sends a call under which an upstream crashes, with no second attempt.
+    // Return: whether it reached one.
+    bool
+    crash_once(guint64 content)
+    {
+        guint64 id = call(content);
+        bool sent = last_send(id) != nullptr;
+        if (sent) {
+            attempt_event(id, CQ_EV_SENT);
+            crash(id);
+        }
+        cq_event_t event = {};
+        event.kind = CQ_EV_HANGUP;
+        event.attempt.request = id;
+        step(event);
+        advance(100 * kMs);
+        return sent;
+    }
+    bool
+    answer_once(guint64 content)
+    {
+        guint64 id = call(content);
+        if (last_send(id) == nullptr) {
+            return false;
+        }
+        attempt_event(id, CQ_EV_SENT);
+        attempt_event(id, CQ_EV_DONE);
+        return true;
+    }
+
+    const char *service = "p";
+};
+
+TEST_F(CrashCall, IsBlockedAfterThreeCrashes)
+{
+    start_core(0, 8);
+    for (int i = 0; i < 3; i++) {
+        EXPECT_TRUE(crash_once(kBad));
+    }
+    advance(3 * kSecond);
+    guint64 id = call(kBad);
+    ASSERT_TRUE(is_blocked(id));
+    EXPECT_EQ(answer_of(id)->ran, CQ_RAN_NO);
+    EXPECT_EQ(answer_of(id)->status, 503);
+    EXPECT_GT(answer_of(id)->retry_after_us, 10 * kSecond);
+    EXPECT_EQ(last_send(id), nullptr);
+}
+
+TEST_F(CrashCall, LeavesOtherCallsOfTheTeamAlone)
+{
+    start_core(0, 8);
+    for (int i = 0; i < 3; i++) {
+        crash_once(kBad);
+    }
+    advance(3 * kSecond);
+    for (guint64 i = 0; i < 20; i++) {
+        EXPECT_TRUE(answer_once(kSound + i));
+    }
+}
+
+// It was sound a moment ago.
+TEST_F(CrashCall, IsBlockedAfterThreeCrashesThoughItWasAnswered)
+{
+    start_core(0, 8);
+    EXPECT_TRUE(answer_once(kBad));
+    for (int i = 0; i < 3; i++) {
+        EXPECT_TRUE(crash_once(kBad));
+    }
+    advance(3 * kSecond);
+    EXPECT_FALSE(crash_once(kBad));
+}
+
+TEST_F(CrashCall, IsTrustedAgainAfterAnAnswer)
+{
+    start_core(0, 8);
+    crash_once(kBad);
+    crash_once(kBad);
+    EXPECT_TRUE(answer_once(kBad));
+    EXPECT_TRUE(crash_once(kBad));
+    EXPECT_TRUE(crash_once(kBad));
+    EXPECT_TRUE(answer_once(kBad));
+}
+
+// One trial after 30 s, the next one two minutes after that.
+TEST_F(CrashCall, ReachesAtMostThreeUpstreamsInTenMinutesMore)
+{
+    start_core(0, 8);
+    for (int i = 0; i < 3; i++) {
+        crash_once(kBad);
+    }
+    int reached = 0;
+    for (int second = 0; second < 600; second++) {
+        reached += crash_once(kBad);
+        advance(900 * kMs);
+    }
+    EXPECT_LE(reached, 3);
+    EXPECT_GE(reached, 1);
+}
+
+// What waits when the third crash is known is not sent any more.
+TEST_F(CrashCall, EndsWhatWaitsOrRuns)
+{
+    start_core(0, 8);
+    guint64 running = call(kBad);
+    attempt_event(running, CQ_EV_SENT);
+    for (int i = 0; i < 3; i++) {
+        crash_once(kBad);
+    }
+    ASSERT_TRUE(is_blocked(running));
+    EXPECT_EQ(answer_of(running)->ran, CQ_RAN_UNKNOWN);
+}
+
+// Sound calls run on an upstream when it crashes under another one.
+TEST_F(CrashCall, ExplainsTheCrashesOfCallsBesideIt)
+{
+    start_core(0, 1);
+    for (int i = 0; i < 5; i++) {
+        guint64 sound = call(kSound);
+        guint64 bad = call(kBad);
+        if (last_send(bad) != nullptr) {
+            attempt_event(bad, CQ_EV_FAILED);
+            crash(sound);
+        }
+        cq_event_t event = {};
+        event.kind = CQ_EV_HANGUP;
+        for (guint64 id : {sound, bad}) {
+            event.attempt.request = id;
+            step(event);
+        }
+        advance(3 * kSecond);
+        if (i == 2) {
+            EXPECT_TRUE(answer_once(kSound));
+        }
+    }
+    EXPECT_FALSE(is_blocked(call(kSound)));
+}
+
+// Ten thousand calls that crash once each don't hide one that goes on.
+TEST_F(CrashCall, IsFoundAmongManyThatCrashOnce)
+{
+    start_core(0, 8);
+    crash_once(kBad);
+    crash_once(kBad);
+    std::vector<cq_part_report_t> rows(100);
+    for (guint64 i = 0; i < 10000; i++) {
+        cq_part_report_t &row = rows[i % rows.size()];
+        row = {CQ_PART_CRASHED, cq_ident_hash("p"), 1000 + i, TRUE, 1,
+               5000 + i, 0};
+        if ((i + 1) % rows.size() == 0) {
+            cq_event_t event = {};
+            event.kind = CQ_EV_PARTS;
+            event.parts.rows = rows.data();
+            event.parts.len = (guint)rows.size();
+            step(event);
+            advance(10 * kMs);
+        }
+    }
+    EXPECT_TRUE(crash_once(kBad));
+    advance(3 * kSecond);
+    EXPECT_FALSE(crash_once(kBad));
+}
+
+// Crashes that hosts of other zones saw count, those of another team's same
+// call don't block it.
+TEST_F(CrashCall, IsBlockedByCrashesThatPeersSaw)
+{
+    start_core(0, 8);
+    std::vector<cq_part_report_t> rows;
+    for (guint64 i = 0; i < 3; i++) {
+        rows.push_back({CQ_PART_CRASHED, cq_ident_hash("p"), kBad, TRUE,
+                        cq_ident_hash("t"), 10 + i,
+                        (gint64)(300 - 100 * i) * kMs});
+        rows.push_back({CQ_PART_CRASHED, cq_ident_hash("p"), kSound, TRUE,
+                        cq_ident_hash("other"), 20 + i,
+                        (gint64)(300 - 100 * i) * kMs});
+    }
+    cq_event_t event = {};
+    event.kind = CQ_EV_PARTS;
+    event.parts.rows = rows.data();
+    event.parts.len = (guint)rows.size();
+    step(event);
+    EXPECT_TRUE(is_blocked(call(kBad)));
+    EXPECT_TRUE(answer_once(kSound));
+}
+
+// A whole request on engines is blocked, and the part that it shares with
+// sound requests is not.
+TEST_F(CrashCall, OnEnginesDoesNotBlockAPartThatOthersUse)
+{
+    start_core(8);
+    service = "m";
+    parts = {0x5c1e07a2};
+    for (int i = 0; i < 3; i++) {
+        guint64 sound = call(kSound + (guint64)i);
+        for (int event = 0; event < 4; event++) {
+            attempt_event(sound, CQ_EV_TOKENS);
+        }
+        attempt_event(sound, CQ_EV_DONE);
+        crash_once(kBad);
+    }
+    advance(3 * kSecond);
+    EXPECT_TRUE(is_blocked(call(kBad)));
+    EXPECT_NE(last_send(call(kSound + 9)), nullptr);
+}
+
+} // namespace
--- a/tests/unit/wire_test.cc
+++ b/tests/unit/wire_test.cc
@@ -86,8 +86,9 @@
 
 TEST(Codec, ReportsOnPartsAreDecodedAsTheyWereEncoded)
 {
-    cq_part_report_t rows[2] = {{CQ_PART_CRASHED, 1, G_MAXUINT64, 3, 4, 5},
-                                {CQ_PART_ANSWERED, 6, 7, 0, 0, 0}};
+    cq_part_report_t rows[2] = {
+        {CQ_PART_CRASHED, 1, G_MAXUINT64, TRUE, 3, 4, 5},
+        {CQ_PART_ANSWERED, 6, 7, FALSE, 0, 0, 0}};
     GBytes *wrapped = cq_codec_encode_parts(rows, 2);
     Cq__Frame *frame = unpack(wrapped);
     ASSERT_NE(nullptr, frame);
@@ -100,6 +101,7 @@
         EXPECT_EQ(rows[i].kind, row->kind);
         EXPECT_EQ(rows[i].service, row->service);
         EXPECT_EQ(rows[i].part, row->part);
+        EXPECT_EQ(rows[i].whole, row->whole);
         EXPECT_EQ(rows[i].team, row->team);
         EXPECT_EQ(rows[i].crash, row->crash);
         EXPECT_EQ(rows[i].age_us, row->age_us);
@@ -113,12 +115,13 @@
 {
     cq_part_record_t record = {};
     record.len = 1;
-    record.crashes[0] = {CQ_PART_CRASHED, 1, 2, 3, 4, 5};
+    record.crashes[0] = {CQ_PART_CRASHED, 1, 2, TRUE, 3, 4, 5};
     char *text = cq_codec_format_part_record(&record, 1000);
     GArray *rows = g_array_new(FALSE, FALSE, sizeof(cq_part_report_t));
     ASSERT_TRUE(cq_codec_parse_part_record(text, strlen(text), 1100, rows));
     ASSERT_EQ(1u, rows->len);
     EXPECT_EQ(105, g_array_index(rows, cq_part_report_t, 0).age_us);
+    EXPECT_TRUE(g_array_index(rows, cq_part_report_t, 0).whole);
     g_array_set_size(rows, 0);
     ASSERT_TRUE(cq_codec_parse_part_record(text, strlen(text), 900, rows));
     EXPECT_EQ(5, g_array_index(rows, cq_part_report_t, 0).age_us);
