One host of the whole fleet tries a blocked request, also in cells

Found while looking for the cause of the crashes elsewhere. A trial is sent by the host that comes first among those that it hears. In cells a host hears from its own zone and from two of each other one, so several may believe to be first: at 117 hosts two tried, each a crash more.

In cells the zone that comes first by hash now tries, and in it the first host. The order is computed as for rate limits: among the hosts that are heard, if they are the majority of the list. IsTriedByOneHostOfALargeFleet, with 4, 35 and 117 hosts: 1, 1 and 2 trials before, 1, 1 and 1 after.

--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -239,6 +239,52 @@
                                                     : CQ_STORE_READER_NONE;
 }
 
+cq_host_rank_t
+cq_member_rank(const cq_core_t *core, guint64 key)
+{
+    guint64 own_rank = cq_place_mix(core->host ^ key);
+    cq_host_rank_t listed = {.count = 1};
+    cq_host_rank_t alive = {.count = 1};
+    GHashTableIter iter;
+    gpointer host;
+    gpointer zone;
+    g_hash_table_iter_init(&iter, core->entry_hosts);
+    while (g_hash_table_iter_next(&iter, &host, &zone)) {
+        if (core->has_cells && !g_str_equal(zone, core->zone)) {
+            continue;
+        }
+        guint64 rank = cq_place_mix(GPOINTER_TO_UINT(host) ^ key);
+        listed.count++;
+        listed.before += rank < own_rank;
+        const cq_peer_t *peer = cq_table_peer(core, GPOINTER_TO_UINT(host));
+        if (peer != NULL && !peer->draining) {
+            alive.count++;
+            alive.before += rank < own_rank;
+        }
+    }
+    return 2 * alive.count > listed.count ? alive : listed;
+}
+
+gboolean
+cq_member_is_first(const cq_core_t *core, guint64 key)
+{
+    if (!core->host_list_received || core->draining) {
+        return FALSE;
+    }
+    if (core->has_cells) {
+        guint64 own_rank = cq_place_mix(cq_ident_hash(core->zone) ^ key);
+        GHashTableIter iter;
+        gpointer zone;
+        g_hash_table_iter_init(&iter, core->cell_zones);
+        while (g_hash_table_iter_next(&iter, &zone, NULL)) {
+            if (cq_place_mix(cq_ident_hash(zone) ^ key) < own_rank) {
+                return FALSE;
+            }
+        }
+    }
+    return cq_member_rank(core, key).before == 0;
+}
+
 static void
 clear_listed(const cq_core_t *core)
 {
--- a/packages/core/member.h
+++ b/packages/core/member.h
@@ -12,6 +12,29 @@
 
 G_BEGIN_DECLS
 
+/**
+ * struct cq_host_rank_t - this host among those of the fleet or, in cells, of
+ * its zone, in an order by hash that all of them compute alike
+ * @count: hosts, with this one
+ * @before: hosts that come before this one
+ */
+typedef struct {
+    guint count;
+    guint before;
+} cq_host_rank_t;
+
+/** cq_member_rank() - Return: the rank of this host for @key among the hosts
+ * that it hears, if they are the majority of those on the host list. Else it
+ * may be cut off, and must not take the place of others: then among all on the
+ * list */
+cq_host_rank_t
+cq_member_rank(const cq_core_t *core, guint64 key);
+
+/** cq_member_is_first() - Return: whether this host is the one of the whole
+ * fleet that acts for @key, as far as it knows */
+gboolean
+cq_member_is_first(const cq_core_t *core, guint64 key);
+
 /** cq_member_unreachable() - note that no connection to @upstream could be
  * made */
 void
--- a/packages/core/quarantine.c
+++ b/packages/core/quarantine.c
@@ -1,6 +1,7 @@
 #include "core/quarantine.h"
 
 #include "core/answer.h"
+#include "core/member.h"
 #include "core/place.h"
 #include "core/suspect.h"
 #include "core/table.h"
@@ -209,23 +210,6 @@
     cq_suspects_note_answered(suspects_of(core), service, id, core->now_us);
 }
 
-/* Whether this host is the one that sends trials of @part. All hosts order the
- * hosts that they know by the same hash. */
-static gboolean
-sends_trials(const cq_core_t *core, const cq_suspect_t *part)
-{
-    guint64 own_rank = cq_place_mix(core->host ^ part->key);
-    GHashTableIter iter;
-    gpointer host;
-    g_hash_table_iter_init(&iter, core->peer_by_host);
-    while (g_hash_table_iter_next(&iter, &host, NULL)) {
-        if (cq_place_mix(GPOINTER_TO_UINT(host) ^ part->key) < own_rank) {
-            return FALSE;
-        }
-    }
-    return TRUE;
-}
-
 cq_quarantine_t *
 cq_quarantine_new(void)
 {
@@ -260,7 +244,7 @@
 {
     cq_suspect_t *part = blocked_part(core, request);
     if (part == NULL || core->now_us < cq_suspect_trial_due_us(part) ||
-        !sends_trials(core, part)) {
+        !cq_member_is_first(core, part->key)) {
         return FALSE;
     }
     part->trial_us = core->now_us;
@@ -437,7 +421,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const cq_suspect_t *part = value;
         if (core->now_us > cq_suspect_expires_us(part)) {
-            if (part->blocked_us > 0 && sends_trials(core, part)) {
+            if (part->blocked_us > 0 && cq_member_is_first(core, part->key)) {
                 write_record(core, part, FALSE);
             }
             g_hash_table_iter_remove(&iter);
--- a/packages/core/rate.c
+++ b/packages/core/rate.c
@@ -2,6 +2,7 @@
 
 #include "core/batchplace.h"
 #include "core/flow.h"
+#include "core/member.h"
 #include "core/place.h"
 #include "core/table.h"
 #include "core/usage.h"
@@ -25,57 +26,10 @@
  * limit. */
 #define WAIT_PERCENT 12
 
-/**
- * struct hosts_t - the hosts among which a limit is divided
- * @count: their number
- * @before: those with a lower rank than this host
- */
-typedef struct {
-    guint count;
-    guint before;
-} hosts_t;
-
 static gboolean
-is_in_scope(const cq_core_t *core, const cq_upstream_t *upstream,
-            const char *zone)
-{
-    return !core->has_cells || g_str_equal(upstream->zone, zone);
-}
-
-static guint64
-rank_of(guint32 host, const cq_upstream_t *upstream)
+is_in_scope(const cq_core_t *core, const cq_upstream_t *upstream)
 {
-    return cq_place_mix(host ^ upstream->id);
-}
-
-/* Return: the hosts that are alive if they are the majority of those on the
- * list, else all of them: a host that is cut off must not take over the shares
- * of the others. */
-static hosts_t
-sharing_hosts(const cq_core_t *core, const cq_upstream_t *upstream)
-{
-    guint64 own_rank = rank_of(core->host, upstream);
-    hosts_t listed = {.count = 1};
-    hosts_t alive = {.count = 1};
-    GHashTableIter iter;
-    gpointer key;
-    gpointer zone;
-    g_hash_table_iter_init(&iter, core->entry_hosts);
-    while (g_hash_table_iter_next(&iter, &key, &zone)) {
-        if (!is_in_scope(core, upstream, zone)) {
-            continue;
-        }
-        guint32 host = GPOINTER_TO_UINT(key);
-        gboolean before = rank_of(host, upstream) < own_rank;
-        listed.count++;
-        listed.before += before;
-        const cq_peer_t *peer = cq_table_peer(core, host);
-        if (peer != NULL && !peer->draining) {
-            alive.count++;
-            alive.before += before;
-        }
-    }
-    return 2 * alive.count > listed.count ? alive : listed;
+    return !core->has_cells || g_str_equal(upstream->zone, core->zone);
 }
 
 static void
@@ -85,10 +39,10 @@
     double per_s = MAX(rate->per_s, TRIAL_PER_S);
     double share_per_s = 0;
     gboolean takes_part = core->host_list_received && !core->draining &&
-                          is_in_scope(core, upstream, core->zone);
-    hosts_t hosts = {.count = 0};
+                          is_in_scope(core, upstream);
+    cq_host_rank_t hosts = {.count = 0};
     if (takes_part) {
-        hosts = sharing_hosts(core, upstream);
+        hosts = cq_member_rank(core, upstream->id);
         guint sharers = MIN(hosts.count, 1 + (guint)per_s);
         share_per_s = hosts.before < sharers ? per_s / sharers : 0;
     }
--- a/packages/core/rate.h
+++ b/packages/core/rate.h
@@ -8,9 +8,7 @@
  * request, and at most one request of each of these hosts comes on top of the
  * limit in any span of time.
  *
- * In cells only hosts of the upstream's zone have a share. A host that hears
- * from fewer than half of the hosts may be cut off, and counts the others as
- * alive; the rest go on without it.
+ * In cells only hosts of the upstream's zone have a share.
  *
  * Load: an upstream in need among sound ones; all upstreams of a service in
  * need at once, so that most requests must be refused.
--- a/tests/unit/crashcall_test.cc
+++ b/tests/unit/crashcall_test.cc
@@ -184,8 +184,13 @@
     std::vector<cq_part_report_t> rows(100);
     for (guint64 i = 0; i < 10000; i++) {
         cq_part_report_t &row = rows[i % rows.size()];
-        row = {CQ_PART_CRASHED, cq_ident_hash("p"), 1000 + i, TRUE, 1,
-               5000 + i, 0};
+        row = {CQ_PART_CRASHED,
+               cq_ident_hash("p"),
+               1000 + i,
+               TRUE,
+               1,
+               5000 + i,
+               0};
         if ((i + 1) % rows.size() == 0) {
             cq_event_t event = {};
             event.kind = CQ_EV_PARTS;
@@ -243,4 +248,108 @@
     EXPECT_NE(last_send(call(kSound + 9)), nullptr);
 }
 
+// Return: whether the host of that row sends a trial of kBad when it is due.
+// It hears from those hosts that it is linked with.
+bool
+sends_trial(cq_rules_t *rules, const std::vector<cq_host_row_t> &rows,
+            const cq_host_row_t &self)
+{
+    cq_core_options_t options = {};
+    options.host = self.name;
+    options.zone = self.zone;
+    options.incarnation = 1;
+    options.seed = 7;
+    cq_core_t *core = cq_core_new(&options);
+    cq_actions_t actions;
+    cq_actions_init(&actions);
+    gint64 now_us = 1000 * kSecond;
+    auto step = [&](const cq_event_t &event) {
+        cq_actions_reset(&actions);
+        cq_core_step(core, now_us, &event, &actions);
+    };
+    cq_event_t event = {};
+    event.kind = CQ_EV_RULES;
+    event.rules = rules;
+    step(event);
+    event = {};
+    event.kind = CQ_EV_HOSTS;
+    event.hosts.rows = rows.data();
+    event.hosts.len = (guint)rows.size();
+    step(event);
+    std::vector<cq_part_report_t> reports;
+    for (guint64 i = 0; i < 3; i++) {
+        reports.push_back({CQ_PART_CRASHED, cq_ident_hash("p"), kBad, TRUE,
+                           cq_ident_hash("t"), 10 + i,
+                           (gint64)(300 - 100 * i) * kMs});
+    }
+    event = {};
+    event.kind = CQ_EV_PARTS;
+    event.parts.rows = reports.data();
+    event.parts.len = (guint)reports.size();
+    step(event);
+    for (int tick = 0; tick < 64; tick++) {
+        now_us += 500 * kMs;
+        guint len;
+        const cq_host_row_t *peers = cq_core_peers(core, &len);
+        for (guint i = 0; i < len; i++) {
+            cq_summary_t summary = {};
+            summary.host = cq_ident_host(peers[i].name);
+            summary.incarnation = 1;
+            event = {};
+            event.kind = CQ_EV_SUMMARY;
+            event.summary = &summary;
+            step(event);
+        }
+        event = {};
+        event.kind = CQ_EV_TICK;
+        step(event);
+    }
+    event = {};
+    event.kind = CQ_EV_REQUEST;
+    event.request.id = cq_ident_request(cq_ident_host(self.name), 1, 1);
+    event.request.service = "p";
+    event.request.team = "t";
+    event.request.model = "";
+    event.request.repeatable = TRUE;
+    event.request.prompt_tokens = 1;
+    event.request.timeout_us = 3 * kSecond;
+    event.request.attempts_max = 2;
+    event.request.fingerprint = kBad;
+    step(event);
+    bool sent = false;
+    for (guint i = 0; i < actions.items->len; i++) {
+        sent = sent || cq_actions_at(&actions, i)->kind == CQ_AC_SEND;
+    }
+    cq_actions_clear(&actions);
+    cq_core_free(core);
+    return sent;
+}
+
+// Hosts of a large fleet hear from those of their own zone and from a few
+// others; still one of them alone tries a blocked call.
+TEST(CrashCallFleet, IsTriedByOneHostOfALargeFleet)
+{
+    cq_rules_t *rules = core_test::make_rules("p", CQ_SERVICE_PLAIN);
+    for (guint hosts : {4u, 35u, 117u}) {
+        std::vector<cq_host_row_t> rows;
+        for (guint i = 0; i < hosts + 5; i++) {
+            cq_host_row_t row = {};
+            bool is_host = i < hosts;
+            g_snprintf(row.name, sizeof row.name, "%s%u", is_host ? "h" : "p",
+                       i);
+            g_snprintf(row.addr, sizeof row.addr, "%s:1", row.name);
+            g_snprintf(row.zone, sizeof row.zone, "%c", 'a' + (char)(i % 5));
+            g_strlcpy(row.service, is_host ? "" : "p", sizeof row.service);
+            row.incarnation = 1;
+            rows.push_back(row);
+        }
+        guint tries = 0;
+        for (guint i = 0; i < hosts; i++) {
+            tries += sends_trial(rules, rows, rows[i]);
+        }
+        EXPECT_EQ(tries, 1u) << hosts;
+    }
+    cq_rules_unref(rules);
+}
+
 } // namespace
