Tests of what one host does with a rate limit; refuse by it before by absence

A host without a share of any limit refused as if there were no upstream, with a time to come back that the limits don't give. Now code=rate_limited.

--- a/packages/core/admission.c
+++ b/packages/core/admission.c
@@ -179,12 +179,12 @@
     if (cq_place_group_size(request) > service->rules->group_max) {
         return CQ_OUTCOME_TOO_LONG;
     }
-    if (!cq_member_usable_in_time(core, request)) {
-        return CQ_OUTCOME_NO_UPSTREAM;
-    }
     if (cq_rate_delays(core, request)) {
         return CQ_OUTCOME_RATE_LIMITED;
     }
+    if (!cq_member_usable_in_time(core, request)) {
+        return CQ_OUTCOME_NO_UPSTREAM;
+    }
     if (g_hash_table_size(core->request_by_id) > CQ_REQUESTS_MAX) {
         return CQ_OUTCOME_OVERLOADED;
     }
--- a/tests/unit/corefixture.h
+++ b/tests/unit/corefixture.h
@@ -234,6 +234,20 @@
         event.upstream.pause_us = pause_us;
         step(event);
     }
+    // An answer to @request states the rate limit; below 0: none.
+    void
+    upstream_states_limit(const char *upstream, guint64 request, double per_s)
+    {
+        cq_event_t event = {};
+        event.kind = CQ_EV_UPSTREAM;
+        event.upstream.upstream = cq_ident_hash(upstream);
+        event.upstream.incarnation = 1;
+        event.upstream.request = request;
+        event.upstream.rate.kind =
+            per_s >= 0 ? CQ_RATE_LIMITED : CQ_RATE_UNLIMITED;
+        event.upstream.rate.per_s = MAX(per_s, 0);
+        step(event);
+    }
     // The peer h1 tells the core that it placed a request on engines.
     void
     peer_places_task(guint64 request, std::vector<const char *> engines,
--- a/tests/unit/wire_test.cc
+++ b/tests/unit/wire_test.cc
@@ -1,6 +1,8 @@
 // Length framing, and encoding and decoding of the messages between processes.
 #include <gtest/gtest.h>
 
+#include <cmath>
+
 #include "wire/codec.h"
 #include "wire/frame.h"
 
@@ -177,4 +179,32 @@
     g_rand_free(rand);
 }
 
+TEST(Codec, RateLimitsInASummaryAreDecodedAsTheyWereEncoded)
+{
+    cq_summary_t summary = {};
+    summary.rates_len = 2;
+    summary.rates[0] = {G_MAXUINT64, 2, 3, TRUE, 1.7};
+    summary.rates[1] = {5, 6, 7, FALSE, 0};
+    GBytes *wrapped =
+        cq_codec_encode_summary(&summary, cq_hlc_t{0, 0}, nullptr);
+    Cq__Frame *frame = unpack(wrapped);
+    ASSERT_NE(nullptr, frame);
+    cq_summary_t decoded;
+    ASSERT_TRUE(cq_codec_decode_summary(frame->summary, &decoded));
+    ASSERT_EQ(2u, decoded.rates_len);
+    for (guint i = 0; i < 2; i++) {
+        EXPECT_EQ(summary.rates[i].upstream, decoded.rates[i].upstream);
+        EXPECT_EQ(summary.rates[i].incarnation, decoded.rates[i].incarnation);
+        EXPECT_EQ(summary.rates[i].version, decoded.rates[i].version);
+        EXPECT_EQ(summary.rates[i].limited, decoded.rates[i].limited);
+        EXPECT_EQ(summary.rates[i].per_s, decoded.rates[i].per_s);
+    }
+    for (double invalid : {-1.0, 1e300, (double)NAN, (double)INFINITY}) {
+        frame->summary->rates[0]->per_s = invalid;
+        EXPECT_FALSE(cq_codec_decode_summary(frame->summary, &decoded));
+    }
+    cq__frame__free_unpacked(frame, nullptr);
+    g_bytes_unref(wrapped);
+}
+
 } // namespace
