--- a/tests/proc/relaylib.sh
+++ b/tests/proc/relaylib.sh
@@ -61,6 +61,16 @@
     PIDS="$PIDS $!"
 }
 
+# crashing_replicas COUNT: starts the store and upstreams p1, p2, ... that crash,
+# and writes a configuration
+crashing_replicas() {
+    local i
+    fleetstandin store "$BASE"
+    wait_for_http "http://$STORE_ADDR/ok"
+    for i in $(seq "$1"); do keep_replica p$i $((BASE + 20 + i)); done
+    config 5 "$ROUTES"
+}
+
 # route PREFIX TYPE RESUMABLE PUBLIC: prints a route of the configuration
 route() {
     printf '{"name":"%s","host":"fleet.example","path_prefix":"%s","type":"%s","timeout_ms":%s,"goal_ms":1000,"gap_aim_ms":500,"attempts":2,"priority":1,"resumable":%s,"public":%s,"service":"p"}' \
--- a/tests/proc/relaypoison.sh
+++ b/tests/proc/relaypoison.sh
@@ -6,10 +6,7 @@
 # half of the latter are answered at the first attempt.
 BUILD=${1:-build}
 . tests/proc/relaylib.sh
-fleetstandin store "$BASE"
-wait_for_http "http://$STORE_ADDR/ok"
-for i in 1 2 3 4 5 6 7 8; do keep_replica p$i $((BASE + 20 + i)); done
-config 5 "$ROUTES"
+crashing_replicas 8
 hosts_a_and_b p8
 # send KIND NUMBER PARTS PORT: sends a stream request in the background, and
 # writes its kind, the time and the answer's status to the file of answers
--- a/tests/proc/relaypoisonkept.sh
+++ b/tests/proc/relaypoisonkept.sh
@@ -3,10 +3,7 @@
 # killed and start again together.
 BUILD=${1:-build}
 . tests/proc/relaylib.sh
-fleetstandin store "$BASE"
-wait_for_http "http://$STORE_ADDR/ok"
-for i in 1 2 3 4 5 6; do keep_replica p$i $((BASE + 20 + i)); done
-config 5 "$ROUTES"
+crashing_replicas 6
 hosts_a_and_b p6
 # poison PORT: sends a request with the part to the host
 poison() {
