Nothing explains the crashes of a whole request

When two requests were on each of three crashed upstreams, the one whose connection ended first was blocked, and cleared the other of the same crashes. If the other was the one that crashes upstreams, it had to crash three more before it was blocked, all of them more than the rule allows. Each whole request now counts all crashes under it. What a blocked request explains still counts against no part.

ABurstAfterAQuietTimeStaysWithinIt is new.

--- a/packages/core/quarantine.c
+++ b/packages/core/quarantine.c
@@ -186,7 +186,7 @@
         if (is_whole(request, id)) {
             continue;
         }
-        if (cq_suspects_is_explained(suspects_of(core), crash->id, FALSE,
+        if (cq_suspects_is_explained(suspects_of(core), crash->id,
                                      core->now_us)) {
             return;
         }
@@ -288,9 +288,7 @@
         accuse_parts(core, request, &crash);
     }
     if (request->fingerprint != 0 &&
-        (known == NULL || known->id != request->fingerprint) &&
-        !cq_suspects_is_explained(suspects_of(core), crash.id, TRUE,
-                                  core->now_us)) {
+        (known == NULL || known->id != request->fingerprint)) {
         accuse(core, request, request->fingerprint, &crash);
     }
 }
@@ -333,8 +331,8 @@
         cq_suspects_find(suspects_of(core), row->service, row->part);
     gboolean blocked =
         part != NULL && cq_suspect_is_blocked(part, core->now_us);
-    if (!blocked && cq_suspects_is_explained(suspects_of(core), crash.id,
-                                             row->whole, core->now_us)) {
+    if (!blocked && !row->whole &&
+        cq_suspects_is_explained(suspects_of(core), crash.id, core->now_us)) {
         return;
     }
     part = cq_suspects_find_or_add(suspects_of(core), row->service, row->part,
--- a/packages/core/quarantine.h
+++ b/packages/core/quarantine.h
@@ -9,7 +9,8 @@
  * cause: what a blocked part explains no longer counts against other parts.
  * Hosts tell each other of crashes, and of answers on suspects.
  *
- * What is said of parts below holds for fingerprints as well.
+ * What is said of parts below holds for fingerprints as well, but that each
+ * counts all crashes under its request, whatever else explains them.
  *
  * Load: one caller repeats a part a few times a second, at any host; each
  * request takes an upstream with the requests on it, and each retry another.
--- a/packages/core/suspect.c
+++ b/packages/core/suspect.c
@@ -169,16 +169,13 @@
 
 gboolean
 cq_suspects_is_explained(const cq_suspects_t *suspects, guint64 crash,
-                         gboolean whole, gint64 now_us)
+                         gint64 now_us)
 {
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, suspects->parts);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const cq_suspect_t *suspect = value;
-        if ((suspect->whole || !whole) &&
-            cq_suspect_is_blocked(suspect, now_us) &&
-            has_crash(suspect, crash)) {
+        if (cq_suspect_is_blocked(value, now_us) && has_crash(value, crash)) {
             return TRUE;
         }
     }
@@ -193,7 +190,7 @@
     g_hash_table_iter_init(&iter, suspects->parts);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         cq_suspect_t *suspect = value;
-        if (suspect->blocked_us > 0 || (suspect->whole && !cause->whole)) {
+        if (suspect->blocked_us > 0 || suspect->whole) {
             continue;
         }
         for (guint i = 0; i < cause->crashes_len; i++) {
--- a/packages/core/suspect.h
+++ b/packages/core/suspect.h
@@ -99,14 +99,14 @@
 
 /** cq_suspects_is_explained() - Return: whether what is blocked is the cause
  * of
- * @crash, so that it counts against no other part; if @whole, against no other
- * request, which a part doesn't show: the request may crash by itself */
+ * @crash, so that it counts against no other part */
 gboolean
 cq_suspects_is_explained(const cq_suspects_t *suspects, guint64 crash,
-                         gboolean whole, gint64 now_us);
+                         gint64 now_us);
 
 /** cq_suspects_explain() - no longer count the crashes of @cause, which is
- * blocked, against the suspects that it explains */
+ * blocked, against parts that are not. Whole requests keep theirs: of two that
+ * were on the same upstreams, each may be the cause */
 void
 cq_suspects_explain(cq_suspects_t *suspects, const cq_suspect_t *cause);
 
--- a/tests/unit/rate_test.cc
+++ b/tests/unit/rate_test.cc
@@ -487,6 +487,23 @@
     EXPECT_LT(fleet.told_longest["small"], 500 * kMs);
 }
 
+// Nothing is sent for a time in which every host could have saved up a
+// request.
+TEST(RateLimitFleet, ABurstAfterAQuietTimeStaysWithinIt)
+{
+    Fleet fleet({35, 3, 1, 100});
+    fleet.set_limit(0, 2);
+    fleet.run(5 * kSecond);
+    fleet.options.requests_per_s = 0;
+    fleet.run(20 * kSecond);
+    gint64 from_us = fleet.now_us;
+    fleet.next_request_us = from_us;
+    fleet.options.requests_per_s = 2000;
+    fleet.run(4 * kSecond);
+    EXPECT_LE(fleet.worst_window(0, from_us), allowed(2));
+    EXPECT_GE(fleet.worst_window(0, from_us), 4u);
+}
+
 TEST(RateLimitFleet, EndsWhenTheUpstreamNamesNone)
 {
     Fleet fleet({4, 3, 3, 40});
