--- a/tests/unit/crashcall_test.cc
+++ b/tests/unit/crashcall_test.cc
@@ -152,6 +152,25 @@
     EXPECT_EQ(answer_of(running)->ran, CQ_RAN_UNKNOWN);
 }
 
+// A connection that was reset before the request could reach the upstream, as
+// kept ones are when a zone is cut off, is no crash under it.
+TEST_F(CrashCall, IsNotBlockedByConnectionsThatEndAtOnce)
+{
+    start_core(0, 8);
+    for (int i = 0; i < 4; i++) {
+        guint64 id = call(kSound);
+        ASSERT_NE(last_send(id), nullptr);
+        attempt_event(id, CQ_EV_SENT);
+        crash(id);
+        cq_event_t event = {};
+        event.kind = CQ_EV_HANGUP;
+        event.attempt.request = id;
+        step(event);
+        advance(3 * kSecond);
+    }
+    EXPECT_TRUE(answer_once(kSound));
+}
+
 // Both were on each of three upstreams that crashed, and nothing tells which
 // of them did it. The order in which the connections end must not decide.
 TEST_F(CrashCall, IsBlockedThoughAnotherCallWasOnEachCrash)
