Try an upstream after a second when no other is left

Cause: an upstream whose attempts break is avoided for 1, 2, 4, 8 and 16 s, also if that is so for every upstream of the service.

The time doubles only while another upstream can take the work. Retry.UpstreamsThatBreakInTurnAreStillUsed: the fifth call was not sent within 1.1 s before; all twelve are now.

--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -17,7 +17,7 @@
 #define CONNECT_FAILURES_MAX 2
 /* After a broken attempt an upstream gets no new work for a second. The time
  * doubles with each further one in a row, but at most SUSPECT_DOUBLINGS_MAX
- * times. */
+ * times, and only while another upstream can take its work. */
 #define SUSPECT_DOUBLINGS_MAX 4
 /* Status that is recorded when a server error of the upstream is forwarded. */
 #define FAULT_HTTP_STATUS 500
@@ -165,6 +165,33 @@
     return CQ_OUTCOME_BROKEN;
 }
 
+static gboolean
+any_unlimited(const cq_core_t *core, const GPtrArray *upstreams)
+{
+    for (guint i = 0; i < upstreams->len; i++) {
+        const cq_upstream_t *upstream = g_ptr_array_index(upstreams, i);
+        if (!upstream->rate.limited && cq_place_usable(core, upstream)) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+/* An upstream whose attempts break may be sound, and the requests at fault. */
+static void
+avoid_broken(const cq_core_t *core, cq_upstream_t *upstream)
+{
+    const cq_service_t *service = upstream->service;
+    guint doublings = MIN(upstream->broken_streak, SUSPECT_DOUBLINGS_MAX);
+    upstream->broken_streak++;
+    upstream->suspect_until_us = core->now_us + CQ_SECOND_US;
+    if (any_unlimited(core, service->local) ||
+        any_unlimited(core, service->remote)) {
+        upstream->suspect_until_us =
+            core->now_us + (CQ_SECOND_US << doublings);
+    }
+}
+
 void
 cq_attempt_fail(cq_core_t *core, cq_request_t *request, cq_failure_t failure)
 {
@@ -197,10 +224,7 @@
         request->connect_failures++;
     }
     if (failure == CQ_FAIL_BROKEN) {
-        guint doublings = MIN(upstream->broken_streak, SUSPECT_DOUBLINGS_MAX);
-        upstream->broken_streak++;
-        upstream->suspect_until_us =
-            core->now_us + (CQ_SECOND_US << doublings);
+        avoid_broken(core, upstream);
     }
     request->last_failed = upstream->id;
     if (request->failed_helper != 0) {
--- a/tests/unit/retry_test.cc
+++ b/tests/unit/retry_test.cc
@@ -154,6 +154,22 @@
     EXPECT_EQ(answer_of(waiting)->status, 503);
 }
 
+// The load: requests that break off whatever answers them, beside sound ones.
+TEST_F(Retry, UpstreamsThatBreakInTurnAreStillUsed)
+{
+    start_core(0, 2);
+    timeout_us = 3 * kSecond;
+    for (int i = 0; i < 12; i++) {
+        guint64 id = submit(1, 300 * kMs, 0, "p", FALSE);
+        for (int tick = 0; tick < 110 && last_send(id) == nullptr; tick++) {
+            advance(10 * kMs);
+        }
+        ASSERT_NE(last_send(id), nullptr) << i;
+        attempt_event(id, CQ_EV_SENT);
+        attempt_event(id, CQ_EV_FAILED);
+    }
+}
+
 TEST_F(Retry, WhatAnEarlierIncarnationSaidIsIgnored)
 {
     start_core(0, 1);
