Keep an upstream's pause when an attempt there fails

An upstream that answers 503 with Retry-After gets nothing for that time. If another attempt on it failed meanwhile, the time was replaced by the one or five seconds of a failure: it got requests in its pause, which the users' rule BUDGET forbids after two.

Retry.AFailedAttemptDoesNotShortenAPause, which failed before: a call was sent 9 s after a pause of 10 s had been asked for.

--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -177,6 +177,14 @@
     return FALSE;
 }
 
+/* Doesn't shorten a pause that the upstream has asked for. */
+static void
+avoid_for(const cq_core_t *core, cq_upstream_t *upstream, gint64 us)
+{
+    upstream->suspect_until_us =
+        MAX(upstream->suspect_until_us, core->now_us + us);
+}
+
 /* An upstream whose attempts break may be sound, and the requests at fault. */
 static void
 avoid_broken(const cq_core_t *core, cq_upstream_t *upstream)
@@ -184,11 +192,10 @@
     const cq_service_t *service = upstream->service;
     guint doublings = MIN(upstream->broken_streak, SUSPECT_DOUBLINGS_MAX);
     upstream->broken_streak++;
-    upstream->suspect_until_us = core->now_us + CQ_SECOND_US;
+    avoid_for(core, upstream, CQ_SECOND_US);
     if (any_unlimited(core, service->local) ||
         any_unlimited(core, service->remote)) {
-        upstream->suspect_until_us =
-            core->now_us + (CQ_SECOND_US << doublings);
+        avoid_for(core, upstream, CQ_SECOND_US << doublings);
     }
 }
 
@@ -219,7 +226,7 @@
         cq_member_leaving(core, upstream, upstream->incarnation);
     }
     if (failure == CQ_FAIL_CONNECT) {
-        upstream->suspect_until_us = core->now_us + CQ_SUSPECT_AVOID_US;
+        avoid_for(core, upstream, CQ_SUSPECT_AVOID_US);
         cq_member_unreachable(core, upstream);
         request->connect_failures++;
     }
@@ -338,7 +345,7 @@
         if (g_str_equal(engine->addr, addr)) {
             cq_table_log_event(core, request, "at_fault", "upstream=%s",
                                engine->name);
-            engine->suspect_until_us = core->now_us + CQ_SUSPECT_AVOID_US;
+            avoid_for(core, engine, CQ_SUSPECT_AVOID_US);
             cq_member_unreachable(core, engine);
             request->failed_helper = engine->id;
             return;
--- a/tests/unit/retry_test.cc
+++ b/tests/unit/retry_test.cc
@@ -154,6 +154,26 @@
     EXPECT_EQ(answer_of(waiting)->status, 503);
 }
 
+TEST_F(Retry, AFailedAttemptDoesNotShortenAPause)
+{
+    start_core(0, 1);
+    timeout_us = 3 * kSecond;
+    for (cq_failure_t failure : {CQ_FAIL_BROKEN, CQ_FAIL_CONNECT}) {
+        guint64 running = submit(1, 300 * kMs, 0, "p", FALSE);
+        if (failure == CQ_FAIL_BROKEN) {
+            attempt_event(running, CQ_EV_SENT);
+        }
+        upstream_says(last_send(running)->upstream, 1, FALSE, 10 * kSecond);
+        attempt_event(running, CQ_EV_FAILED, failure);
+        advance(9 * kSecond);
+        guint64 next = submit(1, 300 * kMs, 0, "p", FALSE);
+        EXPECT_EQ(last_send(next), nullptr) << failure;
+        advance(kSecond);
+        EXPECT_NE(last_send(next), nullptr) << failure;
+        attempt_event(next, CQ_EV_DONE);
+    }
+}
+
 // The load: requests that break off whatever answers them, beside sound ones.
 TEST_F(Retry, UpstreamsThatBreakInTurnAreStillUsed)
 {
