Count connections of an upstream that break together once

An upstream is avoided for a second after a broken attempt, and twice as long after each further one in a row. When all connections to a sound upstream are reset, each request on it counted: with five of them it was avoided for 16 s. Attempts that ran at the same time now count as one, since all but the first tell nothing new.

Retry.ConnectionsThatBreakTogetherCountOnce failed before: a call with 3 s was refused a second after four connections had been reset.

--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -187,12 +187,17 @@
 
 /* An upstream whose attempts break may be sound, and the requests at fault. */
 static void
-avoid_broken(const cq_core_t *core, cq_upstream_t *upstream)
+avoid_broken(const cq_core_t *core, const cq_request_t *request,
+             cq_upstream_t *upstream)
 {
     const cq_service_t *service = upstream->service;
+    avoid_for(core, upstream, CQ_SECOND_US);
+    if (request->phase_start_us <= upstream->broken_us) {
+        return;
+    }
     guint doublings = MIN(upstream->broken_streak, SUSPECT_DOUBLINGS_MAX);
     upstream->broken_streak++;
-    avoid_for(core, upstream, CQ_SECOND_US);
+    upstream->broken_us = core->now_us;
     if (any_unlimited(core, service->local) ||
         any_unlimited(core, service->remote)) {
         avoid_for(core, upstream, CQ_SECOND_US << doublings);
@@ -231,7 +236,7 @@
         request->connect_failures++;
     }
     if (failure == CQ_FAIL_BROKEN) {
-        avoid_broken(core, upstream);
+        avoid_broken(core, request, upstream);
     }
     request->last_failed = upstream->id;
     if (request->failed_helper != 0) {
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -132,7 +132,9 @@
  * @tasks: array of cq_task_t*: those that it prefills or decodes
  * @pass_start_us: when its current pass began, as observed or estimated
  * @offered_until_us: until when the hosts of its zone offer it to this zone
- * @broken_streak: attempts in a row whose connection ended early
+ * @broken_streak: attempts in a row whose connection ended early; those that
+ *   ran at the same time count as one
+ * @broken_us: when @broken_streak was last raised
  * @unlisted_us: when it disappeared from the host list
  * @rate: its rate limit
  */
@@ -173,6 +175,7 @@
     gint64 pass_start_us;
     gint64 offered_until_us;
     guint broken_streak;
+    gint64 broken_us;
     gint64 unlisted_us;
     cq_rate_t rate;
 } cq_upstream_t;
--- a/tests/unit/retry_test.cc
+++ b/tests/unit/retry_test.cc
@@ -154,6 +154,35 @@
     EXPECT_EQ(answer_of(waiting)->status, 503);
 }
 
+// The load: all connections to an upstream are reset, and the upstream is
+// sound.
+TEST_F(Retry, ConnectionsThatBreakTogetherCountOnce)
+{
+    start_core(0, 2);
+    timeout_us = 3 * kSecond;
+    std::vector<guint64> calls;
+    for (int i = 0; i < 8; i++) {
+        calls.push_back(submit(1, 300 * kMs, 0, "p", FALSE));
+        attempt_event(calls.back(), CQ_EV_SENT);
+    }
+    guint64 reset = last_send(calls[0])->upstream;
+    guint64 other = 0;
+    for (guint64 id : calls) {
+        if (last_send(id)->upstream == reset) {
+            attempt_event(id, CQ_EV_FAILED);
+        }
+        else {
+            other = last_send(id)->upstream;
+        }
+    }
+    ASSERT_NE(other, 0u);
+    upstream_says(other, 1, FALSE, 60 * kSecond);
+    advance(kSecond);
+    guint64 id = submit(1, 300 * kMs, 0, "p");
+    ASSERT_NE(last_send(id), nullptr);
+    EXPECT_EQ(last_send(id)->upstream, reset);
+}
+
 TEST_F(Retry, AFailedAttemptDoesNotShortenAPause)
 {
     start_core(0, 1);
