Don't count a stale connection as a crash under its request

Cause: a kept connection into the cut zone is reset as soon as the next request is sent on it, and each such end counted as a crash under that request.

So a kept connection that ends within 2 ms counts as stale: the request can't have been read, run and crashed the upstream so soon. A new connection isn't exempt, so an upstream that crashes at once is missed at most once for each kept connection.

--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -387,7 +387,7 @@
     case CQ_EV_FAILED:
         mark_failed_helper(core, request, detail->at_fault);
         if (detail->failure == CQ_FAIL_BROKEN) {
-            cq_quarantine_crashed(core, request);
+            cq_quarantine_crashed(core, request, detail->on_kept_conn);
         }
         cq_attempt_fail(core, request, detail->failure);
         break;
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -123,6 +123,7 @@
  * @tokens: TOKENS: new tokens; PROBED: tokens that the upstream has sent
  * @status: DONE: HTTP status
  * @failure: FAILED: how it ended
+ * @on_kept_conn: FAILED: its connection was kept from an earlier request
  * @at_fault: FAILED: address of the helper engine that the upstream names as
  *   the cause, or ""
  * @probe: PROBED: the upstream's answer
@@ -133,6 +134,7 @@
     gint64 tokens;
     int status;
     cq_failure_t failure;
+    gboolean on_kept_conn;
     char at_fault[CQ_ADDR_BYTES];
     cq_probe_t probe;
 } cq_ev_attempt_t;
--- a/packages/core/quarantine.c
+++ b/packages/core/quarantine.c
@@ -14,6 +14,9 @@
  * first ones on their way. */
 #define BEGUN_EVENTS 3
 #define TRIALS_MAX 5
+/* A kept connection that ends sooner than this after the sending was stale: a
+ * request that reaches an upstream takes longer to crash it. */
+#define STALE_CONN_US (2 * CQ_MS_US)
 /* A crash this long after a part was blocked was that of a trial; earlier ones
  * were on their way when it was blocked. */
 #define TRIAL_CRASH_AFTER_US (10 * CQ_SECOND_US)
@@ -268,8 +271,14 @@
 }
 
 void
-cq_quarantine_crashed(cq_core_t *core, const cq_request_t *request)
+cq_quarantine_crashed(cq_core_t *core, const cq_request_t *request,
+                      gboolean on_kept_conn)
 {
+    if (on_kept_conn && core->now_us - request->progress_us < STALE_CONN_US) {
+        cq_table_log_event(core, request, "stale", "upstream=%s",
+                           request->upstream->name);
+        return;
+    }
     const cq_upstream_t *upstream = request->upstream;
     gint64 events = request->forwarded - request->forwarded_at_start;
     if (events >= BEGUN_EVENTS || request->suspects_len == 0) {
--- a/packages/core/quarantine.h
+++ b/packages/core/quarantine.h
@@ -56,9 +56,11 @@
                              const cq_request_t *request);
 
 /** cq_quarantine_crashed() - the connection of the running attempt of @request
- * ended before the answer did */
+ * ended before the answer did; @on_kept_conn: it was kept from an earlier
+ * request */
 void
-cq_quarantine_crashed(cq_core_t *core, const cq_request_t *request);
+cq_quarantine_crashed(cq_core_t *core, const cq_request_t *request,
+                      gboolean on_kept_conn);
 
 /** cq_quarantine_progress() - the running attempt of @request got @events
  * events more, or its whole answer if @done */
--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -32,13 +32,13 @@
     guint64 incarnation;
     call_t *call;
     gint64 idle_until_us;
-    gboolean used;
     gboolean closed;
     guint refs;
 } conn_t;
 
 /* One attempt. It is kept until the core has answered the request, also if its
  * connection has ended before.
+ * on_kept_conn: the connection was kept from an earlier request
  * resumes: the caller already has the first events of the stream
  * unparsed: bytes of a stream that are not yet split into events
  * body: bytes ready to be forwarded */
@@ -55,6 +55,7 @@
     gboolean head_received;
     gboolean sent;
     gboolean ended;
+    gboolean on_kept_conn;
     gboolean resumes;
     GByteArray *unparsed;
     GByteArray *body;
@@ -165,7 +166,9 @@
         return;
     }
     abort_call(call);
-    cq_event_t event = {.attempt = {.failure = failure}};
+    cq_event_t event = {
+        .attempt = {.failure = failure, .on_kept_conn = call->on_kept_conn},
+    };
     post(call, CQ_EV_FAILED, &event);
 }
 
@@ -499,6 +502,7 @@
     call->resumes = spec->last_event >= 0;
     g_hash_table_replace(outbound->by_request, &call->request, call);
     conn_t *conn = spec->fresh ? NULL : reuse_idle(outbound, spec);
+    call->on_kept_conn = conn != NULL;
     if (conn == NULL) {
         conn = open_conn(outbound, spec);
     }
--- a/tests/unit/corefixture.h
+++ b/tests/unit/corefixture.h
@@ -218,6 +218,7 @@
         event.attempt.tokens = 1;
         event.attempt.status = status;
         event.attempt.failure = failure;
+        event.attempt.on_kept_conn = on_kept_conn;
         g_strlcpy(event.attempt.at_fault, at_fault,
                   sizeof event.attempt.at_fault);
         step(event);
@@ -309,6 +310,8 @@
     std::vector<guint64> parts;
     // Fingerprint of the requests that follow; 0: none.
     guint64 fingerprint = 0;
+    // Whether attempts that fail from now on were sent on kept connections.
+    gboolean on_kept_conn = FALSE;
     // Time limit of the requests that follow.
     gint64 timeout_us = 10 * kSecond;
     gint64 now_us = 1000 * kSecond;
