--- a/tests/proc/relayendless.sh
+++ b/tests/proc/relayendless.sh
@@ -23,14 +23,16 @@
 }
 # memory: prints the resident memory of the host in kB
 memory() { sed -n 's/^VmRSS:[^0-9]*\([0-9]*\) kB/\1/p' "/proc/$PID/status"; }
-# ask_at_once CALLERS PATH: sends the request that often at once; GROWN gets by
-# how much the host's memory grew meanwhile, in kB
+# ask_at_once CALLERS PATH: sends the request that often at once, the last one a
+# second later, when answers have broken off at every upstream; GROWN gets by how
+# much the host's memory grew meanwhile, in kB
 ask_at_once() {
     local before now peak i callers=""
     before=$(memory)
     peak=$before
     : >"$DIR/statuses"
     for i in $(seq "$1"); do
+        [ "$i" != "$1" ] || sleep 1
         curl -s -m 5 -o /dev/null -w '%{http_code} %{exitcode}\n' \
             -H "Host: fleet.example" -H "$CREDENTIAL" -H "Cuminquay-Attempt-Id: $1-$i" \
             "http://127.0.0.1:$PORT$2" >>"$DIR/statuses" &
