--- a/tests/unit/rate_test.cc
+++ b/tests/unit/rate_test.cc
@@ -1,18 +1,15 @@
 // Rate limits that upstreams name, kept by fleets of several sizes. The load:
-// an upstream in need beside others, or all upstreams in need at once. Each
-// host of a fleet is a core; summaries between them take some milliseconds.
-#include "corefixture.h"
+// an upstream in need beside others, or all upstreams in need at once.
+#include "fleetfixture.h"
 
-#include <map>
-#include <memory>
 #include <set>
 
 namespace {
 
+using core_test::fleet_options_t;
 using core_test::kMs;
 using core_test::kSecond;
 
-constexpr gint64 kTick = 20 * kMs;
 constexpr gint64 kCallTime = 40 * kMs;
 constexpr gint64 kWindow = 4 * kSecond;
 // The rule allows half more than the limit in each window, and 5 more.
@@ -21,99 +18,16 @@
 // Upstreams may get more than they named until this long after it.
 constexpr gint64 kSettled = 3 * kSecond;
 
-struct fleet_options_t {
-    guint hosts;
-    guint zones;
-    guint upstreams;
-    double requests_per_s; // of the whole fleet
-};
-
-struct host_t {
-    cq_core_t *core = nullptr;
-    std::string name;
-    std::string zone;
-    guint64 incarnation = 1;
-    guint32 serial = 0;
-    bool running = true;
-    bool cut_off = false;
-};
-
 struct sent_t {
     gint64 at_us;
     guint host;
 };
 
-struct answer_t {
-    guint host;
-    guint64 incarnation;
-    cq_ac_send_t send;
-    // What the upstream named when the request reached it; below 0: nothing.
-    double limit;
-};
-
-class Fleet {
+// A fleet of which some upstreams name limits.
+class Fleet : public core_test::Fleet {
   public:
-    explicit Fleet(const fleet_options_t &with) : options(with)
-    {
-        rules = core_test::make_rules("p", CQ_SERVICE_PLAIN);
-        cq_team_rule_t small = {};
-        g_strlcpy(small.name, "small", sizeof small.name);
-        small.weight = 1;
-        g_array_append_val(rules->teams, small);
-        for (guint i = 0; i < options.upstreams; i++) {
-            add_row("p" + std::to_string(i), "p", zone_name(i));
-        }
-        for (guint i = 0; i < options.hosts; i++) {
-            hosts.push_back(std::make_unique<host_t>());
-            hosts[i]->name = "h" + std::to_string(i);
-            hosts[i]->zone = zone_name(i);
-            add_row(hosts[i]->name, "", hosts[i]->zone);
-        }
-        cq_actions_init(&actions);
-        for (guint i = 0; i < options.hosts; i++) {
-            start(i);
-        }
-    }
-    ~Fleet()
-    {
-        for (auto &host : hosts) {
-            cq_core_free(host->core);
-        }
-        cq_actions_clear(&actions);
-        cq_rules_unref(rules);
-    }
-    Fleet(const Fleet &) = delete;
-    Fleet &
-    operator=(const Fleet &) = delete;
-    void
-    start(guint i)
-    {
-        host_t &host = *hosts[i];
-        if (host.core != nullptr) {
-            cq_core_free(host.core);
-            host.incarnation++;
-        }
-        cq_core_options_t with = {};
-        with.host = host.name.c_str();
-        with.zone = host.zone.c_str();
-        with.incarnation = host.incarnation;
-        with.seed = i + 1;
-        host.core = cq_core_new(&with);
-        host.running = true;
-        cq_event_t event = {};
-        event.kind = CQ_EV_RULES;
-        event.rules = rules;
-        step(i, event);
-        send_list(i);
-    }
-    void
-    send_list(guint i)
+    explicit Fleet(const fleet_options_t &with) : core_test::Fleet(with)
     {
-        cq_event_t event = {};
-        event.kind = CQ_EV_HOSTS;
-        event.hosts.rows = rows.data();
-        event.hosts.len = (guint)rows.size();
-        step(i, event);
     }
     // Hosts whose requests don't count: a restart, freeze or cut excuses them.
     void
@@ -121,26 +35,6 @@
     {
         excused.insert(i);
     }
-    void
-    run(gint64 us)
-    {
-        gint64 per_request = (gint64)(kSecond / (options.requests_per_s > 0
-                                                     ? options.requests_per_s
-                                                     : 1e-3));
-        for (gint64 until_us = now_us + us; now_us < until_us;) {
-            now_us += kTick;
-            deliver();
-            for (guint i = 0; i < hosts.size(); i++) {
-                cq_event_t event = {};
-                event.kind = CQ_EV_TICK;
-                step(i, event);
-            }
-            while (next_request_us <= now_us) {
-                next_request_us += per_request;
-                request();
-            }
-        }
-    }
     // All requests to the upstream in the worst window from @from_us on.
     guint
     worst_window(guint upstream, gint64 from_us)
@@ -169,11 +63,6 @@
         }
         return count;
     }
-    guint64
-    upstream_id(guint i)
-    {
-        return cq_ident_hash(("p" + std::to_string(i)).c_str());
-    }
     void
     set_limit(guint upstream, double per_s)
     {
@@ -185,104 +74,33 @@
         limits.erase(upstream_id(upstream));
     }
 
-    fleet_options_t options;
-    cq_rules_t *rules;
-    std::vector<cq_host_row_t> rows;
-    std::vector<std::unique_ptr<host_t>> hosts;
-    gint64 now_us = 1000 * kSecond;
-    gint64 next_request_us = 1000 * kSecond;
     guint refused = 0;
     guint refused_late = 0;
-    std::map<std::string, guint> asked_by;
-    std::map<std::string, guint> served_by;
     std::map<std::string, gint64> told_longest;
     // Every n-th request is of the small team; 0: none.
     guint small_every = 0;
 
   private:
-    std::string
-    zone_name(guint i)
-    {
-        return std::string(1, (char)('a' + i % options.zones));
-    }
     void
-    add_row(const std::string &name, const char *service,
-            const std::string &zone)
+    fill_request(cq_ev_request_t &request) override
     {
-        cq_host_row_t row = {};
-        g_strlcpy(row.name, name.c_str(), sizeof row.name);
-        g_strlcpy(row.addr, (name + ":1").c_str(), sizeof row.addr);
-        g_strlcpy(row.zone, zone.c_str(), sizeof row.zone);
-        g_strlcpy(row.service, service, sizeof row.service);
-        row.incarnation = 1;
-        rows.push_back(row);
-    }
-    void
-    request()
-    {
-        guint i = (guint)(random_state = cq_ident_hash(
-                              std::to_string(random_state).c_str())) %
-                  (guint)hosts.size();
-        host_t &host = *hosts[i];
-        if (!host.running) {
-            return;
-        }
         request_count++;
-        bool small = small_every > 0 && request_count % small_every == 0;
-        cq_event_t event = {};
-        event.kind = CQ_EV_REQUEST;
-        event.request.id = cq_ident_request(cq_ident_host(host.name.c_str()),
-                                            host.incarnation, ++host.serial);
-        event.request.service = "p";
-        event.request.team = small ? "small" : "t";
-        event.request.model = "";
-        event.request.repeatable = TRUE;
-        event.request.prompt_tokens = 1;
-        event.request.timeout_us = 3 * kSecond;
-        event.request.target_us = 300 * kMs;
-        event.request.attempts_max = 2;
-        asked_by[event.request.team]++;
-        team_of[event.request.id] = event.request.team;
-        arrived_at[event.request.id] = now_us;
-        step(i, event);
-    }
-    void
-    step(guint i, const cq_event_t &event)
-    {
-        host_t &host = *hosts[i];
-        if (!host.running) {
-            return;
-        }
-        cq_actions_reset(&actions);
-        cq_core_step(host.core, now_us, &event, &actions);
-        std::vector<cq_ac_send_t> sends;
-        for (guint k = 0; k < actions.items->len; k++) {
-            const cq_action_t &action = *cq_actions_at(&actions, k);
-            if (action.kind == CQ_AC_SEND) {
-                sends.push_back(action.send);
-            }
-            else if (action.kind == CQ_AC_SUMMARY) {
-                spread(i, *action.summary);
-            }
-            else if (action.kind == CQ_AC_ANSWER) {
-                note_answer(action.answer);
-            }
-        }
-        for (const cq_ac_send_t &send : sends) {
-            on_send(i, send);
+        if (small_every > 0 && request_count % small_every == 0) {
+            request.team = "small";
         }
+        team_of[request.id] = request.team;
+        arrived_at[request.id] = now_us;
     }
     void
-    note_answer(const cq_ac_answer_t &answer)
+    on_action(guint i, const cq_action_t &action) override
     {
-        const std::string &team = team_of[answer.request];
-        if (answer.outcome == CQ_OUTCOME_DONE) {
-            served_by[team]++;
-            return;
-        }
-        if (answer.outcome != CQ_OUTCOME_RATE_LIMITED) {
+        (void)i;
+        const cq_ac_answer_t &answer = action.answer;
+        if (action.kind != CQ_AC_ANSWER ||
+            answer.outcome != CQ_OUTCOME_RATE_LIMITED) {
             return;
         }
+        const std::string &team = team_of[answer.request];
         refused++;
         EXPECT_EQ(answer.ran, CQ_RAN_NO);
         EXPECT_GT(answer.retry_after_us, 0);
@@ -290,87 +108,40 @@
         told_longest[team] = MAX(told_longest[team], answer.retry_after_us);
     }
     void
-    on_send(guint i, const cq_ac_send_t &send)
+    on_send(guint i, const cq_ac_send_t &send) override
     {
         sent[send.upstream].push_back({now_us, i});
+        // What the upstream names when the request reaches it; below 0: none.
         auto found = limits.find(send.upstream);
         double limit = found != limits.end() ? found->second : -1;
-        calls.emplace(now_us + kCallTime,
-                      answer_t{i, hosts[i]->incarnation, send, limit});
-        cq_event_t event = {};
-        event.kind = CQ_EV_SENT;
-        event.attempt.request = send.request;
-        event.attempt.attempt = send.attempt;
-        step(i, event);
-    }
-    void
-    spread(guint from, const cq_summary_t &summary)
-    {
-        auto copy = std::make_shared<cq_summary_t>(summary);
-        guint len;
-        const cq_host_row_t *peers = cq_core_peers(hosts[from]->core, &len);
-        for (guint i = 0; i < len; i++) {
-            guint to = (guint)atoi(peers[i].name + 1);
-            gint64 delay =
-                hosts[to]->zone == hosts[from]->zone ? 1 * kMs : 30 * kMs;
-            messages.emplace(now_us + delay, message_t{from, to, copy});
-        }
-    }
-    void
-    deliver()
-    {
-        while (!messages.empty() && messages.begin()->first <= now_us) {
-            message_t message = messages.begin()->second;
-            messages.erase(messages.begin());
-            if (hosts[message.from]->cut_off == hosts[message.to]->cut_off) {
-                cq_event_t event = {};
-                event.kind = CQ_EV_SUMMARY;
-                event.summary = message.summary.get();
-                step(message.to, event);
+        guint64 incarnation = hosts[i]->incarnation;
+        later(kCallTime, [=] {
+            if (hosts[i]->incarnation == incarnation) {
+                answer(i, send, limit);
             }
-        }
-        while (!calls.empty() && calls.begin()->first <= now_us) {
-            answer_t call = calls.begin()->second;
-            calls.erase(calls.begin());
-            if (hosts[call.host]->incarnation == call.incarnation) {
-                answer(call);
-            }
-        }
+        });
+        attempt_event(i, CQ_EV_SENT, send);
     }
     void
-    answer(const answer_t &call)
+    answer(guint i, const cq_ac_send_t &send, double limit)
     {
         cq_event_t event = {};
         event.kind = CQ_EV_UPSTREAM;
-        event.upstream.upstream = call.send.upstream;
+        event.upstream.upstream = send.upstream;
         event.upstream.incarnation = 1;
-        event.upstream.request = call.send.request;
+        event.upstream.request = send.request;
         event.upstream.rate.kind =
-            call.limit >= 0 ? CQ_RATE_LIMITED : CQ_RATE_UNLIMITED;
-        event.upstream.rate.per_s = MAX(call.limit, 0);
-        step(call.host, event);
-        event = {};
-        event.kind = CQ_EV_DONE;
-        event.attempt.request = call.send.request;
-        event.attempt.attempt = call.send.attempt;
-        event.attempt.status = 200;
-        step(call.host, event);
+            limit >= 0 ? CQ_RATE_LIMITED : CQ_RATE_UNLIMITED;
+        event.upstream.rate.per_s = MAX(limit, 0);
+        step(i, event);
+        attempt_event(i, CQ_EV_DONE, send);
     }
 
-    struct message_t {
-        guint from;
-        guint to;
-        std::shared_ptr<cq_summary_t> summary;
-    };
-    cq_actions_t actions;
-    std::multimap<gint64, message_t> messages;
-    std::multimap<gint64, answer_t> calls;
     std::map<guint64, std::vector<sent_t>> sent;
     std::map<guint64, double> limits;
     std::map<guint64, std::string> team_of;
     std::map<guint64, gint64> arrived_at;
     std::set<guint> excused;
-    guint64 random_state = 1;
     guint request_count = 0;
 };
 
