Forget what a connection has written, and give large buffers back

One cause: a connection's buffer kept the bytes that it had written until it was empty. Towards a peer that reads more slowly than it is written to, it never is, so the buffer grew by all that was ever sent; and the limits on unsent bytes don't count it. Once empty, it kept its size for ever: after 3,000 records to each of 60 peers a host keeps 60 such buffers.

--- a/packages/http/sock.c
+++ b/packages/http/sock.c
@@ -19,6 +19,10 @@
 #define READ_BUFFER_BYTES (32 * 1024)
 #define READS_PER_WAKEUP_MAX 4
 
+/* Written bytes are dropped from a write buffer, and the memory of an empty
+ * one is given back, from this size on. */
+#define BUFFER_KEPT_BYTES (64 * 1024)
+
 /* Maximum number of connections handled per iteration of the main loop. */
 #define EVENTS_PER_WAKEUP_MAX 64
 
@@ -128,6 +132,23 @@
     }
 }
 
+/* Drops the written bytes once they are most of the buffer, so that each byte
+ * is moved once at most. */
+static void
+drop_written(cq_sock_t *sock)
+{
+    GByteArray *buffer = sock->write_buffer;
+    gsize unwritten = buffer->len - sock->written_len;
+    if (sock->written_len < MAX(unwritten, BUFFER_KEPT_BYTES)) {
+        return;
+    }
+    sock->write_buffer = g_byte_array_sized_new((guint)unwritten);
+    g_byte_array_append(sock->write_buffer, buffer->data + sock->written_len,
+                        (guint)unwritten);
+    sock->written_len = 0;
+    g_byte_array_unref(buffer);
+}
+
 static void
 flush(cq_sock_t *sock)
 {
@@ -147,8 +168,9 @@
         }
         sock->written_len += (gsize)n;
     }
+    gboolean had_bytes = sock->written_len > 0;
+    drop_written(sock);
     if (sock->written_len == sock->write_buffer->len) {
-        gboolean had_bytes = sock->written_len > 0;
         g_byte_array_set_size(sock->write_buffer, 0);
         sock->written_len = 0;
         if (sock->close_when_written) {
@@ -395,6 +417,7 @@
     if (n > 0) {
         sock->written_len += (gsize)n;
     }
+    drop_written(sock);
     if (sock->written_len == sock->write_buffer->len) {
         g_byte_array_set_size(sock->write_buffer, 0);
         sock->written_len = 0;
--- a/tests/unit/fleetfixture.h
+++ b/tests/unit/fleetfixture.h
@@ -148,8 +148,8 @@
     {
         calls.emplace(now_us + delay_us, std::move(call));
     }
-    // Calls @call for each peer of host @from that it is not cut off from, when
-    // a message to that peer arrives.
+    // Calls @call for each peer of host @from that it is not cut off from,
+    // when a message to that peer arrives.
     void
     send_to_peers(guint from, std::function<void(guint)> call)
     {
