Send a host that lacks many records two copies, not one from each peer

Cause, worked out from the code and shown by a test: a host that starts says in its summaries, twice a second, that it has no records yet, and every peer that has them answers with all of them, 0.9 MB of 3,000 upstreams, from up to 60 peers in its zone. Only single large records were left to a few senders.

Records of more than 64 KiB together are now sent by two hosts at a time, too. The two are those that come first by rank for the receiver and the second, among the hosts that are heard; the random choice before gave none in one second of eight. In cells each zone elects its two. Sites of up to 150 upstreams never send that much, so nothing changes there.

--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -461,6 +461,12 @@
     return (const cq_host_row_t *)(const void *)core->peers->data;
 }
 
+guint
+cq_core_rank(const cq_core_t *core, guint64 key)
+{
+    return cq_member_rank(core, key).before;
+}
+
 gboolean
 cq_core_has_cells(const cq_core_t *core)
 {
--- a/packages/core/core.h
+++ b/packages/core/core.h
@@ -133,6 +133,12 @@
 const cq_host_row_t *
 cq_core_peers(const cq_core_t *core, guint *len);
 
+/** cq_core_rank() - Return: how many of the hosts that place on the same
+ * upstreams come before this one, in an order that @key gives and that is the
+ * same at all of them */
+guint
+cq_core_rank(const cq_core_t *core, guint64 key);
+
 /** cq_core_has_cells() - Return: whether the fleet is divided into cells, so
  * that each zone's hosts place on the engines of their zone */
 gboolean
--- a/packages/router/gossip.c
+++ b/packages/router/gossip.c
@@ -5,28 +5,31 @@
 #include "core/place.h"
 #include "router/follower.h"
 
-/* A record larger than this is sent to a host by only about
- * LARGE_RECORD_SENDERS of its peers at a time: if all peers sent it at once,
- * they would saturate the host's network link for seconds. */
+/* A record larger than this, or records that are larger together, are sent to
+ * a host by only LARGE_SENDERS of its peers at a time: if all peers sent them
+ * at once, they would saturate the host's network link for seconds. */
 #define LARGE_RECORD_BYTES (8 * 1024)
-#define LARGE_RECORD_SENDERS 2
+#define LARGE_TRANSFER_BYTES (64 * 1024)
+#define LARGE_SENDERS 2
 /* Records that a peer lacks are not sent while more bytes than this are
  * unsent: it lacks them still in its next summaries, and they would be sent
  * again. */
 #define UNSENT_BYTES_MAX (64 * 1024)
 /* Longer batches are not pushed; peers then ask for them by their offset. */
 #define PUSH_BYTES_MAX (256 * 1024)
-/* After this time other peers are chosen as the senders. */
+/* After this time other peers are elected as the senders. */
 #define SENDER_ROTATION_US CQ_SECOND_US
 
 /*
  * The transfer of one topic to a peer.
+ * bytes: size of all records that it lacks
  * incomplete: at least one record was left out
  */
 typedef struct {
     cq_app_t *app;
     cq_link_t *link;
     guint64 host; /* id of the receiving peer */
+    gsize bytes;
     gboolean incomplete;
 } transfer_t;
 
@@ -62,19 +65,17 @@
     }
 }
 
-/* Return: whether this host is now one of the senders of large records to the
- * peer. The senders are chosen without coordination, by a hash of both hosts
- * and the time. */
+/* Return: whether this host is now one of the senders of what is large to the
+ * peer. Hosts that hear each other elect the same ones without a message; in
+ * cells each zone does. Mostly these have no link to a peer in another zone,
+ * which costs more, and then that peer gets it a few seconds later. */
 static gboolean
 is_elected_sender(const transfer_t *transfer)
 {
-    cq_app_t *app = transfer->app;
-    cq_core_stats_t stats = cq_core_stats(cq_app_core(app));
-    guint64 own = cq_ident_host(cq_app_settings(app)->host);
-    guint64 rotation = (guint64)(cq_app_now_us(app) / SENDER_ROTATION_US);
-    guint64 hash =
-        cq_place_mix(cq_place_mix(own << 32 | transfer->host) + rotation);
-    return hash % MAX(stats.peers, 1) < LARGE_RECORD_SENDERS;
+    const cq_core_t *core = cq_app_core(transfer->app);
+    guint64 rotation = (guint64)(g_get_real_time() / SENDER_ROTATION_US);
+    guint64 key = cq_place_mix(transfer->host ^ cq_place_mix(rotation));
+    return cq_core_rank(core, key) < LARGE_SENDERS;
 }
 
 /* Return: whether @record is sent to the peer now. A record that exceeds a
@@ -112,6 +113,22 @@
     send_records(transfer->app, transfer->link, &records);
 }
 
+static gsize
+record_bytes(const cq_store_record_t *record)
+{
+    gsize value_len =
+        record->value != NULL ? g_bytes_get_size(record->value) : 0;
+    return strlen(record->key) + value_len + CQ_FRAME_OVERHEAD_BYTES;
+}
+
+static void
+add_bytes(cq_topic_t topic, const cq_store_record_t *record, void *data)
+{
+    (void)topic;
+    transfer_t *transfer = data;
+    transfer->bytes += record_bytes(record);
+}
+
 void
 cq_gossip_send(cq_app_t *app, cq_link_t *link, const Cq__Summary *summary)
 {
@@ -132,26 +149,24 @@
         }
         transfer_t transfer = {
             .app = app, .link = link, .host = summary->host};
-        gboolean behind = cq_follower_list_missing(
-            follower, topic, summary->topics_at[i], send_record, &transfer);
-        if (behind && !transfer.incomplete) {
+        guint64 at = summary->topics_at[i];
+        gboolean behind = cq_follower_list_missing(follower, topic, at,
+                                                   add_bytes, &transfer);
+        gboolean large = transfer.bytes > LARGE_TRANSFER_BYTES;
+        if (!behind || (large && !is_elected_sender(&transfer))) {
+            continue;
+        }
+        cq_follower_list_missing(follower, topic, at, send_record, &transfer);
+        if (!transfer.incomplete) {
             Cq__Records records = CQ__RECORDS__INIT;
             records.topic = topic;
-            records.from = summary->topics_at[i];
+            records.from = at;
             records.at = cq_follower_offset(follower, topic);
             send_records(app, link, &records);
         }
     }
 }
 
-static gsize
-record_bytes(const cq_store_record_t *record)
-{
-    gsize value_len =
-        record->value != NULL ? g_bytes_get_size(record->value) : 0;
-    return strlen(record->key) + value_len + CQ_FRAME_OVERHEAD_BYTES;
-}
-
 void
 cq_gossip_push(cq_app_t *app, cq_topic_t topic, const GArray *records,
                guint64 from, guint64 at)
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -61,7 +61,7 @@
     run_unit "$BUILD/tests/${program}_test"
 done
 for script in demo badinput hangup operator drain holds giant orders retention \
-    relay relaywake relaypeers relayreads relayreaders relayleft relayendless relayleaving relaymany \
+    relay relaywake relaypeers relayreads relayreaders relaybulk relayleft relayendless relayleaving relaymany \
     relayoutage relayremoved relaylostpoll relaypoison relaypoisonkept relaycells relayera relaylimit relaycrashcall relaycrashkept; do
     run_script "tests/proc/$script.sh"
 done
