--- a/tests/proc/relaybulk.sh
+++ b/tests/proc/relaybulk.sh
@@ -11,11 +11,7 @@
 SEEDS=""
 for name in $NAMES; do SEEDS="$SEEDS${SEEDS:+, }\"127.0.0.1:$(($(port_of $name) + 2))\""; done
 two_replicas
-for i in $(seq $RECORDS); do
-    printf 'url = "http://%s/put?topic=keyed.servers&key=many-%s"\n' "$STORE_ADDR" "$i"
-    printf 'data = "{\\"service\\":\\"p\\",\\"address\\":\\"127.0.0.1:%s\\",\\"zone\\":\\"a\\",\\"slots\\":16,\\"state\\":\\"ready\\",\\"born\\":1}"\noutput = "/dev/null"\nnext\n' $((BASE + 20))
-done | head -n -1 >"$DIR/puts"
-curl -sf -K "$DIR/puts"
+put_many $RECORDS
 put_upstream last $((BASE + 20)) p ready
 # sent_bytes: prints how much the eight have sent to peers
 sent_bytes() {
--- a/tests/proc/relaylib.sh
+++ b/tests/proc/relaylib.sh
@@ -42,6 +42,17 @@
     put keyed.servers "$1" "{\"service\":\"$3\",\"address\":\"127.0.0.1:$2\",\"zone\":\"a\",\"slots\":16,\"state\":\"$4\",\"born\":${5:-1}}"
 }
 
+# put_many COUNT: writes records of that many upstreams, many-1 and on, which
+# have the address of p1, to the store
+put_many() {
+    local i
+    for i in $(seq "$1"); do
+        printf 'url = "http://%s/put?topic=keyed.servers&key=many-%s"\n' "$STORE_ADDR" "$i"
+        printf 'data = "{\\"service\\":\\"p\\",\\"address\\":\\"127.0.0.1:%s\\",\\"zone\\":\\"a\\",\\"slots\\":16,\\"state\\":\\"ready\\",\\"born\\":1}"\noutput = "/dev/null"\nnext\n' $((BASE + 20))
+    done | head -n -1 >"$DIR/puts"
+    curl -sf -K "$DIR/puts"
+}
+
 # keep_replica NAME PORT: starts an upstream that crashes on the part POISON and
 # on the body POISON_BODY; it is back 1.5 s after each crash
 keep_replica() {
--- a/tests/proc/relaymany.sh
+++ b/tests/proc/relaymany.sh
@@ -14,11 +14,7 @@
 for name in $NAMES; do wait_for_http "http://127.0.0.1:$(($(port_of $name) + 1))/readyz"; done
 for name in $NAMES; do wait_for_output "name=p2" cat "$DIR/$name.log"; done
 sleep 2
-for i in $(seq $RECORDS); do
-    printf 'url = "http://%s/put?topic=keyed.servers&key=many-%s"\n' "$STORE_ADDR" "$i"
-    printf 'data = "{\\"service\\":\\"p\\",\\"address\\":\\"127.0.0.1:%s\\",\\"zone\\":\\"a\\",\\"slots\\":16,\\"state\\":\\"ready\\",\\"born\\":1}"\noutput = "/dev/null"\nnext\n' $((BASE + 20))
-done | head -n -1 >"$DIR/puts"
-curl -sf -K "$DIR/puts"
+put_many $RECORDS
 # The log leaves out lines of a burst, but not this one.
 sleep 2
 put_upstream last $((BASE + 20)) p ready
