--- a/packages/http/sock.c
+++ b/packages/http/sock.c
@@ -132,8 +132,8 @@
     }
 }
 
-/* Drops the written bytes once they are most of the buffer, so that each byte
- * is moved once at most. */
+/* Drops the written bytes once they are most of the buffer, so that no more
+ * bytes are moved than are written. */
 static void
 drop_written(cq_sock_t *sock)
 {
--- a/packages/router/gossip.c
+++ b/packages/router/gossip.c
@@ -67,8 +67,9 @@
 
 /* Return: whether this host is now one of the senders of what is large to the
  * peer. Hosts that hear each other elect the same ones without a message; in
- * cells each zone does. Mostly these have no link to a peer in another zone,
- * which costs more, and then that peer gets it a few seconds later. */
+ * cells each zone elects its own. Those of another zone mostly have no link to
+ * the peer, which gets the records from its own zone or the store, or some
+ * seconds later. */
 static gboolean
 is_elected_sender(const transfer_t *transfer)
 {
