--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -165,8 +165,9 @@
     return CQ_OUTCOME_BROKEN;
 }
 
+/* An upstream with a rate limit can't take the work of another one. */
 static gboolean
-any_unlimited(const cq_core_t *core, const GPtrArray *upstreams)
+any_takes_work(const cq_core_t *core, const GPtrArray *upstreams)
 {
     for (guint i = 0; i < upstreams->len; i++) {
         const cq_upstream_t *upstream = g_ptr_array_index(upstreams, i);
@@ -198,8 +199,8 @@
     guint doublings = MIN(upstream->broken_streak, SUSPECT_DOUBLINGS_MAX);
     upstream->broken_streak++;
     upstream->broken_us = core->now_us;
-    if (any_unlimited(core, service->local) ||
-        any_unlimited(core, service->remote)) {
+    if (any_takes_work(core, service->local) ||
+        any_takes_work(core, service->remote)) {
         avoid_for(core, upstream, CQ_SECOND_US << doublings);
     }
 }
