--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -178,21 +178,13 @@
     return FALSE;
 }
 
-/* Doesn't shorten a pause that the upstream has asked for. */
-static void
-avoid_for(const cq_core_t *core, cq_upstream_t *upstream, gint64 us)
-{
-    upstream->suspect_until_us =
-        MAX(upstream->suspect_until_us, core->now_us + us);
-}
-
 /* An upstream whose attempts break may be sound, and the requests at fault. */
 static void
 avoid_broken(const cq_core_t *core, const cq_request_t *request,
              cq_upstream_t *upstream)
 {
     const cq_service_t *service = upstream->service;
-    avoid_for(core, upstream, CQ_SECOND_US);
+    cq_member_avoid(core, upstream, CQ_SECOND_US);
     if (request->phase_start_us <= upstream->broken_us) {
         return;
     }
@@ -201,7 +193,7 @@
     upstream->broken_us = core->now_us;
     if (any_takes_work(core, service->local) ||
         any_takes_work(core, service->remote)) {
-        avoid_for(core, upstream, CQ_SECOND_US << doublings);
+        cq_member_avoid(core, upstream, CQ_SECOND_US << doublings);
     }
 }
 
@@ -232,7 +224,7 @@
         cq_member_leaving(core, upstream, upstream->incarnation);
     }
     if (failure == CQ_FAIL_CONNECT) {
-        avoid_for(core, upstream, CQ_SUSPECT_AVOID_US);
+        cq_member_avoid(core, upstream, CQ_SUSPECT_AVOID_US);
         cq_member_unreachable(core, upstream);
         request->connect_failures++;
     }
@@ -351,7 +343,7 @@
         if (g_str_equal(engine->addr, addr)) {
             cq_table_log_event(core, request, "at_fault", "upstream=%s",
                                engine->name);
-            avoid_for(core, engine, CQ_SUSPECT_AVOID_US);
+            cq_member_avoid(core, engine, CQ_SUSPECT_AVOID_US);
             cq_member_unreachable(core, engine);
             request->failed_helper = engine->id;
             return;
--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -29,6 +29,13 @@
                 upstream->name);
 }
 
+void
+cq_member_avoid(const cq_core_t *core, cq_upstream_t *upstream, gint64 us)
+{
+    upstream->suspect_until_us =
+        MAX(upstream->suspect_until_us, core->now_us + us);
+}
+
 void
 cq_member_upstream_says(cq_core_t *core, const cq_ev_upstream_t *said)
 {
@@ -41,8 +48,7 @@
     }
     cq_rate_heard(core, upstream, said);
     if (said->pause_us > 0) {
-        upstream->suspect_until_us =
-            MAX(upstream->suspect_until_us, core->now_us + said->pause_us);
+        cq_member_avoid(core, upstream, said->pause_us);
         cq_ring_add(&core->ring, core->now_us, 0, 0, "paused",
                     "upstream=%s for_ms=%" G_GINT64_FORMAT, upstream->name,
                     said->pause_us / CQ_MS_US);
--- a/packages/core/member.h
+++ b/packages/core/member.h
@@ -62,6 +62,11 @@
 gboolean
 cq_member_usable_in_time(const cq_core_t *core, const cq_request_t *request);
 
+/** cq_member_avoid() - send nothing new to @upstream for @us; doesn't shorten
+ * an earlier pause, which the upstream may have asked for */
+void
+cq_member_avoid(const cq_core_t *core, cq_upstream_t *upstream, gint64 us);
+
 /** cq_member_upstream_says() - apply what an upstream says of itself */
 void
 cq_member_upstream_says(cq_core_t *core, const cq_ev_upstream_t *said);
--- a/packages/core/suspect.h
+++ b/packages/core/suspect.h
@@ -97,9 +97,8 @@
 cq_suspects_was_answered(const cq_suspects_t *suspects,
                          const cq_suspect_t *suspect);
 
-/** cq_suspects_is_explained() - Return: whether what is blocked is the cause
- * of
- * @crash, so that it counts against no other part */
+/** cq_suspects_is_explained() - Return: whether a blocked part or request is
+ * the cause of @crash, which then counts against no other part */
 gboolean
 cq_suspects_is_explained(const cq_suspects_t *suspects, guint64 crash,
                          gint64 now_us);
