--- a/tests/unit/corefixture.h
+++ b/tests/unit/corefixture.h
@@ -172,6 +172,24 @@
     {
         return submit(tokens, 3 * kSecond, 800 * kMs);
     }
+    // The upstream starts again.
+    void
+    restart(guint64 upstream)
+    {
+        for (cq_host_row_t &row : rows) {
+            row.incarnation += cq_ident_hash(row.name) == upstream;
+        }
+        send_host_list();
+    }
+    // The caller leaves.
+    void
+    hang_up(guint64 id)
+    {
+        cq_event_t event = {};
+        event.kind = CQ_EV_HANGUP;
+        event.attempt.request = id;
+        step(event);
+    }
     // The last SEND action of a request, or nullptr.
     const cq_ac_send_t *
     last_send(guint64 request)
--- a/tests/unit/crashcall_test.cc
+++ b/tests/unit/crashcall_test.cc
@@ -2,8 +2,6 @@
 // again and again at every host, beside sound calls of the same team.
 #include "corefixture.h"
 
-#include <set>
-
 namespace {
 
 using core_test::kMs;
@@ -33,18 +31,7 @@
     {
         guint64 upstream = last_send(id)->upstream;
         attempt_event(id, CQ_EV_FAILED);
-        for (cq_host_row_t &row : rows) {
-            row.incarnation += cq_ident_hash(row.name) == upstream;
-        }
-        send_host_list();
-    }
-    void
-    hang_up(guint64 id)
-    {
-        cq_event_t event = {};
-        event.kind = CQ_EV_HANGUP;
-        event.attempt.request = id;
-        step(event);
+        restart(upstream);
     }
     // Sends a call under which an upstream crashes, with no second attempt.
     // Return: whether it reached one.
--- a/tests/unit/quarantine_test.cc
+++ b/tests/unit/quarantine_test.cc
@@ -32,22 +32,6 @@
         return id;
     }
     void
-    restart(guint64 upstream)
-    {
-        for (cq_host_row_t &row : rows) {
-            row.incarnation += cq_ident_hash(row.name) == upstream;
-        }
-        send_host_list();
-    }
-    void
-    hang_up(guint64 id)
-    {
-        cq_event_t event = {};
-        event.kind = CQ_EV_HANGUP;
-        event.attempt.request = id;
-        step(event);
-    }
-    void
     answer_on(std::vector<guint64> with)
     {
         parts = with;
--- a/tests/unit/retry_test.cc
+++ b/tests/unit/retry_test.cc
@@ -96,10 +96,7 @@
     for (int i = 0; i < 20; i++) {
         EXPECT_NE(last_send(submit(1, 300 * kMs, 0, "p"))->upstream, first);
     }
-    for (cq_host_row_t &row : rows) {
-        row.incarnation += cq_ident_hash(row.name) == first;
-    }
-    send_host_list();
+    restart(first);
     bool used = false;
     for (int i = 0; i < 40; i++) {
         used |= last_send(submit(1, 300 * kMs, 0, "p"))->upstream == first;
