Failing tests: a sound upstream is silent for a second or so

On this code a silent upstream loses its stream after 1.2 s although none may follow (retry_test, four cases), and its connection after 1 s if it was quiet before (sock_test).

--- a/tests/unit/retry_test.cc
+++ b/tests/unit/retry_test.cc
@@ -31,6 +31,78 @@
     EXPECT_NE(last_send(id)->upstream, first);
 }
 
+// A stream whose upstream sends nothing for 1.5 s and then goes on.
+TEST_F(Retry, AStreamStaysWithASilentEngineIfThereIsNoOther)
+{
+    start_core(1);
+    guint64 id = submit_short();
+    attempt_event(id, CQ_EV_TOKENS);
+    advance(1500 * kMs);
+    attempt_event(id, CQ_EV_TOKENS);
+    EXPECT_EQ(answer_of(id), nullptr);
+    EXPECT_EQ(last_send(id)->attempt, 1u);
+    attempt_event(id, CQ_EV_DONE);
+    ASSERT_NE(answer_of(id), nullptr);
+    EXPECT_EQ(answer_of(id)->status, 200);
+}
+
+TEST_F(Retry, AStreamStaysWithASilentEngineIfTheBudgetIsSpent)
+{
+    start_core(2, 3);
+    rules[0]->retry_burst = 0;
+    rules[0]->retry_percent = 0;
+    guint64 id = submit_short();
+    attempt_event(id, CQ_EV_TOKENS);
+    advance(1500 * kMs);
+    attempt_event(id, CQ_EV_TOKENS);
+    EXPECT_EQ(answer_of(id), nullptr);
+    EXPECT_EQ(last_send(id)->attempt, 1u);
+    attempt_event(id, CQ_EV_DONE);
+    ASSERT_NE(answer_of(id), nullptr);
+    EXPECT_EQ(answer_of(id)->status, 200);
+}
+
+// A moved stream competes for an engine with requests that can be on time.
+TEST_F(Retry, AStreamStaysWithASilentEngineIfTheOthersAreFull)
+{
+    start_core(2);
+    guint64 id = submit_short();
+    attempt_event(id, CQ_EV_TOKENS);
+    guint64 silent = last_send(id)->upstream;
+    guint64 queued = 0;
+    while (queued == 0) {
+        guint64 other = submit_short();
+        if (last_send(other) == nullptr) {
+            queued = other;
+        }
+        else if (last_send(other)->upstream != silent) {
+            start_stream(other);
+        }
+        else {
+            attempt_event(other, CQ_EV_SENT);
+        }
+    }
+    advance(1500 * kMs);
+    EXPECT_EQ(last_send(id)->attempt, 1u);
+    attempt_event(id, CQ_EV_TOKENS);
+    attempt_event(id, CQ_EV_DONE);
+    ASSERT_NE(answer_of(id), nullptr);
+    EXPECT_EQ(answer_of(id)->status, 200);
+}
+
+TEST_F(Retry, ACallStaysWithASilentUpstreamIfThereIsNoOther)
+{
+    start_core(0, 1);
+    guint64 id = submit(1, 300 * kMs, 0, "p");
+    attempt_event(id, CQ_EV_SENT);
+    advance(1200 * kMs);
+    EXPECT_EQ(answer_of(id), nullptr);
+    EXPECT_EQ(last_send(id)->attempt, 1u);
+    attempt_event(id, CQ_EV_DONE);
+    ASSERT_NE(answer_of(id), nullptr);
+    EXPECT_EQ(answer_of(id)->status, 200);
+}
+
 TEST_F(Retry, AStreamIsNeverRunMoreOftenThanAllowed)
 {
     start_core(4);
--- a/tests/unit/sock_test.cc
+++ b/tests/unit/sock_test.cc
@@ -1,7 +1,11 @@
-// The memory of connections that are written to faster than they are read.
+// Connections: the memory of those that are written to faster than they are
+// read, and how long the other side may be silent.
 #include <gtest/gtest.h>
 
+#include <arpa/inet.h>
 #include <malloc.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -90,4 +94,67 @@
     EXPECT_LE(allocated() - before, kChunk);
 }
 
+// A sound upstream may be silent for a second or so, and has one second more.
+constexpr int kSilenceMs = 2000;
+
+// One end of a TCP connection over loopback, with the options of the product.
+class TcpOptions : public ::testing::Test {
+  protected:
+    void
+    SetUp() override
+    {
+        sockaddr_in to = {};
+        socklen_t len = sizeof to;
+        to.sin_family = AF_INET;
+        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        listener = socket(AF_INET, SOCK_STREAM, 0);
+        ASSERT_EQ(bind(listener, (sockaddr *)&to, sizeof to), 0);
+        ASSERT_EQ(listen(listener, 1), 0);
+        ASSERT_EQ(getsockname(listener, (sockaddr *)&to, &len), 0);
+        fd = socket(AF_INET, SOCK_STREAM, 0);
+        ASSERT_EQ(connect(fd, (sockaddr *)&to, sizeof to), 0);
+        cq_sock_ops_t ops = {};
+        ops.ended = [](void *, cq_sock_end_t) {};
+        sock = cq_sock_from_fd(fd, &ops);
+    }
+    void
+    TearDown() override
+    {
+        cq_sock_abort(sock);
+        close(listener);
+    }
+    int
+    option(int name)
+    {
+        int value = 0;
+        socklen_t len = sizeof value;
+        EXPECT_EQ(getsockopt(fd, IPPROTO_TCP, name, &value, &len), 0);
+        return value;
+    }
+
+    int listener = -1;
+    int fd = -1;
+    cq_sock_t *sock = nullptr;
+};
+
+// With a user timeout, Linux ends a quiet connection at the first probe that
+// is due after this time without a byte, if an earlier one is unanswered; the
+// number of probes no longer counts. Silence that begins just before the first
+// probe leaves the least time.
+TEST_F(TcpOptions, ASilenceOfASecondOrSoEndsNoQuietConnection)
+{
+    int idle_ms = option(TCP_KEEPIDLE) * 1000;
+    int interval_ms = option(TCP_KEEPINTVL) * 1000;
+    int by_probes_ms = idle_ms + interval_ms * option(TCP_KEEPCNT);
+    int user_timeout_ms = option(TCP_USER_TIMEOUT);
+    int gives_up_ms = idle_ms + interval_ms;
+    while (gives_up_ms < user_timeout_ms) {
+        gives_up_ms += interval_ms;
+    }
+    if (user_timeout_ms == 0) {
+        gives_up_ms = by_probes_ms;
+    }
+    EXPECT_GE(gives_up_ms - idle_ms, kSilenceMs);
+}
+
 } // namespace
