Take nothing from a silent upstream before another one has a place

What callers saw: LOST, a request ended without an answer. A sound upstream may be silent for a second or so.

Cause: a resumable stream without an event for 1.2 s, or a call after three quarters of its target time, was stopped at its upstream first; only then came the questions whether the retry budget allows another attempt and who takes it. With no budget the caller's stream was reset in the same step; with the other engines full it waited, after all requests that could still be on time, until its caller left. The upstream would have gone on.

Change: the attempt is given up only when the limit on attempts and the budget allow another one and an upstream has a place for it now.

--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -110,14 +110,20 @@
     cq_load_remove_attempt(core, request);
 }
 
+static gboolean
+attempts_left(const cq_request_t *request)
+{
+    return request->attempt - request->connect_failures <
+               request->attempts_max &&
+           request->attempt < request->attempts_max + CONNECT_FAILURES_MAX;
+}
+
 static gboolean
 retry_budget_allows(cq_core_t *core, cq_request_t *request,
                     cq_failure_t failure)
 {
     cq_service_t *service = request->service;
-    if (request->attempt - request->connect_failures >=
-            request->attempts_max ||
-        request->attempt >= request->attempts_max + CONNECT_FAILURES_MAX) {
+    if (!attempts_left(request)) {
         return FALSE;
     }
     if (failure == CQ_FAIL_CONNECT) {
@@ -257,6 +263,12 @@
     cq_answer_outcome(core, request, failure_outcome(request));
 }
 
+gboolean
+cq_attempt_retry_allowed(const cq_request_t *request)
+{
+    return attempts_left(request) && request->service->retry_tokens >= 1;
+}
+
 static void
 on_sent(cq_core_t *core, cq_request_t *request)
 {
--- a/packages/core/attempt.h
+++ b/packages/core/attempt.h
@@ -31,6 +31,11 @@
 void
 cq_attempt_fail(cq_core_t *core, cq_request_t *request, cq_failure_t failure);
 
+/** cq_attempt_retry_allowed() - Return: whether the limit on attempts and the
+ * retry budget allow @request another attempt that is sent */
+gboolean
+cq_attempt_retry_allowed(const cq_request_t *request);
+
 G_END_DECLS
 
 #endif
--- a/packages/core/batchplace.c
+++ b/packages/core/batchplace.c
@@ -537,6 +537,32 @@
     }
 }
 
+static gboolean
+is_unplaced(const cq_request_t *request)
+{
+    return request->phase == CQ_PHASE_QUEUED && request->task == NULL;
+}
+
+static gboolean
+can_be_on_time(const cq_core_t *core, const cq_request_t *request)
+{
+    return request->target_us > core->now_us + NETWORK_MARGIN_US;
+}
+
+gboolean
+cq_batchplace_any_waits(const cq_core_t *core, const cq_service_t *service)
+{
+    const cq_list_t *link = core->requests.next;
+    for (; link != &core->requests; link = link->next) {
+        const cq_request_t *request = CQ_ENTRY(link, cq_request_t, link);
+        if (request->service == service && is_unplaced(request) &&
+            can_be_on_time(core, request)) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
 void
 cq_batchplace_queued(cq_core_t *core, cq_service_t *service)
 {
@@ -550,17 +576,14 @@
     }
     for (guint i = 0; i < queued->len; i++) {
         cq_request_t *request = g_ptr_array_index(queued, i);
-        gboolean unplaced =
-            request->phase == CQ_PHASE_QUEUED && request->task == NULL;
-        gboolean on_time =
-            request->target_us > core->now_us + NETWORK_MARGIN_US;
-        if (unplaced && on_time && !place_request(core, request, FALSE)) {
+        if (is_unplaced(request) && can_be_on_time(core, request) &&
+            !place_request(core, request, FALSE)) {
             on_time_request_waits = TRUE;
         }
     }
     for (guint i = 0; i < queued->len && !on_time_request_waits; i++) {
         cq_request_t *request = g_ptr_array_index(queued, i);
-        if (request->phase == CQ_PHASE_QUEUED && request->task == NULL) {
+        if (is_unplaced(request)) {
             place_request(core, request, TRUE);
         }
     }
--- a/packages/core/batchplace.h
+++ b/packages/core/batchplace.h
@@ -33,6 +33,11 @@
 gboolean
 cq_batchplace_takes_one(const cq_request_t *request);
 
+/** cq_batchplace_any_waits() - Return: whether a request of @service that can
+ * be on time waits for engines, which precedes late ones */
+gboolean
+cq_batchplace_any_waits(const cq_core_t *core, const cq_service_t *service);
+
 /** cq_batchplace_queued() - place as many waiting requests of @service as
  * possible, and start booked ones that are due */
 void
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -312,6 +312,7 @@
  * @progress_us: when the running attempt last made progress
  * @probed_us: when the upstream was last probed about it
  * @probes_unanswered: probes in a row that got no answer
+ * @move_checked_us: when another upstream was last looked for
  * @entered_kv_tokens: memory entered for the running attempt in the load
  *   ledger
  * @entered_prefill_us: prefill time entered there, 0 once prefill is done
@@ -379,6 +380,7 @@
     gint64 progress_us;
     gint64 probed_us;
     guint probes_unanswered;
+    gint64 move_checked_us;
     gint64 entered_kv_tokens;
     gint64 entered_prefill_us;
     gint64 placed_at_start_us;
--- a/packages/core/watchdog.c
+++ b/packages/core/watchdog.c
@@ -1,10 +1,13 @@
 #include "core/watchdog.h"
 
 #include "core/answer.h"
+#include "core/batchplace.h"
 #include "core/group.h"
 #include "core/load.h"
 #include "core/member.h"
 #include "core/attempt.h"
+#include "core/place.h"
+#include "core/quarantine.h"
 #include "core/rate.h"
 #include "core/table.h"
 
@@ -17,6 +20,8 @@
 /* A plain call is tried elsewhere after this share of its target time without
  * an answer, or after progress_timeout_us if that is less. */
 #define PLAIN_QUIET_PERCENT 75
+/* Interval at which another upstream is looked for. */
+#define MOVE_CHECK_INTERVAL_US (50 * CQ_MS_US)
 /* A prompt may wait for idle engines until this long after its target time. */
 #define LATE_WAIT_MAX_US (100 * CQ_MS_US)
 
@@ -78,14 +83,47 @@
     return task->first_token_us + expected_us + rules->progress_timeout_us;
 }
 
+/* Whether another upstream has a place for @request now. */
+static gboolean
+has_other_place(cq_core_t *core, cq_request_t *request)
+{
+    gboolean found;
+    guint64 last_failed = request->last_failed;
+    request->last_failed = request->upstream->id;
+    if (request->service->rules->kind == CQ_SERVICE_BATCH) {
+        cq_task_plan_t plan = {.engines_len = 0};
+        found = !cq_batchplace_any_waits(core, request->service) &&
+                cq_batchplace_choose(core, request, TRUE, &plan) &&
+                plan.start_delay_us == 0;
+    }
+    else {
+        found = cq_place_choose(core, request) != NULL;
+    }
+    request->last_failed = last_failed;
+    return found;
+}
+
+/* A silent upstream may be sound and go on, so an attempt there is given up
+ * only for another one that can start at once. */
+static gboolean
+may_move(cq_core_t *core, cq_request_t *request)
+{
+    if (!request->sent || !request->repeatable ||
+        (request->forwarded > 0 && !request->resumable) ||
+        core->now_us <= progress_due_us(request) ||
+        core->now_us - request->move_checked_us < MOVE_CHECK_INTERVAL_US) {
+        return FALSE;
+    }
+    request->move_checked_us = core->now_us;
+    return cq_attempt_retry_allowed(request) &&
+           !cq_quarantine_blocks(core, request) &&
+           has_other_place(core, request);
+}
+
 static void
 check_progress(cq_core_t *core, cq_request_t *request)
 {
-    gboolean may_move =
-        request->repeatable &&
-        (request->forwarded == 0 || request->resumable) &&
-        request->attempt - request->connect_failures < request->attempts_max;
-    if (may_move && request->sent && core->now_us > progress_due_us(request)) {
+    if (may_move(core, request)) {
         fail_as_silent(core, request, "no_progress");
     }
 }
