Let TCP wait for all keep-alive probes on a quiet connection

What callers saw: LOST, and 502 for requests that a sound upstream was running.

Cause: probes began after 2 s without a byte and should have given up at 5 s, but with a user timeout Linux gives up as soon as that time is over and one probe is unanswered: at 3 s. An upstream that was reading a long prompt and was silent for one second lost its connection, and with it the request; so did the quiet side of a caller.

Change: the first probe after 1 s, and the user timeout is the time of all probes: 4 s. A silence of 3 s ends no connection; one whose other side is gone ends 1 s later than before.

--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -44,11 +44,15 @@
  * second, so the queue of connections that wait to be accepted is long. */
 #define CQ_LISTEN_BACKLOG 4096
 /* TCP keep-alive, and the time for which sent data may stay unacknowledged
- * before TCP ends the connection. */
-#define CQ_TCP_KEEPALIVE_IDLE_S 2
+ * before TCP ends the connection. The latter also ends a connection whose
+ * probes get no answer, whatever their number, so it must not be shorter than
+ * all probes together. */
+#define CQ_TCP_KEEPALIVE_IDLE_S 1
 #define CQ_TCP_KEEPALIVE_INTERVAL_S 1
 #define CQ_TCP_KEEPALIVE_PROBES 3
-#define CQ_TCP_UNACKED_MS 3000
+#define CQ_TCP_UNACKED_MS                                                     \
+    (1000 * (CQ_TCP_KEEPALIVE_IDLE_S +                                        \
+             CQ_TCP_KEEPALIVE_INTERVAL_S * CQ_TCP_KEEPALIVE_PROBES))
 
 /* What a caller may send. */
 #define CQ_BODY_BYTES_MAX (16 * 1024 * 1024)
