Types for hosts that are cut off from upstreams: HAND, REACH, REACHED

No behaviour: a request passed on to a peer (HAND), a connection opened to see whether an upstream is within reach (REACH, REACHED), what a host says of itself in its summary, and its address for callers in its record.

--- a/packages/bench/replay.c
+++ b/packages/bench/replay.c
@@ -195,6 +195,8 @@
         break;
     case CQ_AC_PART:
     case CQ_AC_PART_RECORD:
+    case CQ_AC_HAND:
+    case CQ_AC_REACH:
         break;
     case CQ_AC_SPARE:
         cq_replay_send_spare(host, &action->spare);
--- a/packages/bench/sim.c
+++ b/packages/bench/sim.c
@@ -161,6 +161,8 @@
     case CQ_AC_TASK:
     case CQ_AC_PART:
     case CQ_AC_PART_RECORD:
+    case CQ_AC_HAND:
+    case CQ_AC_REACH:
     case CQ_AC_SPARE:
         break;
     case CQ_AC_STOPPED:
--- a/packages/core/action.h
+++ b/packages/core/action.h
@@ -28,6 +28,8 @@
                       it crosses zones, of the other zones */
     CQ_AC_PART,    /* send a report on a part of prompts to the peers */
     CQ_AC_PART_RECORD, /* store the record of a part, or delete it */
+    CQ_AC_HAND,        /* pass a request on to a peer */
+    CQ_AC_REACH,       /* see whether a connection to an upstream opens */
     CQ_AC_SPARE, /* offer idle engines to the peers of another zone, or ask all
                     other zones for offers */
     CQ_AC_STOPPED, /* everything is answered: the process may exit */
@@ -82,6 +84,37 @@
     guint group_len;
 } cq_ac_send_t;
 
+/**
+ * struct cq_ac_hand_t - pass a request on to a peer, as a caller of the peer;
+ *   SENT, TOKENS, DONE and FAILED report on it like on an attempt at an
+ *   upstream. A complete answer of any status is DONE
+ * @request: the request
+ * @attempt: the attempt's number
+ * @peer: key for connections to this peer
+ * @incarnation: the peer's incarnation
+ * @addr: its address for callers
+ * @fresh: use a new connection
+ */
+typedef struct {
+    guint64 request;
+    guint32 attempt;
+    guint64 peer;
+    guint64 incarnation;
+    char addr[CQ_ADDR_BYTES];
+    gboolean fresh;
+} cq_ac_hand_t;
+
+/**
+ * struct cq_ac_reach_t - open a connection to an upstream, and close it again;
+ *   answered by REACHED within @timeout_us
+ * @upstream: the upstream's id
+ * @timeout_us: time limit for it to open
+ */
+typedef struct {
+    guint64 upstream;
+    gint64 timeout_us;
+} cq_ac_reach_t;
+
 /**
  * struct cq_ac_answer_t - the one final answer of a request
  * @request: the request
@@ -150,6 +183,8 @@
     cq_action_kind_t kind;
     union {
         cq_ac_send_t send;
+        cq_ac_hand_t hand;
+        cq_ac_reach_t reach;
         cq_ac_attempt_t attempt;
         cq_ac_answer_t answer;
         cq_ac_memory_t memory;
--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -325,6 +325,8 @@
     case CQ_EV_DRAIN:
         begin_drain(core, &event->drain);
         break;
+    case CQ_EV_REACHED:
+        break;
     }
 }
 
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -46,6 +46,7 @@
     CQ_EV_ORDERED,     /* an engine answered ORDER */
     CQ_EV_LOG,         /* the log became reachable or unreachable */
     CQ_EV_DRAIN,       /* this process is to stop */
+    CQ_EV_REACHED,     /* a connection opened by REACH did or did not open */
 } cq_event_kind_t;
 
 /**
@@ -76,6 +77,7 @@
  * @resumable: whether another upstream can continue its stream
  * @parts: parts of the prompt that other prompts may contain too
  * @fingerprint: hash of all that makes another request the same one, or 0
+ * @handed: a peer that is cut off from the upstreams passed it on
  * @prefixes: prefixes of the prompt, the shortest first
  * @prefixes_len: number of @prefixes
  */
@@ -95,6 +97,7 @@
     gboolean resumable;
     cq_parts_t parts;
     guint64 fingerprint;
+    gboolean handed;
     cq_prefix_t prefixes[CQ_PREFIX_LEVELS];
     guint prefixes_len;
 } cq_ev_request_t;
@@ -123,7 +126,7 @@
  * @tokens: TOKENS: new tokens; PROBED: tokens that the upstream has sent
  * @status: DONE: HTTP status
  * @failure: FAILED: how it ended
- * @on_kept_conn: FAILED: its connection was kept from an earlier request
+ * @on_kept_conn: SENT, FAILED: its connection was kept from an earlier request
  * @at_fault: FAILED: address of the helper engine that the upstream names as
  *   the cause, or ""
  * @probe: PROBED: the upstream's answer
@@ -229,10 +232,12 @@
  * @service: service of an upstream; "" for an entry host
  * @incarnation: increases with each restart
  * @leaving: whether it is leaving
+ * @callers: an entry host's `ip:port` for callers, or ""
  */
 typedef struct {
     char name[CQ_NAME_BYTES];
     char addr[CQ_ADDR_BYTES];
+    char callers[CQ_ADDR_BYTES];
     char zone[CQ_NAME_BYTES];
     char service[CQ_NAME_BYTES];
     guint64 incarnation;
@@ -295,6 +300,7 @@
  * @host: sender's host id
  * @incarnation: sender's incarnation
  * @draining: whether the sender is shutting down
+ * @cut_off: whether the sender can't open connections to any upstream
  * @shares: the sender's shares that changed since its last summary
  * @shares_len: number of @shares
  * @leaving: upstreams that are leaving
@@ -306,6 +312,7 @@
     guint32 host;
     guint64 incarnation;
     gboolean draining;
+    gboolean cut_off;
     cq_share_t shares[CQ_UPSTREAM_SUBSET_MAX];
     guint shares_len;
     cq_leaving_t leaving[8];
@@ -452,6 +459,16 @@
     guint len;
 } cq_ev_parts_t;
 
+/**
+ * struct cq_ev_reached_t - result of REACH
+ * @upstream: the upstream's id
+ * @opened: a connection to it opened in time
+ */
+typedef struct {
+    guint64 upstream;
+    gboolean opened;
+} cq_ev_reached_t;
+
 /**
  * struct cq_ev_drain_t - a planned stop
  * @notice_us: how long from now new requests are still accepted
@@ -488,6 +505,7 @@
         cq_ev_ordered_t ordered;
         gboolean log_up;
         cq_ev_drain_t drain;
+        cq_ev_reached_t reached;
         cq_ev_tasks_t tasks;
         cq_ev_parts_t parts;
         const cq_spare_t *spare;
--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -274,6 +274,9 @@
             cq_follower_write_part(app->follower, &action->part_record);
         }
         break;
+    case CQ_AC_HAND:
+    case CQ_AC_REACH:
+        break;
     case CQ_AC_STOPPED:
         if (app->follower != NULL) {
             cq_follower_deregister(app->follower);
