--- a/packages/core/admission.c
+++ b/packages/core/admission.c
@@ -6,6 +6,7 @@
 #include "core/batchcost.h"
 #include "core/claim.h"
 #include "core/flow.h"
+#include "core/handoff.h"
 #include "core/load.h"
 #include "core/member.h"
 #include "core/place.h"
@@ -97,6 +98,7 @@
     memcpy(request->suspects, event->parts.ids, sizeof event->parts.ids);
     request->suspects_len = event->parts.len;
     request->fingerprint = event->fingerprint;
+    request->handed = event->handed;
     if (request->fingerprint != 0) {
         request->suspects[request->suspects_len++] = request->fingerprint;
     }
@@ -244,6 +246,10 @@
     }
     add_demand(request);
     cq_place_update_candidates(core, request->service);
+    if (cq_handoff_start(core, request)) {
+        cq_counters_add(&core->counters, CQ_N_ADMITTED, 1);
+        return;
+    }
     request->is_trial = cq_quarantine_admits_trial(core, request);
     cq_outcome_t outcome = check_admission(core, request);
     if (outcome != CQ_OUTCOME_DONE) {
--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -3,12 +3,14 @@
 #include "core/answer.h"
 #include "core/flow.h"
 #include "core/group.h"
+#include "core/handoff.h"
 #include "core/load.h"
 #include "core/member.h"
 #include "core/pass.h"
 #include "core/place.h"
 #include "core/quarantine.h"
 #include "core/rate.h"
+#include "core/reach.h"
 #include "core/table.h"
 #include "core/task.h"
 
@@ -97,25 +99,28 @@
 void
 cq_attempt_abandon(cq_core_t *core, cq_request_t *request)
 {
-    if (request->upstream == NULL) {
+    if (request->upstream == NULL && request->phase != CQ_PHASE_HANDED) {
         return;
     }
     cq_action_t action = {
         .kind = CQ_AC_STOP,
-        .attempt = {.request = request->id,
-                    .attempt = request->attempt,
-                    .upstream = request->upstream->id},
+        .attempt = {.request = request->id, .attempt = request->attempt},
     };
+    if (request->upstream != NULL) {
+        action.attempt.upstream = request->upstream->id;
+    }
     cq_actions_add(core->actions, &action);
-    cq_load_remove_attempt(core, request);
+    if (request->upstream != NULL) {
+        cq_load_remove_attempt(core, request);
+    }
 }
 
 static gboolean
 attempts_left(const cq_request_t *request)
 {
-    return request->attempt - request->connect_failures <
-               request->attempts_max &&
-           request->attempt < request->attempts_max + CONNECT_FAILURES_MAX;
+    guint attempts = request->attempt - request->hands;
+    return attempts - request->connect_failures < request->attempts_max &&
+           attempts < request->attempts_max + CONNECT_FAILURES_MAX;
 }
 
 static gboolean
@@ -237,6 +242,9 @@
     if (failure == CQ_FAIL_BROKEN) {
         avoid_broken(core, request, upstream);
     }
+    if (failure == CQ_FAIL_CONNECT || failure == CQ_FAIL_BROKEN) {
+        cq_reach_failed(core, upstream);
+    }
     request->last_failed = upstream->id;
     if (request->failed_helper != 0) {
         request->last_failed = request->failed_helper;
@@ -250,6 +258,10 @@
         cq_answer_outcome(core, request, cq_quarantine_outcome(core, request));
         return;
     }
+    if (!blocked && failure != CQ_FAIL_FAULT &&
+        cq_handoff_start(core, request)) {
+        return;
+    }
     if (!blocked && may_run_again(request, failure) &&
         cq_member_usable_in_time(core, request) &&
         retry_budget_allows(core, request, failure)) {
@@ -374,13 +386,21 @@
         }
         return;
     }
-    gboolean running = request != NULL && request->upstream != NULL;
+    gboolean running = request != NULL && (request->upstream != NULL ||
+                                           request->phase == CQ_PHASE_HANDED);
     if (!running || request->attempt != detail->attempt) {
         cq_counters_add(&core->counters, CQ_N_LATE_ANSWERS_DROPPED, 1);
         return;
     }
+    if (request->phase == CQ_PHASE_HANDED) {
+        cq_handoff_event(core, request, event);
+        return;
+    }
     switch (event->kind) {
     case CQ_EV_SENT:
+        if (!detail->on_kept_conn) {
+            cq_reach_opened(core);
+        }
         on_sent(core, request);
         break;
     case CQ_EV_TOKENS:
--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -5,6 +5,7 @@
 #include "core/batchplace.h"
 #include "core/flow.h"
 #include "core/group.h"
+#include "core/handoff.h"
 #include "core/admission.h"
 #include "core/lease.h"
 #include "core/lending.h"
@@ -15,6 +16,7 @@
 #include "core/place.h"
 #include "core/quarantine.h"
 #include "core/rate.h"
+#include "core/reach.h"
 #include "core/orphans.h"
 #include "core/attempt.h"
 #include "core/table.h"
@@ -102,6 +104,7 @@
 static void
 place_waiting(cq_core_t *core)
 {
+    cq_handoff_queued(core);
     for (guint i = 0; i < core->services->len; i++) {
         cq_service_t *service = g_ptr_array_index(core->services, i);
         if (service->rules == NULL) {
@@ -239,12 +242,12 @@
 
 /* Periodic work, in the order in which each tick runs it. */
 static const tick_job_t tick_jobs[] = {
-    {"estimate", end_window},    {"rates", cq_rate_tick},
-    {"watch", cq_watchdog_tick}, {"sweep", sweep},
-    {"place", place_waiting},    {"lease", cq_lease_tick},
-    {"order", cq_order_tick},    {"peers", cq_peer_tick},
-    {"tasks", cq_task_tick},     {"drain", drain},
-    {"lend", cq_lending_tick},
+    {"estimate", end_window}, {"rates", cq_rate_tick},
+    {"reach", cq_reach_tick}, {"watch", cq_watchdog_tick},
+    {"sweep", sweep},         {"place", place_waiting},
+    {"lease", cq_lease_tick}, {"order", cq_order_tick},
+    {"peers", cq_peer_tick},  {"tasks", cq_task_tick},
+    {"drain", drain},         {"lend", cq_lending_tick},
 };
 
 static void
@@ -326,6 +329,7 @@
         begin_drain(core, &event->drain);
         break;
     case CQ_EV_REACHED:
+        cq_reach_apply(core, &event->reached);
         break;
     }
 }
@@ -340,6 +344,7 @@
     core->incarnation = options->incarnation;
     core->policy = options->policy;
     core->rand = g_rand_new_with_seed(options->seed);
+    core->reach.rand = g_rand_new_with_seed(options->seed);
     core->started_us = -1;
     core->lease.last_append_us = -CQ_LEASE_RENEW_US;
     cq_ring_init(&core->ring, CQ_RING_EVENTS);
@@ -355,6 +360,7 @@
     cq_quarantine_free(core->quarantine);
     cq_ring_clear(&core->ring);
     g_rand_free(core->rand);
+    g_rand_free(core->reach.rand);
     g_free(core);
 }
 
--- a/packages/core/peer.c
+++ b/packages/core/peer.c
@@ -5,6 +5,7 @@
 #include "core/load.h"
 #include "core/member.h"
 #include "core/rate.h"
+#include "core/reach.h"
 #include "core/table.h"
 #include "core/task.h"
 
@@ -85,6 +86,7 @@
     }
     peer->last_summary_us = core->now_us;
     peer->draining = summary->draining;
+    peer->cut_off = summary->cut_off;
     for (guint i = 0; i < summary->shares_len; i++) {
         apply_share(core, peer, &summary->shares[i]);
     }
@@ -192,6 +194,7 @@
     summary->host = core->host;
     summary->incarnation = core->incarnation;
     summary->draining = core->draining;
+    summary->cut_off = cq_reach_is_cut(core);
     core->summary_needed = FALSE;
     for (guint i = 0; i < core->services->len; i++) {
         cq_service_t *service = g_ptr_array_index(core->services, i);
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -27,6 +27,7 @@
     CQ_PHASE_QUEUED,   /* waits for an upstream */
     CQ_PHASE_RESERVING, /* waits for engines to reserve memory */
     CQ_PHASE_RUNNING,   /* an attempt runs at an upstream */
+    CQ_PHASE_HANDED,    /* it is passed on to a peer */
 } cq_phase_t;
 
 /**
@@ -334,6 +335,9 @@
  * @holders_len: number of engines in @group that a booked request will ask for
  *   memory
  * @longest_gap_us: longest time between its events so far
+ * @handed: a peer passed it on to this host
+ * @hands: number of times that it was passed on to a peer
+ * @hand_host: host id of the peer to which it was last passed on, or 0
  * @failed_helper: id of the engine that the upstream named as the cause of a
  *   failure, or 0
  */
@@ -397,6 +401,9 @@
     cq_task_t *task;
     guint holders_len;
     gint64 longest_gap_us;
+    gboolean handed;
+    guint hands;
+    guint32 hand_host;
     guint64 failed_helper;
 } cq_request_t;
 
@@ -406,6 +413,7 @@
  * @incarnation: newest incarnation seen
  * @last_summary_us: when its last summary arrived
  * @draining: it is shutting down
+ * @cut_off: it can't open connections to any upstream
  * @shares: engine id to cq_share_t*, as last received
  */
 typedef struct {
@@ -413,6 +421,7 @@
     guint64 incarnation;
     gint64 last_summary_us;
     gboolean draining;
+    gboolean cut_off;
     GHashTable *shares;
 } cq_peer_t;
 
@@ -458,6 +467,33 @@
     gint64 suspect_until_us;
 } cq_zone_t;
 
+/** CQ_REACH_FAILED_MAX - failures that are remembered to find a cut */
+#define CQ_REACH_FAILED_MAX 8
+
+/**
+ * struct cq_reach_t - whether this host can open connections to upstreams
+ * @rand: chooses upstreams and peers; apart from the core's, so that the
+ *   number of probes changes no other choice
+ * @failed: upstreams at which an attempt failed since a connection last opened
+ * @failed_len: number of @failed
+ * @opened: a connection has opened since the last one was tried
+ * @probed_us: when a connection was last tried to see whether it opens
+ * @probes_out: such connections without a result
+ * @cut_since_us: when the failures of the current cut began, or 0
+ */
+typedef struct {
+    GRand *rand;
+    struct {
+        guint64 upstream;
+        gint64 at_us;
+    } failed[CQ_REACH_FAILED_MAX];
+    guint failed_len;
+    gboolean opened;
+    gint64 probed_us;
+    guint probes_out;
+    gint64 cut_since_us;
+} cq_reach_t;
+
 /** struct cq_quarantine_t - parts of prompts under which upstreams crash */
 typedef struct cq_quarantine cq_quarantine_t;
 
@@ -480,6 +516,7 @@
  * @follows_log: whether this process reads the log continuously
  * @claims: key to cq_claim_entry_t*
  * @tasks: request id to cq_task_t*
+ * @reach: whether this host can open connections to upstreams
  * @tasks_checked_us: when expired tasks were last looked for
  * @tasks_broadcast_us: when all tasks of this process were last sent to peers
  * @reservations: reservations without a release
@@ -527,6 +564,7 @@
     cq_lease_state_t lease;
     GHashTable *tasks;
     cq_quarantine_t *quarantine;
+    cq_reach_t reach;
     gint64 tasks_checked_us;
     gint64 tasks_broadcast_us;
     guint reservations;
--- a/packages/core/watchdog.c
+++ b/packages/core/watchdog.c
@@ -3,12 +3,14 @@
 #include "core/answer.h"
 #include "core/batchplace.h"
 #include "core/group.h"
+#include "core/handoff.h"
 #include "core/load.h"
 #include "core/member.h"
 #include "core/attempt.h"
 #include "core/place.h"
 #include "core/quarantine.h"
 #include "core/rate.h"
+#include "core/reach.h"
 #include "core/table.h"
 
 /* An attempt counts as failed after this many probes in a row without an
@@ -115,6 +117,7 @@
         return FALSE;
     }
     request->move_checked_us = core->now_us;
+    cq_reach_failed(core, request->upstream);
     return cq_attempt_retry_allowed(request) &&
            !cq_quarantine_blocks(core, request) &&
            has_other_place(core, request);
@@ -214,6 +217,9 @@
     case CQ_PHASE_RUNNING:
         check_running(core, request);
         break;
+    case CQ_PHASE_HANDED:
+        cq_handoff_check(core, request);
+        break;
     }
 }
 
--- a/tests/unit/corefixture.h
+++ b/tests/unit/corefixture.h
@@ -159,6 +159,7 @@
             event.request.parts.ids[event.request.parts.len++] = part;
         }
         event.request.fingerprint = fingerprint;
+        event.request.handed = handed;
         step(event);
         return event.request.id;
     }
@@ -328,6 +329,8 @@
     std::vector<guint64> parts;
     // Fingerprint of the requests that follow; 0: none.
     guint64 fingerprint = 0;
+    // Whether a peer passed on the requests that follow.
+    gboolean handed = FALSE;
     // Whether attempts that fail from now on were sent on kept connections.
     gboolean on_kept_conn = FALSE;
     // Time limit of the requests that follow.
--- /dev/null
+++ b/tests/unit/reach_test.cc
@@ -0,0 +1,276 @@
+// A host that is cut off from all upstreams: how it finds out, and what it
+// does with requests.
+#include "corefixture.h"
+
+namespace {
+
+using core_test::kMs;
+using core_test::kSecond;
+
+class Reach : public core_test::CoreTest {
+  protected:
+    // Upstreams p0, ... in zones "a" and "b", and peers h1, ... in zone "b"
+    // that take requests.
+    void
+    start(guint plain, guint peers, guint engines = 0)
+    {
+        start_core(engines, plain);
+        for (guint i = 0; i < plain; i++) {
+            add_host_row("q" + std::to_string(i), "p", "b");
+        }
+        for (guint i = 1; i <= peers; i++) {
+            std::string name = "h" + std::to_string(i);
+            add_host_row(name, "", "b");
+            g_strlcpy(rows.back().callers, (name + ":80").c_str(),
+                      sizeof rows.back().callers);
+        }
+        send_host_list();
+        for (guint i = 1; i <= peers; i++) {
+            peer_says("h" + std::to_string(i), FALSE);
+        }
+    }
+    void
+    peer_says(const std::string &host, gboolean cut_off)
+    {
+        cq_summary_t summary = {};
+        summary.host = cq_ident_host(host.c_str());
+        summary.incarnation = 1;
+        summary.cut_off = cut_off;
+        cq_event_t event = {};
+        event.kind = CQ_EV_SUMMARY;
+        event.summary = &summary;
+        step(event);
+    }
+    guint64
+    call(gboolean repeatable = TRUE)
+    {
+        return submit(1, 300 * kMs, 0, "p", repeatable);
+    }
+    // Answers the connections that the core has tried so far.
+    guint
+    answer_probes(bool opened)
+    {
+        guint answered = 0;
+        for (size_t n = all_actions.size(); probes_seen < n; probes_seen++) {
+            if (all_actions[probes_seen].kind == CQ_AC_REACH) {
+                cq_event_t event = {};
+                event.kind = CQ_EV_REACHED;
+                event.reached.upstream =
+                    all_actions[probes_seen].reach.upstream;
+                event.reached.opened = opened;
+                step(event);
+                answered++;
+            }
+        }
+        return answered;
+    }
+    // No connection to an upstream opens.
+    void
+    cut()
+    {
+        guint64 id = call(FALSE);
+        while (answer_of(id) == nullptr && hand_of(id) == nullptr) {
+            attempt_event(id, CQ_EV_FAILED, CQ_FAIL_CONNECT);
+            answer_probes(false);
+        }
+    }
+    const cq_ac_hand_t *
+    hand_of(guint64 request)
+    {
+        const cq_ac_hand_t *last = nullptr;
+        for (const cq_action_t &action : all_actions) {
+            if (action.kind == CQ_AC_HAND && action.hand.request == request) {
+                last = &action.hand;
+            }
+        }
+        return last;
+    }
+    void
+    peer_event(guint64 request, cq_event_kind_t kind, int status = 200)
+    {
+        cq_event_t event = {};
+        event.kind = kind;
+        event.attempt.request = request;
+        event.attempt.attempt = hand_of(request)->attempt;
+        event.attempt.tokens = 1;
+        event.attempt.status = status;
+        event.attempt.failure = CQ_FAIL_BROKEN;
+        step(event);
+    }
+
+    size_t probes_seen = 0;
+};
+
+TEST_F(Reach, ACutHostPassesRequestsOnToAPeer)
+{
+    start(3, 2);
+    cut();
+    for (int i = 0; i < 10; i++) {
+        guint64 id = call(i % 2 == 0);
+        EXPECT_EQ(last_send(id), nullptr);
+        ASSERT_NE(hand_of(id), nullptr);
+        EXPECT_EQ(hand_of(id)->fresh, i % 2 != 0);
+        peer_event(id, CQ_EV_SENT);
+        peer_event(id, CQ_EV_DONE);
+        ASSERT_NE(answer_of(id), nullptr);
+        EXPECT_EQ(answer_of(id)->status, 200);
+    }
+}
+
+TEST_F(Reach, CrashesOfAThirdOfTheUpstreamsAreNoCut)
+{
+    start(3, 2);
+    guint64 first = call();
+    attempt_event(first, CQ_EV_FAILED, CQ_FAIL_CONNECT);
+    attempt_event(first, CQ_EV_FAILED, CQ_FAIL_CONNECT);
+    EXPECT_GE(answer_probes(true), 1u);
+    EXPECT_EQ(hand_of(first), nullptr);
+    guint64 next = call();
+    EXPECT_EQ(hand_of(next), nullptr);
+    EXPECT_NE(last_send(next), nullptr);
+}
+
+TEST_F(Reach, EachZoneIsTriedBeforeAHostCountsAsCut)
+{
+    start(3, 2);
+    guint64 first = call();
+    attempt_event(first, CQ_EV_FAILED, CQ_FAIL_CONNECT);
+    attempt_event(first, CQ_EV_FAILED, CQ_FAIL_CONNECT);
+    bool near = false;
+    bool far = false;
+    for (const cq_action_t &action : all_actions) {
+        if (action.kind == CQ_AC_REACH) {
+            (in_zone_b(action.reach.upstream) ? far : near) = true;
+        }
+    }
+    EXPECT_TRUE(near);
+    EXPECT_TRUE(far);
+}
+
+// Kept connections hang, so no connection is refused.
+TEST_F(Reach, SilentUpstreamsShowACut)
+{
+    start(3, 1);
+    on_kept_conn = TRUE;
+    std::vector<guint64> calls;
+    for (int i = 0; i < 12; i++) {
+        calls.push_back(call());
+        attempt_event(calls.back(), CQ_EV_SENT);
+    }
+    for (int i = 0; i < 100; i++) {
+        advance(10 * kMs);
+        peer_says("h1", FALSE);
+        answer_probes(false);
+    }
+    for (guint64 id : calls) {
+        EXPECT_NE(hand_of(id), nullptr);
+    }
+}
+
+TEST_F(Reach, AStreamContinuesAtThePeer)
+{
+    start(3, 1, 2);
+    guint64 id = submit_short();
+    attempt_event(id, CQ_EV_TOKENS);
+    attempt_event(id, CQ_EV_TOKENS);
+    cut();
+    attempt_event(id, CQ_EV_FAILED);
+    ASSERT_NE(hand_of(id), nullptr);
+    peer_event(id, CQ_EV_TOKENS);
+    peer_event(id, CQ_EV_DONE);
+    ASSERT_NE(answer_of(id), nullptr);
+    EXPECT_EQ(answer_of(id)->status, 200);
+}
+
+TEST_F(Reach, ACallThatMayHaveRunIsNotPassedOn)
+{
+    start(3, 1);
+    guint64 id = call(FALSE);
+    attempt_event(id, CQ_EV_SENT);
+    cut();
+    attempt_event(id, CQ_EV_FAILED);
+    EXPECT_EQ(hand_of(id), nullptr);
+    ASSERT_NE(answer_of(id), nullptr);
+    EXPECT_EQ(answer_of(id)->ran, CQ_RAN_UNKNOWN);
+}
+
+TEST_F(Reach, ACallThatMayHaveRunAtThePeerIsNotSentAgain)
+{
+    start(3, 2);
+    cut();
+    guint64 id = call(FALSE);
+    peer_event(id, CQ_EV_SENT);
+    peer_event(id, CQ_EV_FAILED);
+    EXPECT_EQ(hand_of(id)->attempt, 1u);
+    ASSERT_NE(answer_of(id), nullptr);
+    EXPECT_EQ(answer_of(id)->ran, CQ_RAN_UNKNOWN);
+}
+
+TEST_F(Reach, ARequestOfAPeerIsNotPassedOnAgain)
+{
+    start(3, 2);
+    cut();
+    handed = TRUE;
+    guint64 id = call();
+    EXPECT_EQ(hand_of(id), nullptr);
+}
+
+// The peer can't know that the request was sent from here before.
+TEST_F(Reach, ARefusalOfThePeerIsNoPromiseForAnEarlierAttempt)
+{
+    start(3, 1);
+    guint64 id = call();
+    attempt_event(id, CQ_EV_SENT);
+    cut();
+    attempt_event(id, CQ_EV_FAILED);
+    ASSERT_NE(hand_of(id), nullptr);
+    peer_event(id, CQ_EV_SENT);
+    peer_event(id, CQ_EV_DONE, 503);
+    ASSERT_NE(answer_of(id), nullptr);
+    EXPECT_EQ(answer_of(id)->ran, CQ_RAN_UNKNOWN);
+    EXPECT_EQ(answer_of(id)->status, 502);
+}
+
+TEST_F(Reach, PeersThatAreCutOffGetNothing)
+{
+    start(3, 2);
+    cut();
+    peer_says("h1", TRUE);
+    for (int i = 0; i < 10; i++) {
+        guint64 id = call();
+        ASSERT_NE(hand_of(id), nullptr);
+        EXPECT_STREQ(hand_of(id)->addr, "h2:80");
+    }
+    peer_says("h2", TRUE);
+    EXPECT_EQ(hand_of(call()), nullptr);
+}
+
+TEST_F(Reach, AHostThatReachesAnUpstreamAgainUsesThemAtOnce)
+{
+    start(3, 1);
+    cut();
+    EXPECT_NE(hand_of(call()), nullptr);
+    advance(kSecond);
+    EXPECT_GE(answer_probes(true), 1u);
+    guint64 id = call();
+    EXPECT_EQ(hand_of(id), nullptr);
+    EXPECT_NE(last_send(id), nullptr);
+}
+
+TEST_F(Reach, ACallerThatLeavesEndsTheAttemptAtThePeer)
+{
+    start(3, 1);
+    cut();
+    guint64 id = call();
+    peer_event(id, CQ_EV_SENT);
+    size_t before = all_actions.size();
+    hang_up(id);
+    bool stopped = false;
+    for (size_t i = before; i < all_actions.size(); i++) {
+        stopped |= all_actions[i].kind == CQ_AC_STOP &&
+                   all_actions[i].attempt.request == id;
+    }
+    EXPECT_TRUE(stopped);
+}
+
+} // namespace
