Let a host take back the crashes that a cut of its network caused

What callers saw: all that sent the same request got it refused as blocked, also at hosts that no cut touched. A host that is cut off by resets counts each reset as a crash of that upstream under the request that was on it, and tells its peers.

Cause: nothing could take a crash back; only an answer on the request cleared it, and a blocked request gets none.

Change: each host marks the crashes that it saw itself. cq_quarantine_retract() removes those since a given time, tells the peers (RETRACTED) and corrects the record in the store. A suspect that no longer has enough crashes is as if it had never been blocked; a trial that is taken back doesn't delay the next one. Peers remove exactly that crash, but one that saw the same end of that upstream itself keeps it and says so again, since the others can't tell how many saw it. What is taken back doesn't count against the limit of reports in a second, so none is lost to it. Nothing calls the function yet.

The test of frames that no host sends used kind 2, which is RETRACTED now; it uses 3, the first kind that no host sends. Hosts of older versions reject a frame with a RETRACTED in it as a whole, and count it.

Evidence, with an empty function: retract_test.cc fails at lines 107 (still blocked), 113 (peers told of 0 of 3), 114 (record left), 128, 166, 183, 202, 219 and 231; cutfleet_test.cc:191, hosts that refuse the call after the retraction: 4 of 4, 117 of 117, 330 of 330; now 0, 0, 0. wire_test.cc:99 failed with the old codec. CutOffHosts.LeaveACallBlockedThatCrashesUpstreams and Retract.LeavesWhat* passed at once: they hold what must not change. proc/relaycrashcall: 3 crashes, 3 arrivals of 83 sent, as before.

--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -409,8 +409,9 @@
 /** enum cq_part_report_kind_t - what is reported of a part of prompts, or of a
  * whole request */
 typedef enum {
-    CQ_PART_CRASHED,  /* an upstream crashed under a request that has it */
-    CQ_PART_ANSWERED, /* an answer has begun to a request that has it */
+    CQ_PART_CRASHED,   /* an upstream crashed under a request that has it */
+    CQ_PART_ANSWERED,  /* an answer has begun to a request that has it */
+    CQ_PART_RETRACTED, /* the sender takes a CRASHED back */
 } cq_part_report_kind_t;
 
 /**
@@ -420,8 +421,8 @@
  * @service: hash of the name of the request's service
  * @part: id of the part, or the request's fingerprint
  * @whole: @part is a fingerprint
- * @team: CRASHED: hash of the name of the request's team
- * @crash: CRASHED: hash of the upstream and its incarnation
+ * @team: CRASHED, RETRACTED: hash of the name of the request's team
+ * @crash: CRASHED, RETRACTED: hash of the upstream and its incarnation
  * @age_us: CRASHED: time since the crash
  */
 typedef struct {
--- a/packages/core/quarantine.c
+++ b/packages/core/quarantine.c
@@ -17,11 +17,10 @@
 /* A kept connection that ends sooner than this after the sending was stale: a
  * request that reaches an upstream takes longer to crash it. */
 #define STALE_CONN_US (2 * CQ_MS_US)
-/* A crash this long after a part was blocked was that of a trial; earlier ones
- * were on their way when it was blocked. */
-#define TRIAL_CRASH_AFTER_US (10 * CQ_SECOND_US)
 /* Reports that this process sends in a second; crashes of many upstreams at
- * once give one for each part of each request on them. */
+ * once give one for each part of each request on them. Retractions don't count
+ * against it: they take back what was said before, at most all crashes of the
+ * table once. */
 #define REPORTS_PER_S 256
 
 /*
@@ -63,12 +62,10 @@
     return NULL;
 }
 
+/* Return: crashes after which @part is blocked for the first time. */
 static guint
-crashes_to_block(const cq_core_t *core, const cq_suspect_t *part)
+crashes_to_block_first(const cq_core_t *core, const cq_suspect_t *part)
 {
-    if (part->blocks > 0) {
-        return 1;
-    }
     /* Sound prompts share a part; nothing sound is the same request. */
     if (part->whole) {
         return CRASHES_TO_BLOCK;
@@ -78,10 +75,17 @@
                : CRASHES_TO_BLOCK;
 }
 
+static guint
+crashes_to_block(const cq_core_t *core, const cq_suspect_t *part)
+{
+    return part->blocks > 0 ? 1 : crashes_to_block_first(core, part);
+}
+
 static void
-block(cq_core_t *core, cq_suspect_t *part)
+block(cq_core_t *core, cq_suspect_t *part, guint64 by_crash)
 {
     part->blocked_us = core->now_us;
+    part->blocked_by = by_crash;
     part->blocks++;
     part->trials = 0;
     cq_counters_add(&core->counters, CQ_N_PARTS_BLOCKED, 1);
@@ -95,11 +99,11 @@
 {
     gboolean blocked = cq_suspect_is_blocked(part, core->now_us);
     cq_suspect_add_crash(part, crash);
-    if (blocked && crash->at_us - part->blocked_us > TRIAL_CRASH_AFTER_US) {
+    if (blocked && cq_suspect_is_trial_crash(part, crash)) {
         part->trials = MIN(part->trials + 1, TRIALS_MAX);
     }
     if (!blocked && part->crashes_len >= crashes_to_block(core, part)) {
-        block(core, part);
+        block(core, part, crash->id);
         blocked = TRUE;
     }
     if (blocked) {
@@ -109,6 +113,23 @@
     }
 }
 
+static void
+send_report(cq_core_t *core, cq_part_report_kind_t kind,
+            const cq_suspect_t *part, const cq_crash_t *crash)
+{
+    cq_action_t action = {.kind = CQ_AC_PART};
+    action.part.kind = kind;
+    action.part.service = part->service;
+    action.part.part = part->id;
+    action.part.whole = part->whole;
+    if (crash != NULL) {
+        action.part.team = crash->team;
+        action.part.crash = crash->id;
+        action.part.age_us = core->now_us - crash->at_us;
+    }
+    cq_actions_add(core->actions, &action);
+}
+
 static void
 report(cq_core_t *core, cq_part_report_kind_t kind, const cq_suspect_t *part,
        const cq_crash_t *crash)
@@ -122,16 +143,7 @@
         return;
     }
     quarantine->reports_left--;
-    cq_action_t action = {.kind = CQ_AC_PART};
-    action.part.kind = kind;
-    action.part.service = part->service;
-    action.part.part = part->id;
-    action.part.whole = part->whole;
-    if (crash != NULL) {
-        action.part.team = crash->team;
-        action.part.crash = crash->id;
-    }
-    cq_actions_add(core->actions, &action);
+    send_report(core, kind, part, crash);
 }
 
 static cq_part_report_t
@@ -169,7 +181,12 @@
 {
     cq_suspect_t *part = cq_suspects_find_or_add(
         suspects_of(core), request->service->id, id, is_whole(request, id));
-    if (part != NULL && cq_suspect_is_separate(part, crash)) {
+    cq_crash_t *known =
+        part != NULL ? cq_suspect_crash(part, crash->id) : NULL;
+    if (known != NULL) {
+        known->own = TRUE;
+    }
+    else if (part != NULL && cq_suspect_is_separate(part, crash)) {
         report(core, CQ_PART_CRASHED, part, crash);
         add_crash(core, part, crash);
         if (cq_suspect_is_blocked(part, core->now_us)) {
@@ -213,6 +230,67 @@
     cq_suspects_note_answered(suspects_of(core), service, id, core->now_us);
 }
 
+/* Takes @crash of @part back. */
+static void
+remove_crash(cq_core_t *core, cq_suspect_t *part, guint64 crash)
+{
+    gboolean blocked = part->blocked_us > 0;
+    cq_suspect_remove_crash(part, crash, crashes_to_block_first(core, part));
+    if (blocked && part->blocked_us == 0) {
+        cq_ring_add(&core->ring, core->now_us, 0, 0, "part_unblocked",
+                    "part=%" G_GINT64_MODIFIER "x crashes=%u", part->id,
+                    part->crashes_len);
+    }
+}
+
+/* Return: how many were taken back. */
+static guint
+retract_own(cq_core_t *core, cq_suspect_t *part, gint64 since_us)
+{
+    guint count = 0;
+    guint i = 0;
+    while (i < part->crashes_len) {
+        cq_crash_t crash = part->crashes[i];
+        if (!crash.own || crash.at_us < since_us) {
+            i++;
+            continue;
+        }
+        /* The last crash moves to this place. */
+        remove_crash(core, part, crash.id);
+        send_report(core, CQ_PART_RETRACTED, part, &crash);
+        count++;
+    }
+    return count;
+}
+
+/* Hosts that saw the same end of an upstream give it the same id, and those
+ * that hear of it can't tell how many saw it. So all remove it, and one that
+ * saw it itself and stands by it keeps it and says so again. */
+static void
+apply_retraction(cq_core_t *core, const cq_part_report_t *row)
+{
+    cq_suspect_t *part =
+        cq_suspects_find(suspects_of(core), row->service, row->part);
+    const cq_crash_t *crash =
+        part != NULL ? cq_suspect_crash(part, row->crash) : NULL;
+    if (crash == NULL) {
+        return;
+    }
+    if (crash->own) {
+        report(core, CQ_PART_CRASHED, part, crash);
+        return;
+    }
+    gboolean blocked = part->blocked_us > 0;
+    remove_crash(core, part, row->crash);
+    /* Any host may have written the record. */
+    if (blocked && cq_member_is_first(core, part->key)) {
+        write_record(core, part, part->blocked_us > 0);
+    }
+    if (part->crashes_len == 0) {
+        cq_suspects_remove(suspects_of(core), part);
+    }
+}
+
 cq_quarantine_t *
 cq_quarantine_new(void)
 {
@@ -288,6 +366,7 @@
         .id = cq_place_mix(upstream->id ^ cq_place_mix(upstream->incarnation)),
         .team = request->team_id,
         .at_us = core->now_us,
+        .own = TRUE,
     };
     const cq_suspect_t *known = blocked_part(core, request);
     if (known != NULL) {
@@ -366,6 +445,9 @@
                 cq_suspects_find(suspects_of(core), row->service, row->part),
                 row->service, row->part);
             break;
+        case CQ_PART_RETRACTED:
+            apply_retraction(core, row);
+            break;
         }
     }
 }
@@ -398,6 +480,33 @@
     list_crashes(core, FALSE, reports);
 }
 
+void
+cq_quarantine_retract(cq_core_t *core, gint64 since_us)
+{
+    guint crashes = 0;
+    guint parts = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, suspects_of(core)->parts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        cq_suspect_t *part = value;
+        gboolean blocked = part->blocked_us > 0;
+        guint count = retract_own(core, part, since_us);
+        if (count > 0 && blocked) {
+            write_record(core, part, part->blocked_us > 0);
+        }
+        if (part->crashes_len == 0) {
+            g_hash_table_iter_remove(&iter);
+        }
+        crashes += count;
+        parts += count > 0;
+    }
+    if (crashes > 0) {
+        cq_ring_add(&core->ring, core->now_us, 0, 0, "crashes_retracted",
+                    "parts=%u crashes=%u", parts, crashes);
+    }
+}
+
 void
 cq_quarantine_enforce(cq_core_t *core)
 {
--- a/packages/core/quarantine.h
+++ b/packages/core/quarantine.h
@@ -72,6 +72,12 @@
 void
 cq_quarantine_apply(cq_core_t *core, const cq_ev_parts_t *event);
 
+/** cq_quarantine_retract() - take back all crashes of which this host accused
+ * a part or a request at or after @since_us, since a cut of its network ended
+ * the connections; its peers are told. For a step of the core */
+void
+cq_quarantine_retract(cq_core_t *core, gint64 since_us);
+
 /** cq_quarantine_list() - append to @reports, an array of cq_part_report_t,
  * what a new peer needs to know */
 void
--- a/packages/core/suspect.c
+++ b/packages/core/suspect.c
@@ -21,6 +21,9 @@
 #define TRIAL_DELAY_US (30 * CQ_SECOND_US)
 #define TRIAL_FACTOR 4
 #define PARTS_MAX 2048
+/* A crash this long after a part was blocked was that of a trial; earlier ones
+ * were on their way when it was blocked. */
+#define TRIAL_CRASH_AFTER_US (10 * CQ_SECOND_US)
 
 static GHashTable *
 new_key_set(void)
@@ -34,17 +37,6 @@
     return cq_place_mix(id ^ cq_place_mix(service));
 }
 
-static gboolean
-has_crash(const cq_suspect_t *suspect, guint64 crash)
-{
-    for (guint i = 0; i < suspect->crashes_len; i++) {
-        if (suspect->crashes[i].id == crash) {
-            return TRUE;
-        }
-    }
-    return FALSE;
-}
-
 static void
 remove_crash(cq_suspect_t *suspect, guint64 crash)
 {
@@ -175,7 +167,8 @@
     gpointer value;
     g_hash_table_iter_init(&iter, suspects->parts);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        if (cq_suspect_is_blocked(value, now_us) && has_crash(value, crash)) {
+        if (cq_suspect_is_blocked(value, now_us) &&
+            cq_suspect_crash(value, crash) != NULL) {
             return TRUE;
         }
     }
@@ -233,6 +226,56 @@
     suspect->crashes[slot] = *crash;
 }
 
+cq_crash_t *
+cq_suspect_crash(cq_suspect_t *suspect, guint64 crash)
+{
+    for (guint i = 0; i < suspect->crashes_len; i++) {
+        if (suspect->crashes[i].id == crash) {
+            return &suspect->crashes[i];
+        }
+    }
+    return NULL;
+}
+
+void
+cq_suspect_remove_crash(cq_suspect_t *suspect, guint64 crash,
+                        guint crashes_to_block)
+{
+    const cq_crash_t *known = cq_suspect_crash(suspect, crash);
+    if (known == NULL) {
+        return;
+    }
+    cq_crash_t removed = *known;
+    remove_crash(suspect, crash);
+    if (suspect->blocked_us == 0) {
+        return;
+    }
+    if (cq_suspect_is_trial_crash(suspect, &removed) && suspect->trials > 0) {
+        suspect->trials--;
+    }
+    gint64 last_us = cq_suspect_last_crash_us(suspect);
+    if (suspect->crashes_len < crashes_to_block) {
+        suspect->blocked_us = 0;
+        suspect->blocked_by = 0;
+        suspect->blocks = 0;
+        suspect->trials = 0;
+        suspect->trial_us = 0;
+    }
+    else if (suspect->blocked_by == crash && suspect->blocks > 1 &&
+             last_us <= removed.at_us) {
+        /* The block before this one ended without it. */
+        suspect->blocked_us = last_us;
+        suspect->blocked_by = 0;
+        suspect->blocks--;
+    }
+}
+
+gboolean
+cq_suspect_is_trial_crash(const cq_suspect_t *suspect, const cq_crash_t *crash)
+{
+    return crash->at_us - suspect->blocked_us > TRIAL_CRASH_AFTER_US;
+}
+
 gboolean
 cq_suspect_concerns_team(const cq_suspect_t *suspect, guint64 team)
 {
--- a/packages/core/suspect.h
+++ b/packages/core/suspect.h
@@ -19,11 +19,13 @@
  * @id: hash of the upstream and its incarnation
  * @team: hash of the name of the team whose request it broke
  * @at_us: when
+ * @own: this host saw it too, and hasn't taken that back
  */
 typedef struct {
     guint64 id;
     guint64 team;
     gint64 at_us;
+    gboolean own;
 } cq_crash_t;
 
 /**
@@ -35,6 +37,7 @@
  * @crashes: the newest of them
  * @crashes_len: number of @crashes
  * @blocked_us: when it was blocked last, or 0
+ * @blocked_by: the crash that blocked it last
  * @blocks: how often it was blocked
  * @trials: trials that have crashed since it was blocked
  * @trial_us: when this host last sent a trial, or 0
@@ -47,6 +50,7 @@
     cq_crash_t crashes[CQ_PART_CRASHES_MAX];
     guint crashes_len;
     gint64 blocked_us;
+    guint64 blocked_by;
     guint blocks;
     guint trials;
     gint64 trial_us;
@@ -119,6 +123,23 @@
 void
 cq_suspect_add_crash(cq_suspect_t *suspect, const cq_crash_t *crash);
 
+/** cq_suspect_crash() - Return: the crash of @suspect with this id, or NULL */
+cq_crash_t *
+cq_suspect_crash(cq_suspect_t *suspect, guint64 crash);
+
+/** cq_suspect_remove_crash() - remove the crash with this id, if it is known.
+ * A suspect that was blocked only because of it, with fewer than
+ * @crashes_to_block left, is as if it had not been blocked */
+void
+cq_suspect_remove_crash(cq_suspect_t *suspect, guint64 crash,
+                        guint crashes_to_block);
+
+/** cq_suspect_is_trial_crash() - Return: whether @crash was that of a trial of
+ * @suspect, which is blocked */
+gboolean
+cq_suspect_is_trial_crash(const cq_suspect_t *suspect,
+                          const cq_crash_t *crash);
+
 /** cq_suspect_concerns_team() - Return: whether requests of @team, or of
  * several teams, accuse @suspect */
 gboolean
--- a/tests/unit/fleetfixture.h
+++ b/tests/unit/fleetfixture.h
@@ -168,13 +168,21 @@
     }
     void
     step(guint i, const cq_event_t &event)
+    {
+        act(i, [this, &event](cq_core_t *core, cq_actions_t *out) {
+            cq_core_step(core, now_us, &event, out);
+        });
+    }
+    // Does what @call has host @i do.
+    void
+    act(guint i, const std::function<void(cq_core_t *, cq_actions_t *)> &call)
     {
         host_t &host = *hosts[i];
         if (!host.running) {
             return;
         }
         cq_actions_reset(&actions);
-        cq_core_step(host.core, now_us, &event, &actions);
+        call(host.core, &actions);
         std::vector<cq_ac_send_t> sends;
         for (guint k = 0; k < actions.items->len; k++) {
             const cq_action_t &action = *cq_actions_at(&actions, k);
--- a/tests/unit/wire_test.cc
+++ b/tests/unit/wire_test.cc
@@ -88,16 +88,17 @@
 
 TEST(Codec, ReportsOnPartsAreDecodedAsTheyWereEncoded)
 {
-    cq_part_report_t rows[2] = {
+    cq_part_report_t rows[3] = {
         {CQ_PART_CRASHED, 1, G_MAXUINT64, TRUE, 3, 4, 5},
-        {CQ_PART_ANSWERED, 6, 7, FALSE, 0, 0, 0}};
-    GBytes *wrapped = cq_codec_encode_parts(rows, 2);
+        {CQ_PART_ANSWERED, 6, 7, FALSE, 0, 0, 0},
+        {CQ_PART_RETRACTED, 1, 8, TRUE, 3, 4, 5}};
+    GBytes *wrapped = cq_codec_encode_parts(rows, 3);
     Cq__Frame *frame = unpack(wrapped);
     ASSERT_NE(nullptr, frame);
     GArray *decoded = g_array_new(FALSE, FALSE, sizeof(cq_part_report_t));
     ASSERT_TRUE(cq_codec_decode_parts(frame->parts, decoded));
-    ASSERT_EQ(2u, decoded->len);
-    for (guint i = 0; i < 2; i++) {
+    ASSERT_EQ(3u, decoded->len);
+    for (guint i = 0; i < 3; i++) {
         const cq_part_report_t *row =
             &g_array_index(decoded, cq_part_report_t, i);
         EXPECT_EQ(rows[i].kind, row->kind);
@@ -141,7 +142,7 @@
     Cq__PartReports message = CQ__PART_REPORTS__INIT;
     message.n_rows = 1;
     message.rows = rows;
-    row.kind = 2;
+    row.kind = 3;
     EXPECT_FALSE(cq_codec_decode_parts(&message, decoded));
     row.kind = CQ_PART_CRASHED;
     row.age_us = G_MAXUINT64;
