Keep the pause that an upstream asks for apart from a host's own marks

What callers saw: a host that reaches its upstreams again sends nothing for up to 16 s: it still avoids all of them for what its own network did.

Cause: one field held both the pause that an upstream had asked for and this host's evidence, so the second couldn't be forgotten without the first.

Change: the pause has its own field, and an upstream gets new work when both are over. cq_member_forget_failures() clears the host's own marks of all upstreams and zones, and keeps pauses, leaving and rates. Nothing calls it yet. A pause now also holds for an upstream in a zone that is taken for cut off.

Evidence, with an empty function: retry_test.cc fails at lines 459, 468 (after failed connections and resets at all upstreams), 486 (another zone), 515 (how many breaks there were) and 541; passes now.

--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -36,6 +36,33 @@
         MAX(upstream->suspect_until_us, core->now_us + us);
 }
 
+gint64
+cq_member_accepts_from_us(const cq_upstream_t *upstream)
+{
+    return MAX(upstream->suspect_until_us, upstream->pause_until_us);
+}
+
+void
+cq_member_forget_failures(cq_core_t *core)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, core->upstream_by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        cq_upstream_t *upstream = value;
+        upstream->suspect_until_us = 0;
+        upstream->broken_streak = 0;
+        upstream->broken_us = 0;
+    }
+    g_hash_table_iter_init(&iter, core->zones);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        cq_zone_t *zone = value;
+        zone->suspect_until_us = 0;
+        zone->failed_us = 0;
+    }
+    core->placement_due = TRUE;
+}
+
 void
 cq_member_upstream_says(cq_core_t *core, const cq_ev_upstream_t *said)
 {
@@ -48,7 +75,8 @@
     }
     cq_rate_heard(core, upstream, said);
     if (said->pause_us > 0) {
-        cq_member_avoid(core, upstream, said->pause_us);
+        upstream->pause_until_us =
+            MAX(upstream->pause_until_us, core->now_us + said->pause_us);
         cq_ring_add(&core->ring, core->now_us, 0, 0, "paused",
                     "upstream=%s for_ms=%" G_GINT64_FORMAT, upstream->name,
                     said->pause_us / CQ_MS_US);
@@ -67,6 +95,7 @@
         upstream->incarnation = row->incarnation;
         upstream->leaving = FALSE;
         upstream->suspect_until_us = 0;
+        upstream->pause_until_us = 0;
         upstream->broken_streak = 0;
         upstream->rate = (cq_rate_t){.limited = FALSE};
         upstream->service->candidates_stale = TRUE;
@@ -447,8 +476,8 @@
             continue;
         }
         gint64 usable_us = cq_member_zone_cut_off(core, upstream)
-                               ? core->now_us
-                               : upstream->suspect_until_us;
+                               ? upstream->pause_until_us
+                               : cq_member_accepts_from_us(upstream);
         usable_us = MAX(usable_us, cq_rate_next_us(upstream));
         first_us = MIN(first_us, MAX(usable_us, core->now_us));
     }
--- a/packages/core/member.h
+++ b/packages/core/member.h
@@ -62,11 +62,22 @@
 gboolean
 cq_member_usable_in_time(const cq_core_t *core, const cq_request_t *request);
 
-/** cq_member_avoid() - send nothing new to @upstream for @us; doesn't shorten
- * an earlier pause, which the upstream may have asked for */
+/** cq_member_avoid() - send nothing new to @upstream for @us, since a call of
+ * this host failed there; doesn't shorten an earlier mark */
 void
 cq_member_avoid(const cq_core_t *core, cq_upstream_t *upstream, gint64 us);
 
+/** cq_member_accepts_from_us() - Return: when the marks of this host and the
+ * pause that @upstream asked for are over */
+gint64
+cq_member_accepts_from_us(const cq_upstream_t *upstream);
+
+/** cq_member_forget_failures() - remove the marks that failed calls of this
+ * host have left at upstreams and zones, since its own network was the cause;
+ * what upstreams say of themselves stays */
+void
+cq_member_forget_failures(cq_core_t *core);
+
 /** cq_member_upstream_says() - apply what an upstream says of itself */
 void
 cq_member_upstream_says(cq_core_t *core, const cq_ev_upstream_t *said);
--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -172,7 +172,7 @@
         cq_member_zone_cut_off(core, upstream)) {
         return FALSE;
     }
-    return upstream->suspect_until_us <= core->now_us;
+    return cq_member_accepts_from_us(upstream) <= core->now_us;
 }
 
 gint64
--- a/packages/core/rate.c
+++ b/packages/core/rate.c
@@ -242,7 +242,7 @@
     for (guint i = 0; i < upstreams->len && !limits->any_unlimited; i++) {
         const cq_upstream_t *upstream = g_ptr_array_index(upstreams, i);
         if (upstream->leaving ||
-            upstream->suspect_until_us >= request->deadline_us) {
+            cq_member_accepts_from_us(upstream) >= request->deadline_us) {
             continue;
         }
         if (!upstream->rate.limited) {
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -110,7 +110,9 @@
  * @leaving_since_us: when this process learned that it is leaving
  * @listed: it is in the platform's newest host list
  * @was_listed: it was in the previous host list
- * @suspect_until_us: gets no new work before then
+ * @suspect_until_us: gets no new work before then, since this host's calls
+ *   failed there
+ * @pause_until_us: gets no new work before then, since it asked for that
  * @candidate_index: index in its service's candidate array, or -1
  * @same_zone: it is in this host's availability zone
  * @load: prefill time placed by this process and its peers
@@ -151,6 +153,7 @@
     gboolean listed;
     gboolean was_listed;
     gint64 suspect_until_us;
+    gint64 pause_until_us;
     int candidate_index;
     gboolean same_zone;
     cq_load_t load;
--- a/tests/unit/retry_test.cc
+++ b/tests/unit/retry_test.cc
@@ -1,12 +1,38 @@
 // Retries after a failure: of which requests, to which upstream, how often.
 #include "corefixture.h"
 
+#include "core/member.h"
+
 namespace {
 
 using core_test::kMs;
 using core_test::kSecond;
 
-class Retry : public core_test::CoreTest {};
+class Retry : public core_test::CoreTest {
+  protected:
+    // Calls fail until none is sent any more. Return: how many were sent.
+    int
+    fail_everywhere(cq_failure_t failure)
+    {
+        int sent = 0;
+        for (int i = 0; i < 100; i++) {
+            guint64 id = submit_short();
+            if (last_send(id) == nullptr) {
+                hang_up(id);
+                return sent;
+            }
+            sent++;
+            attempt_event(id, CQ_EV_FAILED, failure);
+            hang_up(id);
+        }
+        return sent;
+    }
+    bool
+    is_sent_at_once()
+    {
+        return last_send(submit_short()) != nullptr;
+    }
+};
 
 TEST_F(Retry, ABrokenStreamContinuesOnAnotherEngine)
 {
@@ -423,4 +449,96 @@
     }
 }
 
+// Its own network was cut, and is back.
+TEST_F(Retry, AHostThatForgetsFailuresSendsAtOnceAfterFailedConnections)
+{
+    start_core(6);
+    EXPECT_LT(fail_everywhere(CQ_FAIL_CONNECT), 100);
+    EXPECT_FALSE(is_sent_at_once());
+    cq_member_forget_failures(core);
+    EXPECT_TRUE(is_sent_at_once());
+}
+
+TEST_F(Retry, AHostThatForgetsFailuresSendsAtOnceAfterResets)
+{
+    start_core(6);
+    EXPECT_LT(fail_everywhere(CQ_FAIL_BROKEN), 100);
+    EXPECT_FALSE(is_sent_at_once());
+    cq_member_forget_failures(core);
+    EXPECT_TRUE(is_sent_at_once());
+}
+
+// Two connections into another zone failed, so a third upstream there is not
+// used either.
+TEST_F(Retry, AHostThatForgetsFailuresTrustsOtherZones)
+{
+    start_core(1);
+    for (const char *name : {"p0", "p1", "p2"}) {
+        add_host_row(name, "p", "b");
+    }
+    send_host_list();
+    guint64 id = submit(1, 300 * kMs, 0, "p");
+    attempt_event(id, CQ_EV_FAILED, CQ_FAIL_CONNECT);
+    attempt_event(id, CQ_EV_FAILED, CQ_FAIL_CONNECT);
+    hang_up(id);
+    EXPECT_EQ(last_send(submit(1, 300 * kMs, 0, "p")), nullptr);
+    cq_member_forget_failures(core);
+    EXPECT_NE(last_send(submit(1, 300 * kMs, 0, "p")), nullptr);
+}
+
+// The time for which it is avoided after a break begins with a second again.
+TEST_F(Retry, AHostThatForgetsFailuresForgetsHowManyThereWere)
+{
+    start_core(1, 2);
+    auto ends_at_p0 = [this](cq_event_kind_t how) {
+        for (int i = 0; i < 20; i++) {
+            guint64 id = submit(1, 300 * kMs, 0, "p");
+            bool found = last_send(id) != nullptr &&
+                         last_send(id)->upstream == cq_ident_hash("p0");
+            if (found) {
+                attempt_event(id, how);
+            }
+            hang_up(id);
+            if (found) {
+                return true;
+            }
+        }
+        return false;
+    };
+    for (int i = 0; i < 4; i++) {
+        ASSERT_TRUE(ends_at_p0(CQ_EV_FAILED)) << i;
+        advance(17 * kSecond);
+    }
+    cq_member_forget_failures(core);
+    ASSERT_TRUE(ends_at_p0(CQ_EV_FAILED));
+    advance(1100 * kMs);
+    EXPECT_TRUE(ends_at_p0(CQ_EV_DONE));
+}
+
+TEST_F(Retry, AHostThatForgetsFailuresKeepsThePausesAskedFor)
+{
+    start_core(2);
+    for (const char *name : {"e0", "e1"}) {
+        upstream_says(cq_ident_hash(name), 1, FALSE, 5 * kSecond);
+    }
+    EXPECT_FALSE(is_sent_at_once());
+    advance(kSecond);
+    cq_member_forget_failures(core);
+    EXPECT_FALSE(is_sent_at_once());
+    advance(4100 * kMs);
+    EXPECT_TRUE(is_sent_at_once());
+}
+
+// A pause that ends before the marks of this host do doesn't shorten them.
+TEST_F(Retry, APauseDoesNotShortenTheTimeAfterAFailure)
+{
+    start_core(1);
+    fail_everywhere(CQ_FAIL_CONNECT);
+    upstream_says(cq_ident_hash("e0"), 1, FALSE, kSecond);
+    advance(2 * kSecond);
+    EXPECT_FALSE(is_sent_at_once());
+    cq_member_forget_failures(core);
+    EXPECT_TRUE(is_sent_at_once());
+}
+
 } // namespace
