--- a/packages/core/reach.c
+++ b/packages/core/reach.c
@@ -7,6 +7,9 @@
  * suspicion of a cut. */
 #define FAILED_UPSTREAMS 2
 #define FAILED_WITHIN_US (2 * CQ_SECOND_US)
+/* Connections may break this long before the first failure that is still
+ * remembered. */
+#define BROKEN_BEFORE_US CQ_SECOND_US
 /* Upstreams to which connections are opened: of this host's zone, and of each
  * other zone. */
 #define PROBES_OWN_ZONE 2
@@ -142,6 +145,7 @@
     core->summary_needed = TRUE;
     core->placement_due = TRUE;
     cq_counters_add(&core->counters, CQ_N_CUT_OFF, 1);
+    cq_quarantine_retract(core, since_us - BROKEN_BEFORE_US);
     cq_ring_add(&core->ring, core->now_us, 0, 0, "cut_off",
                 "failed=%u since_ms=%" G_GINT64_FORMAT, reach->failed_len,
                 (core->now_us - since_us) / CQ_MS_US);
@@ -188,6 +192,7 @@
                 "after_ms=%" G_GINT64_FORMAT,
                 (core->now_us - reach->cut_since_us) / CQ_MS_US);
     reach->cut_since_us = 0;
+    cq_member_forget_failures(core);
     core->summary_needed = TRUE;
     core->placement_due = TRUE;
 }
@@ -203,8 +208,8 @@
         cq_reach_opened(core);
         return;
     }
-    if (reach->probes_out == 0 && !cq_reach_is_cut(core) &&
-        !reach->opened && reach->failed_len > 0) {
+    if (reach->probes_out == 0 && !cq_reach_is_cut(core) && !reach->opened &&
+        reach->failed_len > 0) {
         begin_cut(core);
     }
 }
