--- a/tests/run.sh
+++ b/tests/run.sh
@@ -57,11 +57,7 @@
     rm -f "$out"
 }
 
-<<<<<<< HEAD
-for program in config wire h1 platform quarantine crashcall crashfleet rate ratecore batchplace cell retry reach replay hist scn soak sock targets; do
-=======
-for program in config wire h1 platform quarantine crashcall crashfleet retract cutfleet rate ratecore batchplace cell retry replay hist scn soak sock targets; do
->>>>>>> h-blame
+for program in config wire h1 platform quarantine crashcall crashfleet retract cutfleet rate ratecore batchplace cell retry reach replay hist scn soak sock targets; do
     run_unit "$BUILD/tests/${program}_test"
 done
 for script in demo badinput hangup operator drain holds giant orders retention \
