Don't let a host that missed a retraction bring the crashes back

What callers saw: the request that was no longer blocked is refused again, once a host that froze during the retraction is linked with its peers and tells them all that it knows.

Cause: a crash that is told of again looked like a new one.

A host that saw a retracted crash too says so by a kind of its own (CONFIRMED), which counts whatever was taken back.

--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -411,7 +411,8 @@
 typedef enum {
     CQ_PART_CRASHED,   /* an upstream crashed under a request that has it */
     CQ_PART_ANSWERED,  /* an answer has begun to a request that has it */
-    CQ_PART_RETRACTED, /* the sender takes a CRASHED back */
+    CQ_PART_RETRACTED, /* a CRASHED was taken back */
+    CQ_PART_CONFIRMED, /* the sender saw a RETRACTED crash too */
 } cq_part_report_kind_t;
 
 /**
@@ -421,9 +422,10 @@
  * @service: hash of the name of the request's service
  * @part: id of the part, or the request's fingerprint
  * @whole: @part is a fingerprint
- * @team: CRASHED, RETRACTED: hash of the name of the request's team
- * @crash: CRASHED, RETRACTED: hash of the upstream and its incarnation
- * @age_us: CRASHED: time since the crash
+ * @team: all but ANSWERED: hash of the name of the request's team
+ * @crash: all but ANSWERED: hash of the upstream and its incarnation
+ * @age_us: CRASHED, CONFIRMED: time since the crash; RETRACTED: since it was
+ *   taken back
  */
 typedef struct {
     cq_part_report_kind_t kind;
--- a/packages/core/quarantine.c
+++ b/packages/core/quarantine.c
@@ -3,6 +3,7 @@
 #include "core/answer.h"
 #include "core/member.h"
 #include "core/place.h"
+#include "core/retraction.h"
 #include "core/suspect.h"
 #include "core/table.h"
 
@@ -29,6 +30,7 @@
  */
 struct cq_quarantine {
     cq_suspects_t suspects;
+    cq_retractions_t retractions;
     gboolean enforce_due;
     guint reports_left;
     gint64 reports_since_us;
@@ -125,7 +127,8 @@
     if (crash != NULL) {
         action.part.team = crash->team;
         action.part.crash = crash->id;
-        action.part.age_us = core->now_us - crash->at_us;
+        action.part.age_us =
+            kind == CQ_PART_RETRACTED ? 0 : core->now_us - crash->at_us;
     }
     cq_actions_add(core->actions, &action);
 }
@@ -258,6 +261,15 @@
         /* The last crash moves to this place. */
         remove_crash(core, part, crash.id);
         send_report(core, CQ_PART_RETRACTED, part, &crash);
+        cq_part_report_t row = {
+            .service = part->service,
+            .part = part->id,
+            .whole = part->whole,
+            .team = crash.team,
+            .crash = crash.id,
+        };
+        cq_retractions_note(&core->quarantine->retractions, &row,
+                            core->now_us);
         count++;
     }
     return count;
@@ -273,11 +285,13 @@
         cq_suspects_find(suspects_of(core), row->service, row->part);
     const cq_crash_t *crash =
         part != NULL ? cq_suspect_crash(part, row->crash) : NULL;
-    if (crash == NULL) {
+    if (crash != NULL && crash->own) {
+        report(core, CQ_PART_CONFIRMED, part, crash);
         return;
     }
-    if (crash->own) {
-        report(core, CQ_PART_CRASHED, part, crash);
+    gint64 at_us = core->now_us - row->age_us;
+    cq_retractions_note(&core->quarantine->retractions, row, at_us);
+    if (crash == NULL || crash->at_us > at_us) {
         return;
     }
     gboolean blocked = part->blocked_us > 0;
@@ -296,6 +310,7 @@
 {
     cq_quarantine_t *quarantine = g_new0(cq_quarantine_t, 1);
     cq_suspects_init(&quarantine->suspects);
+    cq_retractions_init(&quarantine->retractions);
     return quarantine;
 }
 
@@ -303,6 +318,7 @@
 cq_quarantine_free(cq_quarantine_t *quarantine)
 {
     cq_suspects_clear(&quarantine->suspects);
+    cq_retractions_clear(&quarantine->retractions);
     g_free(quarantine);
 }
 
@@ -415,6 +431,12 @@
         .team = row->team,
         .at_us = core->now_us - row->age_us,
     };
+    cq_retractions_t *retractions = &core->quarantine->retractions;
+    if (row->kind == CQ_PART_CRASHED &&
+        cq_retractions_hold(retractions, row, crash.at_us)) {
+        return;
+    }
+    cq_retractions_forget(retractions, row);
     cq_suspect_t *part =
         cq_suspects_find(suspects_of(core), row->service, row->part);
     gboolean blocked =
@@ -437,6 +459,7 @@
         const cq_part_report_t *row = &event->rows[i];
         switch (row->kind) {
         case CQ_PART_CRASHED:
+        case CQ_PART_CONFIRMED:
             apply_crash(core, row);
             break;
         case CQ_PART_ANSWERED:
@@ -477,6 +500,7 @@
 cq_quarantine_list(const cq_core_t *core, GArray *reports)
 {
     list_crashes(core, TRUE, reports);
+    cq_retractions_list(&core->quarantine->retractions, core->now_us, reports);
     list_crashes(core, FALSE, reports);
 }
 
@@ -531,6 +555,7 @@
 void
 cq_quarantine_sweep(cq_core_t *core)
 {
+    cq_retractions_sweep(&core->quarantine->retractions, core->now_us);
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, suspects_of(core)->parts);
--- a/packages/wire/codec.c
+++ b/packages/wire/codec.c
@@ -355,7 +355,7 @@
     }
     for (gsize i = 0; i < from->n_rows; i++) {
         const Cq__PartReport *report = from->rows[i];
-        if (report->kind > CQ_PART_RETRACTED ||
+        if (report->kind > CQ_PART_CONFIRMED ||
             report->age_us > REPORT_AGE_MAX_US) {
             return FALSE;
         }
--- a/tests/unit/cutfleet_test.cc
+++ b/tests/unit/cutfleet_test.cc
@@ -47,6 +47,18 @@
             });
         }
     }
+    // Host @i is linked with its peers again: both sides tell all they know.
+    void
+    relink(guint i)
+    {
+        guint len;
+        const cq_host_row_t *peers = cq_core_peers(hosts[i]->core, &len);
+        for (guint k = 0; k < len; k++) {
+            guint peer = (guint)atoi(peers[k].name + 1);
+            tell_all(i, peer);
+            tell_all(peer, i);
+        }
+    }
     // Number of hosts that refuse the call.
     guint
     blocking(guint64 content)
@@ -124,6 +136,16 @@
         }
     }
     void
+    tell_all(guint from, guint to)
+    {
+        GArray *reports = g_array_new(FALSE, FALSE, sizeof(cq_part_report_t));
+        cq_core_part_reports(hosts[from]->core, reports);
+        for (guint k = 0; k < reports->len; k++) {
+            apply(to, g_array_index(reports, cq_part_report_t, k));
+        }
+        g_array_unref(reports);
+    }
+    void
     apply(guint i, const cq_part_report_t &row)
     {
         cq_event_t event = {};
@@ -193,6 +215,22 @@
     EXPECT_EQ(fleet.blocking(kCall), 0u);
 }
 
+// The host that froze is not one of those that are cut off.
+TEST_P(CutOffHosts, HaveNoHostBlockACallThoughOneMissedIt)
+{
+    CutFleet fleet(GetParam());
+    fleet.cut_some();
+    fleet.run(2 * kSecond);
+    ASSERT_EQ(fleet.blocking(kCall), fleet.options.hosts);
+    fleet.options.requests_per_s = 0;
+    fleet.hosts[1]->running = false;
+    fleet.find_cut();
+    fleet.run(kSecond);
+    fleet.hosts[1]->running = true;
+    fleet.relink(1);
+    EXPECT_EQ(fleet.blocking(kCall), 0u);
+}
+
 TEST_P(CutOffHosts, LeaveACallBlockedThatCrashesUpstreams)
 {
     CutFleet fleet(GetParam());
