Say in a summary whether its sender is cut off from upstreams

Cause: peers could not learn which hosts are cut off. Evidence: wire_test Codec.ASummarySaysWhetherItsSenderIsCutOff; without the change in codec.c it failed at wire_test.cc:193 (cut_off 1, decoded.cut_off 0).

--- a/packages/wire/codec.c
+++ b/packages/wire/codec.c
@@ -69,6 +69,7 @@
     message.host = copy.host;
     message.incarnation = copy.incarnation;
     message.draining = copy.draining;
+    message.cut_off = copy.cut_off;
     message.n_shares = copy.shares_len;
     message.shares = share_ptrs;
     message.n_leaving = copy.leaving_len;
@@ -216,6 +217,7 @@
         .host = from->host,
         .incarnation = from->incarnation,
         .draining = from->draining,
+        .cut_off = from->cut_off,
     };
     if (from->n_shares > G_N_ELEMENTS(summary->shares) ||
         from->n_leaving > G_N_ELEMENTS(summary->leaving) ||
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -1150,7 +1150,7 @@
   (ProtobufCMessageInit) cq__rate__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cq__summary__field_descriptors[11] =
+static const ProtobufCFieldDescriptor cq__summary__field_descriptors[12] =
 {
   {
     "host",
@@ -1284,10 +1284,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cut_off",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Summary, cut_off),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cq__summary__field_indices_by_name[] = {
   6,   /* field[6] = clock_logical */
   5,   /* field[5] = clock_us */
+  11,   /* field[11] = cut_off */
   2,   /* field[2] = draining */
   0,   /* field[0] = host */
   1,   /* field[1] = incarnation */
@@ -1301,7 +1314,7 @@
 static const ProtobufCIntRange cq__summary__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor cq__summary__descriptor =
 {
@@ -1311,7 +1324,7 @@
   "Cq__Summary",
   "cq",
   sizeof(Cq__Summary),
-  11,
+  12,
   cq__summary__field_descriptors,
   cq__summary__field_indices_by_name,
   1,  cq__summary__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -141,10 +141,14 @@
   uint64_t store_era;
   size_t n_rates;
   Cq__Rate **rates;
+  /*
+   * The sender can't open connections to any upstream.
+   */
+  protobuf_c_boolean cut_off;
 };
 #define CQ__SUMMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cq__summary__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
 
 
 struct  Cq__Version
--- a/tests/unit/wire_test.cc
+++ b/tests/unit/wire_test.cc
@@ -179,6 +179,24 @@
     g_rand_free(rand);
 }
 
+TEST(Codec, ASummarySaysWhetherItsSenderIsCutOff)
+{
+    for (gboolean cut_off : {1, 0}) {
+        cq_summary_t summary = {};
+        summary.cut_off = cut_off;
+        GBytes *wrapped =
+            cq_codec_encode_summary(&summary, cq_hlc_t{0, 0}, nullptr);
+        Cq__Frame *frame = unpack(wrapped);
+        ASSERT_NE(nullptr, frame);
+        cq_summary_t decoded;
+        ASSERT_TRUE(cq_codec_decode_summary(frame->summary, &decoded));
+        EXPECT_EQ(cut_off, decoded.cut_off);
+        EXPECT_FALSE(decoded.draining);
+        cq__frame__free_unpacked(frame, nullptr);
+        g_bytes_unref(wrapped);
+    }
+}
+
 TEST(Codec, RateLimitsInASummaryAreDecodedAsTheyWereEncoded)
 {
     cq_summary_t summary = {};
