Write the address for callers into a host's record

Change: the record of an entry host has "callers", the address of its port for callers; if that port listens on 0.0.0.0, the IP address is that of the port for peers. A record without it (an older host) or with a malformed one stays valid and gives "". A change of it alone is told to the core. Evidence: platform_test Hosts.*; Hosts.EntryIsDecodedAsItWasEncoded failed before the change at platform_test.cc:268 (decoded.callers "", row.callers 10.1.0.4:80).

--- a/packages/router/registration.c
+++ b/packages/router/registration.c
@@ -1,8 +1,14 @@
 #include "router/registration.h"
 
+#include <string.h>
+
+#include <string.h>
+
 #include "platform/records.h"
 
 #define RETRY_MS 1000
+#define ANY_IP "0.0.0.0:"
+#define ANY_IP "0.0.0.0:"
 
 struct cq_registration {
     cq_app_t *app;
@@ -36,6 +42,21 @@
     }
 }
 
+/* Fills in the address at which peers reach the port for callers: if it
+ * listens on every address of this host, with the one that peers use. */
+static void
+fill_callers(const cq_settings_t *settings, cq_host_row_t *row)
+{
+    const char *colon = strrchr(settings->peers, ':');
+    if (!g_str_has_prefix(settings->callers, ANY_IP) || colon == NULL) {
+        g_strlcpy(row->callers, settings->callers, sizeof row->callers);
+        return;
+    }
+    g_snprintf(row->callers, sizeof row->callers, "%.*s:%s",
+               (int)(colon - settings->peers), settings->peers,
+               settings->callers + strlen(ANY_IP));
+}
+
 static void
 write_entry(cq_registration_t *registration)
 {
@@ -43,6 +64,7 @@
     cq_host_row_t row = {.incarnation = cq_app_incarnation(registration->app)};
     g_strlcpy(row.addr, settings->peers, sizeof row.addr);
     g_strlcpy(row.zone, settings->zone, sizeof row.zone);
+    fill_callers(settings, &row);
     char *text = cq_records_format_host(&row);
     registration->writing = TRUE;
     cq_store_write(registration->store, CQ_TOPIC_HOSTS, settings->host, text,
--- a/packages/router/topicmap.c
+++ b/packages/router/topicmap.c
@@ -55,6 +55,7 @@
 {
     return strcmp(a->addr, b->addr) == 0 && strcmp(a->zone, b->zone) == 0 &&
            strcmp(a->service, b->service) == 0 &&
+           strcmp(a->callers, b->callers) == 0 &&
            a->incarnation == b->incarnation && a->leaving == b->leaving;
 }
 
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -259,7 +259,37 @@
     EXPECT_STREQ(decoded.addr, row.addr);
     EXPECT_EQ(decoded.incarnation, row.incarnation);
     EXPECT_STREQ(decoded.service, "");
+    EXPECT_STREQ(decoded.callers, "");
     g_free(text);
+    g_strlcpy(row.callers, "10.1.0.4:80", sizeof row.callers);
+    text = cq_records_format_host(&row);
+    ASSERT_TRUE(
+        cq_records_parse_host("h", text, strlen(text), &decoded, &error));
+    EXPECT_STREQ(decoded.callers, row.callers);
+    EXPECT_STREQ(decoded.addr, row.addr);
+    g_free(text);
+}
+
+TEST(Hosts, AMalformedAddressForCallersLeavesTheRestValid)
+{
+    for (const char *callers :
+         {"7", "null", "\"\"", "\"10.1.0.4\"", "\"10.1.0.4:\"",
+          "\"10.1.0.4:0\"", "\"10.1.0.4:65536\"", "\"10.1.0.4:8x\"",
+          "\"host:80\"", "\"0.0.0.0:80\"",
+          "\"10.1.0.4:000000000000000000000000000000000000000000000000000000"
+          "0000000000000000000000000000000000000000000000000000080\""}) {
+        std::string text = "{\"address\":\"10.1.0.4:9\",\"zone\":\"a\","
+                           "\"born\":5,\"callers\":" +
+                           std::string(callers) + "}";
+        cq_host_row_t row;
+        cq_error_t error = {};
+        EXPECT_TRUE(
+            cq_records_parse_host("h", text.data(), text.size(), &row, &error))
+            << callers;
+        EXPECT_STREQ(row.callers, "") << callers;
+        EXPECT_STREQ(row.addr, "10.1.0.4:9");
+        EXPECT_EQ(row.incarnation, 5u);
+    }
 }
 
 // Keeps a copy of a parsed head.
