Write and read the head of a request that is passed on to an entry host

Change: cq_headers_append_handed() writes a caller's request as the caller sent it, with its key, the time left and the mark Entry-Host-Forwarded; cq_headers_parse_request() gives the mark as handed. The mark never goes to an upstream, also if a caller sent it.

--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -370,6 +370,7 @@
                    "Cuminquay-Tenant: forged\r\n"
                    "Cuminquay-Expect-Replica: forged\r\n"
                    "Cuminquay-Helpers: forged\r\n"
+                   "Entry-Host-Forwarded: forged\r\n"
                    "Cuminquay-Deadline-Ms: 99999\r\n"
                    "Last-Event-Id: 3\r\n"
                    "Connection: x-hop\r\nX-Hop: 1\r\nX-Other: 2\r\n"
@@ -400,6 +401,56 @@
     cq_h1_clear_head(&parsed.head);
 }
 
+TEST(Heads, PassesACallersRequestOnToAnEntryHost)
+{
+    parsed_head_t parsed =
+        parse_head("POST /a?b HTTP/1.1\r\nHost: h\r\n"
+                   "Cuminquay-Attempt-Id: 9c\r\n"
+                   "Cuminquay-Credential: secret\r\n"
+                   "Cuminquay-Request-Urgency: 2\r\n"
+                   "Cuminquay-Tenant: forged\r\n"
+                   "Cuminquay-Expect-Replica: forged\r\n"
+                   "Cuminquay-Helpers: forged\r\n"
+                   "Cuminquay-Token-Count: 1460,80\r\n"
+                   "Cuminquay-Prefix-Hash: 1:5,2:6\r\n"
+                   "Cuminquay-Deadline-Ms: 99999\r\n"
+                   "Last-Event-Id: 3\r\n"
+                   "Connection: x-hop\r\nX-Hop: 1\r\nX-Other: 2\r\n"
+                   "Content-Length: 2\r\n\r\nab",
+                   FALSE);
+    EXPECT_FALSE(cq_headers_parse_request(&parsed.head).handed);
+    cq_forwarded_request_t forward = {};
+    forward.head = &parsed.head;
+    forward.body_len = 2;
+    forward.time_left_us = 800000;
+    GString *out = g_string_new("");
+    cq_headers_append_handed(out, &forward);
+    EXPECT_STREQ(out->str, "POST /a?b HTTP/1.1\r\n"
+                           "Host: h\r\n"
+                           "Cuminquay-Attempt-Id: 9c\r\n"
+                           "Cuminquay-Credential: secret\r\n"
+                           "Cuminquay-Request-Urgency: 2\r\n"
+                           "Cuminquay-Token-Count: 1460,80\r\n"
+                           "Cuminquay-Prefix-Hash: 1:5,2:6\r\n"
+                           "Last-Event-Id: 3\r\n"
+                           "X-Other: 2\r\n"
+                           "Content-Length: 2\r\n"
+                           "Cuminquay-Deadline-Ms: 800\r\n"
+                           "Entry-Host-Forwarded: 1\r\n"
+                           "\r\n");
+    parsed_head_t passed_on = parse_head(out->str, FALSE);
+    EXPECT_TRUE(cq_headers_parse_request(&passed_on.head).handed);
+    cq_h1_clear_head(&passed_on.head);
+    // The events up to the last one sent to the caller aren't sent again.
+    g_string_truncate(out, 0);
+    forward.last_event = "12";
+    cq_headers_append_handed(out, &forward);
+    EXPECT_NE(nullptr, strstr(out->str, "\r\nLast-Event-Id: 12\r\n"));
+    EXPECT_EQ(nullptr, strstr(out->str, "Last-Event-Id: 3"));
+    g_string_free(out, TRUE);
+    cq_h1_clear_head(&parsed.head);
+}
+
 TEST(Heads, ParsesAResponsesFields)
 {
     parsed_head_t parsed = parse_head("HTTP/1.1 503 X\r\nContent-Length: 0\r\n"
