Answer HAND and REACH in the emulators

HAND is refused (CQ_FAIL_CONNECT) after a round trip. REACH reports after a round trip whether the upstream is up; a cut network or a frozen upstream is silent until the time limit, as an emulated connection is.

--- a/packages/bench/replay.c
+++ b/packages/bench/replay.c
@@ -195,9 +195,26 @@
         break;
     case CQ_AC_PART:
     case CQ_AC_PART_RECORD:
-    case CQ_AC_HAND:
-    case CQ_AC_REACH:
         break;
+    case CQ_AC_HAND: {
+        /* Not emulated: the peer refuses the connection. */
+        cq_replay_msg_t *msg =
+            cq_replay_defer(host, 2 * (gint64)HOP_US, host->incarnation);
+        msg->event.kind = CQ_EV_FAILED;
+        msg->event.attempt.request = action->hand.request;
+        msg->event.attempt.attempt = action->hand.attempt;
+        msg->event.attempt.failure = CQ_FAIL_CONNECT;
+        break;
+    }
+    case CQ_AC_REACH: {
+        /* The emulated engines are always up and within reach. */
+        cq_replay_msg_t *msg =
+            cq_replay_defer(host, 2 * (gint64)HOP_US, host->incarnation);
+        msg->event.kind = CQ_EV_REACHED;
+        msg->event.reached.upstream = action->reach.upstream;
+        msg->event.reached.opened = TRUE;
+        break;
+    }
     case CQ_AC_SPARE:
         cq_replay_send_spare(host, &action->spare);
         break;
--- a/packages/bench/sim.c
+++ b/packages/bench/sim.c
@@ -155,14 +155,18 @@
     case CQ_AC_ORDER:
         cq_sim_send_order(host, &action->order);
         break;
+    case CQ_AC_HAND:
+        cq_sim_hand(host, &action->hand);
+        break;
+    case CQ_AC_REACH:
+        cq_sim_reach(sim, host, &action->reach);
+        break;
     case CQ_AC_SUMMARY:
         send_summary(sim, host, action->summary);
         break;
     case CQ_AC_TASK:
     case CQ_AC_PART:
     case CQ_AC_PART_RECORD:
-    case CQ_AC_HAND:
-    case CQ_AC_REACH:
     case CQ_AC_SPARE:
         break;
     case CQ_AC_STOPPED:
--- a/packages/bench/simstate.h
+++ b/packages/bench/simstate.h
@@ -228,6 +228,15 @@
 cq_sim_probe(cq_sim_t *sim, cq_sim_host_t *host,
              const cq_ac_attempt_t *attempt);
 
+/** cq_sim_hand() - carry out a HAND action: the emulated hosts have no
+ * addresses for callers, so the connection is refused */
+void
+cq_sim_hand(cq_sim_host_t *host, const cq_ac_hand_t *hand);
+
+/** cq_sim_reach() - carry out a REACH action */
+void
+cq_sim_reach(cq_sim_t *sim, cq_sim_host_t *host, const cq_ac_reach_t *reach);
+
 /** cq_sim_change_reservation() - carry out a RESERVE or RELEASE action */
 void
 cq_sim_change_reservation(cq_sim_t *sim, cq_sim_host_t *host,
