Pass requests on to a peer, and probe whether upstreams are in reach

Change: relay mode carries out HAND as a call to a peer with the caller's own head. A peer's complete answer of any status is DONE and says nothing of an upstream; a 2xx without a seal, another attempt's id and a torn stream stay BROKEN. Fresh connections to peers are closed after their answer, others are kept for 2 s at most. SENT states whether the connection was a kept one, for all calls. The product's own interface refuses HAND. REACH opens a connection and closes it, at most 64 at a time. Evidence: outbound_test, 16 passed, also with ASan. With to_peer ignored and SENT as before, 4 of its tests failed: outbound_test.cc:227 (a peer's 503 is FAILED), :337 (SENT not on a kept connection), :358 and :380 (connection kept).

--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -210,6 +210,9 @@
 /* Maximum number of upstreams of a service that one host uses in its own
  * availability zone. The same maximum applies to all other zones together. */
 #define CQ_UPSTREAM_SUBSET_MAX 32
+/* Maximum number of connections that a host opens at a time to see whether
+ * upstreams are within reach: one for each upstream that it uses. */
+#define CQ_REACH_PROBES_MAX (2 * CQ_UPSTREAM_SUBSET_MAX)
 /* Upper bounds of the first three classes of prompt length; the fourth has
  * none. */
 #define CQ_CLASS_SHORT_TOKENS_MAX 4096
--- a/packages/config/routes.c
+++ b/packages/config/routes.c
@@ -134,6 +134,17 @@
     return g_hash_table_lookup(routes->team_by_key, key);
 }
 
+void
+cq_routes_set_retries(const cq_routes_t *routes, gint64 burst, gint64 percent)
+{
+    for (guint i = 0; i < routes->rules->len; i++) {
+        cq_rules_t *rules = g_ptr_array_index(routes->rules, i);
+        rules->retry_burst = burst;
+        rules->retry_shared = TRUE;
+        rules->retry_percent = percent;
+    }
+}
+
 const char *
 cq_route_pick(const cq_route_t *route, double random)
 {
--- a/packages/config/routes.h
+++ b/packages/config/routes.h
@@ -118,6 +118,11 @@
 const char *
 cq_routes_team_by_key(const cq_routes_t *routes, const char *key);
 
+/** cq_routes_set_retries() - let all services share a retry budget of @burst
+ * retries at most, which gets @percent retries per 100 first attempts */
+void
+cq_routes_set_retries(const cq_routes_t *routes, gint64 burst, gint64 percent);
+
 /** cq_route_pick() - Return: name of the service for a request, chosen by the
  * weights with the random number @random in [0, 1); "" without targets */
 const char *
--- a/packages/config/settings.c
+++ b/packages/config/settings.c
@@ -198,6 +198,18 @@
     return valid;
 }
 
+void
+cq_settings_reload(cq_settings_t *settings, const cq_settings_t *changed)
+{
+    memcpy(settings->seeds, changed->seeds, sizeof settings->seeds);
+    settings->seeds_len = changed->seeds_len;
+    settings->notice_ms = changed->notice_ms;
+    settings->limit_ms = changed->limit_ms;
+    settings->retry_burst = changed->retry_burst;
+    settings->retry_percent = changed->retry_percent;
+    settings->log_level = changed->log_level;
+}
+
 const char *
 cq_settings_level_name(int level)
 {
--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -75,6 +75,11 @@
 cq_settings_parse(const char *text, const char *file, cq_settings_t *settings,
                   cq_error_t *error);
 
+/** cq_settings_reload() - take over into @settings those settings of @changed
+ * that can change while a process runs */
+void
+cq_settings_reload(cq_settings_t *settings, const cq_settings_t *changed);
+
 /** cq_settings_level_name() - Return: the name of log level @level */
 const char *
 cq_settings_level_name(int level);
--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -1,7 +1,5 @@
 #include "router/app.h"
 
-#include <string.h>
-
 #include "router/calls.h"
 #include "router/clock.h"
 #include "router/follower.h"
@@ -12,6 +10,7 @@
 #include "router/operator.h"
 #include "router/tick.h"
 #include "router/log_client.h"
+#include "router/reach.h"
 #include "router/relay.h"
 
 /* Longest wait for the last answers and records: FLUSH_POLLS intervals. */
@@ -44,9 +43,9 @@
     cq_log_client_t *log_client;
     app_mode_t mode;
     cq_relay_t *relay;
+    cq_reachprobe_t *reachprobe;
     cq_follower_t *follower;
     gint64 started_us;
-    guint64 ring_logged;
     cq_engines_t *engines;
     cq_links_t *links;
     cq_logs_t *logs;
@@ -67,22 +66,6 @@
     return cq_clock_now(&app->clock);
 }
 
-static void
-log_events(cq_app_t *app)
-{
-    const cq_ring_t *ring = cq_core_ring(app->core);
-    if (app->mode != MODE_RELAY) {
-        return;
-    }
-    app->ring_logged = MAX(app->ring_logged, cq_ring_first(ring));
-    for (; app->ring_logged < ring->count; app->ring_logged++) {
-        const cq_ring_event_t *event = cq_ring_at(ring, app->ring_logged);
-        cq_logs_info(app->logs, event->kind,
-                     "request=%016" G_GINT64_MODIFIER "x try=%u %s",
-                     event->request, event->attempt, event->text);
-    }
-}
-
 static void
 step(cq_app_t *app, const cq_event_t *event)
 {
@@ -92,7 +75,9 @@
         cq_action_t action = *cq_actions_at(&app->actions, i);
         execute(app, &action);
     }
-    log_events(app);
+    if (app->mode == MODE_RELAY) {
+        cq_logs_ring(app->logs, cq_core_ring(app->core));
+    }
 }
 
 /* A queued event is copied shallowly and must have no borrowed pointers. */
@@ -139,6 +124,30 @@
     }
 }
 
+static void
+hand_on(cq_app_t *app, const cq_ac_hand_t *hand)
+{
+    if (app->mode == MODE_RELAY) {
+        cq_relay_hand(app->relay, hand);
+        return;
+    }
+    cq_calls_refuse_hand(app->calls, hand);
+}
+
+static void
+on_reached(const cq_event_t *event, void *data)
+{
+    cq_app_post(data, event);
+}
+
+static void
+probe_reach(cq_app_t *app, const cq_ac_reach_t *reach)
+{
+    cq_upstream_view_t view;
+    gboolean known = cq_core_upstream(app->core, reach->upstream, &view);
+    cq_reachprobe_open(app->reachprobe, reach, known ? view.addr : NULL);
+}
+
 static void
 probe_attempt(cq_app_t *app, const cq_ac_attempt_t *attempt)
 {
@@ -275,7 +284,10 @@
         }
         break;
     case CQ_AC_HAND:
+        hand_on(app, &action->hand);
+        break;
     case CQ_AC_REACH:
+        probe_reach(app, &action->reach);
         break;
     case CQ_AC_STOPPED:
         if (app->follower != NULL) {
@@ -352,6 +364,8 @@
         app->relay = cq_relay_new(app);
         break;
     }
+    cq_reachprobe_ops_t reachprobe_ops = {.post = on_reached, .data = app};
+    app->reachprobe = cq_reachprobe_new(&reachprobe_ops);
     app->oper = cq_operator_new(app);
     app->links = cq_links_new(app);
     return app;
@@ -368,13 +382,9 @@
 static gboolean
 listen_callers(cq_app_t *app, cq_error_t *error)
 {
-    switch (app->mode) {
-    case MODE_RELAY:
-        return cq_relay_listen(app->relay, app->settings.callers, error);
-    case MODE_API:
-        break;
-    }
-    return cq_api_listen(app->api, app->settings.callers, error);
+    const char *addr = app->settings.callers;
+    return app->mode == MODE_RELAY ? cq_relay_listen(app->relay, addr, error)
+                                   : cq_api_listen(app->api, addr, error);
 }
 
 gboolean
@@ -412,6 +422,7 @@
         g_clear_pointer(&app->follower, cq_follower_free);
     }
     cq_links_free(app->links);
+    cq_reachprobe_free(app->reachprobe);
     cq_operator_free(app->oper);
     g_clear_pointer(&app->calls, cq_calls_free);
     g_clear_pointer(&app->api, cq_api_free);
@@ -431,13 +442,7 @@
 cq_app_reload(cq_app_t *app, const cq_settings_t *settings)
 {
     cq_settings_t *current = &app->settings;
-    memcpy(current->seeds, settings->seeds, sizeof current->seeds);
-    current->seeds_len = settings->seeds_len;
-    current->notice_ms = settings->notice_ms;
-    current->limit_ms = settings->limit_ms;
-    current->retry_burst = settings->retry_burst;
-    current->retry_percent = settings->retry_percent;
-    current->log_level = settings->log_level;
+    cq_settings_reload(current, settings);
     cq_logs_set_level(app->logs, cq_settings_level_name(current->log_level));
     dial_seeds(app);
     cq_logs_info(app->logs, "reloaded",
@@ -526,13 +531,8 @@
 void
 cq_app_set_routes(cq_app_t *app, const cq_routes_t *routes)
 {
-    const cq_settings_t *settings = &app->settings;
-    for (guint i = 0; i < routes->rules->len; i++) {
-        cq_rules_t *rules = g_ptr_array_index(routes->rules, i);
-        rules->retry_burst = settings->retry_burst;
-        rules->retry_shared = TRUE;
-        rules->retry_percent = settings->retry_percent;
-    }
+    cq_routes_set_retries(routes, app->settings.retry_burst,
+                          app->settings.retry_percent);
     cq_relay_set_routes(app->relay, routes);
 }
 
@@ -556,12 +556,10 @@
 void
 cq_app_log(cq_app_t *app, const char *event, const char *format, ...)
 {
-    char fields[CQ_LOG_LINE_BYTES];
     va_list args;
     va_start(args, format);
-    g_vsnprintf(fields, sizeof fields, format, args);
+    cq_logs_vinfo(app->logs, event, format, args);
     va_end(args);
-    cq_logs_info(app->logs, event, "%s", fields);
 }
 
 gboolean
--- a/packages/router/calls.c
+++ b/packages/router/calls.c
@@ -483,6 +483,19 @@
     g_hash_table_remove(calls->by_request, &request);
 }
 
+void
+cq_calls_refuse_hand(cq_calls_t *calls, const cq_ac_hand_t *hand)
+{
+    cq_app_log(calls->app, "not_handed",
+               "request=%016" G_GINT64_MODIFIER "x try=%u addr=%s",
+               hand->request, hand->attempt, hand->addr);
+    cq_event_t event = {.kind = CQ_EV_FAILED};
+    event.attempt.request = hand->request;
+    event.attempt.attempt = hand->attempt;
+    event.attempt.failure = CQ_FAIL_CONNECT;
+    cq_app_post(calls->app, &event);
+}
+
 void
 cq_calls_pause(cq_calls_t *calls, guint64 request, gboolean paused)
 {
--- a/packages/router/calls.h
+++ b/packages/router/calls.h
@@ -83,6 +83,11 @@
 void
 cq_calls_remove(cq_calls_t *calls, guint64 request);
 
+/** cq_calls_refuse_hand() - report that a request can't be passed on to a
+ * peer, which this mode doesn't support */
+void
+cq_calls_refuse_hand(cq_calls_t *calls, const cq_ac_hand_t *hand);
+
 /** cq_calls_pause() - pause reading the answer to @request, or resume it */
 void
 cq_calls_pause(cq_calls_t *calls, guint64 request, gboolean paused);
--- a/packages/router/logs.c
+++ b/packages/router/logs.c
@@ -23,6 +23,7 @@
     guint timer;
     guint64 dropped;
     guint64 dropped_logged;
+    guint64 ring_logged; /* number of the next event of the ring to log */
 };
 
 /* Writes the buffer as far as the reader takes it without blocking. */
@@ -179,3 +180,22 @@
     write_line(logs, LOG4C_PRIORITY_INFO, event, format, args);
     va_end(args);
 }
+
+void
+cq_logs_vinfo(cq_logs_t *logs, const char *event, const char *format,
+              va_list args)
+{
+    write_line(logs, LOG4C_PRIORITY_INFO, event, format, args);
+}
+
+void
+cq_logs_ring(cq_logs_t *logs, const cq_ring_t *ring)
+{
+    logs->ring_logged = MAX(logs->ring_logged, cq_ring_first(ring));
+    for (; logs->ring_logged < ring->count; logs->ring_logged++) {
+        const cq_ring_event_t *event = cq_ring_at(ring, logs->ring_logged);
+        cq_logs_info(logs, event->kind,
+                     "request=%016" G_GINT64_MODIFIER "x try=%u %s",
+                     event->request, event->attempt, event->text);
+    }
+}
--- a/packages/router/logs.h
+++ b/packages/router/logs.h
@@ -8,7 +8,7 @@
 #ifndef CQ_LOGS_H
 #define CQ_LOGS_H
 
-#include <glib.h>
+#include "base/ring.h"
 
 G_BEGIN_DECLS
 
@@ -34,6 +34,16 @@
 cq_logs_info(cq_logs_t *logs, const char *event, const char *format, ...)
     G_GNUC_PRINTF(3, 4);
 
+/** cq_logs_vinfo() - like cq_logs_info() */
+void
+cq_logs_vinfo(cq_logs_t *logs, const char *event, const char *format,
+              va_list args) G_GNUC_PRINTF(3, 0);
+
+/** cq_logs_ring() - log the events of @ring that are newer than those logged
+ * by the last call */
+void
+cq_logs_ring(cq_logs_t *logs, const cq_ring_t *ring);
+
 /** cq_logs_dropped() - Return: number of lines dropped because the buffer was
  * full
  */
--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -6,20 +6,22 @@
 #include "base/list.h"
 #include "http/sock.h"
 #include "platform/headers.h"
+#include "router/sse.h"
 
 /* An idle connection is closed this long before the end of the keep-alive time
  * announced by the upstream, so that no request meets a closing connection. */
 #define KEEP_ALIVE_MARGIN_US (1500 * CQ_MS_US)
 /* How long an idle connection is kept if the upstream announces no time. */
 #define KEEP_ALIVE_DEFAULT_US (4 * CQ_SECOND_US)
+/* Longest time that an idle connection to a peer is kept: a peer may close the
+ * connections of its callers at any time, for example when it leaves. */
+#define PEER_IDLE_MAX_US (2 * CQ_SECOND_US)
 /* Longest body of an answer that is not a stream. Such an answer is buffered
  * completely before it is forwarded. */
 #define BODY_BYTES_MAX (16 * 1024 * 1024)
 /* Bytes of all such bodies together; the answer that exceeds it is broken off.
  * Buffers grow to twice that, which the smallest host can hold. */
 #define ALL_BODIES_BYTES_MAX (48 * 1024 * 1024)
-#define EVENT_END "\n\n"
-#define EVENT_ID "id:"
 
 typedef struct call call_t;
 
@@ -30,6 +32,7 @@
     cq_h1_t *reader;
     guint64 upstream;
     guint64 incarnation;
+    gboolean to_peer;
     call_t *call;
     gint64 idle_until_us;
     gboolean closed;
@@ -38,6 +41,8 @@
 
 /* One attempt. It is kept until the core has answered the request, also if its
  * connection has ended before.
+ * to_peer: the call is to another entry host, not to an upstream
+ * fresh: the call has a connection of its own
  * on_kept_conn: the connection was kept from an earlier request
  * resumes: the caller already has the first events of the stream
  * unparsed: bytes of a stream that are not yet split into events
@@ -55,6 +60,8 @@
     gboolean head_received;
     gboolean sent;
     gboolean ended;
+    gboolean to_peer;
+    gboolean fresh;
     gboolean on_kept_conn;
     gboolean resumes;
     GByteArray *unparsed;
@@ -193,7 +200,7 @@
 post_sent(call_t *call)
 {
     call->sent = TRUE;
-    cq_event_t event = {.attempt = {.tokens = 0}};
+    cq_event_t event = {.attempt = {.on_kept_conn = call->on_kept_conn}};
     post(call, CQ_EV_SENT, &event);
 }
 
@@ -232,10 +239,14 @@
         fail(call, CQ_FAIL_BROKEN);
         return;
     }
-    report_upstream(call, &reply);
-    if (reply.misdirected || reply.not_run) {
-        fail_refused(call, &reply);
-        return;
+    /* A peer's refusal is its answer to the caller, and says nothing of an
+     * upstream of this host. */
+    if (!call->to_peer) {
+        report_upstream(call, &reply);
+        if (reply.misdirected || reply.not_run) {
+            fail_refused(call, &reply);
+            return;
+        }
     }
     if (is_success(head) && (!reply.sealed || reply.content_encoded)) {
         fail(call, CQ_FAIL_BROKEN);
@@ -247,46 +258,11 @@
     call->reply.attempt_id = NULL;
 }
 
-static gint64
-event_id(const char *line, gsize len)
-{
-    const char *end = line + len;
-    while (line < end) {
-        if (g_str_has_prefix(line, EVENT_ID)) {
-            return g_ascii_strtoll(line + strlen(EVENT_ID), NULL, 10);
-        }
-        const char *newline = memchr(line, '\n', (gsize)(end - line));
-        line = newline != NULL ? newline + 1 : end;
-    }
-    return -1;
-}
-
-/* Moves complete stream events to call->body. The incomplete rest of a broken
- * stream is never forwarded: the next attempt resumes after the last complete
- * event. Events that the caller already has, by their ids, are skipped. */
 static void
 parse_events(call_t *call)
 {
-    gint64 accepted = 0;
-    GByteArray *unparsed = call->unparsed;
-    /* Terminates the text for strstr(). */
-    g_byte_array_append(unparsed, (const guint8 *)"", 1);
-    const char *event = (const char *)unparsed->data;
-    const char *end = strstr(event, EVENT_END);
-    while (end != NULL) {
-        gsize len = (gsize)(end - event) + strlen(EVENT_END);
-        gint64 id = event_id(event, len);
-        if (id < 0 || id > call->last_event) {
-            g_byte_array_append(call->body, (const guint8 *)event, (guint)len);
-            call->last_event = MAX(id, call->last_event);
-            accepted++;
-        }
-        event += len;
-        end = strstr(event, EVENT_END);
-    }
-    gsize complete_len = (gsize)(event - (const char *)unparsed->data);
-    g_byte_array_set_size(unparsed, unparsed->len - 1);
-    g_byte_array_remove_range(unparsed, 0, (guint)complete_len);
+    gint64 accepted =
+        cq_sse_take(call->unparsed, call->body, &call->last_event);
     if (accepted > 0) {
         call->event_count += accepted;
         cq_event_t tokens_event = {.attempt = {.tokens = accepted}};
@@ -327,6 +303,9 @@
     if (call->reply.keep_alive_us > 0) {
         idle_max_us = call->reply.keep_alive_us - KEEP_ALIVE_MARGIN_US;
     }
+    if (call->to_peer) {
+        idle_max_us = call->fresh ? 0 : MIN(idle_max_us, PEER_IDLE_MAX_US);
+    }
     gboolean request_sent = cq_sock_unwritten_bytes(conn->sock) == 0;
     if (!call->head.keep_alive || !call->head.has_framing ||
         idle_max_us <= 0 || !request_sent) {
@@ -354,7 +333,7 @@
     detach(call);
     keep_or_close(conn, call);
     cq_event_t event = {.attempt = {.status = call->head.status}};
-    if (call->head.status >= 500) {
+    if (call->head.status >= 500 && !call->to_peer) {
         event.attempt.failure = CQ_FAIL_FAULT;
         post(call, CQ_EV_FAILED, &event);
         return;
@@ -418,6 +397,7 @@
     conn->outbound = outbound;
     conn->upstream = spec->upstream;
     conn->incarnation = spec->incarnation;
+    conn->to_peer = spec->to_peer;
     conn->refs = 1;
     cq_list_init(&conn->link);
     cq_list_append(&outbound->busy, &conn->link);
@@ -448,7 +428,7 @@
         conn_t *conn = CQ_ENTRY(link, conn_t, link);
         if (conn->upstream == spec->upstream &&
             conn->incarnation == spec->incarnation &&
-            conn->idle_until_us > now_us) {
+            conn->to_peer == spec->to_peer && conn->idle_until_us > now_us) {
             cq_list_remove(&conn->link);
             cq_list_append(&outbound->busy, &conn->link);
             return conn;
@@ -498,6 +478,8 @@
     call->body = g_byte_array_new();
     call->upstream = spec->upstream;
     call->incarnation = spec->incarnation;
+    call->to_peer = spec->to_peer;
+    call->fresh = spec->fresh;
     call->last_event = spec->last_event;
     call->resumes = spec->last_event >= 0;
     g_hash_table_replace(outbound->by_request, &call->request, call);
--- a/packages/router/outbound.h
+++ b/packages/router/outbound.h
@@ -4,7 +4,9 @@
  * HTTP/1.1 client of relay mode, for upstreams that use the platform's
  * headers: carries out the core's SEND and STOP as calls and reports their
  * outcomes as events. An answer is accepted only if it is complete and does
- * not echo the id of another attempt.
+ * not echo the id of another attempt. A call may also be to another entry
+ * host, which answers this host as it answers its callers: a complete answer
+ * of any status is DONE.
  */
 #ifndef CQ_OUTBOUND_H
 #define CQ_OUTBOUND_H
@@ -30,7 +32,8 @@
  * struct cq_outbound_call_t - a call to start
  * @request: the request
  * @attempt: the attempt's number
- * @upstream: the upstream's id
+ * @upstream: the upstream's id; of a call to another entry host, its id
+ * @to_peer: the call is to another entry host
  * @addr: its address
  * @incarnation: its incarnation; idle connections to another incarnation at
  * the same address are not used
@@ -46,6 +49,7 @@
     guint64 request;
     guint32 attempt;
     guint64 upstream;
+    gboolean to_peer;
     const char *addr;
     guint64 incarnation;
     gboolean fresh;
--- a/packages/router/relay.c
+++ b/packages/router/relay.c
@@ -16,6 +16,9 @@
 /* Room for the ids of the parts of a prompt in a log line. */
 #define PARTS_BYTES (CQ_PROMPT_PARTS_MAX * 17 + 1)
 
+/* Room for the id of a stream event. */
+#define LAST_EVENT_BYTES 32
+
 struct cq_relay {
     cq_app_t *app;
     cq_inbound_t *inbound;
@@ -183,7 +186,8 @@
                     .attempts_max = route->attempts_max,
                     .resumable = route->retry_policy == CQ_RETRY_RESUME,
                     .parts = fields->parts,
-                    .fingerprint = fingerprint},
+                    .fingerprint = fingerprint,
+                    .handed = fields->handed},
     };
     cq_app_post(relay->app, &event);
 }
@@ -341,7 +345,7 @@
         return;
     }
     char helpers[HELPERS_BYTES];
-    char last_event[32];
+    char last_event[LAST_EVENT_BYTES];
     format_helpers(relay, send, helpers);
     g_snprintf(last_event, sizeof last_event, "%" G_GINT64_FORMAT,
                open_request->last_event);
@@ -380,6 +384,49 @@
     g_string_free(out, TRUE);
 }
 
+void
+cq_relay_hand(cq_relay_t *relay, const cq_ac_hand_t *hand)
+{
+    open_request_t *open_request = find(relay, hand->request);
+    if (open_request == NULL || open_request->exchange == NULL) {
+        return;
+    }
+    char last_event[LAST_EVENT_BYTES];
+    g_snprintf(last_event, sizeof last_event, "%" G_GINT64_FORMAT,
+               open_request->last_event);
+    const cq_h1_head_t *head = cq_exchange_head(open_request->exchange);
+    const GByteArray *body = cq_exchange_body(open_request->exchange);
+    cq_forwarded_request_t forward = {
+        .head = head,
+        .body_len = body->len,
+        .time_left_us = open_request->deadline_us - cq_app_now_us(relay->app),
+        .last_event = open_request->last_event >= 0 ? last_event : NULL,
+    };
+    cq_app_log(relay->app, "handed",
+               "request=%016" G_GINT64_MODIFIER "x try=%u addr=%s "
+               "left_ms=%" G_GINT64_FORMAT,
+               hand->request, hand->attempt, hand->addr,
+               forward.time_left_us / CQ_MS_US);
+    GString *out = g_string_new("");
+    cq_headers_append_handed(out, &forward);
+    cq_outbound_call_t call = {
+        .request = hand->request,
+        .attempt = hand->attempt,
+        .upstream = hand->peer,
+        .to_peer = TRUE,
+        .addr = hand->addr,
+        .incarnation = hand->incarnation,
+        .fresh = hand->fresh,
+        .attempt_id = open_request->attempt_id,
+        .method = head->method,
+        .head = out,
+        .body = body,
+        .last_event = open_request->last_event,
+    };
+    cq_outbound_send(relay->outbound, &call);
+    g_string_free(out, TRUE);
+}
+
 void
 cq_relay_stop(cq_relay_t *relay, const cq_ac_attempt_t *attempt)
 {
--- a/packages/router/relay.h
+++ b/packages/router/relay.h
@@ -37,6 +37,11 @@
 void
 cq_relay_send(cq_relay_t *relay, const cq_ac_send_t *send);
 
+/** cq_relay_hand() - start an attempt at a peer, which gets the request as its
+ * caller sent it */
+void
+cq_relay_hand(cq_relay_t *relay, const cq_ac_hand_t *hand);
+
 /** cq_relay_stop() - abort an attempt and its connection */
 void
 cq_relay_stop(cq_relay_t *relay, const cq_ac_attempt_t *attempt);
