--- a/packages/core/quarantine.c
+++ b/packages/core/quarantine.c
@@ -3,11 +3,8 @@
 #include "core/answer.h"
 #include "core/member.h"
 #include "core/place.h"
-<<<<<<< HEAD
 #include "core/reach.h"
-=======
 #include "core/retraction.h"
->>>>>>> h-blame
 #include "core/suspect.h"
 #include "core/table.h"
 
