A lowered idle timeout holds from a connection's next idle period on

Callers use a connection again that has been idle for up to four fifths of the idle timeout that they know. When a configuration lowered the timeout, the host applied the lower one at once to connections that were idle under the older one, and closed them beneath callers that were about to send: no answer, no refusal.

A connection now keeps the longest idle timeout that was in force since it became idle. A lowered one holds from its next idle period on, a raised one at once.

--- a/packages/router/inbound.c
+++ b/packages/router/inbound.c
@@ -23,6 +23,8 @@
     STATE_CLOSING,   /* no further input is parsed */
 } state_t;
 
+/* idle_timeout_us: the longest idle timeout in force since the connection
+ * became idle; its caller may not know yet that it was lowered */
 typedef struct {
     cq_list_t link;
     cq_inbound_t *inbound;
@@ -30,6 +32,7 @@
     cq_h1_t *reader;
     state_t state;
     gint64 state_since_us;
+    gint64 idle_timeout_us;
     GByteArray *unparsed;
     cq_exchange_t *exchange;
     gboolean parsing;
@@ -107,6 +110,7 @@
 {
     conn->state = state;
     conn->state_since_us = g_get_monotonic_time();
+    conn->idle_timeout_us = conn->inbound->idle_timeout_us;
 }
 
 static void
@@ -377,6 +381,12 @@
     inbound->body_bytes_max = routes->body_bytes_max;
     inbound->head_timeout_us = routes->head_timeout_us;
     inbound->idle_timeout_us = routes->idle_timeout_us;
+    cq_list_t *link = inbound->conns.next;
+    for (; link != &inbound->conns; link = link->next) {
+        conn_t *conn = CQ_ENTRY(link, conn_t, link);
+        conn->idle_timeout_us =
+            MAX(conn->idle_timeout_us, inbound->idle_timeout_us);
+    }
 }
 
 void
@@ -405,8 +415,7 @@
     gint64 elapsed_us = now_us - conn->state_since_us;
     switch (conn->state) {
     case STATE_IDLE:
-        if (elapsed_us >
-            inbound->idle_timeout_us * IDLE_TIMEOUT_PERCENT / 100) {
+        if (elapsed_us > conn->idle_timeout_us * IDLE_TIMEOUT_PERCENT / 100) {
             close_after_writing(conn);
         }
         break;
--- a/packages/router/inbound.h
+++ b/packages/router/inbound.h
@@ -50,7 +50,8 @@
 cq_inbound_free(cq_inbound_t *inbound);
 
 /** cq_inbound_set_limits() - use the size limits and timeouts of @routes;
- * the size limit of heads applies to connections accepted from now on */
+ * the size limit of heads applies to connections accepted from now on, and a
+ * lowered idle timeout to the connections that become idle from now on */
 void
 cq_inbound_set_limits(cq_inbound_t *inbound, const cq_routes_t *routes);
 
--- /dev/null
+++ b/tests/unit/inbound_test.cc
@@ -0,0 +1,192 @@
+// Callers' connections that are closed while a request is on its way, and
+// answers that are the last of their connection. A caller's bytes are read
+// only when the test runs the main loop, so what waits unread is certain.
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <vector>
+
+#include "router/inbound.h"
+
+namespace {
+
+constexpr gint64 kLong = 60 * CQ_SECOND_US;
+constexpr int kHttpOk = 200;
+const std::string kGet = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+const std::string kReset = " (reset)";
+
+class Inbound : public ::testing::Test {
+  protected:
+    void
+    SetUp() override
+    {
+        cq_inbound_ops_t ops = {};
+        ops.request_complete = [](cq_exchange_t *exchange, void *data) {
+            auto *test = static_cast<Inbound *>(data);
+            test->requests++;
+            test->held = exchange;
+            if (test->answers) {
+                test->answer("yes");
+            }
+        };
+        ops.caller_gone = [](cq_exchange_t *, void *data) {
+            static_cast<Inbound *>(data)->held = nullptr;
+        };
+        ops.writable = [](cq_exchange_t *, void *) {};
+        ops.data = this;
+        inbound = cq_inbound_new(&ops);
+        routes = cq_routes_new();
+        limits(kLong, kLong, 1000);
+        cq_error_t error = {};
+        for (guint16 port = 21000; port < 31000 && address.sin_port == 0;
+             port++) {
+            std::string addr = "127.0.0.1:" + std::to_string(port);
+            if (cq_inbound_listen(inbound, addr.c_str(), &error)) {
+                address.sin_family = AF_INET;
+                address.sin_port = htons(port);
+                address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+            }
+        }
+        ASSERT_NE(address.sin_port, 0);
+        caller = connect_caller();
+    }
+    void
+    TearDown() override
+    {
+        if (inbound != nullptr) {
+            cq_inbound_free(inbound);
+        }
+        cq_routes_free(routes);
+        close(caller);
+    }
+    int
+    connect_caller()
+    {
+        int fd = socket(AF_INET, SOCK_STREAM, 0);
+        int on = 1;
+        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        EXPECT_EQ(connect(fd, (sockaddr *)&address, sizeof address), 0);
+        run();
+        return fd;
+    }
+    void
+    limits(gint64 head_us, gint64 idle_us, gsize body_bytes)
+    {
+        routes->head_timeout_us = head_us;
+        routes->idle_timeout_us = idle_us;
+        routes->body_bytes_max = body_bytes;
+        cq_inbound_set_limits(inbound, routes);
+    }
+    // Runs the main loop until nothing is left to do.
+    static void
+    run()
+    {
+        for (int i = 0; i < 20; i++) {
+            while (g_main_context_iteration(nullptr, FALSE)) {
+            }
+        }
+    }
+    // The time that a limit of 0 allows has passed.
+    void
+    check_timeouts()
+    {
+        g_usleep(2);
+        cq_inbound_check_timeouts(inbound);
+    }
+    void
+    answer(const std::string &body)
+    {
+        cq_h1_head_t head = {};
+        head.status = kHttpOk;
+        head.fields = g_array_new(FALSE, FALSE, sizeof(cq_h1_field_t));
+        cq_exchange_t *exchange = held;
+        held = nullptr;
+        cq_exchange_answer(exchange, &head, body.data(), body.size());
+        g_array_unref(head.fields);
+    }
+    // Return: whether the kernel took all the bytes.
+    bool
+    say(const std::string &text) const
+    {
+        return send(caller, text.data(), text.size(),
+                    MSG_NOSIGNAL | MSG_DONTWAIT) == (gssize)text.size();
+    }
+    // Return: what the caller has received; at the end of the connection
+    // followed by "." or kReset.
+    std::string
+    hear() const
+    {
+        std::string heard;
+        std::vector<char> bytes(256 * 1024);
+        for (;;) {
+            run();
+            gssize n = recv(caller, bytes.data(), bytes.size(), MSG_DONTWAIT);
+            if (n > 0) {
+                heard.append(bytes.data(), (gsize)n);
+            }
+            else if (n == 0) {
+                return heard + ".";
+            }
+            else {
+                return errno == EAGAIN ? heard : heard + kReset;
+            }
+        }
+    }
+    static bool
+    ends_with(const std::string &text, const std::string &end)
+    {
+        return text.size() >= end.size() &&
+               text.compare(text.size() - end.size(), end.size(), end) == 0;
+    }
+
+    cq_inbound_t *inbound;
+    cq_routes_t *routes;
+    sockaddr_in address = {};
+    int caller;
+    int requests = 0;
+    bool answers = true;
+    cq_exchange_t *held = nullptr;
+};
+
+// A connection that is idle for too long is closed: "." and nothing else.
+TEST_F(Inbound, AnIdleConnectionIsClosedAtItsLimit)
+{
+    limits(kLong, 0, 1000);
+    int second = connect_caller();
+    close(caller);
+    caller = second;
+    check_timeouts();
+    EXPECT_EQ(hear(), ".");
+}
+
+TEST_F(Inbound, ALoweredIdleLimitHoldsFromTheNextIdlePeriod)
+{
+    limits(kLong, 0, 1000);
+    check_timeouts();
+    EXPECT_EQ(hear(), "");
+    EXPECT_TRUE(say(kGet));
+    std::string heard = hear();
+    EXPECT_TRUE(ends_with(heard, "\r\n\r\nyes")) << heard;
+    check_timeouts();
+    EXPECT_EQ(hear(), ".");
+}
+
+TEST_F(Inbound, ARaisedIdleLimitHoldsAtOnce)
+{
+    limits(kLong, 0, 1000);
+    EXPECT_TRUE(say(kGet));
+    EXPECT_NE(hear(), "");
+    limits(kLong, kLong, 1000);
+    check_timeouts();
+    limits(kLong, 0, 1000);
+    check_timeouts();
+    EXPECT_EQ(hear(), "");
+}
+
+} // namespace
