Bytes that wait are read before a connection is closed for its time

A connection was closed, or its request answered with 408, by the timer or at a stop, without a look at what had arrived on it. A socket that is closed with unread bytes is reset: a caller whose request waited there got neither an answer nor a refusal. That can be any request sent just before the idle timeout or a stop, and each one whose head or body arrived while the host was suspended.

The timer now lets the main loop read first if bytes wait: once, so a head that arrives in pieces still gets its 408 one check (200 ms) later at most. At a stop an idle connection with unread bytes is left to its request, whose answer ends it.

--- a/packages/http/sock.c
+++ b/packages/http/sock.c
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -439,6 +440,13 @@
     return sock->opened && !sock->closed;
 }
 
+gboolean
+cq_sock_has_unread(const cq_sock_t *sock)
+{
+    int len = 0;
+    return !sock->closed && ioctl(sock->fd, FIONREAD, &len) == 0 && len > 0;
+}
+
 void
 cq_sock_pause_reading(cq_sock_t *sock, gboolean paused)
 {
--- a/packages/http/sock.h
+++ b/packages/http/sock.h
@@ -66,6 +66,11 @@
 gboolean
 cq_sock_is_open(const cq_sock_t *sock);
 
+/** cq_sock_has_unread() - Return: whether bytes have arrived that are not yet
+ * read */
+gboolean
+cq_sock_has_unread(const cq_sock_t *sock);
+
 /** cq_sock_pause_reading() - stop reading (@paused TRUE) or resume it; while
  * reading is stopped, errors of the connection are reported, but not that the
  * other side has closed it */
--- a/packages/router/inbound.c
+++ b/packages/router/inbound.c
@@ -23,7 +23,8 @@
     STATE_CLOSING,   /* no further input is parsed */
 } state_t;
 
-/* idle_timeout_us: the longest idle timeout in force since the connection
+/* overdue: the time limit of the state has been found exceeded
+ * idle_timeout_us: the longest idle timeout in force since the connection
  * became idle; its caller may not know yet that it was lowered */
 typedef struct {
     cq_list_t link;
@@ -32,6 +33,7 @@
     cq_h1_t *reader;
     state_t state;
     gint64 state_since_us;
+    gboolean overdue;
     gint64 idle_timeout_us;
     GByteArray *unparsed;
     cq_exchange_t *exchange;
@@ -110,6 +112,7 @@
 {
     conn->state = state;
     conn->state_since_us = g_get_monotonic_time();
+    conn->overdue = FALSE;
     conn->idle_timeout_us = conn->inbound->idle_timeout_us;
 }
 
@@ -402,30 +405,44 @@
     while (link != &inbound->conns) {
         conn_t *conn = CQ_ENTRY(link, conn_t, link);
         link = link->next;
-        if (conn->state == STATE_IDLE) {
+        if (conn->state == STATE_IDLE && !cq_sock_has_unread(conn->sock)) {
             close_after_writing(conn);
         }
     }
 }
 
+/* Return: whether the connection has been in its state for more than
+ * @limit_us. What has arrived by then is read before that is acted on, once.
+ */
+static gboolean
+is_too_late(conn_t *conn, gint64 now_us, gint64 limit_us)
+{
+    if (now_us - conn->state_since_us <= limit_us) {
+        return FALSE;
+    }
+    gboolean read_first = !conn->overdue && cq_sock_has_unread(conn->sock);
+    conn->overdue = TRUE;
+    return !read_first;
+}
+
 static void
 check_timeout(conn_t *conn, gint64 now_us)
 {
     const cq_inbound_t *inbound = conn->inbound;
-    gint64 elapsed_us = now_us - conn->state_since_us;
     switch (conn->state) {
     case STATE_IDLE:
-        if (elapsed_us > conn->idle_timeout_us * IDLE_TIMEOUT_PERCENT / 100) {
+        if (is_too_late(conn, now_us,
+                        conn->idle_timeout_us * IDLE_TIMEOUT_PERCENT / 100)) {
             close_after_writing(conn);
         }
         break;
     case STATE_HEAD:
-        if (elapsed_us > inbound->head_timeout_us) {
+        if (is_too_late(conn, now_us, inbound->head_timeout_us)) {
             reject(conn, 408, "{\"code\":\"head_too_slow\",\"ran\":\"no\"}");
         }
         break;
     case STATE_BODY:
-        if (elapsed_us > BODY_TIMEOUT_US) {
+        if (is_too_late(conn, now_us, BODY_TIMEOUT_US)) {
             reject(conn, 408, "{\"code\":\"body_too_slow\",\"ran\":\"no\"}");
         }
         break;
--- a/tests/unit/inbound_test.cc
+++ b/tests/unit/inbound_test.cc
@@ -139,6 +139,11 @@
         }
     }
     static bool
+    starts_with(const std::string &text, const std::string &start)
+    {
+        return text.compare(0, start.size(), start) == 0;
+    }
+    static bool
     ends_with(const std::string &text, const std::string &end)
     {
         return text.size() >= end.size() &&
@@ -189,4 +194,50 @@
     EXPECT_EQ(hear(), "");
 }
 
+TEST_F(Inbound, ARequestThatWaitsAtTheIdleLimitIsAnswered)
+{
+    limits(kLong, 0, 1000);
+    EXPECT_TRUE(say(kGet));
+    EXPECT_NE(hear(), "");
+    EXPECT_TRUE(say(kGet));
+    check_timeouts();
+    std::string heard = hear();
+    EXPECT_TRUE(ends_with(heard, "\r\n\r\nyes")) << heard;
+}
+
+TEST_F(Inbound, ARequestThatWaitsWhenIdleConnectionsAreClosedIsAnswered)
+{
+    cq_inbound_drain(inbound);
+    EXPECT_TRUE(say(kGet));
+    cq_inbound_close_idle(inbound);
+    std::string heard = hear();
+    EXPECT_TRUE(ends_with(heard, "\r\n\r\nyes.")) << heard;
+}
+
+// As after a suspension of the process.
+TEST_F(Inbound, ARestOfAHeadThatWaitsAtItsLimitIsRead)
+{
+    limits(0, kLong, 1000);
+    EXPECT_TRUE(say(kGet.substr(0, 10)));
+    run();
+    EXPECT_TRUE(say(kGet.substr(10)));
+    check_timeouts();
+    std::string heard = hear();
+    EXPECT_TRUE(ends_with(heard, "\r\n\r\nyes")) << heard;
+}
+
+TEST_F(Inbound, AHeadThatComesInPiecesIsRejectedAtItsLimit)
+{
+    limits(0, kLong, 1000);
+    EXPECT_TRUE(say(kGet.substr(0, 10)));
+    run();
+    EXPECT_TRUE(say(kGet.substr(10, 2)));
+    check_timeouts();
+    run();
+    say(kGet.substr(12, 2));
+    check_timeouts();
+    std::string heard = hear();
+    EXPECT_TRUE(starts_with(heard, "HTTP/1.1 408 ")) << heard;
+}
+
 } // namespace
