--- /dev/null
+++ b/packages/router/heads.c
@@ -0,0 +1,34 @@
+#include "router/heads.h"
+
+#define CLOSE_FIELD "Connection: close\r\n"
+
+void
+cq_heads_append_local(GString *out, int status, const char *extra, gsize len,
+                      gboolean keep_open)
+{
+    g_string_append_printf(out,
+                           "HTTP/1.1 %d %s\r\n%sContent-Type: "
+                           "application/json\r\nContent-Length: %zu\r\n%s\r\n",
+                           status, cq_h1_reason_phrase(status), extra, len,
+                           keep_open ? "" : CLOSE_FIELD);
+}
+
+void
+cq_heads_append_upstream(GString *out, const cq_h1_head_t *head,
+                         gboolean keep_open)
+{
+    g_string_append_printf(out, "HTTP/1.1 %d %s\r\n", head->status,
+                           cq_h1_reason_phrase(head->status));
+    for (guint i = 0; i < head->fields->len; i++) {
+        const cq_h1_field_t *field =
+            &g_array_index(head->fields, cq_h1_field_t, i);
+        if (!cq_h1_is_hop_by_hop(head, field->name) &&
+            g_ascii_strcasecmp(field->name, "Content-Length") != 0) {
+            g_string_append_printf(out, "%s: %s\r\n", field->name,
+                                   field->value);
+        }
+    }
+    if (!keep_open) {
+        g_string_append(out, CLOSE_FIELD);
+    }
+}
--- /dev/null
+++ b/packages/router/heads.h
@@ -0,0 +1,29 @@
+/**
+ * DOC: heads
+ *
+ * Heads of the answers that callers get in relay mode.
+ */
+#ifndef CQ_HEADS_H
+#define CQ_HEADS_H
+
+#include <glib.h>
+
+#include "http/h1.h"
+
+G_BEGIN_DECLS
+
+/** cq_heads_append_local() - append the complete head of an answer made by
+ * this process, with the header lines @extra and a JSON body of @len bytes */
+void
+cq_heads_append_local(GString *out, int status, const char *extra, gsize len,
+                      gboolean keep_open);
+
+/** cq_heads_append_upstream() - append the head of an upstream's answer,
+ * without its framing and without the empty line that ends it */
+void
+cq_heads_append_upstream(GString *out, const cq_h1_head_t *head,
+                         gboolean keep_open);
+
+G_END_DECLS
+
+#endif
--- a/packages/router/inbound.c
+++ b/packages/router/inbound.c
@@ -5,6 +5,7 @@
 #include "base/limits.h"
 #include "base/list.h"
 #include "http/sock.h"
+#include "router/heads.h"
 
 /* While a request is answered, reading stops when more than this many bytes of
  * further requests have arrived. */
@@ -123,23 +124,12 @@
     conn_remove(conn);
 }
 
-static void
-add_local_head(GString *out, int status, const char *extra, gsize len,
-               gboolean keep_open)
-{
-    g_string_append_printf(out,
-                           "HTTP/1.1 %d %s\r\n%sContent-Type: "
-                           "application/json\r\nContent-Length: %zu\r\n%s\r\n",
-                           status, cq_h1_reason_phrase(status), extra, len,
-                           keep_open ? "" : "Connection: close\r\n");
-}
-
 /* Answers an invalid or late request and closes the connection. */
 static void
 reject(conn_t *conn, int status, const char *text)
 {
     GString *out = g_string_new("");
-    add_local_head(out, status, "", strlen(text), FALSE);
+    cq_heads_append_local(out, status, "", strlen(text), FALSE);
     g_string_append(out, text);
     cq_sock_write(conn->sock, out->str, out->len);
     g_string_free(out, TRUE);
@@ -307,13 +297,20 @@
     conn->sock = cq_sock_from_fd(fd, &ops);
 }
 
+/* Return: whether the connection is kept after the answer. */
+static gboolean
+keeps_open(const cq_exchange_t *exchange)
+{
+    return exchange->head.keep_alive && !exchange->conn->inbound->draining;
+}
+
 /* Called when the whole answer has been passed to the socket: goes on with the
  * next request, or closes the connection. */
 static void
 end_exchange(cq_exchange_t *exchange)
 {
     conn_t *conn = exchange->conn;
-    gboolean keep_open = exchange->head.keep_alive && !conn->inbound->draining;
+    gboolean keep_open = keeps_open(exchange);
     exchange_free(exchange);
     if (!keep_open) {
         close_after_writing(conn);
@@ -324,26 +321,6 @@
     parse_requests(conn);
 }
 
-static void
-add_upstream_head(const cq_exchange_t *exchange, GString *out,
-                  const cq_h1_head_t *head)
-{
-    g_string_append_printf(out, "HTTP/1.1 %d %s\r\n", head->status,
-                           cq_h1_reason_phrase(head->status));
-    for (guint i = 0; i < head->fields->len; i++) {
-        const cq_h1_field_t *field =
-            &g_array_index(head->fields, cq_h1_field_t, i);
-        if (!cq_h1_is_hop_by_hop(head, field->name) &&
-            g_ascii_strcasecmp(field->name, "Content-Length") != 0) {
-            g_string_append_printf(out, "%s: %s\r\n", field->name,
-                                   field->value);
-        }
-    }
-    if (!exchange->head.keep_alive || exchange->conn->inbound->draining) {
-        g_string_append(out, "Connection: close\r\n");
-    }
-}
-
 cq_inbound_t *
 cq_inbound_new(const cq_inbound_ops_t *ops)
 {
@@ -506,7 +483,7 @@
                    const void *body, gsize len)
 {
     GString *out = g_string_new("");
-    add_upstream_head(exchange, out, head);
+    cq_heads_append_upstream(out, head, keeps_open(exchange));
     gboolean no_body = has_no_body(exchange, head->status);
     if (!no_body || len > 0) {
         g_string_append_printf(out, "Content-Length: %zu\r\n", len);
@@ -524,10 +501,9 @@
 cq_exchange_refuse(cq_exchange_t *exchange, int status, const char *extra,
                    const char *text)
 {
-    gboolean keep_open =
-        exchange->head.keep_alive && !exchange->conn->inbound->draining;
     GString *out = g_string_new("");
-    add_local_head(out, status, extra, strlen(text), keep_open);
+    cq_heads_append_local(out, status, extra, strlen(text),
+                          keeps_open(exchange));
     if (!has_no_body(exchange, status)) {
         g_string_append(out, text);
     }
@@ -541,7 +517,7 @@
 {
     exchange->started = TRUE;
     GString *out = g_string_new("");
-    add_upstream_head(exchange, out, head);
+    cq_heads_append_upstream(out, head, keeps_open(exchange));
     /* HTTP/1.0 has no chunks: there the close of the connection ends the
      * body. */
     exchange->chunked = !exchange->head.is_http10;
