The last answer of a connection is followed by an orderly close

After its last answer (400, 408, 413, 431, one to "Connection: close", and each one during a stop) the host closed the connection at once. If the caller was still sending, or had sent another request behind, TCP reset the connection: the caller's sends failed, and what it had not yet received of the answer could be lost.

Now, as RFC 9112, 9.6 asks: once all is written the sending side is shut down, what still arrives is read and dropped, and the connection is closed when the caller has closed its side, after 2 s, or after 4 MiB. Idle connections end the same way. What maps errors to answers moves to heads.c, unchanged.

--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -49,6 +49,11 @@
 #define CQ_TCP_KEEPALIVE_INTERVAL_S 1
 #define CQ_TCP_KEEPALIVE_PROBES 3
 #define CQ_TCP_UNACKED_MS 3000
+/* After the last answer of a connection, what the caller still sends is read
+ * for this time and up to this number of bytes: a connection that is closed
+ * with unread bytes is reset, and the answer may be lost with it. */
+#define CQ_CLOSING_TIMEOUT_US (2 * CQ_SECOND_US)
+#define CQ_CLOSING_BYTES_MAX (4 * 1024 * 1024)
 
 /* What a caller may send. */
 #define CQ_BODY_BYTES_MAX (16 * 1024 * 1024)
--- a/packages/http/sock.c
+++ b/packages/http/sock.c
@@ -457,6 +457,14 @@
     update_events(sock);
 }
 
+void
+cq_sock_shut_sending(cq_sock_t *sock)
+{
+    if (!sock->closed) {
+        shutdown(sock->fd, SHUT_WR);
+    }
+}
+
 void
 cq_sock_close_when_written(cq_sock_t *sock)
 {
--- a/packages/http/sock.h
+++ b/packages/http/sock.h
@@ -77,7 +77,13 @@
 void
 cq_sock_pause_reading(cq_sock_t *sock, gboolean paused);
 
-/** cq_sock_close_when_written() - close and free once everything is written */
+/** cq_sock_shut_sending() - tell the other side that nothing more will be
+ * sent; everything must be written. Bytes are still received. */
+void
+cq_sock_shut_sending(cq_sock_t *sock);
+
+/** cq_sock_close_when_written() - close and free once everything is written;
+ * TCP resets the connection if bytes are then unread */
 void
 cq_sock_close_when_written(cq_sock_t *sock);
 
--- a/packages/router/heads.c
+++ b/packages/router/heads.c
@@ -1,5 +1,7 @@
 #include "router/heads.h"
 
+#include <string.h>
+
 #define CLOSE_FIELD "Connection: close\r\n"
 
 void
@@ -32,3 +34,28 @@
         g_string_append(out, CLOSE_FIELD);
     }
 }
+
+gboolean
+cq_heads_without_body(const cq_h1_head_t *request, int status)
+{
+    return strcmp(request->method, "HEAD") == 0 || status == 204 ||
+           status == 304;
+}
+
+const char *
+cq_heads_rejection(cq_h1_error_t error, gboolean body_too_long, int *status)
+{
+    if (error == CQ_H1_HEAD_TOO_LONG) {
+        *status = 431;
+        return "{\"code\":\"head_too_long\",\"ran\":\"no\"}";
+    }
+    if (error == CQ_H1_SYNTAX) {
+        *status = 400;
+        return "{\"code\":\"bad_request\",\"ran\":\"no\"}";
+    }
+    if (body_too_long) {
+        *status = 413;
+        return "{\"code\":\"body_too_long\",\"ran\":\"no\"}";
+    }
+    return NULL;
+}
--- a/packages/router/heads.h
+++ b/packages/router/heads.h
@@ -1,7 +1,8 @@
 /**
  * DOC: heads
  *
- * Heads of the answers that callers get in relay mode.
+ * Heads of the answers that callers get in relay mode, and the answers that
+ * reject invalid requests.
  */
 #ifndef CQ_HEADS_H
 #define CQ_HEADS_H
@@ -24,6 +25,16 @@
 cq_heads_append_upstream(GString *out, const cq_h1_head_t *head,
                          gboolean keep_open);
 
+/** cq_heads_without_body() - Return: whether the answer to @request with this
+ * status has no body */
+gboolean
+cq_heads_without_body(const cq_h1_head_t *request, int status);
+
+/** cq_heads_rejection() - Return: NULL if a request is valid so far, else the
+ * body of the answer that rejects it; @status is then set */
+const char *
+cq_heads_rejection(cq_h1_error_t error, gboolean body_too_long, int *status);
+
 G_END_DECLS
 
 #endif
--- a/packages/router/inbound.c
+++ b/packages/router/inbound.c
@@ -21,7 +21,7 @@
     STATE_HEAD,      /* head partly received */
     STATE_BODY,      /* head complete, body not */
     STATE_ANSWERING, /* request complete, answer not */
-    STATE_CLOSING,   /* no further input is parsed */
+    STATE_CLOSING,   /* last answer passed to the socket, input is dropped */
 } state_t;
 
 /* overdue: the time limit of the state has been found exceeded
@@ -36,6 +36,7 @@
     gint64 state_since_us;
     gboolean overdue;
     gint64 idle_timeout_us;
+    gsize dropped_bytes;
     GByteArray *unparsed;
     cq_exchange_t *exchange;
     gboolean parsing;
@@ -117,8 +118,26 @@
     conn->idle_timeout_us = conn->inbound->idle_timeout_us;
 }
 
+/* Ends a connection in order (RFC 9112, 9.6): once all is written the sending
+ * side is shut down, and the connection is closed when the caller has closed
+ * its side, or at a limit. If it were closed with unread bytes, it would be
+ * reset, and its last answer might be lost. */
 static void
-close_after_writing(conn_t *conn)
+start_closing(conn_t *conn)
+{
+    gboolean written = cq_sock_unwritten_bytes(conn->sock) == 0;
+    set_state(conn, STATE_CLOSING);
+    if (conn->exchange != NULL) {
+        exchange_free(conn->exchange);
+    }
+    cq_sock_pause_reading(conn->sock, !written);
+    if (written) {
+        cq_sock_shut_sending(conn->sock);
+    }
+}
+
+static void
+finish_closing(conn_t *conn)
 {
     cq_sock_close_when_written(conn->sock);
     conn_remove(conn);
@@ -133,7 +152,7 @@
     g_string_append(out, text);
     cq_sock_write(conn->sock, out->str, out->len);
     g_string_free(out, TRUE);
-    close_after_writing(conn);
+    start_closing(conn);
 }
 
 static void
@@ -178,27 +197,6 @@
     conn->inbound->ops.request_complete(exchange, conn->inbound->ops.data);
 }
 
-/* Return: NULL if the request is valid so far, else the body of the answer
- * that refuses it; @status is then set. */
-static const char *
-refusal_body(conn_t *conn, int *status)
-{
-    cq_h1_error_t error = cq_h1_error(conn->reader);
-    if (error == CQ_H1_HEAD_TOO_LONG) {
-        *status = 431;
-        return "{\"code\":\"head_too_long\",\"ran\":\"no\"}";
-    }
-    if (error == CQ_H1_SYNTAX) {
-        *status = 400;
-        return "{\"code\":\"bad_request\",\"ran\":\"no\"}";
-    }
-    if (conn->exchange != NULL && conn->exchange->too_long) {
-        *status = 413;
-        return "{\"code\":\"body_too_long\",\"ran\":\"no\"}";
-    }
-    return NULL;
-}
-
 /* Parses the received bytes, one request at a time. */
 static void
 parse_requests(conn_t *conn)
@@ -219,7 +217,12 @@
         gsize consumed =
             cq_h1_feed(conn->reader, (const char *)bytes->data, bytes->len);
         int status = 0;
-        const char *text = conn->closed ? NULL : refusal_body(conn, &status);
+        const char *text = NULL;
+        if (!conn->closed && conn->state != STATE_CLOSING) {
+            text = cq_heads_rejection(
+                cq_h1_error(conn->reader),
+                conn->exchange != NULL && conn->exchange->too_long, &status);
+        }
         if (text != NULL) {
             reject(conn, status, text);
         }
@@ -237,6 +240,13 @@
 on_received(void *data, const char *bytes, gsize len)
 {
     conn_t *conn = data;
+    if (conn->state == STATE_CLOSING) {
+        conn->dropped_bytes += len;
+        if (conn->dropped_bytes > CQ_CLOSING_BYTES_MAX) {
+            finish_closing(conn);
+        }
+        return;
+    }
     g_byte_array_append(conn->unparsed, (const guint8 *)bytes, (guint)len);
     if (conn->state == STATE_ANSWERING &&
         conn->unparsed->len > PIPELINED_BYTES_MAX) {
@@ -248,9 +258,12 @@
 static void
 on_ended(void *data, cq_sock_end_t how)
 {
-    (void)how;
     conn_t *conn = data;
     cq_inbound_t *inbound = conn->inbound;
+    if (conn->state == STATE_CLOSING && how == CQ_SOCK_EOF) {
+        finish_closing(conn);
+        return;
+    }
     conn->refs++;
     if (conn->exchange != NULL && conn->exchange->dispatched) {
         inbound->ops.caller_gone(conn->exchange, inbound->ops.data);
@@ -264,6 +277,9 @@
 on_writable(void *data)
 {
     conn_t *conn = data;
+    if (conn->state == STATE_CLOSING) {
+        start_closing(conn);
+    }
     if (conn->exchange != NULL && conn->exchange->started) {
         conn->inbound->ops.writable(conn->exchange, conn->inbound->ops.data);
     }
@@ -313,7 +329,7 @@
     gboolean keep_open = keeps_open(exchange);
     exchange_free(exchange);
     if (!keep_open) {
-        close_after_writing(conn);
+        start_closing(conn);
         return;
     }
     set_state(conn, STATE_IDLE);
@@ -348,6 +364,10 @@
     }
     while (!cq_list_empty(&inbound->conns)) {
         conn_t *conn = CQ_ENTRY(inbound->conns.next, conn_t, link);
+        if (conn->state == STATE_CLOSING) {
+            finish_closing(conn);
+            continue;
+        }
         cq_sock_abort(conn->sock);
         conn_remove(conn);
     }
@@ -383,7 +403,7 @@
         conn_t *conn = CQ_ENTRY(link, conn_t, link);
         link = link->next;
         if (conn->state == STATE_IDLE && !cq_sock_has_unread(conn->sock)) {
-            close_after_writing(conn);
+            start_closing(conn);
         }
     }
 }
@@ -410,7 +430,7 @@
     case STATE_IDLE:
         if (is_too_late(conn, now_us,
                         conn->idle_timeout_us * IDLE_TIMEOUT_PERCENT / 100)) {
-            close_after_writing(conn);
+            start_closing(conn);
         }
         break;
     case STATE_HEAD:
@@ -423,8 +443,13 @@
             reject(conn, 408, "{\"code\":\"body_too_slow\",\"ran\":\"no\"}");
         }
         break;
-    case STATE_ANSWERING:
     case STATE_CLOSING:
+        if (cq_sock_unwritten_bytes(conn->sock) == 0 &&
+            now_us - conn->state_since_us > CQ_CLOSING_TIMEOUT_US) {
+            finish_closing(conn);
+        }
+        break;
+    case STATE_ANSWERING:
         break;
     }
 }
@@ -471,20 +496,13 @@
     return exchange->owner;
 }
 
-static gboolean
-has_no_body(const cq_exchange_t *exchange, int status)
-{
-    return strcmp(exchange->head.method, "HEAD") == 0 || status == 204 ||
-           status == 304;
-}
-
 void
 cq_exchange_answer(cq_exchange_t *exchange, const cq_h1_head_t *head,
                    const void *body, gsize len)
 {
     GString *out = g_string_new("");
     cq_heads_append_upstream(out, head, keeps_open(exchange));
-    gboolean no_body = has_no_body(exchange, head->status);
+    gboolean no_body = cq_heads_without_body(&exchange->head, head->status);
     if (!no_body || len > 0) {
         g_string_append_printf(out, "Content-Length: %zu\r\n", len);
     }
@@ -504,7 +522,7 @@
     GString *out = g_string_new("");
     cq_heads_append_local(out, status, extra, strlen(text),
                           keeps_open(exchange));
-    if (!has_no_body(exchange, status)) {
+    if (!cq_heads_without_body(&exchange->head, status)) {
         g_string_append(out, text);
     }
     cq_sock_write(exchange->conn->sock, out->str, out->len);
--- a/tests/unit/inbound_test.cc
+++ b/tests/unit/inbound_test.cc
@@ -19,6 +19,8 @@
 constexpr gint64 kLong = 60 * CQ_SECOND_US;
 constexpr int kHttpOk = 200;
 const std::string kGet = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+const std::string kLastGet =
+    "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
 const std::string kReset = " (reset)";
 
 class Inbound : public ::testing::Test {
@@ -240,4 +242,58 @@
     EXPECT_TRUE(starts_with(heard, "HTTP/1.1 408 ")) << heard;
 }
 
+TEST_F(Inbound, ACallerThatIsStillSendingGetsItsRejection)
+{
+    EXPECT_TRUE(
+        say("PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\n"));
+    for (int i = 0; i < 9; i++) {
+        EXPECT_TRUE(say(std::string(1000, 'x'))) << "part " << i;
+        run();
+    }
+    std::string heard = hear();
+    EXPECT_TRUE(starts_with(heard, "HTTP/1.1 413 ")) << heard;
+    EXPECT_TRUE(ends_with(heard, "}.")) << heard;
+}
+
+TEST_F(Inbound, ARequestBehindTheLastOneDoesNotHarmItsAnswer)
+{
+    answers = false;
+    EXPECT_TRUE(say(kLastGet));
+    run();
+    ASSERT_NE(held, nullptr);
+    EXPECT_TRUE(say(kGet));
+    answer("last");
+    std::string heard = hear();
+    EXPECT_TRUE(ends_with(heard, "\r\n\r\nlast.")) << heard;
+    EXPECT_EQ(requests, 1);
+}
+
+TEST_F(Inbound, ACallerThatNeverStopsSendingIsCutOff)
+{
+    EXPECT_TRUE(say("bad\r\n\r\n"));
+    EXPECT_TRUE(starts_with(hear(), "HTTP/1.1 400 "));
+    const std::string part(64 * 1024, 'x');
+    bool sent = true;
+    for (gsize done = 0; sent && done < 2 * CQ_CLOSING_BYTES_MAX;
+         done += part.size()) {
+        run();
+        sent = say(part);
+    }
+    EXPECT_FALSE(sent);
+}
+
+TEST_F(Inbound, ACallerThatDoesNotCloseIsCutOff)
+{
+    EXPECT_TRUE(say(kLastGet));
+    EXPECT_TRUE(ends_with(hear(), "yes."));
+    cq_inbound_check_timeouts(inbound);
+    run();
+    EXPECT_TRUE(say("x"));
+    g_usleep(CQ_CLOSING_TIMEOUT_US + 1);
+    cq_inbound_check_timeouts(inbound);
+    run();
+    say("x");
+    EXPECT_FALSE(say("x"));
+}
+
 } // namespace
