A stop waits for answers that are not written and requests that arrive

A host that stopped waited for requests without an answer, but an answer counted as complete once it had been passed to the socket's buffer, and a request only once its body was complete. When the core had stopped, the process ended, and callers that read slowly had their answer cut, those that were sending got nothing. At the end it also reset every open connection, which discards what TCP has not yet delivered.

Unfinished is now each connection on which a request arrives or waits unread, is unanswered, or has an answer that isn't written. At the end only connections with an incomplete answer are reset.

--- a/packages/router/inbound.c
+++ b/packages/router/inbound.c
@@ -59,7 +59,6 @@
     cq_inbound_ops_t ops;
     cq_list_t conns;
     guint listener;
-    guint unanswered;
     gboolean draining;
     gsize head_bytes_max;
     gsize body_bytes_max;
@@ -74,9 +73,6 @@
 exchange_free(cq_exchange_t *exchange)
 {
     exchange->conn->exchange = NULL;
-    if (exchange->dispatched) {
-        exchange->conn->inbound->unanswered--;
-    }
     cq_h1_clear_head(&exchange->head);
     g_byte_array_unref(exchange->body);
     g_free(exchange);
@@ -193,7 +189,6 @@
         return;
     }
     exchange->dispatched = TRUE;
-    conn->inbound->unanswered++;
     conn->inbound->ops.request_complete(exchange, conn->inbound->ops.data);
 }
 
@@ -364,7 +359,7 @@
     }
     while (!cq_list_empty(&inbound->conns)) {
         conn_t *conn = CQ_ENTRY(inbound->conns.next, conn_t, link);
-        if (conn->state == STATE_CLOSING) {
+        if (conn->exchange == NULL) {
             finish_closing(conn);
             continue;
         }
@@ -467,9 +462,21 @@
 }
 
 guint
-cq_inbound_unanswered(const cq_inbound_t *inbound)
+cq_inbound_unfinished(const cq_inbound_t *inbound)
 {
-    return inbound->unanswered;
+    guint unfinished = 0;
+    const cq_list_t *link = inbound->conns.next;
+    for (; link != &inbound->conns; link = link->next) {
+        const conn_t *conn = CQ_ENTRY(link, conn_t, link);
+        gboolean open =
+            conn->state > STATE_IDLE && conn->state < STATE_CLOSING;
+        gboolean waits =
+            conn->state == STATE_IDLE && cq_sock_has_unread(conn->sock);
+        if (open || waits || cq_sock_unwritten_bytes(conn->sock) > 0) {
+            unfinished++;
+        }
+    }
+    return unfinished;
 }
 
 const cq_h1_head_t *
--- a/packages/router/inbound.h
+++ b/packages/router/inbound.h
@@ -45,7 +45,8 @@
 gboolean
 cq_inbound_listen(cq_inbound_t *inbound, const char *addr, cq_error_t *error);
 
-/** cq_inbound_free() - abort every connection and free */
+/** cq_inbound_free() - close every connection and free; those with an
+ * incomplete answer are reset */
 void
 cq_inbound_free(cq_inbound_t *inbound);
 
@@ -70,10 +71,10 @@
 void
 cq_inbound_check_timeouts(cq_inbound_t *inbound);
 
-/** cq_inbound_unanswered() - Return: number of requests whose answer is not
- * complete */
+/** cq_inbound_unfinished() - Return: number of connections on which a request
+ * arrives, is unanswered, or has an answer that is not completely written */
 guint
-cq_inbound_unanswered(const cq_inbound_t *inbound);
+cq_inbound_unfinished(const cq_inbound_t *inbound);
 
 /** cq_exchange_head() - Return: the request's head; borrowed */
 const cq_h1_head_t *
--- a/packages/router/relay.c
+++ b/packages/router/relay.c
@@ -499,7 +499,7 @@
 guint
 cq_relay_unfinished(const cq_relay_t *relay)
 {
-    return cq_inbound_unanswered(relay->inbound) +
+    return cq_inbound_unfinished(relay->inbound) +
            cq_reservations_count(relay->reservations);
 }
 
--- a/packages/router/relay.h
+++ b/packages/router/relay.h
@@ -65,8 +65,8 @@
 void
 cq_relay_close_idle_callers(cq_relay_t *relay);
 
-/** cq_relay_unfinished() - Return: number of exchanges whose answer is not
- * complete plus number of reservations not yet released */
+/** cq_relay_unfinished() - Return: what cq_inbound_unfinished() returns plus
+ * number of reservations not yet released */
 guint
 cq_relay_unfinished(const cq_relay_t *relay);
 
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -4,6 +4,7 @@
  *
  * Plain requests:
  *   ok             answers 200
+ *   big            answers 200 with a body of 14 MiB
  *   fault          answers 500
  *   refuse         answers 503 with Cuminquay-Not-Executed
  *   pause          the same with a Retry-After of 2.5 s
@@ -38,6 +39,7 @@
 /* Time for which a request runs before the program crashes under it. */
 #define CRASH_AFTER_MS 50
 #define ENDLESS_CHUNK_BYTES 16384
+#define BIG_BODY_BYTES (14 * 1024 * 1024)
 
 /* limit_field: the header line that names a rate limit, or "" */
 typedef struct {
@@ -241,6 +243,11 @@
     if (strcmp(behaviour, "ok") == 0) {
         standin_answer(conn, 200, fields, body, len);
     }
+    else if (strcmp(behaviour, "big") == 0) {
+        char *bytes = g_strnfill(BIG_BODY_BYTES, 'x');
+        standin_answer(conn, 200, fields, bytes, BIG_BODY_BYTES);
+        g_free(bytes);
+    }
     else if (strcmp(behaviour, "fault") == 0) {
         standin_answer(conn, 500, fields, body, len);
     }
--- a/tests/unit/inbound_test.cc
+++ b/tests/unit/inbound_test.cc
@@ -296,4 +296,66 @@
     EXPECT_FALSE(say("x"));
 }
 
+// A stop waits until nothing is unfinished.
+TEST_F(Inbound, AnAnswerIsUnfinishedUntilItIsWritten)
+{
+    const std::string body(32 * 1024 * 1024, 'x');
+    answers = false;
+    cq_inbound_drain(inbound);
+    EXPECT_TRUE(say(kGet));
+    run();
+    answer(body);
+    run();
+    EXPECT_EQ(cq_inbound_unfinished(inbound), 1u);
+    std::string heard = hear();
+    EXPECT_TRUE(ends_with(heard, "xxx."));
+    EXPECT_GT(heard.size(), body.size());
+    EXPECT_EQ(cq_inbound_unfinished(inbound), 0u);
+}
+
+TEST_F(Inbound, AnAnswerThatIsWrittenOutlivesTheServer)
+{
+    const std::string body(100 * 1000, 'x');
+    answers = false;
+    EXPECT_TRUE(say(kGet));
+    run();
+    answer(body);
+    EXPECT_EQ(cq_inbound_unfinished(inbound), 0u);
+    cq_inbound_free(inbound);
+    inbound = nullptr;
+    std::string heard = hear();
+    EXPECT_TRUE(ends_with(heard, "xxx.")) << heard.size();
+}
+
+// An answer that keeps the connection, and is written when a stop begins.
+TEST_F(Inbound, AnAnswerBeforeAStopIsUnfinishedUntilItIsWritten)
+{
+    const std::string body(32 * 1024 * 1024, 'x');
+    answers = false;
+    EXPECT_TRUE(say(kGet));
+    run();
+    answer(body);
+    cq_inbound_drain(inbound);
+    cq_inbound_close_idle(inbound);
+    EXPECT_EQ(cq_inbound_unfinished(inbound), 1u);
+    std::string heard = hear();
+    EXPECT_TRUE(ends_with(heard, "xxx."));
+    EXPECT_EQ(cq_inbound_unfinished(inbound), 0u);
+}
+
+TEST_F(Inbound, ARequestThatArrivesIsUnfinished)
+{
+    EXPECT_EQ(cq_inbound_unfinished(inbound), 0u);
+    EXPECT_TRUE(say("PUT / HTTP/1.1\r\n"));
+    EXPECT_EQ(cq_inbound_unfinished(inbound), 1u);
+    run();
+    EXPECT_EQ(cq_inbound_unfinished(inbound), 1u);
+    EXPECT_TRUE(say("Host: h\r\nContent-Length: 2\r\n\r\nx"));
+    run();
+    EXPECT_EQ(cq_inbound_unfinished(inbound), 1u);
+    EXPECT_TRUE(say("x"));
+    EXPECT_TRUE(ends_with(hear(), "yes"));
+    EXPECT_EQ(cq_inbound_unfinished(inbound), 0u);
+}
+
 } // namespace
