A stop leaves open a connection whose answer's head said it would be

During a stop each answer says "Connection: close" and ends its connection. But an answer whose head had been sent before the stop, as with every open stream, ended its connection too, without a word: the caller took it for kept, and a request that it sent next met a closed connection.

Whether the connection is kept is now decided when the head is written. Such a connection takes a further request, whose answer says "Connection: close", until idle connections are closed or the process ends.

Before the change, inbound_test.cc:361 AStopDoesNotCloseAConnectionThatWasToBeKept: hear() ended with "." (closed) after the stream, and the next request got ".".

--- a/packages/router/inbound.c
+++ b/packages/router/inbound.c
@@ -52,6 +52,7 @@
     gboolean chunked;
     gboolean started;
     gboolean dispatched;
+    gboolean kept;
     void *owner;
 };
 
@@ -308,11 +309,14 @@
     conn->sock = cq_sock_from_fd(fd, &ops);
 }
 
-/* Return: whether the connection is kept after the answer. */
+/* Decides whether the connection is kept after the answer, whose head says so:
+ * a stop that begins later changes nothing. Return: whether it is kept. */
 static gboolean
-keeps_open(const cq_exchange_t *exchange)
+decide_kept(cq_exchange_t *exchange)
 {
-    return exchange->head.keep_alive && !exchange->conn->inbound->draining;
+    exchange->kept =
+        exchange->head.keep_alive && !exchange->conn->inbound->draining;
+    return exchange->kept;
 }
 
 /* Called when the whole answer has been passed to the socket: goes on with the
@@ -321,9 +325,9 @@
 end_exchange(cq_exchange_t *exchange)
 {
     conn_t *conn = exchange->conn;
-    gboolean keep_open = keeps_open(exchange);
+    gboolean kept = exchange->kept;
     exchange_free(exchange);
-    if (!keep_open) {
+    if (!kept) {
         start_closing(conn);
         return;
     }
@@ -508,7 +512,7 @@
                    const void *body, gsize len)
 {
     GString *out = g_string_new("");
-    cq_heads_append_upstream(out, head, keeps_open(exchange));
+    cq_heads_append_upstream(out, head, decide_kept(exchange));
     gboolean no_body = cq_heads_without_body(&exchange->head, head->status);
     if (!no_body || len > 0) {
         g_string_append_printf(out, "Content-Length: %zu\r\n", len);
@@ -528,7 +532,7 @@
 {
     GString *out = g_string_new("");
     cq_heads_append_local(out, status, extra, strlen(text),
-                          keeps_open(exchange));
+                          decide_kept(exchange));
     if (!cq_heads_without_body(&exchange->head, status)) {
         g_string_append(out, text);
     }
@@ -542,7 +546,7 @@
 {
     exchange->started = TRUE;
     GString *out = g_string_new("");
-    cq_heads_append_upstream(out, head, keeps_open(exchange));
+    cq_heads_append_upstream(out, head, decide_kept(exchange));
     /* HTTP/1.0 has no chunks: there the close of the connection ends the
      * body. */
     exchange->chunked = !exchange->head.is_http10;
--- a/tests/unit/inbound_test.cc
+++ b/tests/unit/inbound_test.cc
@@ -358,4 +358,25 @@
     EXPECT_EQ(cq_inbound_unfinished(inbound), 0u);
 }
 
+// A stream whose head did not say that the connection ends.
+TEST_F(Inbound, AStopDoesNotCloseAConnectionThatWasToBeKept)
+{
+    answers = false;
+    EXPECT_TRUE(say(kGet));
+    run();
+    cq_h1_head_t head = {};
+    head.status = kHttpOk;
+    head.fields = g_array_new(FALSE, FALSE, sizeof(cq_h1_field_t));
+    cq_exchange_begin(held, &head);
+    g_array_unref(head.fields);
+    cq_inbound_drain(inbound);
+    cq_exchange_write(held, "one", 3);
+    cq_exchange_end(held);
+    answers = true;
+    EXPECT_TRUE(ends_with(hear(), "0\r\n\r\n"));
+    EXPECT_TRUE(say(kGet));
+    std::string heard = hear();
+    EXPECT_TRUE(ends_with(heard, "\r\n\r\nyes.")) << heard;
+}
+
 } // namespace
