A stream over HTTP/1.0 is ended by a close

A caller that speaks HTTP/1.0 gets a stream without chunks, so only the close of the connection ends its body. With "Connection: keep-alive" in its request the host kept the connection, and the caller waited for the end until the idle timeout.

Before the change, inbound_test.cc:383 AStreamOverHttp10IsEndedByAClose: the last event arrived, and no end ("...one", wanted "...one.").

--- a/packages/router/inbound.c
+++ b/packages/router/inbound.c
@@ -312,10 +312,10 @@
 /* Decides whether the connection is kept after the answer, whose head says so:
  * a stop that begins later changes nothing. Return: whether it is kept. */
 static gboolean
-decide_kept(cq_exchange_t *exchange)
+decide_kept(cq_exchange_t *exchange, gboolean has_framing)
 {
-    exchange->kept =
-        exchange->head.keep_alive && !exchange->conn->inbound->draining;
+    exchange->kept = has_framing && exchange->head.keep_alive &&
+                     !exchange->conn->inbound->draining;
     return exchange->kept;
 }
 
@@ -512,7 +512,7 @@
                    const void *body, gsize len)
 {
     GString *out = g_string_new("");
-    cq_heads_append_upstream(out, head, decide_kept(exchange));
+    cq_heads_append_upstream(out, head, decide_kept(exchange, TRUE));
     gboolean no_body = cq_heads_without_body(&exchange->head, head->status);
     if (!no_body || len > 0) {
         g_string_append_printf(out, "Content-Length: %zu\r\n", len);
@@ -532,7 +532,7 @@
 {
     GString *out = g_string_new("");
     cq_heads_append_local(out, status, extra, strlen(text),
-                          decide_kept(exchange));
+                          decide_kept(exchange, TRUE));
     if (!cq_heads_without_body(&exchange->head, status)) {
         g_string_append(out, text);
     }
@@ -545,11 +545,12 @@
 cq_exchange_begin(cq_exchange_t *exchange, const cq_h1_head_t *head)
 {
     exchange->started = TRUE;
-    GString *out = g_string_new("");
-    cq_heads_append_upstream(out, head, decide_kept(exchange));
     /* HTTP/1.0 has no chunks: there the close of the connection ends the
      * body. */
     exchange->chunked = !exchange->head.is_http10;
+    gboolean kept = decide_kept(exchange, exchange->chunked);
+    GString *out = g_string_new("");
+    cq_heads_append_upstream(out, head, kept);
     g_string_append(out, exchange->chunked
                              ? "Transfer-Encoding: chunked\r\n\r\n"
                              : "\r\n");
--- a/tests/unit/inbound_test.cc
+++ b/tests/unit/inbound_test.cc
@@ -379,4 +379,23 @@
     EXPECT_TRUE(ends_with(heard, "\r\n\r\nyes.")) << heard;
 }
 
+// HTTP/1.0 has no chunks: only the close ends a body of unknown length.
+TEST_F(Inbound, AStreamOverHttp10IsEndedByAClose)
+{
+    answers = false;
+    EXPECT_TRUE(say("GET / HTTP/1.0\r\nHost: h\r\n"
+                    "Connection: keep-alive\r\n\r\n"));
+    run();
+    ASSERT_NE(held, nullptr);
+    cq_h1_head_t head = {};
+    head.status = kHttpOk;
+    head.fields = g_array_new(FALSE, FALSE, sizeof(cq_h1_field_t));
+    cq_exchange_begin(held, &head);
+    g_array_unref(head.fields);
+    cq_exchange_write(held, "one", 3);
+    cq_exchange_end(held);
+    std::string heard = hear();
+    EXPECT_TRUE(ends_with(heard, "\r\n\r\none.")) << heard;
+}
+
 } // namespace
