A lowered idle timeout gives callers time to know of it

A connection that became idle just after a configuration had lowered the idle timeout got the lower one at once, while its caller, which may learn of the configuration later than the host, used the connection by the older one and met a closed one.

For 4 s after a timeout was lowered (twice the time in which a configuration reaches all hosts), connections that become idle keep the longest that callers may know. Later changes don't prolong that. The default, which no caller knows, gives way to the first configuration.

--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -49,6 +49,10 @@
 #define CQ_TCP_KEEPALIVE_INTERVAL_S 1
 #define CQ_TCP_KEEPALIVE_PROBES 3
 #define CQ_TCP_UNACKED_MS 3000
+/* For this time after a configuration has lowered the idle timeout, callers
+ * may not know it: twice the time in which a configuration reaches all hosts.
+ */
+#define CQ_IDLE_NOTICE_US (4 * CQ_SECOND_US)
 /* After the last answer of a connection, what the caller still sends is read
  * for this time and up to this number of bytes: a connection that is closed
  * with unread bytes is reset, and the answer may be lost with it. */
--- a/packages/router/inbound.c
+++ b/packages/router/inbound.c
@@ -6,6 +6,7 @@
 #include "base/list.h"
 #include "http/sock.h"
 #include "router/heads.h"
+#include "router/idlelimit.h"
 
 /* While a request is answered, reading stops when more than this many bytes of
  * further requests have arrived. */
@@ -25,8 +26,7 @@
 } state_t;
 
 /* overdue: the time limit of the state has been found exceeded
- * idle_timeout_us: the longest idle timeout in force since the connection
- * became idle; its caller may not know yet that it was lowered */
+ * idle_timeout_us: the longest one since the connection became idle */
 typedef struct {
     cq_list_t link;
     cq_inbound_t *inbound;
@@ -64,7 +64,8 @@
     gsize head_bytes_max;
     gsize body_bytes_max;
     gint64 head_timeout_us;
-    gint64 idle_timeout_us;
+    cq_idle_limit_t idle_limit;
+    guint64 config_version;
 };
 
 static void
@@ -112,7 +113,8 @@
     conn->state = state;
     conn->state_since_us = g_get_monotonic_time();
     conn->overdue = FALSE;
-    conn->idle_timeout_us = conn->inbound->idle_timeout_us;
+    conn->idle_timeout_us = cq_idle_limit_timeout(&conn->inbound->idle_limit,
+                                                  conn->state_since_us);
 }
 
 /* Ends a connection in order (RFC 9112, 9.6): once all is written the sending
@@ -379,12 +381,18 @@
     inbound->head_bytes_max = routes->head_bytes_max;
     inbound->body_bytes_max = routes->body_bytes_max;
     inbound->head_timeout_us = routes->head_timeout_us;
-    inbound->idle_timeout_us = routes->idle_timeout_us;
+    if (inbound->config_version == 0) {
+        /* Callers don't know the default. */
+        inbound->idle_limit.timeout_us = routes->idle_timeout_us;
+    }
+    inbound->config_version = routes->version;
+    cq_idle_limit_change(&inbound->idle_limit, routes->idle_timeout_us,
+                         g_get_monotonic_time());
     cq_list_t *link = inbound->conns.next;
     for (; link != &inbound->conns; link = link->next) {
         conn_t *conn = CQ_ENTRY(link, conn_t, link);
         conn->idle_timeout_us =
-            MAX(conn->idle_timeout_us, inbound->idle_timeout_us);
+            MAX(conn->idle_timeout_us, routes->idle_timeout_us);
     }
 }
 
@@ -424,7 +432,6 @@
 static void
 check_timeout(conn_t *conn, gint64 now_us)
 {
-    const cq_inbound_t *inbound = conn->inbound;
     switch (conn->state) {
     case STATE_IDLE:
         if (is_too_late(conn, now_us,
@@ -433,7 +440,7 @@
         }
         break;
     case STATE_HEAD:
-        if (is_too_late(conn, now_us, inbound->head_timeout_us)) {
+        if (is_too_late(conn, now_us, conn->inbound->head_timeout_us)) {
             reject(conn, 408, "{\"code\":\"head_too_slow\",\"ran\":\"no\"}");
         }
         break;
--- a/packages/router/inbound.h
+++ b/packages/router/inbound.h
@@ -52,7 +52,7 @@
 
 /** cq_inbound_set_limits() - use the size limits and timeouts of @routes;
  * the size limit of heads applies to connections accepted from now on, and a
- * lowered idle timeout to the connections that become idle from now on */
+ * lowered idle timeout to those that become idle CQ_IDLE_NOTICE_US later */
 void
 cq_inbound_set_limits(cq_inbound_t *inbound, const cq_routes_t *routes);
 
