--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -53,6 +53,15 @@
 #define CQ_TCP_UNACKED_MS                                                     \
     (1000 * (CQ_TCP_KEEPALIVE_IDLE_S +                                        \
              CQ_TCP_KEEPALIVE_INTERVAL_S * CQ_TCP_KEEPALIVE_PROBES))
+/* For this time after a configuration has lowered the idle timeout, callers
+ * may not know it: twice the time in which a configuration reaches all hosts.
+ */
+#define CQ_IDLE_NOTICE_US (4 * CQ_SECOND_US)
+/* After the last answer of a connection, what the caller still sends is read
+ * for this time and up to this number of bytes: a connection that is closed
+ * with unread bytes is reset, and the answer may be lost with it. */
+#define CQ_CLOSING_TIMEOUT_US (2 * CQ_SECOND_US)
+#define CQ_CLOSING_BYTES_MAX (4 * 1024 * 1024)
 
 /* What a caller may send. */
 #define CQ_BODY_BYTES_MAX (16 * 1024 * 1024)
