An idle connection is closed without reading what is on its way

What callers saw: with the orderly close of idle connections, a request that crossed the close was read and dropped, and its caller saw no more than the end of the connection, up to 2 s later. A caller may send a request again that may not be repeated only if it was left unread.

Change: an idle connection has no answer to protect, so it is closed at once, as before; after a last answer the orderly close stays.

Evidence: Inbound.ARequestThatCrossesAnIdleCloseIsNotRead failed before (the caller could go on sending: say() true, wanted false) and passes; the other 22 tests of the program pass.

--- a/packages/router/inbound.c
+++ b/packages/router/inbound.c
@@ -142,6 +142,18 @@
     conn_remove(conn);
 }
 
+/* A request that is on its way to an idle connection is left unread, so that
+ * its caller learns by a reset that it may send the request again. */
+static void
+close_idle(conn_t *conn)
+{
+    if (cq_sock_unwritten_bytes(conn->sock) > 0) {
+        start_closing(conn);
+        return;
+    }
+    finish_closing(conn);
+}
+
 /* Answers an invalid or late request and closes the connection. */
 static void
 reject(conn_t *conn, int status, const char *text)
@@ -410,7 +422,7 @@
         conn_t *conn = CQ_ENTRY(link, conn_t, link);
         link = link->next;
         if (conn->state == STATE_IDLE && !cq_sock_has_unread(conn->sock)) {
-            start_closing(conn);
+            close_idle(conn);
         }
     }
 }
@@ -436,7 +448,7 @@
     case STATE_IDLE:
         if (is_too_late(conn, now_us,
                         conn->idle_timeout_us * IDLE_TIMEOUT_PERCENT / 100)) {
-            start_closing(conn);
+            close_idle(conn);
         }
         break;
     case STATE_HEAD:
--- a/tests/unit/inbound_test.cc
+++ b/tests/unit/inbound_test.cc
@@ -173,6 +173,22 @@
     EXPECT_EQ(hear(), ".");
 }
 
+// A caller may send a request again that was left unread, and TCP tells it by
+// a reset that nobody reads any more.
+TEST_F(Inbound, ARequestThatCrossesAnIdleCloseIsNotRead)
+{
+    limits(kLong, 0, 1000);
+    int second = connect_caller();
+    close(caller);
+    caller = second;
+    check_timeouts();
+    EXPECT_EQ(hear(), ".");
+    EXPECT_TRUE(say(kGet));
+    run();
+    EXPECT_FALSE(say(kGet));
+    EXPECT_EQ(requests, 0);
+}
+
 TEST_F(Inbound, ALoweredIdleLimitSparesConnectionsThatAreIdle)
 {
     limits(kLong, kLong, 1000);
