Tests: entry hosts that are cut from all upstreams

Callers saw: a host that is cut from the upstreams, and reached by callers, serves nothing, and after a cut of all hosts a body that all callers send is refused as one that crashes upstreams.

No product code is changed.

--- /dev/null
+++ b/tests/standin/callers.c
@@ -0,0 +1,281 @@
+/* Callers that send requests to entry hosts at a constant rate, whether
+ * earlier ones are answered or not, and never a request twice. Every
+ * --every-ms each host gets one request of each kind of --kinds at the same
+ * moment, one host after the other; every second time each has a new
+ * connection, otherwise one that is kept.
+ *
+ * The log has a line for each request:
+ *
+ *   id=ID port=PORT path=PATH conn=new|kept at_ms=TIME result=RESULT ms=MS
+ *
+ * RESULT is `served` for a complete answer with a status of 2xx, the status of
+ * another complete answer, `cut` for an incomplete answer, `unread` for a
+ * connection that ended without any, `refused`, or `late`. A request at_ms is
+ * when it was sent, MS how long it took. */
+#include <stdio.h>
+#include <string.h>
+
+#include "base/limits.h"
+#include "fleet.h"
+#include "http/sock.h"
+
+#define TIME_LIMIT_MS 3000
+/* Time after the time limit that an answer may still take. */
+#define GRACE_MS 1000
+#define SERVED_STATUS_CLASS 2
+#define STATUSES_PER_CLASS 100
+
+typedef struct {
+    const fleet_options_t *options;
+    FILE *log;
+    GPtrArray *hosts;
+    char **kinds;
+    guint sent;
+    guint in_flight;
+} callers_t;
+
+/* idle: connections without a request
+ * rounds: how often requests of all kinds were sent
+ * timer: sends the next ones */
+typedef struct {
+    callers_t *callers;
+    char *addr;
+    guint rounds;
+    guint timer;
+    GList *idle;
+} host_t;
+
+/* A caller's connection, with at most one request at a time.
+ * path: of the request; NULL: there is none
+ * status: of its answer; 0: no head yet
+ * timer: of the request */
+typedef struct {
+    host_t *host;
+    cq_sock_t *sock;
+    cq_h1_t *parser;
+    const char *path;
+    guint number;
+    gboolean kept;
+    gboolean reused;
+    gboolean keep_alive;
+    gboolean done;
+    int status;
+    gint64 sent_at_ms;
+    gint64 sent_us;
+    guint timer;
+} caller_t;
+
+/* Logs how the request ended. */
+static void
+finish(caller_t *caller, const char *result)
+{
+    callers_t *callers = caller->host->callers;
+    fprintf(callers->log,
+            "id=%s%u port=%s path=%s conn=%s at_ms=%" G_GINT64_FORMAT
+            " result=%s ms=%" G_GINT64_FORMAT "\n",
+            callers->options->name, caller->number,
+            strchr(caller->host->addr, ':') + 1, caller->path,
+            caller->reused ? "kept" : "new", caller->sent_at_ms, result,
+            (g_get_monotonic_time() - caller->sent_us) / CQ_MS_US);
+    fflush(callers->log);
+    caller->path = NULL;
+    g_source_remove(caller->timer);
+    callers->in_flight--;
+}
+
+static void
+free_caller(caller_t *caller)
+{
+    caller->host->idle = g_list_remove(caller->host->idle, caller);
+    cq_sock_abort(caller->sock);
+    cq_h1_free(caller->parser);
+    g_free(caller);
+}
+
+static void
+on_head(void *data, const cq_h1_head_t *head)
+{
+    caller_t *caller = data;
+    caller->status = head->status;
+    caller->keep_alive = head->keep_alive;
+}
+
+static void
+on_body(void *data, const char *bytes, gsize len)
+{
+    (void)data;
+    (void)bytes;
+    (void)len;
+}
+
+static void
+on_done(void *data)
+{
+    caller_t *caller = data;
+    char status[16];
+    if (caller->path == NULL) {
+        return;
+    }
+    caller->done = TRUE;
+    g_snprintf(status, sizeof status, "%d", caller->status);
+    finish(caller, caller->status / STATUSES_PER_CLASS == SERVED_STATUS_CLASS
+                       ? "served"
+                       : status);
+}
+
+static void
+on_received(void *data, const char *bytes, gsize len)
+{
+    caller_t *caller = data;
+    while (len > 0 && caller->path != NULL &&
+           cq_h1_error(caller->parser) == CQ_H1_OK) {
+        gsize used = cq_h1_feed(caller->parser, bytes, len);
+        bytes += used;
+        len -= used;
+    }
+    if (caller->path != NULL && cq_h1_error(caller->parser) == CQ_H1_OK) {
+        return;
+    }
+    if (caller->path != NULL) {
+        finish(caller, "malformed");
+    }
+    if (caller->done && caller->kept && caller->keep_alive && len == 0) {
+        caller->host->idle = g_list_prepend(caller->host->idle, caller);
+        return;
+    }
+    free_caller(caller);
+}
+
+static void
+on_ended(void *data, cq_sock_end_t how)
+{
+    caller_t *caller = data;
+    if (caller->path != NULL && how == CQ_SOCK_EOF) {
+        cq_h1_connection_closed(caller->parser);
+    }
+    if (caller->path != NULL) {
+        finish(caller, how == CQ_SOCK_REFUSED ? "refused"
+                       : caller->status != 0  ? "cut"
+                                              : "unread");
+    }
+    free_caller(caller);
+}
+
+static gboolean
+on_late(gpointer data)
+{
+    caller_t *caller = data;
+    finish(caller, "late");
+    free_caller(caller);
+    return G_SOURCE_CONTINUE;
+}
+
+static caller_t *
+new_caller(host_t *host, gboolean kept)
+{
+    caller_t *caller = g_new0(caller_t, 1);
+    cq_sock_ops_t ops = {
+        .received = on_received, .ended = on_ended, .data = caller};
+    cq_h1_options_t options = {
+        .parse_responses = TRUE,
+        .ops = {.head = on_head,
+                .body = on_body,
+                .done = on_done,
+                .data = caller},
+    };
+    caller->host = host;
+    caller->kept = kept;
+    caller->parser = cq_h1_new(&options);
+    caller->sock = cq_sock_connect(host->addr, &ops);
+    return caller;
+}
+
+/* Sends a request of this kind to the host. */
+static void
+send_request(host_t *host, const char *kind, gboolean kept)
+{
+    callers_t *callers = host->callers;
+    caller_t *caller =
+        kept && host->idle != NULL ? host->idle->data : new_caller(host, kept);
+    caller->reused = g_list_find(host->idle, caller) != NULL;
+    host->idle = g_list_remove(host->idle, caller);
+    gboolean posts = kind[0] == '+';
+    caller->path = posts ? kind + 1 : kind;
+    caller->number = ++callers->sent;
+    caller->status = 0;
+    caller->done = FALSE;
+    caller->sent_at_ms = g_get_real_time() / CQ_MS_US;
+    caller->sent_us = g_get_monotonic_time();
+    caller->timer = g_timeout_add(TIME_LIMIT_MS + GRACE_MS, on_late, caller);
+    callers->in_flight++;
+    char own[32];
+    g_snprintf(own, sizeof own, "body %u", caller->number);
+    const char *body = callers->options->body;
+    body = !posts ? "" : body != NULL ? body : own;
+    char *text = g_strdup_printf(
+        "%s %s HTTP/1.1\r\nHost: fleet.example\r\n"
+        "Cuminquay-Credential: secret-1\r\nCuminquay-Attempt-Id: %s%u\r\n"
+        "Cuminquay-Deadline-Ms: %d\r\nContent-Length: %zu\r\n\r\n%s",
+        posts ? "POST" : "GET", caller->path, callers->options->name,
+        caller->number, TIME_LIMIT_MS, strlen(body), body);
+    cq_h1_set_request_method(caller->parser, posts ? "POST" : "GET");
+    cq_sock_write(caller->sock, text, strlen(text));
+    g_free(text);
+}
+
+static gboolean
+on_round(gpointer data)
+{
+    host_t *host = data;
+    char **kinds = host->callers->kinds;
+    gboolean kept = host->rounds++ % 2 == 0;
+    for (guint i = 0; kinds[i] != NULL; i++) {
+        send_request(host, kinds[i], kept);
+    }
+    return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_first_round(gpointer data)
+{
+    host_t *host = data;
+    guint every_ms = (guint)host->callers->options->every_ms;
+    host->timer = g_timeout_add(every_ms, on_round, host);
+    on_round(host);
+    return G_SOURCE_REMOVE;
+}
+
+gboolean
+fleet_callers(const fleet_options_t *options)
+{
+    callers_t *callers = g_new0(callers_t, 1);
+    callers->options = options;
+    callers->log = fopen(options->log, "ae");
+    callers->kinds = g_strsplit(options->kinds, ",", -1);
+    callers->hosts = g_ptr_array_new();
+    char **addrs = g_strsplit(options->listen_addr, ",", -1);
+    for (guint i = 0; addrs[i] != NULL; i++) {
+        host_t *host = g_new0(host_t, 1);
+        host->callers = callers;
+        host->addr = addrs[i];
+        g_ptr_array_add(callers->hosts, host);
+    }
+    gint64 end_us =
+        g_get_monotonic_time() + (gint64)options->for_ms * CQ_MS_US;
+    for (guint i = 0; i < callers->hosts->len; i++) {
+        host_t *host = g_ptr_array_index(callers->hosts, i);
+        guint offset_ms = (guint)options->every_ms * i / callers->hosts->len;
+        host->timer = g_timeout_add(offset_ms, on_first_round, host);
+    }
+    while (g_get_monotonic_time() < end_us) {
+        g_main_context_iteration(NULL, TRUE);
+    }
+    for (guint i = 0; i < callers->hosts->len; i++) {
+        host_t *host = g_ptr_array_index(callers->hosts, i);
+        g_source_remove(host->timer);
+    }
+    while (callers->in_flight > 0) {
+        g_main_context_iteration(NULL, TRUE);
+    }
+    return FALSE;
+}
--- a/tests/standin/fleet_main.c
+++ b/tests/standin/fleet_main.c
@@ -11,9 +11,9 @@
 } fleet_mode_t;
 
 static const fleet_mode_t modes[] = {
-    {"store", fleet_store},
-    {"replica", fleet_replica},
-    {"wake", fleet_connect_burst},
+    {"store", fleet_store},        {"replica", fleet_replica},
+    {"wake", fleet_connect_burst}, {"links", fleet_links},
+    {"callers", fleet_callers},
 };
 
 int
@@ -28,6 +28,12 @@
          NULL},
         {"crash-body", 0, 0, G_OPTION_ARG_STRING, &options.crash_body, "",
          NULL},
+        {"also", 0, 0, G_OPTION_ARG_STRING, &options.also, "", NULL},
+        {"ports", 0, 0, G_OPTION_ARG_STRING, &options.ports, "", NULL},
+        {"kinds", 0, 0, G_OPTION_ARG_STRING, &options.kinds, "", NULL},
+        {"body", 0, 0, G_OPTION_ARG_STRING, &options.body, "", NULL},
+        {"every-ms", 0, 0, G_OPTION_ARG_INT, &options.every_ms, "", NULL},
+        {"for-ms", 0, 0, G_OPTION_ARG_INT, &options.for_ms, "", NULL},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
     };
     GOptionContext *context = g_option_context_new("MODE");
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -16,6 +16,7 @@
  *   nolengthreset  ends an answer without a length by a reset
  *   endless        sends a body without a length that never ends
  *   cut            resets the connection without an answer
+ *   slow           answers 200 after the time ms of the query, default 100 ms
  *   other words    no answer
  *
  * Streams, requested with /stream/ in the path. A stream that is resumed with
@@ -38,6 +39,8 @@
 /* Time for which a request runs before the program crashes under it. */
 #define CRASH_AFTER_MS 50
 #define ENDLESS_CHUNK_BYTES 16384
+/* Time that a slow answer takes. */
+#define SLOW_MS 100
 
 /* limit_field: the header line that names a rate limit, or "" */
 typedef struct {
@@ -226,6 +229,13 @@
     return G_SOURCE_CONTINUE;
 }
 
+/* A plain answer that is written later; head: of the request */
+typedef struct {
+    replica_t *replica;
+    standin_conn_t *conn;
+    cq_h1_head_t head;
+} slow_t;
+
 static void
 serve_plain(replica_t *replica, standin_conn_t *conn, const cq_h1_head_t *head,
             const char *behaviour)
@@ -292,6 +302,29 @@
     }
 }
 
+static gboolean
+on_slow_answer(gpointer data)
+{
+    slow_t *slow = data;
+    serve_plain(slow->replica, slow->conn, &slow->head, "ok");
+    standin_unref(slow->conn);
+    cq_h1_clear_head(&slow->head);
+    g_free(slow);
+    return G_SOURCE_REMOVE;
+}
+
+static void
+serve_slowly(replica_t *replica, standin_conn_t *conn,
+             const cq_h1_head_t *head, const char *query)
+{
+    slow_t *slow = g_new0(slow_t, 1);
+    slow->replica = replica;
+    slow->conn = standin_ref(conn);
+    cq_h1_copy_head(&slow->head, head);
+    g_timeout_add((guint)standin_query_number(query, "ms", SLOW_MS),
+                  on_slow_answer, slow);
+}
+
 static void
 on_request(standin_conn_t *conn, const cq_h1_head_t *head, const char *path,
            const char *query, const GByteArray *body, void *data)
@@ -334,6 +367,10 @@
         serve_stream(replica, conn, head, behaviour, query);
         return;
     }
+    if (strcmp(behaviour, "slow") == 0) {
+        serve_slowly(replica, conn, head, query);
+        return;
+    }
     serve_plain(replica, conn, head, behaviour);
 }
 
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -5,7 +5,11 @@
  * the key and the value, which is empty for a deletion. An answer to
  * /v1/log-read has the offsets of the topic's end and of its first readable
  * record (8 bytes each), then records in the same encoding. Numbers are in
- * network byte order. */
+ * network byte order.
+ *
+ * At each address of --also the records of the upstreams have that address's
+ * IP in place of 127.0.0.1, so that a host which reads them there reaches the
+ * upstreams through the mode links. */
 #include <json-glib/json-glib.h>
 #include <string.h>
 
@@ -13,6 +17,8 @@
 
 #define LENGTH_FIELD_BYTES 4
 #define OFFSET_FIELD_BYTES 8
+#define UPSTREAMS_TOPIC "keyed.servers"
+#define UPSTREAM_IP "\"address\":\"127.0.0.1:"
 
 typedef struct {
     char *key;
@@ -26,21 +32,32 @@
     guint reads;   /* number of read calls */
 } topic_t;
 
+typedef struct store store_t;
+
+/* An address at which the store listens.
+ * upstream_ip: takes the place of UPSTREAM_IP in the records; NULL: none does
+ */
+typedef struct {
+    store_t *store;
+    char *upstream_ip;
+} view_t;
+
 /* A read that waits for a record at offset @from. */
 typedef struct {
     standin_conn_t *conn;
+    const view_t *view;
     topic_t *topic;
     guint64 from;
     guint timer;
 } waiter_t;
 
-typedef struct {
+struct store {
     GHashTable *topics;
     GList *waiters;
     gboolean refusing; /* answers 503 to entry hosts */
     gboolean silent;   /* gives no answer to calls that arrive now */
     guint era;         /* how often it came back from an older copy, plus 1 */
-} store_t;
+};
 
 static topic_t *
 get_topic(store_t *store, const char *name)
@@ -77,8 +94,24 @@
     g_free(all);
 }
 
+/* Return: the record's value as it is read in @view; NULL: it is deleted. */
+static GBytes *
+value_in(const view_t *view, const topic_t *topic, const record_t *record)
+{
+    if (record->value == NULL || view->upstream_ip == NULL ||
+        strcmp(topic->name, UPSTREAMS_TOPIC) != 0) {
+        return record->value != NULL ? g_bytes_ref(record->value) : NULL;
+    }
+    gsize len;
+    const char *bytes = g_bytes_get_data(record->value, &len);
+    GString *text = g_string_new_len(bytes, (gssize)len);
+    g_string_replace(text, UPSTREAM_IP, view->upstream_ip, 1);
+    return g_string_free_to_bytes(text);
+}
+
 static void
-answer_records(standin_conn_t *conn, const topic_t *topic, guint64 from)
+answer_records(standin_conn_t *conn, const view_t *view, const topic_t *topic,
+               guint64 from)
 {
     GByteArray *out = g_byte_array_new();
     append_number(out, topic->records->len, OFFSET_FIELD_BYTES);
@@ -86,15 +119,16 @@
     for (guint64 i = from; i < topic->records->len; i++) {
         const record_t *record = g_ptr_array_index(topic->records, i);
         gsize value_len = 0;
-        const void *value = record->value != NULL
-                                ? g_bytes_get_data(record->value, &value_len)
-                                : NULL;
+        GBytes *seen = value_in(view, topic, record);
+        const void *value =
+            seen != NULL ? g_bytes_get_data(seen, &value_len) : NULL;
         gsize key_len = strlen(record->key);
         guint8 key_byte = (guint8)key_len;
         append_number(out, 1 + key_len + value_len, LENGTH_FIELD_BYTES);
         g_byte_array_append(out, &key_byte, 1);
         g_byte_array_append(out, (const guint8 *)record->key, (guint)key_len);
         g_byte_array_append(out, value, (guint)value_len);
+        g_clear_pointer(&seen, g_bytes_unref);
     }
     answer(conn, 200, "", out->data, out->len);
     g_byte_array_unref(out);
@@ -107,7 +141,7 @@
     if (waiter->timer != 0) {
         g_source_remove(waiter->timer);
     }
-    answer_records(waiter->conn, waiter->topic, waiter->from);
+    answer_records(waiter->conn, waiter->view, waiter->topic, waiter->from);
     standin_unref(waiter->conn);
     g_free(waiter);
 }
@@ -164,7 +198,7 @@
 
 /* Answers with the current value of each key. */
 static void
-serve_newest(standin_conn_t *conn, const topic_t *topic)
+serve_newest(standin_conn_t *conn, const view_t *view, const topic_t *topic)
 {
     JsonBuilder *builder = json_builder_new();
     json_builder_begin_object(builder);
@@ -181,8 +215,10 @@
             continue;
         }
         gsize len;
-        const guchar *bytes = g_bytes_get_data(record->value, &len);
+        GBytes *seen = value_in(view, topic, record);
+        const guchar *bytes = g_bytes_get_data(seen, &len);
         char *encoded = g_base64_encode(bytes, len);
+        g_bytes_unref(seen);
         json_builder_begin_object(builder);
         json_builder_set_member_name(builder, "key");
         json_builder_add_string_value(builder, record->key);
@@ -209,9 +245,10 @@
 }
 
 static void
-serve_read(store_t *store, standin_conn_t *conn, topic_t *topic,
+serve_read(const view_t *view, standin_conn_t *conn, topic_t *topic,
            const char *query)
 {
+    store_t *store = view->store;
     guint64 from = (guint64)standin_query_number(query, "from", 0);
     gint64 wait_ms = standin_query_number(query, "wait_ms", 0);
     if (from < topic->first || from > topic->records->len) {
@@ -219,11 +256,12 @@
         return;
     }
     if (from < topic->records->len || wait_ms == 0) {
-        answer_records(conn, topic, from);
+        answer_records(conn, view, topic, from);
         return;
     }
     waiter_t *waiter = g_new0(waiter_t, 1);
     waiter->conn = standin_ref(conn);
+    waiter->view = view;
     waiter->topic = topic;
     waiter->from = from;
     waiter->timer = g_timeout_add((guint)wait_ms, on_wait_over, waiter);
@@ -329,7 +367,8 @@
            const char *query, const GByteArray *body, void *data)
 {
     (void)head;
-    store_t *store = data;
+    const view_t *view = data;
+    store_t *store = view->store;
     char *name = standin_query_text(query, "topic");
     topic_t *topic = get_topic(store, name != NULL ? name : "");
     g_free(name);
@@ -345,11 +384,11 @@
         return;
     }
     if (strcmp(path, "/v1/log-newest") == 0) {
-        serve_newest(conn, topic);
+        serve_newest(conn, view, topic);
     }
     else if (strcmp(path, "/v1/log-read") == 0) {
         topic->reads++;
-        serve_read(store, conn, topic, query);
+        serve_read(view, conn, topic, query);
     }
     else if (strcmp(path, "/v1/log-append") == 0) {
         serve_append(store, conn, topic, body);
@@ -359,11 +398,31 @@
     }
 }
 
+/* Listens at @addr, where upstreams have its IP if @other_ip. */
+static gboolean
+listen_at(const char *addr, gboolean other_ip)
+{
+    view_t *view = g_new0(view_t, 1);
+    view->store = the_store;
+    if (other_ip) {
+        view->upstream_ip = g_strdup_printf(
+            "\"address\":\"%.*s:", (int)strcspn(addr, ":"), addr);
+    }
+    return standin_serve(addr, on_request, view);
+}
+
 gboolean
 fleet_store(const fleet_options_t *options)
 {
     the_store = g_new0(store_t, 1);
     the_store->era = 1;
     the_store->topics = g_hash_table_new(g_str_hash, g_str_equal);
-    return standin_serve(options->listen_addr, on_request, the_store);
+    gboolean listens = listen_at(options->listen_addr, FALSE);
+    char **others =
+        g_strsplit(options->also != NULL ? options->also : "", ",", -1);
+    for (guint i = 0; others[i] != NULL && listens; i++) {
+        listens = listen_at(others[i], TRUE);
+    }
+    g_strfreev(others);
+    return listens;
 }
