Tests: a cut of some hosts, and the same body sent by all callers

Callers saw: hosts that no cut touches refuse a body that all callers send, since the resets at the cut hosts count as crashes under it.

--- a/tests/standin/links.c
+++ b/tests/standin/links.c
@@ -4,7 +4,8 @@
  *
  *   /cut?how=silent      connections carry nothing; new ones get no answer to
  *                        their SYN, as the listening socket's queue is full
- *   /cut?how=reset       connections are reset, new ones refused
+ *   /cut?how=reset       connections are reset, new ones refused;
+ *                        with spread_ms one after the other at this interval
  *   /cut?how=reset_used  connections are reset when either side sends bytes
  *                        next, which are lost; new ones are refused
  *   /cut?how=refuse_new  connections live on, new ones are refused
@@ -46,6 +47,7 @@
     GList *links;
     links_state_t state;
     guint silence_check;
+    guint next_reset;
 } links_t;
 
 /* A port at which the host reaches an upstream.
@@ -302,6 +304,10 @@
 {
     gboolean was_silent = links->state == LINKS_SILENT;
     links->state = LINKS_WHOLE;
+    if (links->next_reset != 0) {
+        g_source_remove(links->next_reset);
+        links->next_reset = 0;
+    }
     for (GList *item = links->links; item != NULL && was_silent;) {
         link_t *link = item->data;
         item = item->next;
@@ -318,8 +324,20 @@
     }
 }
 
+static gboolean
+on_next_reset(gpointer data)
+{
+    links_t *links = data;
+    if (links->links != NULL) {
+        drop_link(links->links->data, TRUE);
+        return G_SOURCE_CONTINUE;
+    }
+    links->next_reset = 0;
+    return G_SOURCE_REMOVE;
+}
+
 static void
-cut(links_t *links, links_state_t state)
+cut(links_t *links, links_state_t state, guint spread_ms)
 {
     for (guint i = 0; i < links->ports->len; i++) {
         port_t *port = g_ptr_array_index(links->ports, i);
@@ -334,9 +352,12 @@
     if (state == LINKS_SILENT) {
         start_silence(links);
     }
-    while (state == LINKS_RESET && links->links != NULL) {
+    while (state == LINKS_RESET && spread_ms == 0 && links->links != NULL) {
         drop_link(links->links->data, TRUE);
     }
+    if (state == LINKS_RESET && spread_ms > 0) {
+        links->next_reset = g_timeout_add(spread_ms, on_next_reset, links);
+    }
 }
 
 static links_state_t
@@ -363,7 +384,8 @@
     heal(links);
     if (strcmp(path, "/cut") == 0) {
         char *how = standin_query_text(query, "how");
-        cut(links, state_named(how));
+        cut(links, state_named(how),
+            (guint)standin_query_number(query, "spread_ms", 0));
         g_free(how);
     }
     char *text = g_strdup_printf("%u", connections);
