Tests: the end of a silence resets what was silent

Both sides' TCP may have given up by the end of a cut. relaycutall now ends each silence so, at one host after the other.

--- a/tests/proc/cutlib.sh
+++ b/tests/proc/cutlib.sh
@@ -48,10 +48,11 @@
     for i in "$@"; do curl -sf "http://127.0.0.1:$(($(port_of "$i") + 3))/cut?how=$how" >/dev/null || fail "cut $i"; done
 }
 
-# heal HOST...: ends the cut of these hosts
+# heal HOST...: ends the cut of these hosts; with HEAL_RESETS=1 connections that
+# were silent are reset
 heal() {
     local i
-    for i in "$@"; do curl -sf "http://127.0.0.1:$(($(port_of "$i") + 3))/heal" >/dev/null || fail "heal $i"; done
+    for i in "$@"; do curl -sf "http://127.0.0.1:$(($(port_of "$i") + 3))/heal?reset=${HEAL_RESETS:-0}" >/dev/null || fail "heal $i"; done
 }
 
 # callers NAME KINDS EVERY_MS FOR_MS [OPTION...]: sends requests to every host
--- a/tests/proc/relaycutall.sh
+++ b/tests/proc/relaycutall.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
 # All hosts are cut from all upstreams for 5 s, in three ways, while all callers
-# send the same body. From 3 s after the end of the cut they are served at every
+# send the same body; connections that were silent are reset at its end. From 3 s after the end of the cut they are served at every
 # host: what a cut did to the connections is no crash under this request.
 BUILD=${1:-build}
 . tests/proc/cutlib.sh
@@ -15,8 +15,11 @@
         sleep 0.05
     done
     sleep $((CUT_MS / 1000))
+    for i in $HOST_NUMBERS; do
+        HEAL_RESETS=1 heal "$i"
+        sleep 0.05
+    done
     ended=$(now_ms)
-    heal $HOST_NUMBERS
     wait $CALLERS_PID
     expect_served "$how, before the cut" $how $((began - 2000)) $((began - 200)) $HOST_NUMBERS
     say "$how, during the cut"
--- a/tests/standin/links.c
+++ b/tests/standin/links.c
@@ -10,7 +10,8 @@
  *                        next, which are lost; new ones are refused
  *   /cut?how=refuse_new  connections live on, new ones are refused
  *   /heal                the links work again; connections that were silent
- *                        carry what was written meanwhile
+ *                        carry what was written meanwhile, or are reset with
+ *                        reset=1, as when the upstreams' TCP has given up
  *
  * All answer with the number of connections. On loopback the kernel still
  * acknowledges what a silent connection gets; so that the host's TCP gives up
@@ -300,7 +301,7 @@
 }
 
 static void
-heal(links_t *links)
+heal(links_t *links, gboolean reset)
 {
     gboolean was_silent = links->state == LINKS_SILENT;
     links->state = LINKS_WHOLE;
@@ -311,7 +312,7 @@
     for (GList *item = links->links; item != NULL && was_silent;) {
         link_t *link = item->data;
         item = item->next;
-        if (link->host.sock == NULL || link->upstream.sock == NULL) {
+        if (reset || link->host.sock == NULL || link->upstream.sock == NULL) {
             drop_link(link, TRUE);
         }
     }
@@ -381,7 +382,7 @@
     (void)body;
     links_t *links = data;
     guint connections = g_list_length(links->links);
-    heal(links);
+    heal(links, standin_query_number(query, "reset", 0) != 0);
     if (strcmp(path, "/cut") == 0) {
         char *how = standin_query_text(query, "how");
         cut(links, state_named(how),
