Broken streams go on or end at once, not at their deadline

What callers saw: a stream that broke off stayed silent to the caller's time limit and was then reset, also beside an upstream that could have gone on with it. A call to a service with one usable upstream that answered with a server error got 504 at its time limit in place of the error.

Cause: the upstream of the last failed attempt was never used again for a request, but counted as usable when it was decided whether a retry can start in time. And a queued request of which the caller has a part was kept to its deadline whatever became of the upstreams.

Change: if no other upstream accepts new work before the deadline, the upstream of the last failed attempt may be used again, after the time for which it is avoided. A waiting stream is checked at each tick, and ends when no upstream is usable before its deadline.

Evidence: tests/unit/retry_test.cc. Before the change: BrokenStream.ContinuesAtItsOnlyUpstreamOnceThatIsUsableAgain retry_test.cc:383 last_send(id)->attempt is 1, wanted 2 BrokenStream.ContinuesWhereItBrokeOffIfTheOtherIsAvoidedTooLong retry_test.cc:411 last_send(id)->attempt is 1, wanted 2 BrokenStream.EndsWhenTheUpstreamThatItWaitsForIsPaused retry_test.cc:429 answer_of(id) is NULL BrokenStream.EndsWhenItsUpstreamsLeave retry_test.cc:447 answer_of(id) is NULL BrokenStream.OfAnEngineContinuesThereIfThereIsNoOther retry_test.cc:501 last_send(id)->attempt is 1, wanted 2 BrokenStream.OfACallWithOneUpstreamThatFaultsGetsItsErrorInTime retry_test.cc:510 last_send(id)->attempt is 1, wanted 2 Four guards passed at once: EndsAtOnceIfNoUpstreamCanContinueItInTime, EndsAtOnceIfTheUpstreamThatGoesOnRefusesToo, EndsAtOnceIfItsRetryIsDenied, OfAnEngineEndsAtOnceIfNoEngineCanContinueIt.

--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -236,6 +236,11 @@
         request->last_failed = request->failed_helper;
         request->failed_helper = 0;
     }
+    /* A request that nobody has begun to answer rather waits for another
+     * upstream than for one that can't be reached. */
+    if (failure != CQ_FAIL_CONNECT || request->forwarded > 0) {
+        cq_member_allow_last_failed(core, request);
+    }
     request->sent = FALSE;
     cq_load_remove_attempt(core, request);
     cq_group_release(core, request);
--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -438,12 +438,13 @@
 
 /* A zone that is cut off may come back at any moment. */
 static gint64
-first_usable_us(const cq_core_t *core, const GPtrArray *upstreams)
+first_usable_us(const cq_core_t *core, const GPtrArray *upstreams,
+                guint64 except)
 {
     gint64 first_us = G_MAXINT64;
     for (guint i = 0; i < upstreams->len; i++) {
         const cq_upstream_t *upstream = g_ptr_array_index(upstreams, i);
-        if (upstream->leaving) {
+        if (upstream->leaving || upstream->id == except) {
             continue;
         }
         gint64 usable_us = cq_member_zone_cut_off(core, upstream)
@@ -455,11 +456,20 @@
     return first_us;
 }
 
+/* Return: when the first upstream of @service that isn't @except accepts new
+ * work; G_MAXINT64 if there is none. */
+static gint64
+usable_from_us(const cq_core_t *core, const cq_service_t *service,
+               guint64 except)
+{
+    return MIN(first_usable_us(core, service->local, except),
+               first_usable_us(core, service->remote, except));
+}
+
 gint64
 cq_member_usable_from_us(const cq_core_t *core, const cq_service_t *service)
 {
-    return MIN(first_usable_us(core, service->local),
-               first_usable_us(core, service->remote));
+    return usable_from_us(core, service, 0);
 }
 
 gboolean
@@ -469,6 +479,16 @@
            request->deadline_us;
 }
 
+void
+cq_member_allow_last_failed(const cq_core_t *core, cq_request_t *request)
+{
+    if (request->last_failed != 0 &&
+        usable_from_us(core, request->service, request->last_failed) >=
+            request->deadline_us) {
+        request->last_failed = 0;
+    }
+}
+
 static gboolean
 is_unused(const cq_upstream_t *upstream)
 {
--- a/packages/core/member.h
+++ b/packages/core/member.h
@@ -62,6 +62,11 @@
 gboolean
 cq_member_usable_in_time(const cq_core_t *core, const cq_request_t *request);
 
+/** cq_member_allow_last_failed() - let the upstream of the last failed attempt
+ * of @request be used again if no other one accepts new work in time */
+void
+cq_member_allow_last_failed(const cq_core_t *core, cq_request_t *request);
+
 /** cq_member_avoid() - send nothing new to @upstream for @us; doesn't shorten
  * an earlier pause, which the upstream may have asked for */
 void
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -303,7 +303,8 @@
  * @upstream: upstream of the running attempt, or NULL
  * @earmark: engine on which its memory is set aside while it waits, or NULL
  * @earmark_until_us: when the earmark ends
- * @last_failed: id of the upstream of the last failed attempt, or 0
+ * @last_failed: id of the upstream of the last failed attempt, which is not
+ *   used again; 0: none, or no other one is usable in time
  * @sent: a byte of the running attempt may have been sent
  * @possible_runs: attempts that may have run: a byte of them may have been
  *   sent, and the upstream did not refuse them
--- a/packages/core/watchdog.c
+++ b/packages/core/watchdog.c
@@ -122,12 +122,26 @@
     }
 }
 
-/* Refuses a queued request that can no longer finish by its deadline. A
- * request whose caller already has tokens is kept until the deadline. */
+/* A stream that broke off waits for an upstream to go on with it, but only
+ * while one is usable before its deadline. */
+static void
+check_broken_stream(cq_core_t *core, cq_request_t *request)
+{
+    cq_member_allow_last_failed(core, request);
+    if (!cq_member_usable_in_time(core, request)) {
+        cq_answer_outcome(core, request, CQ_OUTCOME_BROKEN);
+    }
+}
+
+/* Refuses a queued request that can no longer finish by its deadline. */
 static void
 check_queued(cq_core_t *core, cq_request_t *request)
 {
-    if (core->policy != CQ_POLICY_COST || request->forwarded > 0) {
+    if (core->policy != CQ_POLICY_COST) {
+        return;
+    }
+    if (request->forwarded > 0) {
+        check_broken_stream(core, request);
         return;
     }
     if (request->task == NULL && cq_rate_delays(core, request)) {
