An answer on a kept connection has to echo the request's id

What callers saw: an upstream that writes an earlier answer once more, and without the attempt id, answered the next request on that connection. A refusal was believed: the request, which the upstream ran, was sent again or answered 503 with ran "no". A 200 was passed on to the wrong caller.

Cause: an answer without an id counted as the answer to whatever request its connection carried.

Change: on a kept connection an answer has to echo the id; else the attempt counts as broken, and what the answer says of its upstream (Retry-After) isn't taken. On a new connection no earlier request was sent, so an answer without an id is still accepted. A request without an id gets a new connection, as no answer to it can be told apart. Requests that may run once have had new connections before, so the fault concerned those that may be repeated.

The stand-in replica now echoes the id in refusals, as the platform says.

Evidence: tests/unit/outbound_test.cc (new), over real sockets.

--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -215,6 +215,17 @@
     }
 }
 
+/* An answer without an id on a kept connection may be for an earlier request;
+ * on a new connection there is none. */
+static gboolean
+answers_call(const call_t *call, const cq_response_fields_t *reply)
+{
+    if (call->attempt_id == NULL || reply->attempt_id == NULL) {
+        return !call->on_kept_conn;
+    }
+    return strcmp(call->attempt_id, reply->attempt_id) == 0;
+}
+
 static void
 on_head(void *data, const cq_h1_head_t *head)
 {
@@ -224,11 +235,7 @@
         return;
     }
     cq_response_fields_t reply = cq_headers_parse_response(head);
-    gboolean id_matches = call->attempt_id == NULL ||
-                          reply.attempt_id == NULL ||
-                          strcmp(call->attempt_id, reply.attempt_id) == 0;
-    if (!id_matches) {
-        /* The answer is for an earlier request on this connection. */
+    if (!answers_call(call, &reply)) {
         fail(call, CQ_FAIL_BROKEN);
         return;
     }
@@ -501,7 +508,8 @@
     call->last_event = spec->last_event;
     call->resumes = spec->last_event >= 0;
     g_hash_table_replace(outbound->by_request, &call->request, call);
-    conn_t *conn = spec->fresh ? NULL : reuse_idle(outbound, spec);
+    gboolean may_reuse = !spec->fresh && spec->attempt_id != NULL;
+    conn_t *conn = may_reuse ? reuse_idle(outbound, spec) : NULL;
     call->on_kept_conn = conn != NULL;
     if (conn == NULL) {
         conn = open_conn(outbound, spec);
--- a/packages/router/outbound.h
+++ b/packages/router/outbound.h
@@ -4,7 +4,8 @@
  * HTTP/1.1 client of relay mode, for upstreams that use the platform's
  * headers: carries out the core's SEND and STOP as calls and reports their
  * outcomes as events. An answer is accepted only if it is complete and does
- * not echo the id of another attempt.
+ * not echo the id of another attempt; on a connection that was kept from an
+ * earlier request it has to echo the id.
  */
 #ifndef CQ_OUTBOUND_H
 #define CQ_OUTBOUND_H
@@ -35,8 +36,8 @@
  * @incarnation: its incarnation; idle connections to another incarnation at
  * the same address are not used
  * @fresh: use a new connection, not an idle one
- * @attempt_id: the attempt's id in @head, or NULL; an answer with another
- * attempt id is rejected
+ * @attempt_id: the attempt's id in @head; an answer with another attempt id
+ * is rejected. NULL: none, and the call gets a new connection
  * @method: HTTP method
  * @head: the complete head, with its blank line
  * @body: the body
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -226,6 +226,17 @@
     return G_SOURCE_CONTINUE;
 }
 
+static void
+answer_not_run(standin_conn_t *conn, const cq_h1_head_t *head, int status,
+               const char *more_fields)
+{
+    char fields[256];
+    g_snprintf(fields, sizeof fields,
+               "Cuminquay-Attempt-Id: %s\r\nCuminquay-Not-Executed: 1\r\n%s",
+               field_or_dash(head, "Cuminquay-Attempt-Id"), more_fields);
+    standin_answer(conn, status, fields, "", 0);
+}
+
 static void
 serve_plain(replica_t *replica, standin_conn_t *conn, const cq_h1_head_t *head,
             const char *behaviour)
@@ -245,12 +256,10 @@
         standin_answer(conn, 500, fields, body, len);
     }
     else if (strcmp(behaviour, "refuse") == 0) {
-        standin_answer(conn, 503, "Cuminquay-Not-Executed: 1\r\n", "", 0);
+        answer_not_run(conn, head, 503, "");
     }
     else if (strcmp(behaviour, "pause") == 0) {
-        standin_answer(conn, 503,
-                       "Cuminquay-Not-Executed: 1\r\nRetry-After: 2.5\r\n", "",
-                       0);
+        answer_not_run(conn, head, 503, "Retry-After: 2.5\r\n");
     }
     else if (strcmp(behaviour, "leave") == 0) {
         g_strlcat(fields, "Server-Leaving: 1\r\n", sizeof fields);
@@ -313,7 +322,7 @@
         cq_h1_get_field(head, "Cuminquay-Expect-Replica");
     if (expected_name != NULL &&
         strcmp(expected_name, replica->options->name) != 0) {
-        standin_answer(conn, 421, "", "", 0);
+        answer_not_run(conn, head, 421, "");
         return;
     }
     const char *behaviour = strrchr(path, '/') + 1;
--- /dev/null
+++ b/tests/unit/outbound_test.cc
@@ -0,0 +1,377 @@
+// Which answers of an upstream a call believes: upstreams that write an
+// earlier answer once more, and that go on with a stream that another one
+// began.
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "router/outbound.h"
+
+namespace {
+
+constexpr gint64 kWaitMaxUs = 5 * 1000 * 1000;
+const std::string kSeal = "Cuminquay-Replica-Seal: s\r\n";
+const std::string kNotRun = "Cuminquay-Not-Executed: 1\r\n";
+
+std::string
+id_field(const std::string &id)
+{
+    return "Cuminquay-Attempt-Id: " + id + "\r\n";
+}
+
+std::string
+answer(const std::string &status, const std::string &fields,
+       const std::string &body = "")
+{
+    return "HTTP/1.1 " + status + " X\r\n" + fields +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+}
+
+std::string
+chunk(const std::string &text)
+{
+    char size[16];
+    g_snprintf(size, sizeof size, "%zx\r\n", text.size());
+    return size + text + "\r\n";
+}
+
+std::string
+event(int id)
+{
+    return chunk("id: " + std::to_string(id) + "\ndata: x\n\n");
+}
+
+class Outbound : public ::testing::Test {
+  protected:
+    void
+    SetUp() override
+    {
+        listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        struct sockaddr_in addr = {};
+        addr.sin_family = AF_INET;
+        addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t len = sizeof addr;
+        ASSERT_EQ(bind(listener, (struct sockaddr *)&addr, len), 0);
+        ASSERT_EQ(listen(listener, 16), 0);
+        ASSERT_EQ(getsockname(listener, (struct sockaddr *)&addr, &len), 0);
+        address = "127.0.0.1:" + std::to_string(ntohs(addr.sin_port));
+        cq_outbound_ops_t ops = {};
+        ops.post = [](const cq_event_t *posted, void *data) {
+            auto *test = static_cast<Outbound *>(data);
+            test->events.push_back(*posted);
+            if (test->on_posted) {
+                test->on_posted(*posted);
+            }
+        };
+        ops.data = this;
+        outbound = cq_outbound_new(&ops);
+    }
+    void
+    TearDown() override
+    {
+        cq_outbound_free(outbound);
+        for (int fd : conns) {
+            close(fd);
+        }
+        close(listener);
+    }
+    // Runs the main loop until @done; Return: whether it is done in time.
+    static bool
+    run_until(const std::function<bool()> &done)
+    {
+        gint64 end_us = g_get_monotonic_time() + kWaitMaxUs;
+        while (!done()) {
+            if (g_get_monotonic_time() > end_us) {
+                return false;
+            }
+            g_main_context_iteration(nullptr, FALSE);
+        }
+        return true;
+    }
+    void
+    send(guint64 request, const char *id)
+    {
+        GString *head = g_string_new("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+        GByteArray *body = g_byte_array_new();
+        cq_outbound_call_t call = {};
+        call.request = request;
+        call.attempt = 1;
+        call.upstream = 1;
+        call.addr = address.c_str();
+        call.incarnation = 1;
+        call.fresh = fresh;
+        call.attempt_id = id;
+        call.method = "GET";
+        call.head = head;
+        call.body = body;
+        call.last_event = last_event;
+        cq_outbound_send(outbound, &call);
+        g_string_free(head, TRUE);
+        g_byte_array_unref(body);
+    }
+    // Return: the upstream's end of the newest connection, once a further
+    // request has arrived there.
+    int
+    next_request()
+    {
+        int found = -1;
+        EXPECT_TRUE(run_until([&] {
+            int fd = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
+            if (fd >= 0) {
+                conns.push_back(fd);
+            }
+            for (int conn : conns) {
+                char bytes[4096];
+                if (recv(conn, bytes, sizeof bytes, 0) > 0) {
+                    found = conn;
+                }
+            }
+            return found >= 0;
+        }));
+        return found;
+    }
+    void
+    reply(int conn, const std::string &bytes)
+    {
+        ASSERT_EQ(write(conn, bytes.data(), bytes.size()),
+                  (gssize)bytes.size());
+    }
+    const cq_event_t *
+    last_event_of(guint64 request, cq_event_kind_t kind)
+    {
+        for (auto it = events.rbegin(); it != events.rend(); ++it) {
+            if (it->kind == kind && it->attempt.request == request) {
+                return &*it;
+            }
+        }
+        return nullptr;
+    }
+    // Waits for the end of the call. Return: "done" or how it failed.
+    std::string
+    outcome(guint64 request)
+    {
+        static const char *const names[] = {"connect", "refused", "leaving",
+                                            "broken", "fault"};
+        EXPECT_TRUE(run_until([&] {
+            return last_event_of(request, CQ_EV_DONE) != nullptr ||
+                   last_event_of(request, CQ_EV_FAILED) != nullptr;
+        }));
+        const cq_event_t *failed = last_event_of(request, CQ_EV_FAILED);
+        return failed != nullptr ? names[failed->attempt.failure] : "done";
+    }
+    // A call that is answered; its connection is kept. Return: the upstream's
+    // end.
+    int
+    keep_connection()
+    {
+        send(1, "a1");
+        int conn = next_request();
+        reply(conn, answer("200", id_field("a1") + kSeal, "first"));
+        EXPECT_EQ(outcome(1), "done");
+        return conn;
+    }
+    // The outcome of a call on a kept connection that is answered so.
+    std::string
+    outcome_on_kept(const std::string &bytes)
+    {
+        int kept = keep_connection();
+        send(2, "a2");
+        EXPECT_EQ(next_request(), kept);
+        reply(kept, bytes);
+        return outcome(2);
+    }
+    // The outcome of a call on a new connection that is answered so.
+    std::string
+    outcome_on_new(const std::string &bytes)
+    {
+        send(2, "a2");
+        int conn = next_request();
+        reply(conn, bytes);
+        return outcome(2);
+    }
+    bool
+    pause_reported() const
+    {
+        for (const cq_event_t &one : events) {
+            if (one.kind == CQ_EV_UPSTREAM && one.upstream.pause_us > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+    // Events of a stream that were passed on.
+    std::string
+    passed_on(guint64 request)
+    {
+        cq_outbound_answer_t received = {};
+        if (!cq_outbound_answer(outbound, request, &received)) {
+            return "";
+        }
+        return std::string((const char *)received.body->data,
+                           received.body->len);
+    }
+
+    int listener = -1;
+    std::string address;
+    std::vector<int> conns;
+    cq_outbound_t *outbound = nullptr;
+    std::vector<cq_event_t> events;
+    std::function<void(const cq_event_t &)> on_posted;
+    gboolean fresh = FALSE;
+    gint64 last_event = -1;
+};
+
+class LateRefusal : public Outbound {};
+
+TEST_F(LateRefusal, WithAnotherIdIsNotBelieved)
+{
+    EXPECT_EQ(outcome_on_kept(answer("503", id_field("a1") + kNotRun)),
+              "broken");
+}
+
+TEST_F(LateRefusal, WithoutAnIdIsNotBelievedOnAKeptConnection)
+{
+    EXPECT_EQ(outcome_on_kept(answer("503", kNotRun)), "broken");
+}
+
+TEST_F(LateRefusal, WithStatus421AndWithoutAnIdIsNotBelievedThere)
+{
+    EXPECT_EQ(outcome_on_kept(answer("421", "")), "broken");
+}
+
+TEST_F(LateRefusal, WithoutAnIdSaysNothingOfItsUpstreamThere)
+{
+    outcome_on_kept(answer("503", kNotRun + "Retry-After: 3\r\n"));
+    EXPECT_FALSE(pause_reported());
+}
+
+TEST_F(LateRefusal, IsBelievedIfItEchoesTheIdOfTheRequest)
+{
+    EXPECT_EQ(outcome_on_kept(answer("503", id_field("a2") + kNotRun)),
+              "refused");
+}
+
+TEST_F(LateRefusal, IsBelievedWithoutAnIdOnANewConnection)
+{
+    EXPECT_EQ(outcome_on_new(answer("503", kNotRun)), "refused");
+}
+
+TEST_F(LateRefusal, WithAnotherIdIsNotBelievedOnANewConnectionEither)
+{
+    EXPECT_EQ(outcome_on_new(answer("503", id_field("a1") + kNotRun)),
+              "broken");
+}
+
+TEST_F(LateRefusal, BeforeTheNextRequestEndsTheConnection)
+{
+    int kept = keep_connection();
+    reply(kept, answer("503", kNotRun));
+    char byte;
+    ASSERT_TRUE(run_until([&] {
+        gssize n = recv(kept, &byte, 1, 0);
+        return n == 0 || (n < 0 && errno != EAGAIN);
+    }));
+    send(2, "a2");
+    EXPECT_NE(next_request(), kept);
+}
+
+class LateAnswer : public Outbound {};
+
+TEST_F(LateAnswer, WithoutAnIdIsNotBelievedOnAKeptConnection)
+{
+    EXPECT_EQ(outcome_on_kept(answer("200", kSeal, "first")), "broken");
+}
+
+TEST_F(LateAnswer, WithoutAnIdIsBelievedOnANewConnection)
+{
+    EXPECT_EQ(outcome_on_new(answer("200", kSeal, "own")), "done");
+}
+
+TEST_F(LateAnswer, CannotMeetARequestWithoutAnId)
+{
+    int kept = keep_connection();
+    send(2, nullptr);
+    int conn = next_request();
+    EXPECT_NE(conn, kept);
+    reply(conn, answer("200", kSeal, "second"));
+    EXPECT_EQ(outcome(2), "done");
+}
+
+// The caller has the events up to 3.
+class Resumed : public Outbound {
+  protected:
+    std::string
+    resume(const std::string &bytes)
+    {
+        last_event = 3;
+        return outcome_on_new(bytes);
+    }
+    static std::string
+    stream_head()
+    {
+        return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+               id_field("a2") + kSeal + "Transfer-Encoding: chunked\r\n\r\n";
+    }
+};
+
+TEST_F(Resumed, ByAnythingButAStreamIsBroken)
+{
+    const std::string id = id_field("a2");
+    const std::string type = "Content-Type: text/event-stream\r\n";
+    for (const std::string &bytes : {
+             answer("200", id + kSeal, "error"),
+             answer("200", id + type, "id: 4\ndata: error\n\n"),
+             answer("404", id + kSeal, "error"),
+             answer("404", id + kSeal + type, "id: 4\ndata: error\n\n"),
+             answer("500", id + kSeal, "error"),
+             answer("500", id + kSeal + type, "id: 4\ndata: error\n\n"),
+             "HTTP/1.1 500 X\r\n" + id + kSeal +
+                 "Transfer-Encoding: chunked\r\n\r\n" + event(4) + "0\r\n\r\n",
+             "HTTP/1.1 204 X\r\n" + id + kSeal + "\r\n",
+             "HTTP/1.1 304 X\r\n" + id + kSeal + "\r\n",
+             "HTTP/1.1 103 X\r\n\r\n" + answer("404", id + kSeal, "error"),
+             "HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n" +
+                 answer("404", id + kSeal, "error"),
+         }) {
+        events.clear();
+        EXPECT_EQ(resume(bytes), "broken") << bytes;
+        EXPECT_EQ(last_event_of(2, CQ_EV_TOKENS), nullptr) << bytes;
+        cq_outbound_remove(outbound, 2);
+    }
+}
+
+TEST_F(Resumed, PassesOnlyLaterEventsOn)
+{
+    EXPECT_EQ(resume(stream_head() + event(1) + event(3) + event(4) +
+                     event(5) + "0\r\n\r\n"),
+              "done");
+    EXPECT_EQ(passed_on(2), "id: 4\ndata: x\n\nid: 5\ndata: x\n\n");
+}
+
+TEST_F(Resumed, GoesOnAfterAnInterimAnswerAndWithATrailer)
+{
+    EXPECT_EQ(resume("HTTP/1.1 100 X\r\n\r\n" + stream_head() + event(4) +
+                     "0\r\nX-Trailer: error\r\n\r\n"),
+              "done");
+    EXPECT_EQ(passed_on(2), "id: 4\ndata: x\n\n");
+}
+
+TEST_F(Resumed, ThatBreaksOffInAnEventIsBroken)
+{
+    last_event = 3;
+    send(2, "a2");
+    int conn = next_request();
+    reply(conn, stream_head() + event(4) + chunk("id: 5\nda") + "0\r\n\r\n");
+    EXPECT_EQ(outcome(2), "broken");
+    EXPECT_EQ(passed_on(2), "id: 4\ndata: x\n\n");
+}
+
+} // namespace
