No request on a connection that has bytes after an answer

What callers saw: a request that waited until another one was answered could be sent on that one's connection while the rest of the same read, such as an earlier refusal, was still unread. It was taken as the answer, so the attempt failed.

Cause: the end of an answer was reported from within the parser, and the next request was placed then, before the bytes behind the answer were looked at.

Change: the end is reported when it is known whether the read has more bytes; if so, the connection is closed first.

Evidence: tests/unit/outbound_test.cc, LateRefusal.InTheSameReadAsTheEndOfAnAnswerEndsTheConnection. Before: the second request came on the first connection and ended "refused", wanted "done".

--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -23,6 +23,7 @@
 
 typedef struct call call_t;
 
+/* complete: the answer to its call has been read, and end_call() is due */
 typedef struct {
     cq_list_t link;
     cq_outbound_t *outbound;
@@ -32,6 +33,7 @@
     guint64 incarnation;
     call_t *call;
     gint64 idle_until_us;
+    gboolean complete;
     gboolean closed;
     guint refs;
 } conn_t;
@@ -349,7 +351,16 @@
 on_done(void *data)
 {
     conn_t *conn = data;
+    conn->complete = TRUE;
+}
+
+/* Called when an answer is complete. A connection on which more bytes have
+ * arrived isn't kept: they would answer the next request. */
+static void
+end_call(conn_t *conn, gboolean more_bytes)
+{
     call_t *call = conn->call;
+    conn->complete = FALSE;
     if (call == NULL || !call->head_received) {
         return;
     }
@@ -359,7 +370,12 @@
         return;
     }
     detach(call);
-    keep_or_close(conn, call);
+    if (more_bytes) {
+        conn_close(conn);
+    }
+    else {
+        keep_or_close(conn, call);
+    }
     cq_event_t event = {.attempt = {.status = call->head.status}};
     if (call->head.status >= 500) {
         event.attempt.failure = CQ_FAIL_FAULT;
@@ -392,6 +408,9 @@
         gsize consumed = cq_h1_feed(conn->reader, bytes, len);
         bytes += consumed;
         len -= consumed;
+        if (conn->complete) {
+            end_call(conn, len > 0);
+        }
         if (cq_h1_error(conn->reader) != CQ_H1_OK) {
             if (conn->call != NULL) {
                 fail(conn->call, CQ_FAIL_BROKEN);
@@ -410,6 +429,9 @@
     if (how == CQ_SOCK_EOF && conn->call != NULL) {
         cq_h1_connection_closed(conn->reader);
     }
+    if (conn->complete) {
+        end_call(conn, FALSE);
+    }
     if (conn->call != NULL) {
         gboolean not_connected = how == CQ_SOCK_REFUSED && !conn->call->sent;
         fail(conn->call, not_connected ? CQ_FAIL_CONNECT : CQ_FAIL_BROKEN);
--- a/tests/unit/outbound_test.cc
+++ b/tests/unit/outbound_test.cc
@@ -270,6 +270,25 @@
               "broken");
 }
 
+TEST_F(LateRefusal, InTheSameReadAsTheEndOfAnAnswerEndsTheConnection)
+{
+    // The next request is sent as soon as the answer is complete.
+    on_posted = [this](const cq_event_t &posted) {
+        if (posted.kind == CQ_EV_DONE && posted.attempt.request == 1) {
+            send(2, "a2");
+        }
+    };
+    send(1, "a1");
+    int first = next_request();
+    reply(first, answer("200", id_field("a1") + kSeal, "first") +
+                     answer("503", kNotRun));
+    int second = next_request();
+    EXPECT_NE(second, first);
+    reply(second, answer("200", id_field("a2") + kSeal, "second"));
+    EXPECT_EQ(outcome(1), "done");
+    EXPECT_EQ(outcome(2), "done");
+}
+
 TEST_F(LateRefusal, BeforeTheNextRequestEndsTheConnection)
 {
     int kept = keep_connection();
