No unproven 408, 429 or 503 to a caller whose request may run once

What callers saw: a faulty upstream's 408, 429 or 503 without Cuminquay-Not-Executed and without a seal was passed on as it was. Callers take these statuses as the promise that the request has not run, but the upstream had been sent it and promised nothing.

Cause: an answer that isn't a 2xx was passed on whatever it said.

Change: for a request that may run once such an answer counts as a broken attempt, so the caller gets 502. Sealed answers are passed on unchanged.

Evidence: tests/unit/outbound_test.cc, UnprovenPromise.IsNotPassedOnIfTheRequestMayRunOnce for 408, 429 and 503.

--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -41,6 +41,7 @@
 /* One attempt. It is kept until the core has answered the request, also if its
  * connection has ended before.
  * on_kept_conn: the connection was kept from an earlier request
+ * runs_once: the request must not be repeated
  * resumes: the caller already has the first events of the stream
  * unparsed: bytes of a stream that are not yet split into events
  * body: bytes ready to be forwarded */
@@ -58,6 +59,7 @@
     gboolean sent;
     gboolean ended;
     gboolean on_kept_conn;
+    gboolean runs_once;
     gboolean resumes;
     GByteArray *unparsed;
     GByteArray *body;
@@ -105,6 +107,17 @@
     return head->status >= 200 && head->status < 300;
 }
 
+/* Callers take these statuses to mean that the request did not run. An answer
+ * that has neither the seal nor the statement to that effect proves nothing.
+ */
+static gboolean
+is_unproven_promise(const cq_h1_head_t *head,
+                    const cq_response_fields_t *reply)
+{
+    return !reply->sealed &&
+           (head->status == 408 || head->status == 429 || head->status == 503);
+}
+
 static gboolean
 is_stream(const call_t *call)
 {
@@ -250,6 +263,10 @@
         fail(call, CQ_FAIL_BROKEN);
         return;
     }
+    if (call->runs_once && is_unproven_promise(head, &reply)) {
+        fail(call, CQ_FAIL_BROKEN);
+        return;
+    }
     cq_h1_copy_head(&call->head, head);
     call->head_received = TRUE;
     call->reply = reply;
@@ -529,6 +546,7 @@
     call->incarnation = spec->incarnation;
     call->last_event = spec->last_event;
     call->resumes = spec->last_event >= 0;
+    call->runs_once = spec->fresh;
     g_hash_table_replace(outbound->by_request, &call->request, call);
     gboolean may_reuse = !spec->fresh && spec->attempt_id != NULL;
     conn_t *conn = may_reuse ? reuse_idle(outbound, spec) : NULL;
--- a/packages/router/outbound.h
+++ b/packages/router/outbound.h
@@ -35,7 +35,7 @@
  * @addr: its address
  * @incarnation: its incarnation; idle connections to another incarnation at
  * the same address are not used
- * @fresh: use a new connection, not an idle one
+ * @fresh: use a new connection, not an idle one: the request may run once
  * @attempt_id: the attempt's id in @head; an answer with another attempt id
  * is rejected. NULL: none, and the call gets a new connection
  * @method: HTTP method
--- a/tests/unit/outbound_test.cc
+++ b/tests/unit/outbound_test.cc
@@ -324,6 +324,19 @@
     EXPECT_EQ(outcome(2), "done");
 }
 
+// Callers take these statuses to mean that the request did not run.
+class UnprovenPromise : public Outbound,
+                        public ::testing::WithParamInterface<const char *> {};
+
+TEST_P(UnprovenPromise, IsNotPassedOnIfTheRequestMayRunOnce)
+{
+    fresh = TRUE;
+    EXPECT_EQ(outcome_on_new(answer(GetParam(), id_field("a2"))), "broken");
+}
+
+INSTANTIATE_TEST_SUITE_P(All, UnprovenPromise,
+                         ::testing::Values("408", "429", "503"));
+
 // The caller has the events up to 3.
 class Resumed : public Outbound {
   protected:
