A stream whose events have no ids is not resumed

What callers saw: a stream without ids that broke off was asked for again at another upstream, from its start, and joined to what the caller had. A resumed stream was taken with events without ids too, which may be events that the caller has.

Cause: an event without an id was passed on whatever came before it, and an attempt counted as resuming only if an event with an id had come.

Change: once an event without an id was passed on, the request can't be resumed, and ends with a reset when its upstream breaks off. In a resumed stream such an event breaks the attempt.

--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -277,8 +277,12 @@
 }
 
 static void
-on_tokens(cq_core_t *core, cq_request_t *request, gint64 tokens)
+on_tokens(cq_core_t *core, cq_request_t *request, const cq_ev_attempt_t *event)
 {
+    gint64 tokens = event->tokens;
+    if (event->unnumbered) {
+        request->resumable = FALSE;
+    }
     if (request->entered_prefill_us > 0) {
         cq_load_first_token(core, request);
         request->entered_prefill_us = 0;
@@ -377,7 +381,7 @@
         on_sent(core, request);
         break;
     case CQ_EV_TOKENS:
-        on_tokens(core, request, detail->tokens);
+        on_tokens(core, request, detail);
         break;
     case CQ_EV_DONE:
         on_done(core, request, detail->status);
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -121,6 +121,7 @@
  * @request: the request
  * @attempt: the attempt's number
  * @tokens: TOKENS: new tokens; PROBED: tokens that the upstream has sent
+ * @unnumbered: TOKENS: some of them have no id to resume after
  * @status: DONE: HTTP status
  * @failure: FAILED: how it ended
  * @on_kept_conn: FAILED: its connection was kept from an earlier request
@@ -132,6 +133,7 @@
     guint64 request;
     guint32 attempt;
     gint64 tokens;
+    gboolean unnumbered;
     int status;
     cq_failure_t failure;
     gboolean on_kept_conn;
--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -6,6 +6,7 @@
 #include "base/list.h"
 #include "http/sock.h"
 #include "platform/headers.h"
+#include "router/events.h"
 
 /* An idle connection is closed this long before the end of the keep-alive time
  * announced by the upstream, so that no request meets a closing connection. */
@@ -18,8 +19,6 @@
 /* Bytes of all such bodies together; the answer that exceeds it is broken off.
  * Buffers grow to twice that, which the smallest host can hold. */
 #define ALL_BODIES_BYTES_MAX (48 * 1024 * 1024)
-#define EVENT_END "\n\n"
-#define EVENT_ID "id:"
 
 typedef struct call call_t;
 
@@ -42,9 +41,7 @@
  * connection has ended before.
  * on_kept_conn: the connection was kept from an earlier request
  * runs_once: the request must not be repeated
- * resumes: the caller already has the first events of the stream
- * unparsed: bytes of a stream that are not yet split into events
- * body: bytes ready to be forwarded */
+ * events: the answer as a stream; its @whole is the body of any other one */
 struct call {
     guint64 request;
     guint32 attempt;
@@ -60,11 +57,7 @@
     gboolean ended;
     gboolean on_kept_conn;
     gboolean runs_once;
-    gboolean resumes;
-    GByteArray *unparsed;
-    GByteArray *body;
-    gint64 last_event;
-    gint64 event_count;
+    cq_events_t events;
 };
 
 struct cq_outbound {
@@ -132,11 +125,11 @@
         conn_close(call->conn);
     }
     if (!is_stream(call)) {
-        call->outbound->buffered -= call->body->len;
+        call->outbound->buffered -= call->events.whole->len;
     }
     cq_h1_clear_head(&call->head);
-    g_byte_array_unref(call->unparsed);
-    g_byte_array_unref(call->body);
+    g_byte_array_unref(call->events.unparsed);
+    g_byte_array_unref(call->events.whole);
     g_free(call->attempt_id);
     g_free(call);
 }
@@ -273,50 +266,20 @@
     call->reply.attempt_id = NULL;
 }
 
-static gint64
-event_id(const char *line, gsize len)
-{
-    const char *end = line + len;
-    while (line < end) {
-        if (g_str_has_prefix(line, EVENT_ID)) {
-            return g_ascii_strtoll(line + strlen(EVENT_ID), NULL, 10);
-        }
-        const char *newline = memchr(line, '\n', (gsize)(end - line));
-        line = newline != NULL ? newline + 1 : end;
-    }
-    return -1;
-}
-
-/* Moves complete stream events to call->body. The incomplete rest of a broken
- * stream is never forwarded: the next attempt resumes after the last complete
- * event. Events that the caller already has, by their ids, are skipped. */
+/* Passes whole events on. */
 static void
-parse_events(call_t *call)
-{
-    gint64 accepted = 0;
-    GByteArray *unparsed = call->unparsed;
-    /* Terminates the text for strstr(). */
-    g_byte_array_append(unparsed, (const guint8 *)"", 1);
-    const char *event = (const char *)unparsed->data;
-    const char *end = strstr(event, EVENT_END);
-    while (end != NULL) {
-        gsize len = (gsize)(end - event) + strlen(EVENT_END);
-        gint64 id = event_id(event, len);
-        if (id < 0 || id > call->last_event) {
-            g_byte_array_append(call->body, (const guint8 *)event, (guint)len);
-            call->last_event = MAX(id, call->last_event);
-            accepted++;
-        }
-        event += len;
-        end = strstr(event, EVENT_END);
+forward_events(call_t *call)
+{
+    cq_events_split_t split = cq_events_split(&call->events);
+    if (split.count > 0) {
+        cq_event_t event = {
+            .attempt = {.tokens = split.count, .unnumbered = split.unnumbered},
+        };
+        post(call, CQ_EV_TOKENS, &event);
     }
-    gsize complete_len = (gsize)(event - (const char *)unparsed->data);
-    g_byte_array_set_size(unparsed, unparsed->len - 1);
-    g_byte_array_remove_range(unparsed, 0, (guint)complete_len);
-    if (accepted > 0) {
-        call->event_count += accepted;
-        cq_event_t tokens_event = {.attempt = {.tokens = accepted}};
-        post(call, CQ_EV_TOKENS, &tokens_event);
+    if (split.unfit ||
+        call->events.unparsed->len > CQ_STREAM_EVENT_BYTES_MAX) {
+        fail(call, CQ_FAIL_BROKEN);
     }
 }
 
@@ -329,21 +292,19 @@
         return;
     }
     if (is_stream(call)) {
-        g_byte_array_append(call->unparsed, (const guint8 *)bytes, (guint)len);
-        parse_events(call);
-        if (call->unparsed->len > CQ_STREAM_EVENT_BYTES_MAX) {
-            fail(call, CQ_FAIL_BROKEN);
-        }
+        g_byte_array_append(call->events.unparsed, (const guint8 *)bytes,
+                            (guint)len);
+        forward_events(call);
         return;
     }
     cq_outbound_t *outbound = call->outbound;
-    if (call->body->len + len > BODY_BYTES_MAX ||
+    if (call->events.whole->len + len > BODY_BYTES_MAX ||
         outbound->buffered + len > ALL_BODIES_BYTES_MAX) {
         fail(call, CQ_FAIL_BROKEN);
         return;
     }
     outbound->buffered += len;
-    g_byte_array_append(call->body, (const guint8 *)bytes, (guint)len);
+    g_byte_array_append(call->events.whole, (const guint8 *)bytes, (guint)len);
 }
 
 static void
@@ -381,8 +342,8 @@
     if (call == NULL || !call->head_received) {
         return;
     }
-    gboolean cannot_resume = call->resumes && !is_stream(call);
-    if (call->unparsed->len > 0 || cannot_resume) {
+    gboolean cannot_resume = call->events.resumes && !is_stream(call);
+    if (call->events.unparsed->len > 0 || cannot_resume) {
         fail(call, CQ_FAIL_BROKEN);
         return;
     }
@@ -540,12 +501,12 @@
     call->attempt = spec->attempt;
     call->outbound = outbound;
     call->attempt_id = g_strdup(spec->attempt_id);
-    call->unparsed = g_byte_array_new();
-    call->body = g_byte_array_new();
+    call->events.unparsed = g_byte_array_new();
+    call->events.whole = g_byte_array_new();
     call->upstream = spec->upstream;
     call->incarnation = spec->incarnation;
-    call->last_event = spec->last_event;
-    call->resumes = spec->last_event >= 0;
+    call->events.last = spec->last_event;
+    call->events.resumes = spec->last_event >= 0;
     call->runs_once = spec->fresh;
     g_hash_table_replace(outbound->by_request, &call->request, call);
     gboolean may_reuse = !spec->fresh && spec->attempt_id != NULL;
@@ -591,8 +552,8 @@
         return FALSE;
     }
     answer->head = call->head_received ? &call->head : NULL;
-    answer->body = call->body;
-    answer->last_event = call->last_event;
+    answer->body = call->events.whole;
+    answer->last_event = call->events.last;
     return TRUE;
 }
 
--- a/tests/unit/outbound_test.cc
+++ b/tests/unit/outbound_test.cc
@@ -406,4 +406,21 @@
     EXPECT_EQ(passed_on(2), "id: 4\ndata: x\n\n");
 }
 
+TEST_F(Resumed, WithEventsThatHaveNoIdIsBroken)
+{
+    EXPECT_EQ(resume(stream_head() + chunk("data: x\n\n") + "0\r\n\r\n"),
+              "broken");
+    EXPECT_EQ(passed_on(2), "");
+}
+
+TEST_F(Resumed, AnEventWithoutAnIdIsReportedAsSuch)
+{
+    EXPECT_EQ(outcome_on_new(stream_head() + event(1) + chunk("data: x\n\n") +
+                             "0\r\n\r\n"),
+              "done");
+    const cq_event_t *tokens = last_event_of(2, CQ_EV_TOKENS);
+    ASSERT_NE(tokens, nullptr);
+    EXPECT_TRUE(tokens->attempt.unnumbered);
+}
+
 } // namespace
--- a/tests/unit/retry_test.cc
+++ b/tests/unit/retry_test.cc
@@ -516,4 +516,22 @@
     EXPECT_EQ(answer_of(id)->outcome, CQ_OUTCOME_DONE);
 }
 
+// Nothing tells at which of its events another attempt would go on.
+TEST_F(BrokenStream, WithoutIdsEndsAtOnce)
+{
+    start_core(0, 3);
+    guint64 id = submit(1, 300 * kMs, 0, "p");
+    cq_event_t event = {};
+    event.kind = CQ_EV_TOKENS;
+    event.attempt.request = id;
+    event.attempt.attempt = 1;
+    event.attempt.tokens = 1;
+    event.attempt.unnumbered = TRUE;
+    step(event);
+    attempt_event(id, CQ_EV_FAILED);
+    EXPECT_EQ(last_send(id)->attempt, 1u);
+    ASSERT_NE(answer_of(id), nullptr);
+    EXPECT_EQ(answer_of(id)->outcome, CQ_OUTCOME_BROKEN);
+}
+
 } // namespace
