A 204 does not end a resumed stream as complete

What callers saw: a stream that broke off after three of six events, and whose resumption was answered by 204 with the type of an event stream, ended as a complete one.

Cause: the 204 was taken for a stream without events.

Change: 204 is no stream, so the resumption is broken.

--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -20,6 +20,9 @@
  * Buffers grow to twice that, which the smallest host can hold. */
 #define ALL_BODIES_BYTES_MAX (48 * 1024 * 1024)
 
+/* HTTP status of a success that has no body, whatever type it states. */
+#define NO_CONTENT 204
+
 typedef struct call call_t;
 
 /* complete: the answer to its call has been read, and end_call() is due */
@@ -114,7 +117,8 @@
 static gboolean
 is_stream(const call_t *call)
 {
-    return call->reply.stream && is_success(&call->head);
+    return call->reply.stream && is_success(&call->head) &&
+           call->head.status != NO_CONTENT;
 }
 
 static void
--- a/tests/unit/outbound_test.cc
+++ b/tests/unit/outbound_test.cc
@@ -368,6 +368,8 @@
              "HTTP/1.1 500 X\r\n" + id + kSeal +
                  "Transfer-Encoding: chunked\r\n\r\n" + event(4) + "0\r\n\r\n",
              "HTTP/1.1 204 X\r\n" + id + kSeal + "\r\n",
+             "HTTP/1.1 204 X\r\n" + id + kSeal + type + "\r\n",
+             "HTTP/1.1 304 X\r\n" + id + kSeal + type + "\r\n",
              "HTTP/1.1 304 X\r\n" + id + kSeal + "\r\n",
              "HTTP/1.1 103 X\r\n\r\n" + answer("404", id + kSeal, "error"),
              "HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n" +
