Process tests: a refusal written again, and streams that break off

The stand-in replica can send a refusal before it runs a request (late) or behind an answer (extrarefusal), a status that promises nothing (claim), break a stream off again and again (tearagain), leave ids out (noid) and answer a resumption in eleven other ways (thenanswer).

--- a/tests/run.sh
+++ b/tests/run.sh
@@ -62,7 +62,7 @@
 done
 for script in demo badinput hangup operator drain holds giant orders retention \
     relay relaywake relaypeers relayreads relayreaders relaybulk relayleft relayendless relayleaving relaymany \
-    relayoutage relayremoved relaylostpoll relaypoison relaypoisonkept relaycells relayera relaylimit relaycrashcall relaycrashkept; do
+    relayoutage relayremoved relaylostpoll relaypoison relaypoisonkept relaycells relayera relaylimit relaycrashcall relaycrashkept relayrefusalagain relaybrokenstream; do
     run_script "tests/proc/$script.sh"
 done
 
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -15,6 +15,11 @@
  *   nolength       ends an answer without a length by closing the connection
  *   nolengthreset  ends an answer without a length by a reset
  *   endless        sends a body without a length that never ends
+ *   extrarefusal   sends a refusal without an id behind its answer
+ *   claim          answers ?status=N with nothing else
+ *   late           sends a refusal, then runs the request and answers it as
+ *                  the path's type says; ?form= other: the refusal has another
+ *                  id, bare: no id, own: the request's
  *   cut            resets the connection without an answer
  *   other words    no answer
  *
@@ -23,9 +28,15 @@
  *   tear           resets the connection within event 4
  *   stop           sends nothing from event 4 on
  *   endless        sends event 4 without an end
+ *   tearagain      as tear, also when it is resumed
  *   thenfault      as tear; answers 500 when it is resumed
  *   thenplain      as tear; answers 200 without a stream when it is resumed
- *   other words    the whole stream */
+ *   thenanswer     as tear; when it is resumed it answers as ?with= says:
+ *                  fields and body of an error with that status; refused;
+ * moved (421); chunked: a 500 in chunks; unsealed: a stream without the seal;
+ * interim: 103, then the rest; old: a stream from its start, which ends with
+ * event 5 without an id noid           events without ids; breaks off within
+ * event 4 other words    the whole stream */
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -54,6 +65,7 @@
     gint64 break_at;   /* resets the connection within this event; 0: never */
     gint64 stall_at;   /* sends nothing from this event on; 0: never */
     gint64 endless_at; /* this event never ends; 0: none */
+    gint64 bare_at;    /* events have no id from this one on; 0: all have */
 } stream_t;
 
 static const char *
@@ -166,8 +178,13 @@
         return G_SOURCE_CONTINUE;
     }
     char event[EVENT_BYTES];
-    g_snprintf(event, sizeof event, "id: %" G_GINT64_FORMAT "\ndata: x\n\n",
-               stream->next);
+    if (stream->bare_at > 0 && stream->next >= stream->bare_at) {
+        g_strlcpy(event, "data: error\n\n", sizeof event);
+    }
+    else {
+        g_snprintf(event, sizeof event,
+                   "id: %" G_GINT64_FORMAT "\ndata: x\n\n", stream->next);
+    }
     write_chunk(stream->conn, event);
     if (stream->next++ < stream->last) {
         return G_SOURCE_CONTINUE;
@@ -177,6 +194,15 @@
     return G_SOURCE_REMOVE;
 }
 
+static gboolean
+query_is(const char *query, const char *name, const char *wanted)
+{
+    char *text = standin_query_text(query, name);
+    gboolean is = text != NULL && strcmp(text, wanted) == 0;
+    g_free(text);
+    return is;
+}
+
 static void
 serve_stream(replica_t *replica, standin_conn_t *conn,
              const cq_h1_head_t *head, const char *behaviour,
@@ -192,6 +218,17 @@
     if (last == NULL && tears) {
         stream->break_at = 4;
     }
+    if (strcmp(behaviour, "tearagain") == 0) {
+        stream->break_at = MAX(stream->next, 4);
+    }
+    if (strcmp(behaviour, "noid") == 0) {
+        stream->bare_at = 1;
+        stream->break_at = 4;
+    }
+    if (last != NULL && query_is(query, "with", "old")) {
+        stream->next = 1;
+        stream->bare_at = 5;
+    }
     if (strcmp(behaviour, "endless") == 0) {
         stream->endless_at = 4;
     }
@@ -296,11 +333,83 @@
         standin_printf(conn, "HTTP/1.1 200 OK\r\n%s\r\n", fields);
         g_timeout_add(1, on_more_body, standin_ref(conn));
     }
+    else if (strcmp(behaviour, "extrarefusal") == 0) {
+        standin_answer(conn, 200, fields, body, len);
+        standin_answer(conn, 503, "Cuminquay-Not-Executed: 1\r\n", "", 0);
+    }
     else if (strcmp(behaviour, "cut") == 0) {
         standin_disconnect(conn, TRUE);
     }
 }
 
+/* Answers a stream that is resumed as ?with= says. Return: whether the rest of
+ * the stream is to follow. */
+static gboolean
+answer_resumed(standin_conn_t *conn, const cq_h1_head_t *head,
+               const char *query)
+{
+    const char *body = "id: 4\ndata: error\n\n";
+    char fields[192];
+    g_snprintf(fields, sizeof fields,
+               "Cuminquay-Attempt-Id: %s\r\n"
+               "Content-Type: text/event-stream\r\n",
+               field_or_dash(head, "Cuminquay-Attempt-Id"));
+    gint64 status = standin_query_number(query, "with", 0);
+    if (query_is(query, "with", "old")) {
+        return TRUE;
+    }
+    if (query_is(query, "with", "interim")) {
+        standin_printf(conn, "HTTP/1.1 103 Early Hints\r\nX-Own: 1\r\n\r\n");
+        return TRUE;
+    }
+    if (query_is(query, "with", "refused")) {
+        answer_not_run(conn, head, 503, "");
+    }
+    else if (query_is(query, "with", "moved")) {
+        answer_not_run(conn, head, 421, "");
+    }
+    else if (query_is(query, "with", "unsealed")) {
+        standin_answer(conn, 200, fields, body, strlen(body));
+    }
+    else if (query_is(query, "with", "chunked")) {
+        standin_printf(conn,
+                       "HTTP/1.1 500 Error\r\n%s" SEAL_FIELD
+                       "Transfer-Encoding: chunked\r\n\r\n",
+                       fields);
+        write_chunk(conn, body);
+        standin_printf(conn, "0\r\nX-Trailer: error\r\n\r\n");
+    }
+    else if (status == 204 || status == 304) {
+        standin_printf(conn, "HTTP/1.1 %d None\r\n%s" SEAL_FIELD "\r\n",
+                       (int)status, fields);
+    }
+    else {
+        g_strlcat(fields, SEAL_FIELD, sizeof fields);
+        standin_answer(conn, (int)status, fields, body, strlen(body));
+    }
+    return FALSE;
+}
+
+/* Sends a refusal as if of an earlier request. */
+static void
+send_late_refusal(standin_conn_t *conn, const cq_h1_head_t *head,
+                  const char *query)
+{
+    char id_field[128] = "";
+    if (query_is(query, "form", "other")) {
+        g_strlcpy(id_field, "Cuminquay-Attempt-Id: another\r\n",
+                  sizeof id_field);
+    }
+    if (query_is(query, "form", "own")) {
+        g_snprintf(id_field, sizeof id_field, "Cuminquay-Attempt-Id: %s\r\n",
+                   field_or_dash(head, "Cuminquay-Attempt-Id"));
+    }
+    standin_printf(conn,
+                   "HTTP/1.1 503 Full\r\n%sCuminquay-Not-Executed: 1\r\n"
+                   "Content-Length: 0\r\n\r\n",
+                   id_field);
+}
+
 static void
 on_request(standin_conn_t *conn, const cq_h1_head_t *head, const char *path,
            const char *query, const GByteArray *body, void *data)
@@ -335,6 +444,22 @@
         serve_plain(replica, conn, head, "ok");
         return;
     }
+    if (resumed && strcmp(behaviour, "thenanswer") == 0 &&
+        !answer_resumed(conn, head, query)) {
+        return;
+    }
+    if (strcmp(behaviour, "late") == 0) {
+        send_late_refusal(conn, head, query);
+        behaviour = "ok";
+    }
+    if (strcmp(behaviour, "claim") == 0) {
+        char fields[128];
+        g_snprintf(fields, sizeof fields, "Cuminquay-Attempt-Id: %s\r\n",
+                   field_or_dash(head, "Cuminquay-Attempt-Id"));
+        standin_answer(conn, (int)standin_query_number(query, "status", 503),
+                       fields, "", 0);
+        return;
+    }
     if (is_poison_body(replica, body)) {
         g_timeout_add(CRASH_AFTER_MS, on_crash, replica);
         return;
