--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -6,6 +6,7 @@
 #include "base/list.h"
 #include "http/sock.h"
 #include "platform/headers.h"
+#include "router/events.h"
 
 /* An idle connection is closed this long before the end of the keep-alive time
  * announced by the upstream, so that no request meets a closing connection. */
@@ -18,11 +19,13 @@
 /* Bytes of all such bodies together; the answer that exceeds it is broken off.
  * Buffers grow to twice that, which the smallest host can hold. */
 #define ALL_BODIES_BYTES_MAX (48 * 1024 * 1024)
-#define EVENT_END "\n\n"
-#define EVENT_ID "id:"
+
+/* HTTP status of a success that has no body, whatever type it states. */
+#define NO_CONTENT 204
 
 typedef struct call call_t;
 
+/* complete: the answer to its call has been read, and end_call() is due */
 typedef struct {
     cq_list_t link;
     cq_outbound_t *outbound;
@@ -32,6 +35,7 @@
     guint64 incarnation;
     call_t *call;
     gint64 idle_until_us;
+    gboolean complete;
     gboolean closed;
     guint refs;
 } conn_t;
@@ -39,9 +43,8 @@
 /* One attempt. It is kept until the core has answered the request, also if its
  * connection has ended before.
  * on_kept_conn: the connection was kept from an earlier request
- * resumes: the caller already has the first events of the stream
- * unparsed: bytes of a stream that are not yet split into events
- * body: bytes ready to be forwarded */
+ * runs_once: the request must not be repeated
+ * events: the answer as a stream; its @whole is the body of any other one */
 struct call {
     guint64 request;
     guint32 attempt;
@@ -56,11 +59,8 @@
     gboolean sent;
     gboolean ended;
     gboolean on_kept_conn;
-    gboolean resumes;
-    GByteArray *unparsed;
-    GByteArray *body;
-    gint64 last_event;
-    gint64 event_count;
+    gboolean runs_once;
+    cq_events_t events;
 };
 
 struct cq_outbound {
@@ -103,10 +103,22 @@
     return head->status >= 200 && head->status < 300;
 }
 
+/* Callers take these statuses to mean that the request did not run. An answer
+ * that has neither the seal nor the statement to that effect proves nothing.
+ */
+static gboolean
+is_unproven_promise(const cq_h1_head_t *head,
+                    const cq_response_fields_t *reply)
+{
+    return !reply->sealed &&
+           (head->status == 408 || head->status == 429 || head->status == 503);
+}
+
 static gboolean
 is_stream(const call_t *call)
 {
-    return call->reply.stream && is_success(&call->head);
+    return call->reply.stream && is_success(&call->head) &&
+           call->head.status != NO_CONTENT;
 }
 
 static void
@@ -117,11 +129,11 @@
         conn_close(call->conn);
     }
     if (!is_stream(call)) {
-        call->outbound->buffered -= call->body->len;
+        call->outbound->buffered -= call->events.whole->len;
     }
     cq_h1_clear_head(&call->head);
-    g_byte_array_unref(call->unparsed);
-    g_byte_array_unref(call->body);
+    g_byte_array_unref(call->events.unparsed);
+    g_byte_array_unref(call->events.whole);
     g_free(call->attempt_id);
     g_free(call);
 }
@@ -215,6 +227,17 @@
     }
 }
 
+/* An answer without an id on a kept connection may be for an earlier request;
+ * on a new connection there is none. */
+static gboolean
+answers_call(const call_t *call, const cq_response_fields_t *reply)
+{
+    if (call->attempt_id == NULL || reply->attempt_id == NULL) {
+        return !call->on_kept_conn;
+    }
+    return strcmp(call->attempt_id, reply->attempt_id) == 0;
+}
+
 static void
 on_head(void *data, const cq_h1_head_t *head)
 {
@@ -224,11 +247,7 @@
         return;
     }
     cq_response_fields_t reply = cq_headers_parse_response(head);
-    gboolean id_matches = call->attempt_id == NULL ||
-                          reply.attempt_id == NULL ||
-                          strcmp(call->attempt_id, reply.attempt_id) == 0;
-    if (!id_matches) {
-        /* The answer is for an earlier request on this connection. */
+    if (!answers_call(call, &reply)) {
         fail(call, CQ_FAIL_BROKEN);
         return;
     }
@@ -241,56 +260,30 @@
         fail(call, CQ_FAIL_BROKEN);
         return;
     }
+    if (call->runs_once && is_unproven_promise(head, &reply)) {
+        fail(call, CQ_FAIL_BROKEN);
+        return;
+    }
     cq_h1_copy_head(&call->head, head);
     call->head_received = TRUE;
     call->reply = reply;
     call->reply.attempt_id = NULL;
 }
 
-static gint64
-event_id(const char *line, gsize len)
-{
-    const char *end = line + len;
-    while (line < end) {
-        if (g_str_has_prefix(line, EVENT_ID)) {
-            return g_ascii_strtoll(line + strlen(EVENT_ID), NULL, 10);
-        }
-        const char *newline = memchr(line, '\n', (gsize)(end - line));
-        line = newline != NULL ? newline + 1 : end;
-    }
-    return -1;
-}
-
-/* Moves complete stream events to call->body. The incomplete rest of a broken
- * stream is never forwarded: the next attempt resumes after the last complete
- * event. Events that the caller already has, by their ids, are skipped. */
+/* Passes whole events on. */
 static void
-parse_events(call_t *call)
-{
-    gint64 accepted = 0;
-    GByteArray *unparsed = call->unparsed;
-    /* Terminates the text for strstr(). */
-    g_byte_array_append(unparsed, (const guint8 *)"", 1);
-    const char *event = (const char *)unparsed->data;
-    const char *end = strstr(event, EVENT_END);
-    while (end != NULL) {
-        gsize len = (gsize)(end - event) + strlen(EVENT_END);
-        gint64 id = event_id(event, len);
-        if (id < 0 || id > call->last_event) {
-            g_byte_array_append(call->body, (const guint8 *)event, (guint)len);
-            call->last_event = MAX(id, call->last_event);
-            accepted++;
-        }
-        event += len;
-        end = strstr(event, EVENT_END);
+forward_events(call_t *call)
+{
+    cq_events_split_t split = cq_events_split(&call->events);
+    if (split.count > 0) {
+        cq_event_t event = {
+            .attempt = {.tokens = split.count, .unnumbered = split.unnumbered},
+        };
+        post(call, CQ_EV_TOKENS, &event);
     }
-    gsize complete_len = (gsize)(event - (const char *)unparsed->data);
-    g_byte_array_set_size(unparsed, unparsed->len - 1);
-    g_byte_array_remove_range(unparsed, 0, (guint)complete_len);
-    if (accepted > 0) {
-        call->event_count += accepted;
-        cq_event_t tokens_event = {.attempt = {.tokens = accepted}};
-        post(call, CQ_EV_TOKENS, &tokens_event);
+    if (split.unfit ||
+        call->events.unparsed->len > CQ_STREAM_EVENT_BYTES_MAX) {
+        fail(call, CQ_FAIL_BROKEN);
     }
 }
 
@@ -303,21 +296,19 @@
         return;
     }
     if (is_stream(call)) {
-        g_byte_array_append(call->unparsed, (const guint8 *)bytes, (guint)len);
-        parse_events(call);
-        if (call->unparsed->len > CQ_STREAM_EVENT_BYTES_MAX) {
-            fail(call, CQ_FAIL_BROKEN);
-        }
+        g_byte_array_append(call->events.unparsed, (const guint8 *)bytes,
+                            (guint)len);
+        forward_events(call);
         return;
     }
     cq_outbound_t *outbound = call->outbound;
-    if (call->body->len + len > BODY_BYTES_MAX ||
+    if (call->events.whole->len + len > BODY_BYTES_MAX ||
         outbound->buffered + len > ALL_BODIES_BYTES_MAX) {
         fail(call, CQ_FAIL_BROKEN);
         return;
     }
     outbound->buffered += len;
-    g_byte_array_append(call->body, (const guint8 *)bytes, (guint)len);
+    g_byte_array_append(call->events.whole, (const guint8 *)bytes, (guint)len);
 }
 
 static void
@@ -342,17 +333,31 @@
 on_done(void *data)
 {
     conn_t *conn = data;
+    conn->complete = TRUE;
+}
+
+/* Called when an answer is complete. A connection on which more bytes have
+ * arrived isn't kept: they would answer the next request. */
+static void
+end_call(conn_t *conn, gboolean more_bytes)
+{
     call_t *call = conn->call;
+    conn->complete = FALSE;
     if (call == NULL || !call->head_received) {
         return;
     }
-    gboolean cannot_resume = call->resumes && !is_stream(call);
-    if (call->unparsed->len > 0 || cannot_resume) {
+    gboolean cannot_resume = call->events.resumes && !is_stream(call);
+    if (call->events.unparsed->len > 0 || cannot_resume) {
         fail(call, CQ_FAIL_BROKEN);
         return;
     }
     detach(call);
-    keep_or_close(conn, call);
+    if (more_bytes) {
+        conn_close(conn);
+    }
+    else {
+        keep_or_close(conn, call);
+    }
     cq_event_t event = {.attempt = {.status = call->head.status}};
     if (call->head.status >= 500) {
         event.attempt.failure = CQ_FAIL_FAULT;
@@ -385,6 +390,9 @@
         gsize consumed = cq_h1_feed(conn->reader, bytes, len);
         bytes += consumed;
         len -= consumed;
+        if (conn->complete) {
+            end_call(conn, len > 0);
+        }
         if (cq_h1_error(conn->reader) != CQ_H1_OK) {
             if (conn->call != NULL) {
                 fail(conn->call, CQ_FAIL_BROKEN);
@@ -403,6 +411,9 @@
     if (how == CQ_SOCK_EOF && conn->call != NULL) {
         cq_h1_connection_closed(conn->reader);
     }
+    if (conn->complete) {
+        end_call(conn, FALSE);
+    }
     if (conn->call != NULL) {
         gboolean not_connected = how == CQ_SOCK_REFUSED && !conn->call->sent;
         fail(conn->call, not_connected ? CQ_FAIL_CONNECT : CQ_FAIL_BROKEN);
@@ -494,14 +505,16 @@
     call->attempt = spec->attempt;
     call->outbound = outbound;
     call->attempt_id = g_strdup(spec->attempt_id);
-    call->unparsed = g_byte_array_new();
-    call->body = g_byte_array_new();
+    call->events.unparsed = g_byte_array_new();
+    call->events.whole = g_byte_array_new();
     call->upstream = spec->upstream;
     call->incarnation = spec->incarnation;
-    call->last_event = spec->last_event;
-    call->resumes = spec->last_event >= 0;
+    call->events.last = spec->last_event;
+    call->events.resumes = spec->last_event >= 0;
+    call->runs_once = spec->fresh;
     g_hash_table_replace(outbound->by_request, &call->request, call);
-    conn_t *conn = spec->fresh ? NULL : reuse_idle(outbound, spec);
+    gboolean may_reuse = !spec->fresh && spec->attempt_id != NULL;
+    conn_t *conn = may_reuse ? reuse_idle(outbound, spec) : NULL;
     call->on_kept_conn = conn != NULL;
     if (conn == NULL) {
         conn = open_conn(outbound, spec);
@@ -543,8 +556,8 @@
         return FALSE;
     }
     answer->head = call->head_received ? &call->head : NULL;
-    answer->body = call->body;
-    answer->last_event = call->last_event;
+    answer->body = call->events.whole;
+    answer->last_event = call->events.last;
     return TRUE;
 }
 
