--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -250,6 +250,11 @@
         request->last_failed = request->failed_helper;
         request->failed_helper = 0;
     }
+    /* A request that nobody has begun to answer rather waits for another
+     * upstream than for one that can't be reached. */
+    if (failure != CQ_FAIL_CONNECT || request->forwarded > 0) {
+        cq_member_allow_last_failed(core, request);
+    }
     request->sent = FALSE;
     cq_load_remove_attempt(core, request);
     cq_group_release(core, request);
@@ -296,8 +301,12 @@
 }
 
 static void
-on_tokens(cq_core_t *core, cq_request_t *request, gint64 tokens)
+on_tokens(cq_core_t *core, cq_request_t *request, const cq_ev_attempt_t *event)
 {
+    gint64 tokens = event->tokens;
+    if (event->unnumbered) {
+        request->resumable = FALSE;
+    }
     if (request->entered_prefill_us > 0) {
         cq_load_first_token(core, request);
         request->entered_prefill_us = 0;
@@ -404,7 +413,7 @@
         on_sent(core, request);
         break;
     case CQ_EV_TOKENS:
-        on_tokens(core, request, detail->tokens);
+        on_tokens(core, request, detail);
         break;
     case CQ_EV_DONE:
         on_done(core, request, detail->status);
--- a/packages/router/sse.c
+++ b/packages/router/events.c
@@ -1,4 +1,4 @@
-#include "router/sse.h"
+#include "router/events.h"
 
 #include <string.h>
 
@@ -19,27 +19,42 @@
     return -1;
 }
 
-gint64
-cq_sse_take(GByteArray *unparsed, GByteArray *events, gint64 *last_event)
+/* Moves the event unless the caller has it, by its id. */
+static void
+take_event(cq_events_t *events, const char *event, gsize len,
+           cq_events_split_t *split)
 {
-    gint64 accepted = 0;
+    gint64 id = event_id(event, len);
+    if (id < 0 && events->resumes) {
+        split->unfit = TRUE;
+        return;
+    }
+    if (id >= 0 && id <= events->last) {
+        return;
+    }
+    g_byte_array_append(events->whole, (const guint8 *)event, (guint)len);
+    events->last = MAX(id, events->last);
+    split->unnumbered = split->unnumbered || id < 0;
+    split->count++;
+}
+
+cq_events_split_t
+cq_events_split(cq_events_t *events)
+{
+    cq_events_split_t split = {.count = 0};
+    GByteArray *unparsed = events->unparsed;
     /* Terminates the text for strstr(). */
     g_byte_array_append(unparsed, (const guint8 *)"", 1);
     const char *event = (const char *)unparsed->data;
     const char *end = strstr(event, EVENT_END);
-    while (end != NULL) {
+    while (end != NULL && !split.unfit) {
         gsize len = (gsize)(end - event) + strlen(EVENT_END);
-        gint64 id = event_id(event, len);
-        if (id < 0 || id > *last_event) {
-            g_byte_array_append(events, (const guint8 *)event, (guint)len);
-            *last_event = MAX(id, *last_event);
-            accepted++;
-        }
+        take_event(events, event, len, &split);
         event += len;
         end = strstr(event, EVENT_END);
     }
     gsize complete_len = (gsize)(event - (const char *)unparsed->data);
     g_byte_array_set_size(unparsed, unparsed->len - 1);
     g_byte_array_remove_range(unparsed, 0, (guint)complete_len);
-    return accepted;
+    return split;
 }
--- a/packages/router/inbound.c
+++ b/packages/router/inbound.c
@@ -5,6 +5,8 @@
 #include "base/limits.h"
 #include "base/list.h"
 #include "http/sock.h"
+#include "router/heads.h"
+#include "router/idlelimit.h"
 
 /* While a request is answered, reading stops when more than this many bytes of
  * further requests have arrived. */
@@ -20,9 +22,11 @@
     STATE_HEAD,      /* head partly received */
     STATE_BODY,      /* head complete, body not */
     STATE_ANSWERING, /* request complete, answer not */
-    STATE_CLOSING,   /* no further input is parsed */
+    STATE_CLOSING,   /* last answer passed to the socket, input is dropped */
 } state_t;
 
+/* overdue: the time limit of the state has been found exceeded
+ * idle_timeout_us: the longest one since the connection became idle */
 typedef struct {
     cq_list_t link;
     cq_inbound_t *inbound;
@@ -30,6 +34,9 @@
     cq_h1_t *reader;
     state_t state;
     gint64 state_since_us;
+    gboolean overdue;
+    gint64 idle_timeout_us;
+    gsize dropped_bytes;
     GByteArray *unparsed;
     cq_exchange_t *exchange;
     gboolean parsing;
@@ -45,6 +52,7 @@
     gboolean chunked;
     gboolean started;
     gboolean dispatched;
+    gboolean kept;
     void *owner;
 };
 
@@ -52,12 +60,12 @@
     cq_inbound_ops_t ops;
     cq_list_t conns;
     guint listener;
-    guint unanswered;
     gboolean draining;
     gsize head_bytes_max;
     gsize body_bytes_max;
     gint64 head_timeout_us;
-    gint64 idle_timeout_us;
+    cq_idle_limit_t idle_limit;
+    guint64 config_version;
 };
 
 static void
@@ -67,9 +75,6 @@
 exchange_free(cq_exchange_t *exchange)
 {
     exchange->conn->exchange = NULL;
-    if (exchange->dispatched) {
-        exchange->conn->inbound->unanswered--;
-    }
     cq_h1_clear_head(&exchange->head);
     g_byte_array_unref(exchange->body);
     g_free(exchange);
@@ -107,24 +112,46 @@
 {
     conn->state = state;
     conn->state_since_us = g_get_monotonic_time();
+    conn->overdue = FALSE;
+    conn->idle_timeout_us = cq_idle_limit_timeout(&conn->inbound->idle_limit,
+                                                  conn->state_since_us);
 }
 
+/* Ends a connection in order (RFC 9112, 9.6): once all is written the sending
+ * side is shut down, and the connection is closed when the caller has closed
+ * its side, or at a limit. If it were closed with unread bytes, it would be
+ * reset, and its last answer might be lost. */
 static void
-close_after_writing(conn_t *conn)
+start_closing(conn_t *conn)
+{
+    gboolean written = cq_sock_unwritten_bytes(conn->sock) == 0;
+    set_state(conn, STATE_CLOSING);
+    if (conn->exchange != NULL) {
+        exchange_free(conn->exchange);
+    }
+    cq_sock_pause_reading(conn->sock, !written);
+    if (written) {
+        cq_sock_shut_sending(conn->sock);
+    }
+}
+
+static void
+finish_closing(conn_t *conn)
 {
     cq_sock_close_when_written(conn->sock);
     conn_remove(conn);
 }
 
+/* A request that is on its way to an idle connection is left unread, so that
+ * its caller learns by a reset that it may send the request again. */
 static void
-add_local_head(GString *out, int status, const char *extra, gsize len,
-               gboolean keep_open)
+close_idle(conn_t *conn)
 {
-    g_string_append_printf(out,
-                           "HTTP/1.1 %d %s\r\n%sContent-Type: "
-                           "application/json\r\nContent-Length: %zu\r\n%s\r\n",
-                           status, cq_h1_reason_phrase(status), extra, len,
-                           keep_open ? "" : "Connection: close\r\n");
+    if (cq_sock_unwritten_bytes(conn->sock) > 0) {
+        start_closing(conn);
+        return;
+    }
+    finish_closing(conn);
 }
 
 /* Answers an invalid or late request and closes the connection. */
@@ -132,11 +159,11 @@
 reject(conn_t *conn, int status, const char *text)
 {
     GString *out = g_string_new("");
-    add_local_head(out, status, "", strlen(text), FALSE);
+    cq_heads_append_local(out, status, "", strlen(text), FALSE);
     g_string_append(out, text);
     cq_sock_write(conn->sock, out->str, out->len);
     g_string_free(out, TRUE);
-    close_after_writing(conn);
+    start_closing(conn);
 }
 
 static void
@@ -177,31 +204,9 @@
         return;
     }
     exchange->dispatched = TRUE;
-    conn->inbound->unanswered++;
     conn->inbound->ops.request_complete(exchange, conn->inbound->ops.data);
 }
 
-/* Return: NULL if the request is valid so far, else the body of the answer
- * that refuses it; @status is then set. */
-static const char *
-refusal_body(conn_t *conn, int *status)
-{
-    cq_h1_error_t error = cq_h1_error(conn->reader);
-    if (error == CQ_H1_HEAD_TOO_LONG) {
-        *status = 431;
-        return "{\"code\":\"head_too_long\",\"ran\":\"no\"}";
-    }
-    if (error == CQ_H1_SYNTAX) {
-        *status = 400;
-        return "{\"code\":\"bad_request\",\"ran\":\"no\"}";
-    }
-    if (conn->exchange != NULL && conn->exchange->too_long) {
-        *status = 413;
-        return "{\"code\":\"body_too_long\",\"ran\":\"no\"}";
-    }
-    return NULL;
-}
-
 /* Parses the received bytes, one request at a time. */
 static void
 parse_requests(conn_t *conn)
@@ -222,7 +227,12 @@
         gsize consumed =
             cq_h1_feed(conn->reader, (const char *)bytes->data, bytes->len);
         int status = 0;
-        const char *text = conn->closed ? NULL : refusal_body(conn, &status);
+        const char *text = NULL;
+        if (!conn->closed && conn->state != STATE_CLOSING) {
+            text = cq_heads_rejection(
+                cq_h1_error(conn->reader),
+                conn->exchange != NULL && conn->exchange->too_long, &status);
+        }
         if (text != NULL) {
             reject(conn, status, text);
         }
@@ -240,6 +250,13 @@
 on_received(void *data, const char *bytes, gsize len)
 {
     conn_t *conn = data;
+    if (conn->state == STATE_CLOSING) {
+        conn->dropped_bytes += len;
+        if (conn->dropped_bytes > CQ_CLOSING_BYTES_MAX) {
+            finish_closing(conn);
+        }
+        return;
+    }
     g_byte_array_append(conn->unparsed, (const guint8 *)bytes, (guint)len);
     if (conn->state == STATE_ANSWERING &&
         conn->unparsed->len > PIPELINED_BYTES_MAX) {
@@ -251,9 +268,12 @@
 static void
 on_ended(void *data, cq_sock_end_t how)
 {
-    (void)how;
     conn_t *conn = data;
     cq_inbound_t *inbound = conn->inbound;
+    if (conn->state == STATE_CLOSING && how == CQ_SOCK_EOF) {
+        finish_closing(conn);
+        return;
+    }
     conn->refs++;
     if (conn->exchange != NULL && conn->exchange->dispatched) {
         inbound->ops.caller_gone(conn->exchange, inbound->ops.data);
@@ -267,6 +287,9 @@
 on_writable(void *data)
 {
     conn_t *conn = data;
+    if (conn->state == STATE_CLOSING) {
+        start_closing(conn);
+    }
     if (conn->exchange != NULL && conn->exchange->started) {
         conn->inbound->ops.writable(conn->exchange, conn->inbound->ops.data);
     }
@@ -300,16 +323,26 @@
     conn->sock = cq_sock_from_fd(fd, &ops);
 }
 
+/* Decides whether the connection is kept after the answer, whose head says so:
+ * a stop that begins later changes nothing. Return: whether it is kept. */
+static gboolean
+decide_kept(cq_exchange_t *exchange, gboolean has_framing)
+{
+    exchange->kept = has_framing && exchange->head.keep_alive &&
+                     !exchange->conn->inbound->draining;
+    return exchange->kept;
+}
+
 /* Called when the whole answer has been passed to the socket: goes on with the
  * next request, or closes the connection. */
 static void
 end_exchange(cq_exchange_t *exchange)
 {
     conn_t *conn = exchange->conn;
-    gboolean keep_open = exchange->head.keep_alive && !conn->inbound->draining;
+    gboolean kept = exchange->kept;
     exchange_free(exchange);
-    if (!keep_open) {
-        close_after_writing(conn);
+    if (!kept) {
+        start_closing(conn);
         return;
     }
     set_state(conn, STATE_IDLE);
@@ -317,26 +350,6 @@
     parse_requests(conn);
 }
 
-static void
-add_upstream_head(const cq_exchange_t *exchange, GString *out,
-                  const cq_h1_head_t *head)
-{
-    g_string_append_printf(out, "HTTP/1.1 %d %s\r\n", head->status,
-                           cq_h1_reason_phrase(head->status));
-    for (guint i = 0; i < head->fields->len; i++) {
-        const cq_h1_field_t *field =
-            &g_array_index(head->fields, cq_h1_field_t, i);
-        if (!cq_h1_is_hop_by_hop(head, field->name) &&
-            g_ascii_strcasecmp(field->name, "Content-Length") != 0) {
-            g_string_append_printf(out, "%s: %s\r\n", field->name,
-                                   field->value);
-        }
-    }
-    if (!exchange->head.keep_alive || exchange->conn->inbound->draining) {
-        g_string_append(out, "Connection: close\r\n");
-    }
-}
-
 cq_inbound_t *
 cq_inbound_new(const cq_inbound_ops_t *ops)
 {
@@ -364,6 +377,10 @@
     }
     while (!cq_list_empty(&inbound->conns)) {
         conn_t *conn = CQ_ENTRY(inbound->conns.next, conn_t, link);
+        if (conn->exchange == NULL) {
+            finish_closing(conn);
+            continue;
+        }
         cq_sock_abort(conn->sock);
         conn_remove(conn);
     }
@@ -376,7 +393,19 @@
     inbound->head_bytes_max = routes->head_bytes_max;
     inbound->body_bytes_max = routes->body_bytes_max;
     inbound->head_timeout_us = routes->head_timeout_us;
-    inbound->idle_timeout_us = routes->idle_timeout_us;
+    if (inbound->config_version == 0) {
+        /* Callers don't know the default. */
+        inbound->idle_limit.timeout_us = routes->idle_timeout_us;
+    }
+    inbound->config_version = routes->version;
+    cq_idle_limit_change(&inbound->idle_limit, routes->idle_timeout_us,
+                         g_get_monotonic_time());
+    cq_list_t *link = inbound->conns.next;
+    for (; link != &inbound->conns; link = link->next) {
+        conn_t *conn = CQ_ENTRY(link, conn_t, link);
+        conn->idle_timeout_us =
+            MAX(conn->idle_timeout_us, routes->idle_timeout_us);
+    }
 }
 
 void
@@ -392,36 +421,53 @@
     while (link != &inbound->conns) {
         conn_t *conn = CQ_ENTRY(link, conn_t, link);
         link = link->next;
-        if (conn->state == STATE_IDLE) {
-            close_after_writing(conn);
+        if (conn->state == STATE_IDLE && !cq_sock_has_unread(conn->sock)) {
+            close_idle(conn);
         }
     }
 }
 
+/* Return: whether the connection has been in its state for more than
+ * @limit_us. What has arrived by then is read before that is acted on, once.
+ */
+static gboolean
+is_too_late(conn_t *conn, gint64 now_us, gint64 limit_us)
+{
+    if (now_us - conn->state_since_us <= limit_us) {
+        return FALSE;
+    }
+    gboolean read_first = !conn->overdue && cq_sock_has_unread(conn->sock);
+    conn->overdue = TRUE;
+    return !read_first;
+}
+
 static void
 check_timeout(conn_t *conn, gint64 now_us)
 {
-    const cq_inbound_t *inbound = conn->inbound;
-    gint64 elapsed_us = now_us - conn->state_since_us;
     switch (conn->state) {
     case STATE_IDLE:
-        if (elapsed_us >
-            inbound->idle_timeout_us * IDLE_TIMEOUT_PERCENT / 100) {
-            close_after_writing(conn);
+        if (is_too_late(conn, now_us,
+                        conn->idle_timeout_us * IDLE_TIMEOUT_PERCENT / 100)) {
+            close_idle(conn);
         }
         break;
     case STATE_HEAD:
-        if (elapsed_us > inbound->head_timeout_us) {
+        if (is_too_late(conn, now_us, conn->inbound->head_timeout_us)) {
             reject(conn, 408, "{\"code\":\"head_too_slow\",\"ran\":\"no\"}");
         }
         break;
     case STATE_BODY:
-        if (elapsed_us > BODY_TIMEOUT_US) {
+        if (is_too_late(conn, now_us, BODY_TIMEOUT_US)) {
             reject(conn, 408, "{\"code\":\"body_too_slow\",\"ran\":\"no\"}");
         }
         break;
-    case STATE_ANSWERING:
     case STATE_CLOSING:
+        if (cq_sock_unwritten_bytes(conn->sock) == 0 &&
+            now_us - conn->state_since_us > CQ_CLOSING_TIMEOUT_US) {
+            finish_closing(conn);
+        }
+        break;
+    case STATE_ANSWERING:
         break;
     }
 }
@@ -439,9 +485,21 @@
 }
 
 guint
-cq_inbound_unanswered(const cq_inbound_t *inbound)
-{
-    return inbound->unanswered;
+cq_inbound_unfinished(const cq_inbound_t *inbound)
+{
+    guint unfinished = 0;
+    const cq_list_t *link = inbound->conns.next;
+    for (; link != &inbound->conns; link = link->next) {
+        const conn_t *conn = CQ_ENTRY(link, conn_t, link);
+        gboolean open =
+            conn->state > STATE_IDLE && conn->state < STATE_CLOSING;
+        gboolean waits =
+            conn->state == STATE_IDLE && cq_sock_has_unread(conn->sock);
+        if (open || waits || cq_sock_unwritten_bytes(conn->sock) > 0) {
+            unfinished++;
+        }
+    }
+    return unfinished;
 }
 
 const cq_h1_head_t *
@@ -468,20 +526,13 @@
     return exchange->owner;
 }
 
-static gboolean
-has_no_body(const cq_exchange_t *exchange, int status)
-{
-    return strcmp(exchange->head.method, "HEAD") == 0 || status == 204 ||
-           status == 304;
-}
-
 void
 cq_exchange_answer(cq_exchange_t *exchange, const cq_h1_head_t *head,
                    const void *body, gsize len)
 {
     GString *out = g_string_new("");
-    add_upstream_head(exchange, out, head);
-    gboolean no_body = has_no_body(exchange, head->status);
+    cq_heads_append_upstream(out, head, decide_kept(exchange, TRUE));
+    gboolean no_body = cq_heads_without_body(&exchange->head, head->status);
     if (!no_body || len > 0) {
         g_string_append_printf(out, "Content-Length: %zu\r\n", len);
     }
@@ -498,11 +549,10 @@
 cq_exchange_refuse(cq_exchange_t *exchange, int status, const char *extra,
                    const char *text)
 {
-    gboolean keep_open =
-        exchange->head.keep_alive && !exchange->conn->inbound->draining;
     GString *out = g_string_new("");
-    add_local_head(out, status, extra, strlen(text), keep_open);
-    if (!has_no_body(exchange, status)) {
+    cq_heads_append_local(out, status, extra, strlen(text),
+                          decide_kept(exchange, TRUE));
+    if (!cq_heads_without_body(&exchange->head, status)) {
         g_string_append(out, text);
     }
     cq_sock_write(exchange->conn->sock, out->str, out->len);
@@ -514,11 +564,12 @@
 cq_exchange_begin(cq_exchange_t *exchange, const cq_h1_head_t *head)
 {
     exchange->started = TRUE;
-    GString *out = g_string_new("");
-    add_upstream_head(exchange, out, head);
     /* HTTP/1.0 has no chunks: there the close of the connection ends the
      * body. */
     exchange->chunked = !exchange->head.is_http10;
+    gboolean kept = decide_kept(exchange, exchange->chunked);
+    GString *out = g_string_new("");
+    cq_heads_append_upstream(out, head, kept);
     g_string_append(out, exchange->chunked
                              ? "Transfer-Encoding: chunked\r\n\r\n"
                              : "\r\n");
--- a/tests/unit/outpeer_test.cc
+++ b/tests/unit/outpeer_test.cc
@@ -19,7 +19,8 @@
 namespace {
 
 constexpr gint64 kWaitUs = 10 * CQ_SECOND_US;
-const char *const kSealed = "Cuminquay-Replica-Seal: 1\r\n";
+const char *const kSealed =
+    "Cuminquay-Replica-Seal: 1\r\nCuminquay-Attempt-Id: 9c\r\n";
 
 // Runs the main loop until @done. Return: whether it was done in time.
 bool
@@ -244,7 +245,8 @@
     call_.to_peer = FALSE;
     call_.fresh = TRUE;
     send();
-    write(accept_one(), answer(503, "Retry-After: 1.25\r\n"));
+    write(accept_one(),
+          answer(503, std::string(kSealed) + "Retry-After: 1.25\r\n"));
     cq_event_t event = end();
     EXPECT_EQ(CQ_EV_FAILED, event.kind);
     EXPECT_EQ(CQ_FAIL_FAULT, event.attempt.failure);
@@ -260,7 +262,8 @@
 {
     for (const std::string &text :
          {answer(200, ""), answer(503, "Cuminquay-Attempt-Id: 9d\r\n"),
-          answer(200, std::string(kSealed) + "Cuminquay-Attempt-Id: 9d\r\n"),
+          answer(200,
+                 "Cuminquay-Replica-Seal: 1\r\nCuminquay-Attempt-Id: 9d\r\n"),
           answer(200, std::string(kSealed) + "Content-Encoding: gzip\r\n")}) {
         send();
         int fd = accept_one();
