A host that has stopped takes no new connections while it finishes

After the notice of a stop the host went on accepting connections until its process ended, which reset those that were open then: callers whose requests were arriving got nothing. Removing a listener's source also left its descriptor open.

When the core has stopped, the listener for callers is now closed: a new connection is refused at once, which tells the caller that nothing ran, and what is open is finished. The idle limit now takes the configuration itself, for its version.

--- a/packages/http/sock.c
+++ b/packages/http/sock.c
@@ -491,10 +491,19 @@
 }
 
 typedef struct {
+    int fd;
     cq_sock_accepted_t accepted;
     void *data;
 } listener_t;
 
+static void
+listener_free(gpointer data)
+{
+    listener_t *listener = data;
+    close(listener->fd);
+    g_free(listener);
+}
+
 static gboolean
 on_connection(gint fd, GIOCondition condition, gpointer data)
 {
@@ -530,11 +539,12 @@
         return 0;
     }
     listener_t *listener = g_new0(listener_t, 1);
+    listener->fd = fd;
     listener->accepted = accepted;
     listener->data = data;
     GSource *source = g_unix_fd_source_new(fd, G_IO_IN);
     g_source_set_callback(source, G_SOURCE_FUNC(on_connection), listener,
-                          g_free);
+                          listener_free);
     guint id = g_source_attach(source, NULL);
     g_source_unref(source);
     return id;
--- a/packages/http/sock.h
+++ b/packages/http/sock.h
@@ -98,7 +98,8 @@
  * @data: passed to @accepted
  * @error: gets CQ_ERROR_UNREACHABLE
  *
- * Return: the GSource id of the listener, or 0 and @error.
+ * Return: the GSource id of the listener, whose removal closes it, or 0 and
+ * @error.
  */
 guint
 cq_sock_listen(const char *addr, cq_sock_accepted_t accepted, void *data,
--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -277,6 +277,7 @@
     case CQ_AC_STOPPED:
         if (app->follower != NULL) {
             cq_follower_deregister(app->follower);
+            cq_relay_stop_listening(app->relay);
         }
         g_timeout_add(FLUSH_POLL_MS, on_flush_poll, app);
         break;
--- a/packages/router/idlelimit.h
+++ b/packages/router/idlelimit.h
@@ -11,23 +11,29 @@
 
 #include <glib.h>
 
+#include "config/routes.h"
+
 G_BEGIN_DECLS
 
 /**
  * struct cq_idle_limit_t - the idle timeout in force
- * @timeout_us: that of the newest configuration
+ * @version: version of the newest configuration; 0: the defaults, which
+ * callers don't know
+ * @timeout_us: its timeout
  * @earlier_us: the longest one that callers may still know
  * @earlier_until_us: until when they may
  */
 typedef struct {
+    guint64 version;
     gint64 timeout_us;
     gint64 earlier_us;
     gint64 earlier_until_us;
 } cq_idle_limit_t;
 
-/** cq_idle_limit_change() - a configuration sets the timeout */
+/** cq_idle_limit_change() - use the timeout of @routes */
 void
-cq_idle_limit_change(cq_idle_limit_t *limit, gint64 timeout_us, gint64 now_us);
+cq_idle_limit_change(cq_idle_limit_t *limit, const cq_routes_t *routes,
+                     gint64 now_us);
 
 /** cq_idle_limit_timeout() - Return: the timeout for a connection that becomes
  * idle at @now_us */
--- a/packages/router/inbound.c
+++ b/packages/router/inbound.c
@@ -65,7 +65,6 @@
     gsize body_bytes_max;
     gint64 head_timeout_us;
     cq_idle_limit_t idle_limit;
-    guint64 config_version;
 };
 
 static void
@@ -358,11 +357,18 @@
 }
 
 void
-cq_inbound_free(cq_inbound_t *inbound)
+cq_inbound_stop_listening(cq_inbound_t *inbound)
 {
     if (inbound->listener != 0) {
         g_source_remove(inbound->listener);
+        inbound->listener = 0;
     }
+}
+
+void
+cq_inbound_free(cq_inbound_t *inbound)
+{
+    cq_inbound_stop_listening(inbound);
     while (!cq_list_empty(&inbound->conns)) {
         conn_t *conn = CQ_ENTRY(inbound->conns.next, conn_t, link);
         if (conn->exchange == NULL) {
@@ -381,13 +387,7 @@
     inbound->head_bytes_max = routes->head_bytes_max;
     inbound->body_bytes_max = routes->body_bytes_max;
     inbound->head_timeout_us = routes->head_timeout_us;
-    if (inbound->config_version == 0) {
-        /* Callers don't know the default. */
-        inbound->idle_limit.timeout_us = routes->idle_timeout_us;
-    }
-    inbound->config_version = routes->version;
-    cq_idle_limit_change(&inbound->idle_limit, routes->idle_timeout_us,
-                         g_get_monotonic_time());
+    cq_idle_limit_change(&inbound->idle_limit, routes, g_get_monotonic_time());
     cq_list_t *link = inbound->conns.next;
     for (; link != &inbound->conns; link = link->next) {
         conn_t *conn = CQ_ENTRY(link, conn_t, link);
--- a/packages/router/inbound.h
+++ b/packages/router/inbound.h
@@ -45,6 +45,10 @@
 gboolean
 cq_inbound_listen(cq_inbound_t *inbound, const char *addr, cq_error_t *error);
 
+/** cq_inbound_stop_listening() - refuse new connections from now on */
+void
+cq_inbound_stop_listening(cq_inbound_t *inbound);
+
 /** cq_inbound_free() - close every connection and free; those with an
  * incomplete answer are reset */
 void
--- a/packages/router/relay.c
+++ b/packages/router/relay.c
@@ -490,6 +490,12 @@
     cq_inbound_drain(relay->inbound);
 }
 
+void
+cq_relay_stop_listening(cq_relay_t *relay)
+{
+    cq_inbound_stop_listening(relay->inbound);
+}
+
 void
 cq_relay_close_idle_callers(cq_relay_t *relay)
 {
--- a/packages/router/relay.h
+++ b/packages/router/relay.h
@@ -60,6 +60,10 @@
 void
 cq_relay_drain(cq_relay_t *relay);
 
+/** cq_relay_stop_listening() - refuse new connections of callers */
+void
+cq_relay_stop_listening(cq_relay_t *relay);
+
 /** cq_relay_close_idle_callers() - close callers' connections that have no
  * request open */
 void
--- a/tests/unit/inbound_test.cc
+++ b/tests/unit/inbound_test.cc
@@ -219,14 +219,23 @@
     EXPECT_EQ(hear(), "");
 }
 
+void
+change(cq_idle_limit_t *limit, gint64 timeout_us, gint64 now_us)
+{
+    cq_routes_t routes = {};
+    routes.version = limit->version + 1;
+    routes.idle_timeout_us = timeout_us;
+    cq_idle_limit_change(limit, &routes, now_us);
+}
+
 TEST(IdleLimit, ALoweredTimeoutHoldsOnceCallersKnowIt)
 {
     const gint64 second = CQ_SECOND_US;
     const gint64 notice = CQ_IDLE_NOTICE_US;
     cq_idle_limit_t limit = {};
-    cq_idle_limit_change(&limit, 30 * second, 0);
+    change(&limit, 30 * second, 0);
     EXPECT_EQ(cq_idle_limit_timeout(&limit, 0), 30 * second);
-    cq_idle_limit_change(&limit, 3 * second, second);
+    change(&limit, 3 * second, second);
     EXPECT_EQ(cq_idle_limit_timeout(&limit, second + notice - 1), 30 * second);
     EXPECT_EQ(cq_idle_limit_timeout(&limit, second + notice), 3 * second);
 }
@@ -236,10 +245,10 @@
     const gint64 second = CQ_SECOND_US;
     const gint64 notice = CQ_IDLE_NOTICE_US;
     cq_idle_limit_t limit = {};
-    cq_idle_limit_change(&limit, 30 * second, 0);
-    cq_idle_limit_change(&limit, 3 * second, second);
-    cq_idle_limit_change(&limit, 3 * second, 2 * second);
-    cq_idle_limit_change(&limit, 4 * second, 3 * second);
+    change(&limit, 30 * second, 0);
+    change(&limit, 3 * second, second);
+    change(&limit, 3 * second, 2 * second);
+    change(&limit, 4 * second, 3 * second);
     EXPECT_EQ(cq_idle_limit_timeout(&limit, second + notice - 1), 30 * second);
     EXPECT_EQ(cq_idle_limit_timeout(&limit, second + notice), 4 * second);
 }
@@ -249,11 +258,11 @@
     const gint64 second = CQ_SECOND_US;
     const gint64 notice = CQ_IDLE_NOTICE_US;
     cq_idle_limit_t limit = {};
-    cq_idle_limit_change(&limit, 30 * second, 0);
-    cq_idle_limit_change(&limit, 3 * second, second);
-    cq_idle_limit_change(&limit, 2 * second, 2 * second);
+    change(&limit, 30 * second, 0);
+    change(&limit, 3 * second, second);
+    change(&limit, 2 * second, 2 * second);
     EXPECT_EQ(cq_idle_limit_timeout(&limit, 2 * second), 30 * second);
-    cq_idle_limit_change(&limit, second, 2 * second + notice);
+    change(&limit, second, 2 * second + notice);
     EXPECT_EQ(cq_idle_limit_timeout(&limit, 2 * second + notice), 2 * second);
     EXPECT_EQ(cq_idle_limit_timeout(&limit, 2 * second + 2 * notice), second);
 }
@@ -421,6 +430,20 @@
     EXPECT_EQ(cq_inbound_unfinished(inbound), 0u);
 }
 
+TEST_F(Inbound, AServerThatStopsListeningFinishesItsConnections)
+{
+    EXPECT_TRUE(say("GET / HTTP/1.1\r\n"));
+    run();
+    cq_inbound_stop_listening(inbound);
+    int late = socket(AF_INET, SOCK_STREAM, 0);
+    EXPECT_NE(connect(late, (sockaddr *)&address, sizeof address), 0);
+    EXPECT_EQ(errno, ECONNREFUSED);
+    close(late);
+    EXPECT_TRUE(say("Host: h\r\n\r\n"));
+    std::string heard = hear();
+    EXPECT_TRUE(ends_with(heard, "\r\n\r\nyes")) << heard;
+}
+
 // A stream whose head did not say that the connection ends.
 TEST_F(Inbound, AStopDoesNotCloseAConnectionThatWasToBeKept)
 {
