The wait for what is unfinished ends with the limit of a stop

The commits before this one let a stopping host wait up to 2 s for requests that still arrive. If its requests had lasted to limit_ms, that could take it beyond the time after which the platform kills it. In relay mode the wait now ends 0.3 s after the limit at the latest, also after a second SIGTERM; in the other mode nothing changes.

--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -49,6 +49,8 @@
 #define CQ_TCP_KEEPALIVE_INTERVAL_S 1
 #define CQ_TCP_KEEPALIVE_PROBES 3
 #define CQ_TCP_UNACKED_MS 3000
+/* After the time limit of a stop, answers are written for this time more. */
+#define CQ_FLUSH_AFTER_LIMIT_US (300 * CQ_MS_US)
 /* For this time after a configuration has lowered the idle timeout, callers
  * may not know it: twice the time in which a configuration reaches all hosts.
  */
--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -56,6 +56,7 @@
     cq_tick_t tick;
     guint flush_polls;
     gboolean draining;
+    gint64 flush_until_us;
 };
 
 static void
@@ -217,7 +218,10 @@
     guint unfinished = count_unfinished(app);
     guint pending =
         app->log_client != NULL ? cq_log_client_pending(app->log_client) : 0;
-    if ((unfinished > 0 || pending > 0) && app->flush_polls++ < FLUSH_POLLS) {
+    gboolean in_time =
+        app->flush_polls++ < FLUSH_POLLS &&
+        (app->mode == MODE_API || cq_app_now_us(app) < app->flush_until_us);
+    if ((unfinished > 0 || pending > 0) && in_time) {
         return G_SOURCE_CONTINUE;
     }
     cq_logs_info(app->logs, "stopped", "unwritten=%u unappended=%u",
@@ -366,13 +370,9 @@
 static gboolean
 listen_callers(cq_app_t *app, cq_error_t *error)
 {
-    switch (app->mode) {
-    case MODE_RELAY:
-        return cq_relay_listen(app->relay, app->settings.callers, error);
-    case MODE_API:
-        break;
-    }
-    return cq_api_listen(app->api, app->settings.callers, error);
+    return app->mode == MODE_RELAY
+               ? cq_relay_listen(app->relay, app->settings.callers, error)
+               : cq_api_listen(app->api, app->settings.callers, error);
 }
 
 gboolean
@@ -473,6 +473,8 @@
                       on_close_idle_timer, app);
     }
     app->draining = TRUE;
+    app->flush_until_us =
+        cq_app_now_us(app) + event.drain.limit_us + CQ_FLUSH_AFTER_LIMIT_US;
     cq_logs_info(app->logs, "drain", "limit_ms=%" G_GINT64_FORMAT,
                  event.drain.limit_us / CQ_MS_US);
     cq_app_post(app, &event);
--- a/tests/proc/relaystop.sh
+++ b/tests/proc/relaystop.sh
@@ -23,3 +23,19 @@
 expect "an answer that its caller reads slowly" "$(cat "$DIR/got")" "200 14680064 0"
 wait "$PID_h"
 expect "the exit status" "$?" 0
+
+# A body that never ends does not keep the host beyond the limit of its stop.
+PORT=$((BASE + 15))
+LIMIT_MS=1000 entry_with_store g "$PORT"
+wait_for_http "http://127.0.0.1:$((PORT + 1))/readyz"
+exec 6<>"/dev/tcp/127.0.0.1/$PORT"
+printf 'POST /open/unsafe/ok HTTP/1.1\r\nHost: fleet.example\r\nContent-Length: 8\r\n\r\nhalf' >&6
+curl -s -m 8 -o /dev/null -H "Host: fleet.example" "http://127.0.0.1:$PORT/open/hang" &
+sleep 0.3
+stopped_ms=$(date +%s%3N)
+kill -TERM "$PID_g"
+wait "$PID_g"
+expect "the exit status" "$?" 0
+took_ms=$(($(date +%s%3N) - stopped_ms))
+[ "$took_ms" -lt 2000 ] || fail "the stop took $took_ms ms, wanted its limit of 1 s and less than 1 s more"
+say "the stop ended within a second of its limit"
