--- a/packages/router/relay.h
+++ b/packages/router/relay.h
@@ -69,7 +69,8 @@
 void
 cq_relay_close_idle_callers(cq_relay_t *relay);
 
-/** cq_relay_unfinished() - Return: what cq_inbound_unfinished() returns plus
+/** cq_relay_unfinished() - Return: number of callers' connections on which a
+ * request arrives, is unanswered, or has an answer that is not written, plus
  * number of reservations not yet released */
 guint
 cq_relay_unfinished(const cq_relay_t *relay);
