--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -55,6 +55,7 @@
     cq_tick_t tick;
     guint flush_polls;
     gboolean draining;
+    gint64 flush_until_us;
 };
 
 static void
@@ -226,7 +227,10 @@
     guint unfinished = count_unfinished(app);
     guint pending =
         app->log_client != NULL ? cq_log_client_pending(app->log_client) : 0;
-    if ((unfinished > 0 || pending > 0) && app->flush_polls++ < FLUSH_POLLS) {
+    gboolean in_time =
+        app->flush_polls++ < FLUSH_POLLS &&
+        (app->mode == MODE_API || cq_app_now_us(app) < app->flush_until_us);
+    if ((unfinished > 0 || pending > 0) && in_time) {
         return G_SOURCE_CONTINUE;
     }
     cq_logs_info(app->logs, "stopped", "unwritten=%u unappended=%u",
@@ -292,6 +296,7 @@
     case CQ_AC_STOPPED:
         if (app->follower != NULL) {
             cq_follower_deregister(app->follower);
+            cq_relay_stop_listening(app->relay);
         }
         g_timeout_add(FLUSH_POLL_MS, on_flush_poll, app);
         break;
@@ -480,6 +485,8 @@
                       on_close_idle_timer, app);
     }
     app->draining = TRUE;
+    app->flush_until_us =
+        cq_app_now_us(app) + event.drain.limit_us + CQ_FLUSH_AFTER_LIMIT_US;
     cq_logs_info(app->logs, "drain", "limit_ms=%" G_GINT64_FORMAT,
                  event.drain.limit_us / CQ_MS_US);
     cq_app_post(app, &event);
