Nesting of JSON is bounded before the parser sees it

What callers saw: a body of 1 MB of opening brackets at /v1/completions ended the host, and so did a load report of an engine that was nested 100,000 deep, each time that it was read. A load report that lists a number as a model, or whose member "loading" is a number, ended it too.

Cause: the parser calls itself for each level and has no limit, so deep nesting exhausts the stack; it was called in many places. In the reports of engines a text was taken from members that hold none, which gives NULL.

Change: cq_json_parse() and cq_json_parse_object() check the length (CQ_JSON_BYTES_MAX) and the nesting (CQ_JSON_DEPTH_MAX) in one pass over the text and then parse it. A character that JSON doesn't have outside of strings ends the check with a syntax error, as the parser also takes comments and other quotes, in which a quote could hide brackets; so these, and a byte order mark, are no longer taken. Callers' bodies, events of a stream, reports of engines, the log, the host list, records of the log and the operators' command use it. Unreadable events, reports and answers get one line, the first in a row. Members of another type count as missing, and numbers in reports stay within 0 and 1e12.

--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -66,6 +66,11 @@
 /* Longest event of a stream; a longer one breaks its answer. */
 #define CQ_STREAM_EVENT_BYTES_MAX (256 * 1024)
 
+/* JSON texts of callers, upstreams, the store and peers: the deepest nesting
+ * of arrays and objects, and the longest text. */
+#define CQ_JSON_DEPTH_MAX 128
+#define CQ_JSON_BYTES_MAX (64 * 1024 * 1024)
+
 /* Frames between serving processes. */
 /* Large enough for the longest record of the platform's store, such as a
  * configuration of 12,000 routes. */
--- a/packages/config/record.c
+++ b/packages/config/record.c
@@ -1,8 +1,9 @@
 #include "config/record.h"
 
-#include <json-glib/json-glib.h>
 #include <string.h>
 
+#include "config/json.h"
+
 static const char *const kind_names[] = {"config", "claim", "checkpoint",
                                          "lease"};
 static const char *const verb_names[] = {"take", "renew", "release"};
@@ -308,14 +309,8 @@
 {
     *record = (cq_record_t){0};
     JsonParser *parser = json_parser_new();
-    gboolean valid = json_parser_load_from_data(parser, text, -1, NULL);
-    JsonNode *root = valid ? json_parser_get_root(parser) : NULL;
-    if (root == NULL || !JSON_NODE_HOLDS_OBJECT(root)) {
-        g_object_unref(parser);
-        return cq_error_set(error, CQ_ERROR_SYNTAX,
-                            "record: not a JSON object; write one");
-    }
-    valid = get_record(json_node_get_object(root), record, error);
+    JsonObject *root = cq_json_parse_object(parser, text, strlen(text), error);
+    gboolean valid = root != NULL && get_record(root, record, error);
     g_object_unref(parser);
     if (!valid) {
         cq_record_clear(record);
--- a/packages/ctl/net.c
+++ b/packages/ctl/net.c
@@ -3,6 +3,8 @@
 #include <libsoup/soup.h>
 #include <string.h>
 
+#include "config/json.h"
+
 #define CALL_TIMEOUT_S 5
 
 static char *
@@ -89,33 +91,31 @@
  */
 static gboolean
 apply_page(const char *text, gint64 *from, gint64 *end, cq_fold_t *fold,
-           cq_net_record_callback_t on_record, void *data)
+           cq_net_record_callback_t on_record, void *data, cq_error_t *cause)
 {
     JsonParser *parser = json_parser_new();
-    gboolean well_formed = json_parser_load_from_data(parser, text, -1, NULL);
-    JsonNode *root = well_formed ? json_parser_get_root(parser) : NULL;
-    well_formed = root != NULL && JSON_NODE_HOLDS_OBJECT(root);
-    if (well_formed) {
-        JsonObject *page = json_node_get_object(root);
+    JsonObject *page = cq_json_parse_object(parser, text, strlen(text), cause);
+    if (page != NULL) {
         *end = json_object_get_int_member_with_default(page, "end", 0);
         gint64 first =
             json_object_get_int_member_with_default(page, "first", 0);
         *from = MAX(*from, first);
-        JsonArray *records = NULL;
-        if (json_object_has_member(page, "records")) {
-            records = json_object_get_array_member(page, "records");
-        }
+        JsonArray *records = cq_json_array(page, "records");
         guint len = records != NULL ? json_array_get_length(records) : 0;
         for (guint i = 0; i < len; i++) {
-            JsonObject *row = json_array_get_object_element(records, i);
-            gint64 offset = json_object_get_int_member(row, "offset");
-            apply_record(offset, json_object_get_string_member(row, "data"),
-                         fold, on_record, data);
+            JsonObject *row = cq_json_element(records, i);
+            if (row == NULL) {
+                continue;
+            }
+            gint64 offset =
+                json_object_get_int_member_with_default(row, "offset", *from);
+            apply_record(offset, cq_json_text(row, "data"), fold, on_record,
+                         data);
             *from = offset + 1;
         }
     }
     g_object_unref(parser);
-    return well_formed;
+    return page != NULL;
 }
 
 gboolean
@@ -132,14 +132,15 @@
         if (text == NULL) {
             return FALSE;
         }
+        cq_error_t cause = {0};
         gboolean well_formed =
-            apply_page(text, from, &end, fold, on_record, data);
+            apply_page(text, from, &end, fold, on_record, data, &cause);
         g_free(text);
         if (!well_formed) {
             return cq_error_set(error, CQ_ERROR_SYNTAX,
-                                "%s: the answer is no page of the log; "
+                                "%s: the answer is no page of the log (%s); "
                                 "check --log",
-                                addr);
+                                addr, cause.text);
         }
     } while (*from < end);
     return TRUE;
--- a/packages/ctl/show.c
+++ b/packages/ctl/show.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/limits.h"
+#include "config/json.h"
 #include "ctl/commands.h"
 #include "ctl/net.h"
 
@@ -90,11 +91,16 @@
             code = code == CQ_EXIT_DONE ? failure : code;
             continue;
         }
-        JsonNode *root = json_from_string(text, NULL);
-        if (root != NULL && JSON_NODE_HOLDS_OBJECT(root)) {
-            print_status(json_node_get_object(root));
+        JsonParser *parser = json_parser_new();
+        JsonObject *status =
+            cq_json_parse_object(parser, text, strlen(text), &error);
+        if (status != NULL) {
+            print_status(status);
         }
-        g_clear_pointer(&root, json_node_unref);
+        else {
+            code = cq_ctl_fail(&error);
+        }
+        g_object_unref(parser);
         g_free(text);
     }
     return code;
@@ -123,26 +129,37 @@
 static void
 add_events(GPtrArray *events, const char *text)
 {
-    JsonNode *root = json_from_string(text, NULL);
+    JsonParser *parser = json_parser_new();
+    cq_error_t error = {0};
+    JsonNode *root = cq_json_parse(parser, text, strlen(text), &error);
     if (root == NULL || !JSON_NODE_HOLDS_ARRAY(root)) {
-        g_clear_pointer(&root, json_node_unref);
+        cq_error_set(&error, CQ_ERROR_SYNTAX,
+                     "the timeline is no array; ask a process of this "
+                     "version");
+        cq_ctl_fail(&error);
+        g_object_unref(parser);
         return;
     }
     JsonArray *rows = json_node_get_array(root);
     for (guint i = 0; i < json_array_get_length(rows); i++) {
-        JsonObject *row = json_array_get_object_element(rows, i);
+        JsonObject *row = cq_json_element(rows, i);
+        if (row == NULL) {
+            continue;
+        }
         event_t *event = g_new0(event_t, 1);
-        event->wall_us = json_object_get_int_member(row, "wall_us");
-        event->logical = json_object_get_int_member(row, "logical");
-        event->attempt = json_object_get_int_member(row, "attempt");
-        event->host = g_strdup(json_object_get_string_member(row, "host"));
-        event->request =
-            g_strdup(json_object_get_string_member(row, "request"));
-        event->kind = g_strdup(json_object_get_string_member(row, "kind"));
-        event->fields = g_strdup(json_object_get_string_member(row, "fields"));
+        event->wall_us =
+            json_object_get_int_member_with_default(row, "wall_us", 0);
+        event->logical =
+            json_object_get_int_member_with_default(row, "logical", 0);
+        event->attempt =
+            json_object_get_int_member_with_default(row, "attempt", 0);
+        event->host = g_strdup(cq_json_text(row, "host"));
+        event->request = g_strdup(cq_json_text(row, "request"));
+        event->kind = g_strdup(cq_json_text(row, "kind"));
+        event->fields = g_strdup(cq_json_text(row, "fields"));
         g_ptr_array_add(events, event);
     }
-    json_node_unref(root);
+    g_object_unref(parser);
 }
 
 /* Orders events by time; the host's name decides between equal times. */
--- a/packages/router/api.c
+++ b/packages/router/api.c
@@ -126,6 +126,7 @@
       cq_ev_request_t *request)
 {
     request->id = cq_app_request_id(api->app);
+    options->app = api->app;
     options->id = request->id;
     options->key = request_header(message, "Idempotency-Key");
     options->hangup = on_hangup;
--- a/packages/router/caller.c
+++ b/packages/router/caller.c
@@ -1,8 +1,8 @@
 #include "router/caller.h"
 
-#include <json-glib/json-glib.h>
 #include <string.h>
 
+#include "config/json.h"
 #include "router/refusal.h"
 
 #define DATA_PREFIX "data: "
@@ -21,6 +21,7 @@
     gboolean answered;
     gboolean hung_up;
     gboolean over_limit;
+    gboolean event_ignored;
     gsize unwritten_bytes;
     GString *collected_text;
     cq_caller_notify_t finished;
@@ -180,29 +181,41 @@
     spec->model = caller->options.model;
 }
 
+/* Logs the first event of an answer that can't be read. */
+static void
+note_event_ignored(cq_caller_t *caller, const cq_error_t *error)
+{
+    if (!caller->event_ignored) {
+        caller->event_ignored = TRUE;
+        cq_app_log(caller->options.app, "event_ignored", "why=\"%s\"",
+                   error->text);
+    }
+}
+
 /* Appends the text in a stream event to the answer sent in one piece. */
 static void
 collect_event(cq_caller_t *caller, const char *json)
 {
     JsonParser *parser = json_parser_new();
-    if (json_parser_load_from_data(parser, json, -1, NULL)) {
-        JsonNode *root = json_parser_get_root(parser);
-        JsonNode *found = NULL;
-        if (root != NULL && JSON_NODE_HOLDS_OBJECT(root)) {
-            found = json_path_query(caller->options.chat
-                                        ? "$.choices[0].delta.content"
-                                        : "$.choices[0].text",
-                                    root, NULL);
-        }
-        if (found != NULL) {
-            JsonArray *matches = json_node_get_array(found);
-            if (json_array_get_length(matches) > 0) {
-                const char *text = json_array_get_string_element(matches, 0);
-                g_string_append(caller->collected_text,
-                                text != NULL ? text : "");
-            }
-            json_node_unref(found);
+    cq_error_t error = {0};
+    JsonNode *root = cq_json_parse(parser, json, strlen(json), &error);
+    JsonNode *found = NULL;
+    if (root != NULL && JSON_NODE_HOLDS_OBJECT(root)) {
+        found =
+            json_path_query(caller->options.chat ? "$.choices[0].delta.content"
+                                                 : "$.choices[0].text",
+                            root, NULL);
+    }
+    if (found != NULL) {
+        JsonArray *matches = json_node_get_array(found);
+        if (json_array_get_length(matches) > 0) {
+            const char *text = json_array_get_string_element(matches, 0);
+            g_string_append(caller->collected_text, text != NULL ? text : "");
         }
+        json_node_unref(found);
+    }
+    if (root == NULL) {
+        note_event_ignored(caller, &error);
     }
     g_object_unref(parser);
 }
--- a/packages/router/caller.h
+++ b/packages/router/caller.h
@@ -10,6 +10,7 @@
 #include <libsoup/soup.h>
 
 #include "core/action.h"
+#include "router/app.h"
 #include "router/calls.h"
 
 G_BEGIN_DECLS
@@ -21,6 +22,7 @@
 
 /**
  * struct cq_caller_options_t - options of cq_caller_new()
+ * @app: logs events that can't be read
  * @id: the request's id
  * @model: whether the request is for a model engine, not a plain service
  * @stream: whether the caller wants a stream
@@ -36,6 +38,7 @@
  * @data: passed to @hangup, @writable and the finished callback
  */
 typedef struct {
+    cq_app_t *app;
     guint64 id;
     gboolean model;
     gboolean stream;
--- a/packages/router/engines.c
+++ b/packages/router/engines.c
@@ -1,17 +1,20 @@
 #include "router/engines.h"
 
-#include <json-glib/json-glib.h>
 #include <string.h>
 
+#include "config/json.h"
 #include "router/http.h"
 
 #define CALL_TIMEOUT_MS 2000
+/* Higher numbers in reports are reduced to this value. */
+#define REPORTED_MAX G_GINT64_CONSTANT(1000000000000)
 #define POLLED_ENGINES_MAX (CQ_SERVICES_MAX * CQ_UPSTREAM_SUBSET_MAX)
 
 struct cq_engines {
     cq_app_t *app;
     SoupSession *session;
     GHashTable *cache_next; /* by engine: next cache event to read */
+    GHashTable *unreadable; /* engines whose last answer was not readable */
     guint timer;
     guint next_engine;
     guint open_calls;
@@ -33,22 +36,26 @@
         return;
     }
     g_hash_table_unref(engines->cache_next);
+    g_hash_table_unref(engines->unreadable);
     g_object_unref(engines->session);
     g_free(engines);
 }
 
+/* Return: the member's number, within 0 and REPORTED_MAX. */
 static gint64
 int_member(JsonObject *object, const char *key)
 {
-    return json_object_get_int_member_with_default(object, key, 0);
+    JsonNode *node = json_object_get_member(object, key);
+    if (node == NULL || json_node_get_value_type(node) != G_TYPE_INT64) {
+        return 0;
+    }
+    return CLAMP(json_node_get_int(node), 0, REPORTED_MAX);
 }
 
 static guint64
 hex_member(JsonObject *object, const char *key)
 {
-    const char *text =
-        json_object_get_string_member_with_default(object, key, "0");
-    return g_ascii_strtoull(text, NULL, 16);
+    return g_ascii_strtoull(cq_json_text(object, key), NULL, 16);
 }
 
 static void
@@ -63,13 +70,14 @@
 static guint
 read_models(JsonObject *object, guint64 models[CQ_ENGINE_MODELS_MAX])
 {
-    if (!json_object_has_member(object, "models")) {
-        return 0;
-    }
-    JsonArray *names = json_object_get_array_member(object, "models");
-    guint len = MIN(json_array_get_length(names), CQ_ENGINE_MODELS_MAX);
-    for (guint i = 0; i < len; i++) {
-        models[i] = cq_ident_hash(json_array_get_string_element(names, i));
+    JsonArray *names = cq_json_array(object, "models");
+    guint listed = names != NULL ? json_array_get_length(names) : 0;
+    guint len = 0;
+    for (guint i = 0; i < listed && len < CQ_ENGINE_MODELS_MAX; i++) {
+        JsonNode *name = json_array_get_element(names, i);
+        if (json_node_get_value_type(name) == G_TYPE_STRING) {
+            models[len++] = cq_ident_hash(json_node_get_string(name));
+        }
     }
     return len;
 }
@@ -78,10 +86,10 @@
 handle_load(cq_engines_t *engines, guint64 upstream, JsonObject *object)
 {
     GArray *holdings = g_array_new(FALSE, FALSE, sizeof(cq_holding_t));
-    if (json_object_has_member(object, "holdings")) {
-        JsonArray *rows = json_object_get_array_member(object, "holdings");
-        for (guint i = 0; i < json_array_get_length(rows); i++) {
-            JsonObject *row = json_array_get_object_element(rows, i);
+    JsonArray *rows = cq_json_array(object, "holdings");
+    for (guint i = 0; rows != NULL && i < json_array_get_length(rows); i++) {
+        JsonObject *row = cq_json_element(rows, i);
+        if (row != NULL) {
             cq_holding_t holding = {.request = hex_member(row, "request"),
                                     .tokens = int_member(row, "tokens")};
             g_array_append_val(holdings, holding);
@@ -91,8 +99,7 @@
     cq_event_t event = {.kind = CQ_EV_LOAD};
     event.load.models = models;
     event.load.models_len = read_models(object, models);
-    const char *loading =
-        json_object_get_string_member_with_default(object, "loading", "");
+    const char *loading = cq_json_text(object, "loading");
     event.load.loading = loading[0] != '\0' ? cq_ident_hash(loading) : 0;
     event.load.upstream = upstream;
     event.load.at_us =
@@ -107,6 +114,27 @@
     g_array_unref(holdings);
 }
 
+/* Logs the first unreadable answer of the engine in a row. Return: the object
+ * in @body, or NULL. */
+static JsonObject *
+read_answer(const engine_call_t *call, JsonParser *parser, GBytes *body)
+{
+    cq_engines_t *engines = call->engines;
+    cq_error_t error = {0};
+    JsonObject *object = cq_http_parse_object(parser, body, &error);
+    if (object != NULL) {
+        g_hash_table_remove(engines->unreadable, &call->upstream);
+    }
+    else if (g_hash_table_add(
+                 engines->unreadable,
+                 g_memdup2(&call->upstream, sizeof call->upstream))) {
+        cq_app_log(engines->app, "report_ignored",
+                   "upstream=%" G_GINT64_MODIFIER "x why=\"%s\"",
+                   call->upstream, error.text);
+    }
+    return object;
+}
+
 static void
 on_load(int status, GBytes *body, void *data)
 {
@@ -115,7 +143,7 @@
     JsonParser *parser = json_parser_new();
     JsonObject *object = NULL;
     if (status == 200) {
-        object = cq_http_parse_object(parser, body);
+        object = read_answer(call, parser, body);
     }
     if (object != NULL && !engines->stopped) {
         cq_app_count(engines->app, CQ_N_CONTROL_BYTES, g_bytes_get_size(body));
@@ -137,12 +165,12 @@
 handle_cache(cq_engines_t *engines, guint64 upstream, JsonObject *object)
 {
     set_cache_next(engines, upstream, int_member(object, "next"));
-    if (!json_object_has_member(object, "events")) {
-        return;
-    }
-    JsonArray *rows = json_object_get_array_member(object, "events");
-    for (guint i = 0; i < json_array_get_length(rows); i++) {
-        JsonObject *row = json_array_get_object_element(rows, i);
+    JsonArray *rows = cq_json_array(object, "events");
+    for (guint i = 0; rows != NULL && i < json_array_get_length(rows); i++) {
+        JsonObject *row = cq_json_element(rows, i);
+        if (row == NULL) {
+            continue;
+        }
         cq_event_t event = {.kind = CQ_EV_CACHE};
         event.cache.upstream = upstream;
         event.cache.prefix = hex_member(row, "prefix");
@@ -160,7 +188,7 @@
     JsonParser *parser = json_parser_new();
     JsonObject *object = NULL;
     if (status == 200) {
-        object = cq_http_parse_object(parser, body);
+        object = read_answer(call, parser, body);
     }
     if (object != NULL && !engines->stopped) {
         cq_app_count(engines->app, CQ_N_CONTROL_BYTES, g_bytes_get_size(body));
@@ -227,6 +255,8 @@
     engines->session = cq_http_new_session();
     engines->cache_next =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    engines->unreadable =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     engines->timer =
         g_timeout_add(CQ_LOAD_POLL_US / CQ_MS_US, on_timer, engines);
     return engines;
--- a/packages/router/http.c
+++ b/packages/router/http.c
@@ -1,6 +1,7 @@
 #include "router/http.h"
 
 #include "base/limits.h"
+#include "config/json.h"
 
 #define CONNECTIONS_MAX 4096
 
@@ -79,19 +80,11 @@
 }
 
 JsonObject *
-cq_http_parse_object(JsonParser *parser, GBytes *body)
+cq_http_parse_object(JsonParser *parser, GBytes *body, cq_error_t *error)
 {
     gsize len;
     const char *text = g_bytes_get_data(body, &len);
-    if (text == NULL ||
-        !json_parser_load_from_data(parser, text, (gssize)len, NULL)) {
-        return NULL;
-    }
-    JsonNode *root = json_parser_get_root(parser);
-    if (root == NULL || !JSON_NODE_HOLDS_OBJECT(root)) {
-        return NULL;
-    }
-    return json_node_get_object(root);
+    return cq_json_parse_object(parser, text, len, error);
 }
 
 SoupSession *
--- a/packages/router/http.h
+++ b/packages/router/http.h
@@ -25,9 +25,9 @@
                cq_error_t *error);
 
 /** cq_http_parse_object() - Return: the JSON object in @body, owned by
- * @parser, or NULL if @body is not one */
+ * @parser, or NULL and @error if @body is not one */
 JsonObject *
-cq_http_parse_object(JsonParser *parser, GBytes *body);
+cq_http_parse_object(JsonParser *parser, GBytes *body, cq_error_t *error);
 
 /** cq_http_new_session() - Return: a session with connection limits so high
  * that they are not reached in practice; free it with g_object_unref() */
--- a/packages/router/log_client.c
+++ b/packages/router/log_client.c
@@ -1,8 +1,8 @@
 #include "router/log_client.h"
 
-#include <json-glib/json-glib.h>
 #include <string.h>
 
+#include "config/json.h"
 #include "router/http.h"
 
 #define CALL_TIMEOUT_MS 2000
@@ -27,6 +27,7 @@
     guint references; /* open calls and timers that use this client */
     guint poll_timer; /* timer until the next occasional read, or 0 */
     GRand *rand;
+    gboolean unreadable; /* the last answer was */
 };
 
 static void
@@ -41,6 +42,20 @@
     return g_strdup_printf("http://%s%s", settings->log, path);
 }
 
+/* Logs the first unreadable answer in a row. Return: the object in @body, or
+ * NULL. */
+static JsonObject *
+read_answer(cq_log_client_t *client, JsonParser *parser, GBytes *body)
+{
+    cq_error_t error = {0};
+    JsonObject *object = cq_http_parse_object(parser, body, &error);
+    if (object == NULL && !client->unreadable) {
+        cq_app_log(client->app, "answer_ignored", "why=\"%s\"", error.text);
+    }
+    client->unreadable = object == NULL;
+    return object;
+}
+
 static void
 free_if_idle(cq_log_client_t *client)
 {
@@ -151,13 +166,15 @@
 apply_records(cq_log_client_t *client, JsonArray *records)
 {
     for (guint i = 0; i < json_array_get_length(records); i++) {
-        JsonObject *row = json_array_get_object_element(records, i);
-        gint64 offset = json_object_get_int_member(row, "offset");
+        JsonObject *row = cq_json_element(records, i);
+        gint64 offset =
+            row != NULL
+                ? json_object_get_int_member_with_default(row, "offset", -1)
+                : -1;
         if (offset < client->next) {
             continue;
         }
-        const char *data = json_object_get_string_member(row, "data");
-        apply_record(client, offset, data);
+        apply_record(client, offset, cq_json_text(row, "data"));
         client->next = offset + 1;
     }
 }
@@ -179,7 +196,7 @@
 handle_page(cq_log_client_t *client, GBytes *body)
 {
     JsonParser *parser = json_parser_new();
-    JsonObject *page = cq_http_parse_object(parser, body);
+    JsonObject *page = read_answer(client, parser, body);
     if (page != NULL) {
         gint64 first =
             json_object_get_int_member_with_default(page, "first", 0);
@@ -187,9 +204,8 @@
         if (end < client->next) {
             handle_log_reset(client, first);
         }
-        else if (json_object_has_member(page, "records")) {
-            apply_records(client,
-                          json_object_get_array_member(page, "records"));
+        else if (cq_json_array(page, "records") != NULL) {
+            apply_records(client, cq_json_array(page, "records"));
         }
         if (client->next >= end) {
             post_log(client, TRUE);
@@ -281,10 +297,10 @@
 
 /* Return: offset of a batch's first record, from the log's answer. */
 static gint64
-first_offset(GBytes *body)
+first_offset(cq_log_client_t *client, GBytes *body)
 {
     JsonParser *parser = json_parser_new();
-    JsonObject *object = cq_http_parse_object(parser, body);
+    JsonObject *object = read_answer(client, parser, body);
     gint64 offset = 0;
     if (object != NULL) {
         offset = json_object_get_int_member_with_default(object, "offset", 0);
@@ -303,7 +319,7 @@
         return;
     }
     if (status == 200) {
-        client->appended_end = first_offset(body) + client->in_flight;
+        client->appended_end = first_offset(client, body) + client->in_flight;
         for (guint i = 0; i < client->in_flight; i++) {
             g_free(g_queue_pop_head(&client->pending));
         }
@@ -350,8 +366,7 @@
 static void
 copy_member(JsonObject *row, const char *key, char *to, gsize size)
 {
-    g_strlcpy(to, json_object_get_string_member_with_default(row, key, ""),
-              size);
+    g_strlcpy(to, cq_json_text(row, key), size);
 }
 
 static void
@@ -359,7 +374,10 @@
 {
     GArray *list = g_array_new(FALSE, TRUE, sizeof(cq_host_row_t));
     for (guint i = 0; i < json_array_get_length(rows); i++) {
-        JsonObject *row = json_array_get_object_element(rows, i);
+        JsonObject *row = cq_json_element(rows, i);
+        if (row == NULL) {
+            continue;
+        }
         cq_host_row_t listed = {0};
         copy_member(row, "name", listed.name, sizeof listed.name);
         copy_member(row, "addr", listed.addr, sizeof listed.addr);
@@ -391,10 +409,11 @@
     }
     if (status == 200) {
         JsonParser *parser = json_parser_new();
-        JsonObject *object = cq_http_parse_object(parser, body);
-        if (object != NULL && json_object_has_member(object, "hosts")) {
-            handle_hosts(client,
-                         json_object_get_array_member(object, "hosts"));
+        JsonObject *object = read_answer(client, parser, body);
+        JsonArray *rows =
+            object != NULL ? cq_json_array(object, "hosts") : NULL;
+        if (rows != NULL) {
+            handle_hosts(client, rows);
         }
         g_object_unref(parser);
     }
--- a/packages/router/prompt.c
+++ b/packages/router/prompt.c
@@ -1,8 +1,9 @@
 #include "router/prompt.h"
 
-#include <json-glib/json-glib.h>
 #include <string.h>
 
+#include "config/json.h"
+
 #define PREFIX_GROWTH 4
 #define OUTPUT_TOKENS_MAX 1000000
 #define STREAM_MEMBER ",\"stream\":true}"
@@ -132,16 +133,8 @@
     gsize len;
     const char *text = g_bytes_get_data(body, &len);
     JsonParser *parser = json_parser_new();
-    gboolean valid = text != NULL && json_parser_load_from_data(
-                                         parser, text, (gssize)len, NULL);
-    JsonNode *root = valid ? json_parser_get_root(parser) : NULL;
-    if (root == NULL || !JSON_NODE_HOLDS_OBJECT(root)) {
-        valid = cq_error_set(error, CQ_ERROR_SYNTAX,
-                             "the body is not a JSON object; write one");
-    }
-    else {
-        valid = read_object(json_node_get_object(root), prompt, error);
-    }
+    JsonObject *object = cq_json_parse_object(parser, text, len, error);
+    gboolean valid = object != NULL && read_object(object, prompt, error);
     g_object_unref(parser);
     return valid;
 }
--- a/tests/proc/badinput.sh
+++ b/tests/proc/badinput.sh
@@ -25,6 +25,7 @@
 head -c 200000 /dev/zero | tr '\0' 'h' >"$DIR/header"
 
 expect 400 invalid_body -H "$AUTH_MODEL" -d '{"model":' $URL/v1/completions
+expect 400 invalid_body -H "$AUTH_MODEL" -d '' $URL/v1/completions
 expect 400 invalid_body -H "$AUTH_MODEL" -d '[]' $URL/v1/completions
 expect 400 invalid_body -H "$AUTH_MODEL" -d '{"model":"cupos-1"}' $URL/v1/completions
 expect 400 invalid_body -H "$AUTH_MODEL" -d '{"model":"cupos-1","messages":[7]}' $URL/v1/chat/completions
@@ -39,6 +40,9 @@
 expect 400 bad_key -H "$AUTH_SEATS" -H "Idempotency-Key: $(head -c 300 "$DIR/header")" -X POST -d '{}' $URL/s/reservas/holds
 expect 413 body_too_long -H "$AUTH_MODEL" -H "Expect:" --data-binary "@$DIR/big" $URL/v1/completions
 expect 413 body_too_long -H "$AUTH_MODEL" -H "Expect:" -H "Transfer-Encoding: chunked" --data-binary "@$DIR/big" $URL/v1/completions
+head -c 1000000 "$DIR/big" | tr 'x' '[' >"$DIR/nested"
+expect 400 "nested deeper than" -H "$AUTH_MODEL" -H "Expect:" --data-binary "@$DIR/nested" $URL/v1/completions
+expect 400 "nested deeper than" -H "$AUTH_MODEL" -H "Expect:" --data-binary "@$DIR/nested" $URL/v1/chat/completions
 check_other_callers "bad calls"
 
 got=$(curl -s -m 20 -o /dev/null -w '%{http_code}' -H "X-Long: $(head -c 120000 "$DIR/header")" $URL/v1/completions)
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -57,10 +57,10 @@
     rm -f "$out"
 }
 
-for program in config wire h1 platform quarantine crashcall crashfleet rate ratecore batchplace cell retry replay hist scn soak sock targets; do
+for program in config json wire h1 platform quarantine crashcall crashfleet rate ratecore batchplace cell retry replay hist scn soak sock targets; do
     run_unit "$BUILD/tests/${program}_test"
 done
-for script in demo badinput hangup operator drain holds giant orders retention \
+for script in demo badinput oddreports hangup operator drain holds giant orders retention \
     relay relaywake relaypeers relayreads relayreaders relaybulk relayleft relayendless relayleaving relaymany \
     relayoutage relayremoved relaylostpoll relaypoison relaypoisonkept relaycells relayera relaylimit relaycrashcall relaycrashkept; do
     run_script "tests/proc/$script.sh"
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -44,6 +44,7 @@
 static GPtrArray *models;        /* names of the loaded models */
 static char *loading;            /* model that is being loaded, or NULL */
 static gint64 highest_fence;     /* highest fencing number of an order */
+static char *report;             /* answers /load and /cache-events, or NULL */
 static int loads_started;        /* since the process started */
 static int arrived_count;        /* completion requests received */
 static int completed_count;      /* all tokens sent */
@@ -357,6 +358,10 @@
     (void)path;
     (void)query;
     (void)data;
+    if (report != NULL) {
+        standin_reply(message, 200, g_strdup(report));
+        return;
+    }
     remove_expired();
     GString *text = g_string_new("");
     gint64 prefill_tokens = 0;
@@ -396,6 +401,10 @@
     (void)path;
     (void)query;
     (void)data;
+    if (report != NULL) {
+        standin_reply(message, 200, g_strdup(report));
+        return;
+    }
     standin_reply(message, 200, g_strdup("{\"next\":0,\"events\":[]}"));
 }
 
@@ -443,6 +452,24 @@
                         reserved_tokens()));
 }
 
+/* POST /report: the body answers all calls to /load and /cache-events; an
+ * empty one ends this. */
+static void
+on_report(SoupServer *server, SoupServerMessage *message, const char *path,
+          GHashTable *query, gpointer data)
+{
+    (void)server;
+    (void)path;
+    (void)query;
+    (void)data;
+    SoupMessageBody *body = soup_server_message_get_request_body(message);
+    g_clear_pointer(&report, g_free);
+    if (body->length > 0) {
+        report = g_strndup(body->data, (gsize)body->length);
+    }
+    standin_reply(message, 200, g_strdup("{}"));
+}
+
 void
 standin_engine(SoupServer *server, const standin_options_t *command_line)
 {
@@ -457,6 +484,7 @@
     soup_server_add_handler(server, "/order", on_order, NULL, NULL);
     soup_server_add_handler(server, "/load", on_load, NULL, NULL);
     soup_server_add_handler(server, "/cache-events", on_cache, NULL, NULL);
+    soup_server_add_handler(server, "/report", on_report, NULL, NULL);
     soup_server_add_handler(server, "/cancel", on_cancel, NULL, NULL);
     soup_server_add_handler(server, "/counters", on_counters, NULL, NULL);
 }
