--- a/packages/http/sock.c
+++ b/packages/http/sock.c
@@ -353,12 +353,22 @@
         return FALSE;
     }
     memcpy(ip, addr, (gsize)(colon - addr));
-    guint64 port = g_ascii_strtoull(colon + 1, NULL, 10);
+    guint64 port = 0;
+    if (!g_ascii_string_to_unsigned(colon + 1, 10, 1, G_MAXUINT16, &port,
+                                    NULL)) {
+        return FALSE;
+    }
     memset(to, 0, sizeof *to);
     to->sin_family = AF_INET;
     to->sin_port = htons((guint16)port);
-    return port > 0 && port <= G_MAXUINT16 &&
-           inet_pton(AF_INET, ip, &to->sin_addr) == 1;
+    return inet_pton(AF_INET, ip, &to->sin_addr) == 1;
+}
+
+gboolean
+cq_sock_is_address(const char *addr)
+{
+    struct sockaddr_in address;
+    return parse_addr(addr, &address);
 }
 
 cq_sock_t *
--- a/packages/http/sock.h
+++ b/packages/http/sock.h
@@ -44,6 +44,11 @@
 /** typedef cq_sock_accepted_t - takes ownership of an accepted descriptor */
 typedef void (*cq_sock_accepted_t)(int fd, void *data);
 
+/** cq_sock_is_address() - Return: whether @addr is `ip:port`, with an IPv4
+ * address and a port from 1 to 65535 */
+gboolean
+cq_sock_is_address(const char *addr);
+
 /** cq_sock_from_fd() - Return: a connection that owns the accepted @fd */
 cq_sock_t *
 cq_sock_from_fd(int fd, const cq_sock_ops_t *ops);
