An empty record of a part, or one from the far future, is no fault here

A record of a blocked part that another writer left: a text without any base64, such as "[[[[", counted as a valid record with no reports and left no log line. A time of 2^63 in it overflowed the age: "codec.c:336:16: runtime error: signed integer overflow: 900 - -" (undefined-behaviour sanitizer; in a release build the age came out as 0).

A record without reports is now invalid, and the age is computed without a sign.

Evidence: Codec.ARecordOfAPartAgesUntilItIsRead on the code before: "wire_test.cc:132: Failure, Actual: true, Expected: false" and the error above; after: passes in a release build and with the sanitizers.

--- a/packages/wire/codec.c
+++ b/packages/wire/codec.c
@@ -330,13 +330,16 @@
     gsize len;
     guchar *bytes = g_base64_decode(copy, &len);
     Cq__PartReports *message = cq__part_reports__unpack(NULL, len, bytes);
-    gboolean valid = message != NULL && cq_codec_decode_parts(message, rows);
+    gboolean valid = message != NULL && message->n_rows > 0 &&
+                     cq_codec_decode_parts(message, rows);
     if (valid) {
         /* Clocks of hosts differ: a record is never from the future. */
-        gint64 passed_us = unix_us - (gint64)message->unix_us;
-        passed_us = CLAMP(passed_us, 0, REPORT_AGE_MAX_US);
+        guint64 now_us = (guint64)MAX(unix_us, 0);
+        guint64 passed_us = now_us - MIN(message->unix_us, now_us);
+        passed_us = MIN(passed_us, REPORT_AGE_MAX_US);
         for (guint i = 0; i < rows->len; i++) {
-            g_array_index(rows, cq_part_report_t, i).age_us += passed_us;
+            g_array_index(rows, cq_part_report_t, i).age_us +=
+                (gint64)passed_us;
         }
     }
     if (message != NULL) {
--- a/tests/unit/wire_test.cc
+++ b/tests/unit/wire_test.cc
@@ -129,6 +129,14 @@
     EXPECT_EQ(5, g_array_index(rows, cq_part_report_t, 0).age_us);
     g_array_set_size(rows, 0);
     EXPECT_FALSE(cq_codec_parse_part_record("//8=", 4, 900, rows));
+    EXPECT_FALSE(cq_codec_parse_part_record("[[[[", 4, 900, rows));
+    EXPECT_FALSE(cq_codec_parse_part_record("", 0, 900, rows));
+    /* From the end of time, as are all times that don't fit. */
+    g_array_set_size(rows, 0);
+    g_free(text);
+    text = cq_codec_format_part_record(&record, G_MININT64);
+    ASSERT_TRUE(cq_codec_parse_part_record(text, strlen(text), 900, rows));
+    EXPECT_EQ(g_array_index(rows, cq_part_report_t, 0).age_us, 5);
     g_array_unref(rows);
     g_free(text);
 }
