Odd records are logged once, and one of them doesn't stop the following

What callers and operators saw: a host that started while the answer with the newest records had one item without a key or value took the whole answer for invalid, asked again for ever and never became ready. An odd record that is written again each second left a line each second.

Change: an item or record without a key that can be read is left out, with the line records_unreadable; an item without a value is an empty record, which is ignored like any other odd one. record_ignored is written when a key's record becomes invalid or the reason changes, for configurations, upstreams, hosts and parts alike; key and reason are escaped, so that a record can't write lines of its own. Keys above 255 bytes from a peer count as a bad frame and are not kept: such a record could not have been passed on in one frame.

--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -75,6 +75,8 @@
 /* Large enough for the longest record of the platform's store, such as a
  * configuration of 12,000 routes. */
 #define CQ_FRAME_BYTES_MAX (4 * 1024 * 1024)
+/* Longest key of a record of the platform's store. */
+#define CQ_RECORD_KEY_BYTES_MAX 255
 /* Upper bound for what a frame contains besides a record's value. */
 #define CQ_FRAME_OVERHEAD_BYTES 1024
 /* A connection to a peer is closed when no byte arrives on it for this time
--- a/packages/router/catalog.c
+++ b/packages/router/catalog.c
@@ -23,6 +23,7 @@
                                 &error);
         return;
     }
+    cq_topicmap_note_valid(catalog->maps[CQ_TOPIC_CONFIG], record->key);
     if (catalog->routes != NULL &&
         routes->version <= catalog->routes->version) {
         cq_routes_free(routes);
@@ -45,6 +46,19 @@
     }
 }
 
+static void
+apply_part(cq_catalog_t *catalog, const cq_store_record_t *record)
+{
+    cq_topicmap_t *map = catalog->maps[CQ_TOPIC_HOSTS];
+    cq_error_t error = {0};
+    if (cq_partstore_apply(catalog->partstore, record, &error)) {
+        cq_topicmap_note_valid(map, record->key);
+    }
+    else {
+        cq_topicmap_log_invalid(map, record, &error);
+    }
+}
+
 static void
 post_rows(cq_catalog_t *catalog, GArray *rows)
 {
@@ -98,7 +112,7 @@
         apply_config(catalog, record);
     }
     if (topic == CQ_TOPIC_HOSTS && cq_partstore_owns(record->key)) {
-        cq_partstore_apply(catalog->partstore, record);
+        apply_part(catalog, record);
     }
     if (cq_topicmap_add(map, record)) {
         catalog->rows_changed = TRUE;
--- a/packages/router/follower.c
+++ b/packages/router/follower.c
@@ -215,6 +215,11 @@
 static void
 apply_page(table_t *table, const cq_store_page_t *page)
 {
+    if (page->unreadable > 0) {
+        cq_app_log(table->follower->app, "records_unreadable",
+                   "topic=%s offset=%" G_GUINT64_FORMAT " count=%u",
+                   cq_topic_name(table->topic), table->next, page->unreadable);
+    }
     for (guint i = 0; i < page->records->len; i++) {
         cq_catalog_apply(table->follower->catalog, table->topic,
                          &g_array_index(page->records, cq_store_record_t, i));
--- a/packages/router/gossip.c
+++ b/packages/router/gossip.c
@@ -209,8 +209,13 @@
         return TRUE;
     }
     cq_topic_t topic = (cq_topic_t)records->topic;
+    gboolean valid = TRUE;
     for (gsize i = 0; i < records->n_rows; i++) {
         const Cq__Record *row = records->rows[i];
+        if (strlen(row->key) > CQ_RECORD_KEY_BYTES_MAX) {
+            valid = FALSE;
+            continue;
+        }
         cq_store_record_t record = {.offset = row->offset, .key = row->key};
         if (!row->dropped) {
             record.value = g_bytes_new(row->value.data, row->value.len);
@@ -221,5 +226,5 @@
     if (records->at > 0) {
         cq_follower_set_offset(follower, topic, records->from, records->at);
     }
-    return TRUE;
+    return valid;
 }
--- a/packages/router/partstore.c
+++ b/packages/router/partstore.c
@@ -159,8 +159,9 @@
     return TRUE;
 }
 
-void
-cq_partstore_apply(cq_partstore_t *partstore, const cq_store_record_t *record)
+gboolean
+cq_partstore_apply(cq_partstore_t *partstore, const cq_store_record_t *record,
+                   cq_error_t *error)
 {
     GArray *rows = g_array_new(FALSE, FALSE, sizeof(cq_part_report_t));
     gboolean valid;
@@ -175,11 +176,7 @@
     if (valid) {
         post_rows(partstore, rows);
     }
-    else {
-        cq_app_log(partstore->app, "record_ignored",
-                   "topic=%s key=%s offset=%" G_GUINT64_FORMAT
-                   " why=\"no record of a part\"",
-                   cq_topic_name(CQ_TOPIC_HOSTS), record->key, record->offset);
-    }
     g_array_unref(rows);
+    return valid || cq_error_set(error, CQ_ERROR_VALUE,
+                                 "no record of a part; delete it");
 }
--- a/packages/router/partstore.h
+++ b/packages/router/partstore.h
@@ -37,9 +37,11 @@
 gboolean
 cq_partstore_owns(const char *key);
 
-/** cq_partstore_apply() - tell the core what a record that was read says */
-void
-cq_partstore_apply(cq_partstore_t *partstore, const cq_store_record_t *record);
+/** cq_partstore_apply() - tell the core what a record that was read says;
+ * Return: FALSE and @error if it is invalid */
+gboolean
+cq_partstore_apply(cq_partstore_t *partstore, const cq_store_record_t *record,
+                   cq_error_t *error);
 
 G_END_DECLS
 
--- a/packages/router/topicmap.c
+++ b/packages/router/topicmap.c
@@ -27,10 +27,15 @@
     cq_store_record_t doubted;
 } entry_t;
 
+/*
+ * entries: by key
+ * ignored: by key whose newest record is invalid: hash of the reason
+ */
 struct cq_topicmap {
     cq_app_t *app;
     cq_topic_t topic;
     GHashTable *entries;
+    GHashTable *ignored;
 };
 
 static void
@@ -68,7 +73,7 @@
 }
 
 static void
-parse_entry(const cq_topicmap_t *map, entry_t *entry)
+parse_entry(cq_topicmap_t *map, entry_t *entry)
 {
     cq_error_t error = {0};
     if (entry->record.value != NULL) {
@@ -84,6 +89,9 @@
             cq_topicmap_log_invalid(map, &entry->record, &error);
         }
     }
+    if (entry->valid || entry->record.value == NULL) {
+        cq_topicmap_note_valid(map, entry->record.key);
+    }
 }
 
 /* Keeps what the entry said last if it was deleted before that was told. */
@@ -113,6 +121,8 @@
     map->topic = topic;
     map->entries =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_entry);
+    map->ignored =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return map;
 }
 
@@ -120,25 +130,41 @@
 cq_topicmap_free(cq_topicmap_t *map)
 {
     g_hash_table_unref(map->entries);
+    g_hash_table_unref(map->ignored);
     g_free(map);
 }
 
 void
-cq_topicmap_log_invalid(const cq_topicmap_t *map,
-                        const cq_store_record_t *record,
+cq_topicmap_log_invalid(cq_topicmap_t *map, const cq_store_record_t *record,
                         const cq_error_t *error)
 {
+    guint64 why = cq_ident_hash(error->text);
+    const guint64 *told = g_hash_table_lookup(map->ignored, record->key);
+    if (told != NULL && *told == why) {
+        return;
+    }
+    g_hash_table_replace(map->ignored, g_strdup(record->key),
+                         g_memdup2(&why, sizeof why));
+    char *key = g_strescape(record->key, NULL);
+    char *reason = g_strescape(error->text, NULL);
     cq_app_log(map->app, "record_ignored",
                "topic=%s key=%s offset=%" G_GUINT64_FORMAT " why=\"%s\"",
-               cq_topic_name(map->topic), record->key, record->offset,
-               error->text);
+               cq_topic_name(map->topic), key, record->offset, reason);
+    g_free(reason);
+    g_free(key);
+}
+
+void
+cq_topicmap_note_valid(cq_topicmap_t *map, const char *key)
+{
+    g_hash_table_remove(map->ignored, key);
 }
 
 /* An older copy of the store has upstreams and hosts that have left since. A
  * record of one that had left, of the same start, is kept apart until they
  * have had time to write again. Return: whether @record is doubted. */
 static gboolean
-doubt(const cq_topicmap_t *map, entry_t *old, const cq_store_record_t *record)
+doubt(cq_topicmap_t *map, entry_t *old, const cq_store_record_t *record)
 {
     if (map->topic == CQ_TOPIC_CONFIG || old->record.value != NULL ||
         record->value == NULL) {
--- a/packages/router/topicmap.h
+++ b/packages/router/topicmap.h
@@ -28,13 +28,17 @@
 void
 cq_topicmap_free(cq_topicmap_t *map);
 
-/** cq_topicmap_log_invalid() - log that @record is ignored because of @error
- */
+/** cq_topicmap_log_invalid() - log that @record is ignored because of @error,
+ * unless the key's last record was ignored for the same reason */
 void
-cq_topicmap_log_invalid(const cq_topicmap_t *map,
-                        const cq_store_record_t *record,
+cq_topicmap_log_invalid(cq_topicmap_t *map, const cq_store_record_t *record,
                         const cq_error_t *error);
 
+/** cq_topicmap_note_valid() - the newest record of @key is valid or a deletion
+ */
+void
+cq_topicmap_note_valid(cq_topicmap_t *map, const char *key);
+
 /** cq_topicmap_is_new() - Return: whether the map lacks @record; if not, its
  * key counts as seen */
 gboolean
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -39,6 +39,7 @@
     GList *waiters;
     gboolean refusing; /* answers 503 to entry hosts */
     gboolean silent;   /* gives no answer to calls that arrive now */
+    gboolean spoiling; /* adds items that can't be read to /v1/log-newest */
     guint era;         /* how often it came back from an older copy, plus 1 */
 } store_t;
 
@@ -162,14 +163,30 @@
     answer_waiters(store);
 }
 
+/* Adds a number, an object without members and a key without a value. */
+static void
+add_unreadable_items(JsonBuilder *builder)
+{
+    json_builder_add_int_value(builder, 7);
+    json_builder_begin_object(builder);
+    json_builder_end_object(builder);
+    json_builder_begin_object(builder);
+    json_builder_set_member_name(builder, "key");
+    json_builder_add_string_value(builder, "no-value");
+    json_builder_end_object(builder);
+}
+
 /* Answers with the current value of each key. */
 static void
-serve_newest(standin_conn_t *conn, const topic_t *topic)
+serve_newest(const store_t *store, standin_conn_t *conn, const topic_t *topic)
 {
     JsonBuilder *builder = json_builder_new();
     json_builder_begin_object(builder);
     json_builder_set_member_name(builder, "items");
     json_builder_begin_array(builder);
+    if (store->spoiling) {
+        add_unreadable_items(builder);
+    }
     for (guint i = 0; i < topic->records->len; i++) {
         const record_t *record = g_ptr_array_index(topic->records, i);
         gboolean newest = record->value != NULL;
@@ -283,6 +300,7 @@
  *   /silence     ignores every call of an entry host, while on=1. A read that
  *                waited before goes on waiting, but is never answered if its
  *                time ends meanwhile, or with reads=drop
+ *   /spoil       adds items that can't be read to /v1/log-newest, while on=1
  *   /restore     comes back from a copy in which the topic has len records
  *   /era         changes only the era that it names
  * All answer with the topic's number of read calls. */
@@ -312,6 +330,9 @@
         g_free(reads);
         answer_waiters(store);
     }
+    if (strcmp(path, "/spoil") == 0) {
+        store->spoiling = standin_query_number(query, "on", 0) != 0;
+    }
     if (strcmp(path, "/era") == 0) {
         store->era = (guint)standin_query_number(query, "to", 1);
     }
@@ -345,7 +366,7 @@
         return;
     }
     if (strcmp(path, "/v1/log-newest") == 0) {
-        serve_newest(conn, topic);
+        serve_newest(store, conn, topic);
     }
     else if (strcmp(path, "/v1/log-read") == 0) {
         topic->reads++;
