A peer that has not proved itself may send only short frames

Now a frame above 1 KiB from such a peer closes the connection, before it is unpacked, and counts as too long. A host's own first frames are far shorter.

--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -77,6 +77,8 @@
 #define CQ_FRAME_BYTES_MAX (4 * 1024 * 1024)
 /* Longest key of a record of the platform's store. */
 #define CQ_RECORD_KEY_BYTES_MAX 255
+/* Longest frame of a peer that has not been authenticated. */
+#define CQ_FRAME_UNPROVED_BYTES_MAX 1024
 /* Upper bound for what a frame contains besides a record's value. */
 #define CQ_FRAME_OVERHEAD_BYTES 1024
 /* A connection to a peer is closed when no byte arrives on it for this time
--- a/packages/router/link.c
+++ b/packages/router/link.c
@@ -172,10 +172,14 @@
 {
     gsize len;
     const guint8 *data = g_bytes_get_data(payload, &len);
-    Cq__Frame *frame = cq__frame__unpack(NULL, len, data);
     cq_app_count(link->options.app, CQ_N_PEER_FRAMES_IN, 1);
     cq_app_count(link->options.app, CQ_N_PEER_BYTES_IN, len);
     cq_app_count(link->options.app, CQ_N_CONTROL_BYTES, len);
+    if (!link->authenticated && len > CQ_FRAME_UNPROVED_BYTES_MAX) {
+        reject(link, CQ_N_PEER_FRAMES_TOO_LONG);
+        return;
+    }
+    Cq__Frame *frame = cq__frame__unpack(NULL, len, data);
     if (frame == NULL) {
         reject(link, CQ_N_PEER_FRAMES_BAD);
         return;
--- a/tests/proc/badinput.sh
+++ b/tests/proc/badinput.sh
@@ -49,12 +49,17 @@
 case "$got" in 000 | 4??) say "ok over-long header: $got" ;; *) fail "over-long header: $got" ;; esac
 check_other_callers "an over-long header"
 
-# On the port for peers: a frame above the length limit, a frame that is not a
-# valid message, and the first half of a frame with nothing after it.
+# On the port for peers: a frame above the length limit, one that is too long
+# for a peer that has not proved itself, a frame that is not a valid message,
+# and the first half of a frame with nothing after it.
 exec 5<>/dev/tcp/127.0.0.1/$((PORT_A + 2))
 printf '\177\377\377\377' >&5
 wait_for_output '^1$' count $PORT_A peer_frames_too_long_total
 exec 5>&-
+exec 5<>/dev/tcp/127.0.0.1/$((PORT_A + 2))
+{ printf '\0\0\10\0' && head -c 2048 /dev/zero | sed 's/\x00/z/g'; } >&5
+wait_for_output '^2$' count $PORT_A peer_frames_too_long_total
+exec 5>&-
 exec 6<>/dev/tcp/127.0.0.1/$((PORT_A + 2))
 printf '\0\0\0\3\377\377\377' >&6
 wait_for_output '^1$' count $PORT_A peer_frames_bad_total
