--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -81,10 +81,19 @@
 /* Longest event of a stream; a longer one breaks its answer. */
 #define CQ_STREAM_EVENT_BYTES_MAX (256 * 1024)
 
+/* JSON texts of callers, upstreams, the store and peers: the deepest nesting
+ * of arrays and objects, and the longest text. */
+#define CQ_JSON_DEPTH_MAX 128
+#define CQ_JSON_BYTES_MAX (64 * 1024 * 1024)
+
 /* Frames between serving processes. */
 /* Large enough for the longest record of the platform's store, such as a
  * configuration of 12,000 routes. */
 #define CQ_FRAME_BYTES_MAX (4 * 1024 * 1024)
+/* Longest key of a record of the platform's store. */
+#define CQ_RECORD_KEY_BYTES_MAX 255
+/* Longest frame of a peer that has not been authenticated. */
+#define CQ_FRAME_UNPROVED_BYTES_MAX 1024
 /* Upper bound for what a frame contains besides a record's value. */
 #define CQ_FRAME_OVERHEAD_BYTES 1024
 /* A connection to a peer is closed when no byte arrives on it for this time
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -56,6 +56,7 @@
     GList *waiters;
     gboolean refusing; /* answers 503 to entry hosts */
     gboolean silent;   /* gives no answer to calls that arrive now */
+    gboolean spoiling; /* adds items that can't be read to /v1/log-newest */
     guint era;         /* how often it came back from an older copy, plus 1 */
 };
 
@@ -196,6 +197,19 @@
     answer_waiters(store);
 }
 
+/* Adds a number, an object without members and a key without a value. */
+static void
+add_unreadable_items(JsonBuilder *builder)
+{
+    json_builder_add_int_value(builder, 7);
+    json_builder_begin_object(builder);
+    json_builder_end_object(builder);
+    json_builder_begin_object(builder);
+    json_builder_set_member_name(builder, "key");
+    json_builder_add_string_value(builder, "no-value");
+    json_builder_end_object(builder);
+}
+
 /* Answers with the current value of each key. */
 static void
 serve_newest(standin_conn_t *conn, const view_t *view, const topic_t *topic)
@@ -204,6 +218,9 @@
     json_builder_begin_object(builder);
     json_builder_set_member_name(builder, "items");
     json_builder_begin_array(builder);
+    if (view->store->spoiling) {
+        add_unreadable_items(builder);
+    }
     for (guint i = 0; i < topic->records->len; i++) {
         const record_t *record = g_ptr_array_index(topic->records, i);
         gboolean newest = record->value != NULL;
@@ -321,6 +338,7 @@
  *   /silence     ignores every call of an entry host, while on=1. A read that
  *                waited before goes on waiting, but is never answered if its
  *                time ends meanwhile, or with reads=drop
+ *   /spoil       adds items that can't be read to /v1/log-newest, while on=1
  *   /restore     comes back from a copy in which the topic has len records
  *   /era         changes only the era that it names
  * All answer with the topic's number of read calls. */
@@ -350,6 +368,9 @@
         g_free(reads);
         answer_waiters(store);
     }
+    if (strcmp(path, "/spoil") == 0) {
+        store->spoiling = standin_query_number(query, "on", 0) != 0;
+    }
     if (strcmp(path, "/era") == 0) {
         store->era = (guint)standin_query_number(query, "to", 1);
     }
