--- a/packages/http/h1.c
+++ b/packages/http/h1.c
@@ -341,6 +341,12 @@
     return connection != NULL && list_contains(connection, name);
 }
 
+gboolean
+cq_h1_is_success(const cq_h1_head_t *head)
+{
+    return head->status >= 200 && head->status < 300;
+}
+
 const char *
 cq_h1_reason_phrase(int status)
 {
--- a/packages/http/h1.h
+++ b/packages/http/h1.h
@@ -138,6 +138,10 @@
 gboolean
 cq_h1_is_hop_by_hop(const cq_h1_head_t *head, const char *name);
 
+/** cq_h1_is_success() - Return: whether the status of @head is 2xx */
+gboolean
+cq_h1_is_success(const cq_h1_head_t *head);
+
 /** cq_h1_reason_phrase() - Return: the standard reason phrase of @status */
 const char *
 cq_h1_reason_phrase(int status);
--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -10,7 +10,7 @@
 #include "router/operator.h"
 #include "router/tick.h"
 #include "router/log_client.h"
-#include "router/reach.h"
+#include "router/reachprobe.h"
 #include "router/relay.h"
 
 /* Longest wait for the last answers and records: FLUSH_POLLS intervals. */
@@ -546,18 +546,12 @@
 gboolean
 cq_app_ready(const cq_app_t *app)
 {
-    if (app->draining) {
-        return FALSE;
-    }
-    switch (app->mode) {
-    case MODE_RELAY:
-        return cq_follower_ready(app->follower) &&
-               (cq_links_all_connected(app->links) ||
-                cq_app_now_us(app) - app->started_us > PEERS_WAIT_US);
-    case MODE_API:
-        break;
+    if (app->draining || app->mode == MODE_API) {
+        return !app->draining && cq_core_stats(app->core).services > 0;
     }
-    return cq_core_stats(app->core).services > 0;
+    return cq_follower_ready(app->follower) &&
+           (cq_links_all_connected(app->links) ||
+            cq_app_now_us(app) - app->started_us > PEERS_WAIT_US);
 }
 
 void
--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -103,27 +103,10 @@
     conn_unref(conn);
 }
 
-static gboolean
-is_success(const cq_h1_head_t *head)
-{
-    return head->status >= 200 && head->status < 300;
-}
-
-/* Callers take these statuses to mean that the request did not run. An answer
- * that has neither the seal nor the statement to that effect proves nothing.
- */
-static gboolean
-is_unproven_promise(const cq_h1_head_t *head,
-                    const cq_response_fields_t *reply)
-{
-    return !reply->sealed &&
-           (head->status == 408 || head->status == 429 || head->status == 503);
-}
-
 static gboolean
 is_stream(const call_t *call)
 {
-    return call->reply.stream && is_success(&call->head) &&
+    return call->reply.stream && cq_h1_is_success(&call->head) &&
            call->head.status != NO_CONTENT;
 }
 
@@ -266,12 +249,11 @@
             return;
         }
     }
-    if (is_success(head) && (!reply.sealed || reply.content_encoded)) {
+    if (cq_h1_is_success(head) && (!reply.sealed || reply.content_encoded)) {
         fail(call, CQ_FAIL_BROKEN);
         return;
     }
-    if (call->runs_once && !call->to_peer &&
-        is_unproven_promise(head, &reply)) {
+    if (call->runs_once && !call->to_peer && reply.unproven) {
         fail(call, CQ_FAIL_BROKEN);
         return;
     }
--- a/packages/router/reach.c
+++ b/packages/router/reachprobe.c
@@ -1,4 +1,4 @@
-#include "router/reach.h"
+#include "router/reachprobe.h"
 
 #include "base/limits.h"
 #include "base/list.h"
--- a/packages/router/reach.h
+++ b/packages/router/reachprobe.h
@@ -1,11 +1,11 @@
 /**
- * DOC: reach
+ * DOC: reachprobe
  *
  * Sees whether connections to upstreams open: carries out the core's REACH and
  * reports REACHED. Nothing is sent over such a connection.
  */
-#ifndef CQ_REACH_H
-#define CQ_REACH_H
+#ifndef CQ_REACHPROBE_H
+#define CQ_REACHPROBE_H
 
 #include "core/action.h"
 
--- a/tests/unit/outpeer_test.cc
+++ b/tests/unit/outpeer_test.cc
@@ -14,7 +14,7 @@
 
 #include "base/limits.h"
 #include "router/outbound.h"
-#include "router/reach.h"
+#include "router/reachprobe.h"
 
 namespace {
 
