Failing test: a connection is reset when its other side reads nothing for 4 s

What callers see: an answer that is larger than the socket buffers is cut if its caller reads nothing for 4 s, although it is there and goes on. The same holds for a long request body at an upstream that reads it late.

Cause: with TCP_USER_TIMEOUT, Linux ends a connection whose window stays closed for that time, also if the other side acknowledges each probe.

Not fixed here: without the option another check must find connections whose other side is gone while data is unacknowledged.

--- a/tests/unit/sock_test.cc
+++ b/tests/unit/sock_test.cc
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <string>
 #include <vector>
 
 #include "http/sock.h"
@@ -157,4 +158,38 @@
     EXPECT_GE(gives_up_ms - idle_ms, kSilenceMs);
 }
 
+// The other side is sound and acknowledges every probe, but reads nothing for
+// a while: a caller that is slow, or an upstream that has not begun to read a
+// long body.
+TEST_F(TcpOptions, AnotherSideThatReadsNothingForAWhileGetsAll)
+{
+    constexpr gint64 kPauseUs = 6 * G_USEC_PER_SEC;
+    constexpr gsize kBytes = 14 * 1024 * 1024;
+    int other = accept(listener, nullptr, nullptr);
+    ASSERT_GE(other, 0);
+    std::string bytes(kBytes, 'x');
+    cq_sock_write(sock, bytes.data(), bytes.size());
+    ASSERT_GT(cq_sock_unwritten_bytes(sock), 0u);
+    gint64 until_us = g_get_monotonic_time() + kPauseUs;
+    while (g_get_monotonic_time() < until_us) {
+        g_main_context_iteration(nullptr, FALSE);
+        g_usleep(10 * 1000);
+    }
+    gsize received = 0;
+    for (int i = 0; i < 1000 && received < kBytes; i++) {
+        g_main_context_iteration(nullptr, FALSE);
+        gssize n = recv(other, &bytes[0], bytes.size(), MSG_DONTWAIT);
+        if (n > 0) {
+            received += (gsize)n;
+            continue;
+        }
+        if (n == 0 || errno != EAGAIN) {
+            break;
+        }
+        g_usleep(10 * 1000);
+    }
+    EXPECT_EQ(received, kBytes);
+    close(other);
+}
+
 } // namespace
