The answers of an exchange move into a file of their own

What callers see is unchanged.

exchange.c has the functions cq_exchange_*() and decide_kept(). The private structs are in inboundstate.h, where their types and the states of a connection get the module's prefix. Two functions of inbound.c are now shared: end_exchange() is cq_inbound_end_exchange() and conn_remove() is cq_inbound_remove_conn(); the state machine stays in inbound.c. Public declarations stay in inbound.h.

--- a/packages/router/inbound.c
+++ b/packages/router/inbound.c
@@ -1,9 +1,8 @@
-#include "router/inbound.h"
+#include "router/inboundstate.h"
 
 #include <string.h>
 
 #include "base/limits.h"
-#include "base/list.h"
 #include "http/sock.h"
 #include "router/heads.h"
 #include "router/idlelimit.h"
@@ -17,58 +16,8 @@
  * are closed after this percentage of it. */
 #define IDLE_TIMEOUT_PERCENT 120
 
-typedef enum {
-    STATE_IDLE,      /* no byte of a request received */
-    STATE_HEAD,      /* head partly received */
-    STATE_BODY,      /* head complete, body not */
-    STATE_ANSWERING, /* request complete, answer not */
-    STATE_CLOSING,   /* last answer passed to the socket, input is dropped */
-} state_t;
-
-/* overdue: the time limit of the state has been found exceeded
- * idle_timeout_us: the longest one since the connection became idle */
-typedef struct {
-    cq_list_t link;
-    cq_inbound_t *inbound;
-    cq_sock_t *sock;
-    cq_h1_t *reader;
-    state_t state;
-    gint64 state_since_us;
-    gboolean overdue;
-    gint64 idle_timeout_us;
-    gsize dropped_bytes;
-    GByteArray *unparsed;
-    cq_exchange_t *exchange;
-    gboolean parsing;
-    gboolean closed;
-    guint refs;
-} conn_t;
-
-struct cq_exchange {
-    conn_t *conn;
-    cq_h1_head_t head;
-    GByteArray *body;
-    gboolean too_long;
-    gboolean chunked;
-    gboolean started;
-    gboolean dispatched;
-    gboolean kept;
-    void *owner;
-};
-
-struct cq_inbound {
-    cq_inbound_ops_t ops;
-    cq_list_t conns;
-    guint listener;
-    gboolean draining;
-    gsize head_bytes_max;
-    gsize body_bytes_max;
-    gint64 head_timeout_us;
-    cq_idle_limit_t idle_limit;
-};
-
 static void
-parse_requests(conn_t *conn);
+parse_requests(cq_inbound_conn_t *conn);
 
 static void
 exchange_free(cq_exchange_t *exchange)
@@ -80,7 +29,7 @@
 }
 
 static void
-conn_unref(conn_t *conn)
+conn_unref(cq_inbound_conn_t *conn)
 {
     if (--conn->refs > 0) {
         return;
@@ -90,15 +39,14 @@
     g_free(conn);
 }
 
-/* Removes a connection. Its socket must already be closed or closing. */
-static void
-conn_remove(conn_t *conn)
+void
+cq_inbound_remove_conn(cq_inbound_conn_t *conn)
 {
     if (conn->closed) {
         return;
     }
     conn->closed = TRUE;
-    conn->state = STATE_CLOSING;
+    conn->state = CQ_INBOUND_CLOSING;
     if (conn->exchange != NULL) {
         exchange_free(conn->exchange);
     }
@@ -107,7 +55,7 @@
 }
 
 static void
-set_state(conn_t *conn, state_t state)
+set_state(cq_inbound_conn_t *conn, cq_inbound_state_t state)
 {
     conn->state = state;
     conn->state_since_us = g_get_monotonic_time();
@@ -121,10 +69,10 @@
  * its side, or at a limit. If it were closed with unread bytes, it would be
  * reset, and its last answer might be lost. */
 static void
-start_closing(conn_t *conn)
+start_closing(cq_inbound_conn_t *conn)
 {
     gboolean written = cq_sock_unwritten_bytes(conn->sock) == 0;
-    set_state(conn, STATE_CLOSING);
+    set_state(conn, CQ_INBOUND_CLOSING);
     if (conn->exchange != NULL) {
         exchange_free(conn->exchange);
     }
@@ -135,16 +83,16 @@
 }
 
 static void
-finish_closing(conn_t *conn)
+finish_closing(cq_inbound_conn_t *conn)
 {
     cq_sock_close_when_written(conn->sock);
-    conn_remove(conn);
+    cq_inbound_remove_conn(conn);
 }
 
 /* A request that is on its way to an idle connection is left unread, so that
  * its caller learns by a reset that it may send the request again. */
 static void
-close_idle(conn_t *conn)
+close_idle(cq_inbound_conn_t *conn)
 {
     if (cq_sock_unwritten_bytes(conn->sock) > 0) {
         start_closing(conn);
@@ -155,7 +103,7 @@
 
 /* Answers an invalid or late request and closes the connection. */
 static void
-reject(conn_t *conn, int status, const char *text)
+reject(cq_inbound_conn_t *conn, int status, const char *text)
 {
     GString *out = g_string_new("");
     cq_heads_append_local(out, status, "", strlen(text), FALSE);
@@ -168,13 +116,13 @@
 static void
 on_head(void *data, const cq_h1_head_t *head)
 {
-    conn_t *conn = data;
+    cq_inbound_conn_t *conn = data;
     cq_exchange_t *exchange = g_new0(cq_exchange_t, 1);
     exchange->conn = conn;
     cq_h1_copy_head(&exchange->head, head);
     exchange->body = g_byte_array_new();
     conn->exchange = exchange;
-    set_state(conn, STATE_BODY);
+    set_state(conn, CQ_INBOUND_BODY);
     if (head->expects_continue) {
         const char *interim = "HTTP/1.1 100 Continue\r\n\r\n";
         cq_sock_write(conn->sock, interim, strlen(interim));
@@ -184,7 +132,7 @@
 static void
 on_body(void *data, const char *bytes, gsize len)
 {
-    conn_t *conn = data;
+    cq_inbound_conn_t *conn = data;
     cq_exchange_t *exchange = conn->exchange;
     if (exchange->body->len + len > conn->inbound->body_bytes_max) {
         exchange->too_long = TRUE;
@@ -196,9 +144,9 @@
 static void
 on_done(void *data)
 {
-    conn_t *conn = data;
+    cq_inbound_conn_t *conn = data;
     cq_exchange_t *exchange = conn->exchange;
-    set_state(conn, STATE_ANSWERING);
+    set_state(conn, CQ_INBOUND_ANSWERING);
     if (exchange->too_long) {
         return;
     }
@@ -208,7 +156,7 @@
 
 /* Parses the received bytes, one request at a time. */
 static void
-parse_requests(conn_t *conn)
+parse_requests(cq_inbound_conn_t *conn)
 {
     if (conn->parsing) {
         return;
@@ -216,9 +164,9 @@
     conn->parsing = TRUE;
     conn->refs++;
     while (!conn->closed && conn->unparsed->len > 0 &&
-           conn->state < STATE_ANSWERING) {
-        if (conn->state == STATE_IDLE) {
-            set_state(conn, STATE_HEAD);
+           conn->state < CQ_INBOUND_ANSWERING) {
+        if (conn->state == CQ_INBOUND_IDLE) {
+            set_state(conn, CQ_INBOUND_HEAD);
         }
         /* The parser's callbacks may change conn->unparsed. */
         GByteArray *bytes = conn->unparsed;
@@ -227,7 +175,7 @@
             cq_h1_feed(conn->reader, (const char *)bytes->data, bytes->len);
         int status = 0;
         const char *text = NULL;
-        if (!conn->closed && conn->state != STATE_CLOSING) {
+        if (!conn->closed && conn->state != CQ_INBOUND_CLOSING) {
             text = cq_heads_rejection(
                 cq_h1_error(conn->reader),
                 conn->exchange != NULL && conn->exchange->too_long, &status);
@@ -248,8 +196,8 @@
 static void
 on_received(void *data, const char *bytes, gsize len)
 {
-    conn_t *conn = data;
-    if (conn->state == STATE_CLOSING) {
+    cq_inbound_conn_t *conn = data;
+    if (conn->state == CQ_INBOUND_CLOSING) {
         conn->dropped_bytes += len;
         if (conn->dropped_bytes > CQ_CLOSING_BYTES_MAX) {
             finish_closing(conn);
@@ -257,7 +205,7 @@
         return;
     }
     g_byte_array_append(conn->unparsed, (const guint8 *)bytes, (guint)len);
-    if (conn->state == STATE_ANSWERING &&
+    if (conn->state == CQ_INBOUND_ANSWERING &&
         conn->unparsed->len > PIPELINED_BYTES_MAX) {
         cq_sock_pause_reading(conn->sock, TRUE);
     }
@@ -267,9 +215,9 @@
 static void
 on_ended(void *data, cq_sock_end_t how)
 {
-    conn_t *conn = data;
+    cq_inbound_conn_t *conn = data;
     cq_inbound_t *inbound = conn->inbound;
-    if (conn->state == STATE_CLOSING && how == CQ_SOCK_EOF) {
+    if (conn->state == CQ_INBOUND_CLOSING && how == CQ_SOCK_EOF) {
         finish_closing(conn);
         return;
     }
@@ -278,15 +226,15 @@
         inbound->ops.caller_gone(conn->exchange, inbound->ops.data);
     }
     cq_sock_abort(conn->sock);
-    conn_remove(conn);
+    cq_inbound_remove_conn(conn);
     conn_unref(conn);
 }
 
 static void
 on_writable(void *data)
 {
-    conn_t *conn = data;
-    if (conn->state == STATE_CLOSING) {
+    cq_inbound_conn_t *conn = data;
+    if (conn->state == CQ_INBOUND_CLOSING) {
         start_closing(conn);
     }
     if (conn->exchange != NULL && conn->exchange->started) {
@@ -298,7 +246,7 @@
 on_accepted(int fd, void *data)
 {
     cq_inbound_t *inbound = data;
-    conn_t *conn = g_new0(conn_t, 1);
+    cq_inbound_conn_t *conn = g_new0(cq_inbound_conn_t, 1);
     conn->inbound = inbound;
     conn->refs = 1;
     conn->unparsed = g_byte_array_new();
@@ -318,33 +266,21 @@
         .drained = on_writable,
         .data = conn,
     };
-    set_state(conn, STATE_IDLE);
+    set_state(conn, CQ_INBOUND_IDLE);
     conn->sock = cq_sock_from_fd(fd, &ops);
 }
 
-/* Decides whether the connection is kept after the answer, whose head says so:
- * a stop that begins later changes nothing. Return: whether it is kept. */
-static gboolean
-decide_kept(cq_exchange_t *exchange, gboolean has_framing)
-{
-    exchange->kept = has_framing && exchange->head.keep_alive &&
-                     !exchange->conn->inbound->draining;
-    return exchange->kept;
-}
-
-/* Called when the whole answer has been passed to the socket: goes on with the
- * next request, or closes the connection. */
-static void
-end_exchange(cq_exchange_t *exchange)
+void
+cq_inbound_end_exchange(cq_exchange_t *exchange)
 {
-    conn_t *conn = exchange->conn;
+    cq_inbound_conn_t *conn = exchange->conn;
     gboolean kept = exchange->kept;
     exchange_free(exchange);
     if (!kept) {
         start_closing(conn);
         return;
     }
-    set_state(conn, STATE_IDLE);
+    set_state(conn, CQ_INBOUND_IDLE);
     cq_sock_pause_reading(conn->sock, FALSE);
     parse_requests(conn);
 }
@@ -382,13 +318,14 @@
 {
     cq_inbound_stop_listening(inbound);
     while (!cq_list_empty(&inbound->conns)) {
-        conn_t *conn = CQ_ENTRY(inbound->conns.next, conn_t, link);
+        cq_inbound_conn_t *conn =
+            CQ_ENTRY(inbound->conns.next, cq_inbound_conn_t, link);
         if (conn->exchange == NULL) {
             finish_closing(conn);
             continue;
         }
         cq_sock_abort(conn->sock);
-        conn_remove(conn);
+        cq_inbound_remove_conn(conn);
     }
     g_free(inbound);
 }
@@ -402,7 +339,7 @@
     cq_idle_limit_change(&inbound->idle_limit, routes, g_get_monotonic_time());
     cq_list_t *link = inbound->conns.next;
     for (; link != &inbound->conns; link = link->next) {
-        conn_t *conn = CQ_ENTRY(link, conn_t, link);
+        cq_inbound_conn_t *conn = CQ_ENTRY(link, cq_inbound_conn_t, link);
         conn->idle_timeout_us =
             MAX(conn->idle_timeout_us, routes->idle_timeout_us);
     }
@@ -419,9 +356,10 @@
 {
     cq_list_t *link = inbound->conns.next;
     while (link != &inbound->conns) {
-        conn_t *conn = CQ_ENTRY(link, conn_t, link);
+        cq_inbound_conn_t *conn = CQ_ENTRY(link, cq_inbound_conn_t, link);
         link = link->next;
-        if (conn->state == STATE_IDLE && !cq_sock_has_unread(conn->sock)) {
+        if (conn->state == CQ_INBOUND_IDLE &&
+            !cq_sock_has_unread(conn->sock)) {
             close_idle(conn);
         }
     }
@@ -431,7 +369,7 @@
  * @limit_us. What has arrived by then is read before that is acted on, once.
  */
 static gboolean
-is_too_late(conn_t *conn, gint64 now_us, gint64 limit_us)
+is_too_late(cq_inbound_conn_t *conn, gint64 now_us, gint64 limit_us)
 {
     if (now_us - conn->state_since_us <= limit_us) {
         return FALSE;
@@ -442,32 +380,32 @@
 }
 
 static void
-check_timeout(conn_t *conn, gint64 now_us)
+check_timeout(cq_inbound_conn_t *conn, gint64 now_us)
 {
     switch (conn->state) {
-    case STATE_IDLE:
+    case CQ_INBOUND_IDLE:
         if (is_too_late(conn, now_us,
                         conn->idle_timeout_us * IDLE_TIMEOUT_PERCENT / 100)) {
             close_idle(conn);
         }
         break;
-    case STATE_HEAD:
+    case CQ_INBOUND_HEAD:
         if (is_too_late(conn, now_us, conn->inbound->head_timeout_us)) {
             reject(conn, 408, "{\"code\":\"head_too_slow\",\"ran\":\"no\"}");
         }
         break;
-    case STATE_BODY:
+    case CQ_INBOUND_BODY:
         if (is_too_late(conn, now_us, BODY_TIMEOUT_US)) {
             reject(conn, 408, "{\"code\":\"body_too_slow\",\"ran\":\"no\"}");
         }
         break;
-    case STATE_CLOSING:
+    case CQ_INBOUND_CLOSING:
         if (cq_sock_unwritten_bytes(conn->sock) == 0 &&
             now_us - conn->state_since_us > CQ_CLOSING_TIMEOUT_US) {
             finish_closing(conn);
         }
         break;
-    case STATE_ANSWERING:
+    case CQ_INBOUND_ANSWERING:
         break;
     }
 }
@@ -478,7 +416,7 @@
     gint64 now_us = g_get_monotonic_time();
     cq_list_t *link = inbound->conns.next;
     while (link != &inbound->conns) {
-        conn_t *conn = CQ_ENTRY(link, conn_t, link);
+        cq_inbound_conn_t *conn = CQ_ENTRY(link, cq_inbound_conn_t, link);
         link = link->next;
         check_timeout(conn, now_us);
     }
@@ -490,122 +428,15 @@
     guint unfinished = 0;
     const cq_list_t *link = inbound->conns.next;
     for (; link != &inbound->conns; link = link->next) {
-        const conn_t *conn = CQ_ENTRY(link, conn_t, link);
+        const cq_inbound_conn_t *conn =
+            CQ_ENTRY(link, cq_inbound_conn_t, link);
         gboolean open =
-            conn->state > STATE_IDLE && conn->state < STATE_CLOSING;
+            conn->state > CQ_INBOUND_IDLE && conn->state < CQ_INBOUND_CLOSING;
         gboolean waits =
-            conn->state == STATE_IDLE && cq_sock_has_unread(conn->sock);
+            conn->state == CQ_INBOUND_IDLE && cq_sock_has_unread(conn->sock);
         if (open || waits || cq_sock_unwritten_bytes(conn->sock) > 0) {
             unfinished++;
         }
     }
     return unfinished;
 }
-
-const cq_h1_head_t *
-cq_exchange_head(const cq_exchange_t *exchange)
-{
-    return &exchange->head;
-}
-
-const GByteArray *
-cq_exchange_body(const cq_exchange_t *exchange)
-{
-    return exchange->body;
-}
-
-void
-cq_exchange_set_owner(cq_exchange_t *exchange, void *owner)
-{
-    exchange->owner = owner;
-}
-
-void *
-cq_exchange_owner(const cq_exchange_t *exchange)
-{
-    return exchange->owner;
-}
-
-void
-cq_exchange_answer(cq_exchange_t *exchange, const cq_h1_head_t *head,
-                   const void *body, gsize len)
-{
-    GString *out = g_string_new("");
-    cq_heads_append_upstream(out, head, decide_kept(exchange, TRUE));
-    gboolean no_body = cq_heads_without_body(&exchange->head, head->status);
-    if (!no_body || len > 0) {
-        g_string_append_printf(out, "Content-Length: %zu\r\n", len);
-    }
-    g_string_append(out, "\r\n");
-    if (!no_body) {
-        g_string_append_len(out, body, (gssize)len);
-    }
-    cq_sock_write(exchange->conn->sock, out->str, out->len);
-    g_string_free(out, TRUE);
-    end_exchange(exchange);
-}
-
-void
-cq_exchange_refuse(cq_exchange_t *exchange, int status, const char *extra,
-                   const char *text)
-{
-    GString *out = g_string_new("");
-    cq_heads_append_local(out, status, extra, strlen(text),
-                          decide_kept(exchange, TRUE));
-    if (!cq_heads_without_body(&exchange->head, status)) {
-        g_string_append(out, text);
-    }
-    cq_sock_write(exchange->conn->sock, out->str, out->len);
-    g_string_free(out, TRUE);
-    end_exchange(exchange);
-}
-
-void
-cq_exchange_begin(cq_exchange_t *exchange, const cq_h1_head_t *head)
-{
-    exchange->started = TRUE;
-    /* HTTP/1.0 has no chunks: there the close of the connection ends the
-     * body. */
-    exchange->chunked = !exchange->head.is_http10;
-    gboolean kept = decide_kept(exchange, exchange->chunked);
-    GString *out = g_string_new("");
-    cq_heads_append_upstream(out, head, kept);
-    g_string_append(out, exchange->chunked
-                             ? "Transfer-Encoding: chunked\r\n\r\n"
-                             : "\r\n");
-    cq_sock_write(exchange->conn->sock, out->str, out->len);
-    g_string_free(out, TRUE);
-}
-
-gsize
-cq_exchange_write(cq_exchange_t *exchange, const void *bytes, gsize len)
-{
-    cq_sock_t *sock = exchange->conn->sock;
-    if (!exchange->chunked) {
-        cq_sock_write(sock, bytes, len);
-        return cq_sock_unwritten_bytes(sock);
-    }
-    GString *out = g_string_new("");
-    cq_h1_append_chunk(out, bytes, len);
-    cq_sock_write(sock, out->str, out->len);
-    g_string_free(out, TRUE);
-    return cq_sock_unwritten_bytes(sock);
-}
-
-void
-cq_exchange_end(cq_exchange_t *exchange)
-{
-    const char *last = "0\r\n\r\n";
-    if (exchange->chunked) {
-        cq_sock_write(exchange->conn->sock, last, strlen(last));
-    }
-    end_exchange(exchange);
-}
-
-void
-cq_exchange_abort(cq_exchange_t *exchange)
-{
-    conn_t *conn = exchange->conn;
-    cq_sock_abort(conn->sock);
-    conn_remove(conn);
-}
