--- a/packages/router/relay.c
+++ b/packages/router/relay.c
@@ -402,7 +402,7 @@
         .time_left_us = open_request->deadline_us - cq_app_now_us(relay->app),
         .last_event = open_request->last_event >= 0 ? last_event : NULL,
     };
-    cq_app_log(relay->app, "handed",
+    cq_app_log(relay->app, "sent_on",
                "request=%016" G_GINT64_MODIFIER "x try=%u addr=%s "
                "left_ms=%" G_GINT64_FORMAT,
                hand->request, hand->attempt, hand->addr,
