A stream without ids that was passed on is not joined to another run

A host that is cut off passes a stream on; the peer's events have no ids, and the peer is lost: the stream was passed on again, and the events of a second run followed those of the first.

Cause: the handling of a peer's events was a copy of that of an upstream's, and the rule that a stream without ids can't be resumed came to only one of them.

Change: one piece of code forwards events and notes a sending, for upstreams and peers alike.

--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -286,8 +286,8 @@
     return attempts_left(request) && request->service->retry_tokens >= 1;
 }
 
-static void
-on_sent(cq_core_t *core, cq_request_t *request)
+void
+cq_attempt_sent(cq_core_t *core, cq_request_t *request)
 {
     if (request->sent) {
         return;
@@ -301,51 +301,64 @@
 }
 
 static void
-on_tokens(cq_core_t *core, cq_request_t *request, const cq_ev_attempt_t *event)
+note_first_event(cq_core_t *core, const cq_request_t *request)
+{
+    gint64 after_us = core->now_us - request->arrived_us;
+    cq_counters_add_time(&core->counters, CQ_LATENCY_FIRST_EVENT, after_us);
+    cq_table_log_event(core, request, "first_token",
+                       "after_ms=%" G_GINT64_FORMAT, after_us / CQ_MS_US);
+}
+
+void
+cq_attempt_forward(cq_core_t *core, cq_request_t *request,
+                   const cq_ev_attempt_t *event)
 {
-    gint64 tokens = event->tokens;
     if (event->unnumbered) {
         request->resumable = FALSE;
     }
-    if (request->entered_prefill_us > 0) {
-        cq_load_first_token(core, request);
-        request->entered_prefill_us = 0;
-    }
     if (request->forwarded == 0) {
-        gint64 after_us = core->now_us - request->arrived_us;
-        cq_counters_add_time(&core->counters, CQ_LATENCY_FIRST_EVENT,
-                             after_us);
-        cq_table_log_event(core, request, "first_token",
-                           "after_ms=%" G_GINT64_FORMAT, after_us / CQ_MS_US);
-    }
-    on_sent(core, request);
-    if (request->task != NULL) {
-        cq_pass_observe(core, request->upstream);
-        cq_member_reached(core, request->upstream);
-        cq_task_first_token(core, request);
+        note_first_event(core, request);
     }
+    cq_attempt_sent(core, request);
     if (request->forwarded > 0) {
         gint64 gap_us = core->now_us - request->progress_us;
         request->longest_gap_us = MAX(request->longest_gap_us, gap_us);
     }
     request->progress_us = core->now_us;
     request->probes_unanswered = 0;
-    request->forwarded += tokens;
-    cq_quarantine_progress(core, request, tokens, FALSE);
+    request->forwarded += event->tokens;
     cq_action_t action = {
         .kind = CQ_AC_FORWARD,
         .attempt = {.request = request->id,
                     .attempt = request->attempt,
-                    .upstream = request->upstream->id,
-                    .tokens = tokens},
+                    .tokens = event->tokens},
     };
+    if (request->upstream != NULL) {
+        action.attempt.upstream = request->upstream->id;
+    }
     cq_actions_add(core->actions, &action);
 }
 
+static void
+on_tokens(cq_core_t *core, cq_request_t *request, const cq_ev_attempt_t *event)
+{
+    if (request->entered_prefill_us > 0) {
+        cq_load_first_token(core, request);
+        request->entered_prefill_us = 0;
+    }
+    cq_attempt_forward(core, request, event);
+    if (request->task != NULL) {
+        cq_pass_observe(core, request->upstream);
+        cq_member_reached(core, request->upstream);
+        cq_task_first_token(core, request);
+    }
+    cq_quarantine_progress(core, request, event->tokens, FALSE);
+}
+
 static void
 on_done(cq_core_t *core, cq_request_t *request, int status)
 {
-    on_sent(core, request);
+    cq_attempt_sent(core, request);
     gboolean success = status >= 200 && status < 300;
     request->upstream->broken_streak = 0;
     if (success) {
@@ -410,7 +423,7 @@
         if (!detail->on_kept_conn) {
             cq_reach_opened(core);
         }
-        on_sent(core, request);
+        cq_attempt_sent(core, request);
         break;
     case CQ_EV_TOKENS:
         on_tokens(core, request, detail);
--- a/packages/core/attempt.h
+++ b/packages/core/attempt.h
@@ -31,6 +31,17 @@
 void
 cq_attempt_fail(cq_core_t *core, cq_request_t *request, cq_failure_t failure);
 
+/** cq_attempt_sent() - a byte of the running attempt of @request may have been
+ * sent, to an upstream or a peer */
+void
+cq_attempt_sent(cq_core_t *core, cq_request_t *request);
+
+/** cq_attempt_forward() - forward new events of the answer to the caller, from
+ * an upstream or a peer */
+void
+cq_attempt_forward(cq_core_t *core, cq_request_t *request,
+                   const cq_ev_attempt_t *event);
+
 /** cq_attempt_retry_allowed() - Return: whether the limit on attempts and the
  * retry budget allow @request another attempt that is sent */
 gboolean
--- a/packages/core/handoff.c
+++ b/packages/core/handoff.c
@@ -5,7 +5,6 @@
 #include "core/flow.h"
 #include "core/group.h"
 #include "core/place.h"
-#include "core/quarantine.h"
 #include "core/reach.h"
 #include "core/table.h"
 #include "core/task.h"
@@ -138,34 +137,6 @@
                           : CQ_OUTCOME_BROKEN);
 }
 
-static void
-on_sent(cq_request_t *request)
-{
-    if (!request->sent) {
-        request->sent = TRUE;
-        request->possible_runs++;
-    }
-}
-
-static void
-on_tokens(cq_core_t *core, cq_request_t *request, gint64 tokens)
-{
-    on_sent(request);
-    if (request->forwarded > 0) {
-        request->longest_gap_us =
-            MAX(request->longest_gap_us, core->now_us - request->progress_us);
-    }
-    request->progress_us = core->now_us;
-    request->forwarded += tokens;
-    cq_action_t action = {
-        .kind = CQ_AC_FORWARD,
-        .attempt = {.request = request->id,
-                    .attempt = request->attempt,
-                    .tokens = tokens},
-    };
-    cq_actions_add(core->actions, &action);
-}
-
 /* Whether the peer states that the request did not run. */
 static gboolean
 states_not_run(int status)
@@ -176,7 +147,7 @@
 static void
 on_done(cq_core_t *core, cq_request_t *request, int status)
 {
-    on_sent(request);
+    cq_attempt_sent(core, request);
     gboolean success = status >= 200 && status < 300;
     if (request->forwarded > 0 && !success) {
         fail(core, request, "refused");
@@ -199,11 +170,10 @@
 {
     switch (event->kind) {
     case CQ_EV_SENT:
-        on_sent(request);
-        request->progress_us = core->now_us;
+        cq_attempt_sent(core, request);
         break;
     case CQ_EV_TOKENS:
-        on_tokens(core, request, event->attempt.tokens);
+        cq_attempt_forward(core, request, &event->attempt);
         break;
     case CQ_EV_DONE:
         on_done(core, request, event->attempt.status);
--- a/tests/unit/reach_test.cc
+++ b/tests/unit/reach_test.cc
@@ -93,12 +93,15 @@
         event.attempt.request = request;
         event.attempt.attempt = hand_of(request)->attempt;
         event.attempt.tokens = 1;
+        event.attempt.unnumbered = unnumbered;
         event.attempt.status = status;
         event.attempt.failure = CQ_FAIL_BROKEN;
         step(event);
     }
 
     size_t probes_seen = 0;
+    // Whether the events that peers send from now on have no ids.
+    gboolean unnumbered = FALSE;
 };
 
 TEST_F(Reach, ACutHostPassesRequestsOnToAPeer)
@@ -182,6 +185,20 @@
     EXPECT_EQ(answer_of(id)->status, 200);
 }
 
+// Without ids a second peer can't go on after the last event.
+TEST_F(Reach, AStreamWithoutIdsEndsWithItsPeer)
+{
+    start(3, 2);
+    cut();
+    guint64 id = call();
+    unnumbered = TRUE;
+    peer_event(id, CQ_EV_TOKENS);
+    peer_event(id, CQ_EV_FAILED);
+    EXPECT_EQ(hand_of(id)->attempt, 1u);
+    ASSERT_NE(answer_of(id), nullptr);
+    EXPECT_EQ(answer_of(id)->outcome, CQ_OUTCOME_BROKEN);
+}
+
 TEST_F(Reach, ACallThatMayHaveRunIsNotPassedOn)
 {
     start(3, 1);
