--- a/packages/router/relay.c
+++ b/packages/router/relay.c
@@ -335,6 +335,38 @@
     }
 }
 
+/* Fills what a request has in common towards an upstream and towards a peer;
+ * @last_event gets the text that @forward refers to. */
+static void
+init_forward(const cq_relay_t *relay, const open_request_t *open_request,
+             char last_event[LAST_EVENT_BYTES],
+             cq_forwarded_request_t *forward)
+{
+    g_snprintf(last_event, LAST_EVENT_BYTES, "%" G_GINT64_FORMAT,
+               open_request->last_event);
+    *forward = (cq_forwarded_request_t){
+        .head = cq_exchange_head(open_request->exchange),
+        .body_len = cq_exchange_body(open_request->exchange)->len,
+        .time_left_us = open_request->deadline_us - cq_app_now_us(relay->app),
+        .last_event = open_request->last_event >= 0 ? last_event : NULL,
+    };
+}
+
+/* Starts @call, whose head is @out; takes @out. */
+static void
+start_call(cq_relay_t *relay, const open_request_t *open_request,
+           cq_outbound_call_t *call, GString *out)
+{
+    call->request = open_request->id;
+    call->attempt_id = open_request->attempt_id;
+    call->method = cq_exchange_head(open_request->exchange)->method;
+    call->head = out;
+    call->body = cq_exchange_body(open_request->exchange);
+    call->last_event = open_request->last_event;
+    cq_outbound_send(relay->outbound, call);
+    g_string_free(out, TRUE);
+}
+
 void
 cq_relay_send(cq_relay_t *relay, const cq_ac_send_t *send)
 {
@@ -346,20 +378,12 @@
     }
     char helpers[HELPERS_BYTES];
     char last_event[LAST_EVENT_BYTES];
+    cq_forwarded_request_t forward;
     format_helpers(relay, send, helpers);
-    g_snprintf(last_event, sizeof last_event, "%" G_GINT64_FORMAT,
-               open_request->last_event);
-    const cq_h1_head_t *head = cq_exchange_head(open_request->exchange);
-    const GByteArray *body = cq_exchange_body(open_request->exchange);
-    cq_forwarded_request_t forward = {
-        .head = head,
-        .body_len = body->len,
-        .upstream = view.name,
-        .team = open_request->team,
-        .time_left_us = open_request->deadline_us - cq_app_now_us(relay->app),
-        .last_event = open_request->last_event >= 0 ? last_event : NULL,
-        .helpers = helpers[0] != '\0' ? helpers : NULL,
-    };
+    init_forward(relay, open_request, last_event, &forward);
+    forward.upstream = view.name;
+    forward.team = open_request->team;
+    forward.helpers = helpers[0] != '\0' ? helpers : NULL;
     cq_app_log(relay->app, "sent",
                "request=%016" G_GINT64_MODIFIER "x try=%u upstream=%s "
                "addr=%s left_ms=%" G_GINT64_FORMAT " helpers=%s",
@@ -368,20 +392,13 @@
     GString *out = g_string_new("");
     cq_headers_append_request(out, &forward);
     cq_outbound_call_t call = {
-        .request = send->request,
         .attempt = send->attempt,
         .upstream = send->upstream,
         .addr = view.addr,
         .incarnation = view.incarnation,
         .fresh = send->fresh,
-        .attempt_id = open_request->attempt_id,
-        .method = head->method,
-        .head = out,
-        .body = body,
-        .last_event = open_request->last_event,
     };
-    cq_outbound_send(relay->outbound, &call);
-    g_string_free(out, TRUE);
+    start_call(relay, open_request, &call, out);
 }
 
 void
@@ -392,16 +409,8 @@
         return;
     }
     char last_event[LAST_EVENT_BYTES];
-    g_snprintf(last_event, sizeof last_event, "%" G_GINT64_FORMAT,
-               open_request->last_event);
-    const cq_h1_head_t *head = cq_exchange_head(open_request->exchange);
-    const GByteArray *body = cq_exchange_body(open_request->exchange);
-    cq_forwarded_request_t forward = {
-        .head = head,
-        .body_len = body->len,
-        .time_left_us = open_request->deadline_us - cq_app_now_us(relay->app),
-        .last_event = open_request->last_event >= 0 ? last_event : NULL,
-    };
+    cq_forwarded_request_t forward;
+    init_forward(relay, open_request, last_event, &forward);
     cq_app_log(relay->app, "sent_on",
                "request=%016" G_GINT64_MODIFIER "x try=%u addr=%s "
                "left_ms=%" G_GINT64_FORMAT,
@@ -410,21 +419,14 @@
     GString *out = g_string_new("");
     cq_headers_append_handed(out, &forward);
     cq_outbound_call_t call = {
-        .request = hand->request,
         .attempt = hand->attempt,
         .upstream = hand->peer,
         .to_peer = TRUE,
         .addr = hand->addr,
         .incarnation = hand->incarnation,
         .fresh = hand->fresh,
-        .attempt_id = open_request->attempt_id,
-        .method = head->method,
-        .head = out,
-        .body = body,
-        .last_event = open_request->last_event,
     };
-    cq_outbound_send(relay->outbound, &call);
-    g_string_free(out, TRUE);
+    start_call(relay, open_request, &call, out);
 }
 
 void
