One way to stop an attempt, and one rule for what may be repeated

No change of behaviour: the STOP action stood three times, and the rule for a request that may have run (repeatable, and not begun or resumable) three times. reach, retry, brokenstream, scn, crash*, cutfleet, handfleet, cell and soak tests pass.

--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -96,25 +96,44 @@
     cq_actions_add(core->actions, &action);
 }
 
+static cq_ac_attempt_t
+running_attempt(const cq_request_t *request)
+{
+    return (cq_ac_attempt_t){
+        .request = request->id,
+        .attempt = request->attempt,
+        .upstream = request->upstream != NULL ? request->upstream->id : 0,
+    };
+}
+
 void
-cq_attempt_abandon(cq_core_t *core, cq_request_t *request)
+cq_attempt_stop(cq_core_t *core, const cq_request_t *request)
 {
-    if (request->upstream == NULL && request->phase != CQ_PHASE_HANDED) {
-        return;
-    }
     cq_action_t action = {
         .kind = CQ_AC_STOP,
-        .attempt = {.request = request->id, .attempt = request->attempt},
+        .attempt = running_attempt(request),
     };
-    if (request->upstream != NULL) {
-        action.attempt.upstream = request->upstream->id;
-    }
     cq_actions_add(core->actions, &action);
+}
+
+void
+cq_attempt_abandon(cq_core_t *core, cq_request_t *request)
+{
+    if (request->upstream != NULL || request->phase == CQ_PHASE_HANDED) {
+        cq_attempt_stop(core, request);
+    }
     if (request->upstream != NULL) {
         cq_load_remove_attempt(core, request);
     }
 }
 
+gboolean
+cq_attempt_repeatable(const cq_request_t *request)
+{
+    return request->repeatable &&
+           (request->forwarded == 0 || request->resumable);
+}
+
 static gboolean
 attempts_left(const cq_request_t *request)
 {
@@ -149,10 +168,7 @@
     if (failure != CQ_FAIL_BROKEN && failure != CQ_FAIL_FAULT) {
         return request->forwarded == 0 || request->repeatable;
     }
-    if (!request->repeatable) {
-        return FALSE;
-    }
-    return request->forwarded == 0 || request->resumable;
+    return cq_attempt_repeatable(request);
 }
 
 static void
@@ -329,13 +345,9 @@
     request->forwarded += event->tokens;
     cq_action_t action = {
         .kind = CQ_AC_FORWARD,
-        .attempt = {.request = request->id,
-                    .attempt = request->attempt,
-                    .tokens = event->tokens},
+        .attempt = running_attempt(request),
     };
-    if (request->upstream != NULL) {
-        action.attempt.upstream = request->upstream->id;
-    }
+    action.attempt.tokens = event->tokens;
     cq_actions_add(core->actions, &action);
 }
 
--- a/packages/core/attempt.h
+++ b/packages/core/attempt.h
@@ -21,6 +21,16 @@
 void
 cq_attempt_abandon(cq_core_t *core, cq_request_t *request);
 
+/** cq_attempt_stop() - have the connection of the running attempt of @request
+ * closed, to an upstream or a peer */
+void
+cq_attempt_stop(cq_core_t *core, const cq_request_t *request);
+
+/** cq_attempt_repeatable() - Return: whether @request may be run again after
+ * an attempt that may have run */
+gboolean
+cq_attempt_repeatable(const cq_request_t *request);
+
 /** cq_attempt_event() - process SENT, TOKENS, DONE, FAILED or HANGUP; events
  * of an attempt that is not running any more are dropped */
 void
--- a/packages/core/handoff.c
+++ b/packages/core/handoff.c
@@ -55,8 +55,7 @@
 may_run_again(const cq_request_t *request)
 {
     return cq_answer_ran(request) == CQ_RAN_NO ||
-           (request->repeatable &&
-            (request->forwarded == 0 || request->resumable));
+           cq_attempt_repeatable(request);
 }
 
 static gboolean
@@ -105,16 +104,6 @@
     return TRUE;
 }
 
-static void
-stop(cq_core_t *core, const cq_request_t *request)
-{
-    cq_action_t action = {
-        .kind = CQ_AC_STOP,
-        .attempt = {.request = request->id, .attempt = request->attempt},
-    };
-    cq_actions_add(core->actions, &action);
-}
-
 /* The peer gave no complete answer. */
 static void
 fail(cq_core_t *core, cq_request_t *request, const char *how)
@@ -195,7 +184,7 @@
     gboolean gone =
         request->repeatable && cq_table_peer(core, request->hand_host) == NULL;
     if (unopened || gone) {
-        stop(core, request);
+        cq_attempt_stop(core, request);
         fail(core, request, gone ? "gone" : "connect");
     }
 }
@@ -231,7 +220,7 @@
         else if (request->phase == CQ_PHASE_RUNNING &&
                  is_silent(core, request) && may_hand(core, request) &&
                  choose_peer(core, request) != NULL) {
-            stop(core, request);
+            cq_attempt_stop(core, request);
             cq_attempt_fail(core, request,
                             request->sent ? CQ_FAIL_BROKEN : CQ_FAIL_CONNECT);
         }
--- a/packages/core/watchdog.c
+++ b/packages/core/watchdog.c
@@ -30,13 +30,7 @@
 static void
 stop_and_fail(cq_core_t *core, cq_request_t *request, cq_failure_t failure)
 {
-    cq_action_t action = {
-        .kind = CQ_AC_STOP,
-        .attempt = {.request = request->id,
-                    .attempt = request->attempt,
-                    .upstream = request->upstream->id},
-    };
-    cq_actions_add(core->actions, &action);
+    cq_attempt_stop(core, request);
     cq_attempt_fail(core, request, failure);
 }
 
@@ -110,8 +104,7 @@
 static gboolean
 may_move(cq_core_t *core, cq_request_t *request)
 {
-    if (!request->sent || !request->repeatable ||
-        (request->forwarded > 0 && !request->resumable) ||
+    if (!request->sent || !cq_attempt_repeatable(request) ||
         core->now_us <= progress_due_us(request) ||
         core->now_us - request->move_checked_us < MOVE_CHECK_INTERVAL_US) {
         return FALSE;
