Review case: one user's 421 answers stop a service on all hosts (CONFIG)

Claimed: hosts take each replica that answers 421 for one that leaves, also when the request named another version of the weights, and tell their peers. Disturbs: a release; one user's twelve requests name the version before it.

--- a/review/standin/stream_replica.c
+++ b/review/standin/stream_replica.c
@@ -9,10 +9,13 @@
  *
  * A line in LOG for each request that arrives, is turned away, runs and ends:
  *
- *   NAME attempt=ID last=ID|- at_ms=TIME what=arrives|sheds|runs|done|dropped
+ *   NAME attempt=ID last=ID|- at_ms=TIME what=arrives|sheds|runs|done|dropped|421
+ *
+ * Its weights have the version VERSION: a request that carries another one in
+ * Cuminquay-Expect-Version gets 421, as does one for another replica.
  *
  * usage: stream_replica IP:PORT NAME LOG SLOTS QUEUE EVENTS GAP_MS SHED_FILE
- *        PERCENT */
+ *        PERCENT VERSION */
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
@@ -40,6 +43,7 @@
 static int gap_ms;
 static const char *shed_file;
 static int shed_percent;
+static const char *version;
 
 static pthread_mutex_t mutex = PTHREAD_MUTEX_INITIALIZER;
 static int running;
@@ -156,8 +160,9 @@
     snprintf(text, sizeof text,
              "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
              "Cuminquay-Attempt-Id: %s\r\nCuminquay-Replica-Seal: s\r\n"
+             "Cuminquay-Weight-Versions: %s\r\n"
              "Transfer-Encoding: chunked\r\n\r\n",
-             attempt);
+             attempt, version);
     if (!send_text(fd, text)) {
         return 0;
     }
@@ -180,15 +185,18 @@
     char attempt[FIELD_BYTES];
     char last[FIELD_BYTES];
     char expected[FIELD_BYTES];
+    char wanted[FIELD_BYTES];
     char text[512];
     get_field(head, "Cuminquay-Attempt-Id", attempt);
     get_field(head, "Last-Event-Id", last);
     get_field(head, "Cuminquay-Expect-Replica", expected);
+    get_field(head, "Cuminquay-Expect-Version", wanted);
     note(attempt, last, "arrives");
     int misdirected =
-        strcmp(expected, "-") != 0 && strcmp(expected, name) != 0;
+        (strcmp(expected, "-") != 0 && strcmp(expected, name) != 0) ||
+        (strcmp(wanted, "-") != 0 && strcmp(wanted, version) != 0);
     if (misdirected || !enter_queue()) {
-        note(attempt, last, "sheds");
+        note(attempt, last, misdirected ? "421" : "sheds");
         snprintf(text, sizeof text,
                  "HTTP/1.1 %s\r\nCuminquay-Attempt-Id: %s\r\n"
                  "Cuminquay-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
@@ -258,9 +266,9 @@
 main(int argc, char **argv)
 {
     struct sockaddr_in own = {.sin_family = AF_INET};
-    if (argc != 10) {
+    if (argc != 11) {
         fprintf(stderr, "usage: stream_replica IP:PORT NAME LOG SLOTS QUEUE "
-                        "EVENTS GAP_MS SHED_FILE PERCENT\n");
+                        "EVENTS GAP_MS SHED_FILE PERCENT VERSION\n");
         return 2;
     }
     name = argv[2];
@@ -271,6 +279,7 @@
     gap_ms = atoi(argv[7]);
     shed_file = argv[8];
     shed_percent = atoi(argv[9]);
+    version = argv[10];
     signal(SIGPIPE, SIG_IGN);
     char *colon = strrchr(argv[1], ':');
     if (log_file == NULL || colon == NULL) {
