--- a/packages/bench/attempts.c
+++ b/packages/bench/attempts.c
@@ -1,6 +1,13 @@
 /* Attempts of requests and the messages between hosts and upstreams. */
 #include "bench/simstate.h"
 
+/* Attempts of one request may run beside each other. */
+static guint64
+key_of(guint64 request, guint32 attempt)
+{
+    return request ^ ((guint64)attempt << 48);
+}
+
 static cq_sim_attempt_t *
 attempt_ref(cq_sim_attempt_t *attempt)
 {
@@ -40,9 +47,9 @@
 static void
 remove_attempt(cq_sim_attempt_t *attempt)
 {
-    if (g_hash_table_lookup(attempt->sim->attempts, &attempt->request) ==
+    if (g_hash_table_lookup(attempt->sim->attempts, &attempt->key) ==
         attempt) {
-        g_hash_table_remove(attempt->sim->attempts, &attempt->request);
+        g_hash_table_remove(attempt->sim->attempts, &attempt->key);
     }
 }
 
@@ -309,13 +316,14 @@
     attempt->upstream = upstream_index(sim, send->upstream);
     attempt->request = send->request;
     attempt->attempt_number = send->attempt;
+    attempt->key = key_of(send->request, send->attempt);
     attempt->priority = send->priority;
     attempt->resume_from = send->resume_from;
     attempt->group_len = send->group_len;
     for (guint i = 0; i < send->group_len; i++) {
         attempt->group[i] = upstream_index(sim, send->group[i]);
     }
-    g_hash_table_replace(sim->attempts, &attempt->request, attempt);
+    g_hash_table_replace(sim->attempts, &attempt->key, attempt);
     cq_heap_add(&sim->heap, cq_sim_now(sim) + 2 * CQ_SIM_HOP_US, on_connect,
                 attempt_ref(attempt), 0);
 }
@@ -323,12 +331,11 @@
 void
 cq_sim_stop_attempt(cq_sim_t *sim, const cq_ac_attempt_t *target)
 {
-    cq_sim_attempt_t *attempt =
-        g_hash_table_lookup(sim->attempts, &target->request);
-    if (attempt == NULL || attempt->attempt_number != target->attempt) {
-        return;
+    guint64 key = key_of(target->request, target->attempt);
+    cq_sim_attempt_t *attempt = g_hash_table_lookup(sim->attempts, &key);
+    if (attempt != NULL) {
+        abandon_attempt(attempt);
     }
-    abandon_attempt(attempt);
 }
 
 typedef struct {
@@ -376,8 +383,9 @@
     gboolean frozen = upstream->frozen_until_us > cq_sim_now(sim);
     if (upstream->up && !frozen &&
         cq_sim_reachable(sim, host->zone, upstream->zone)) {
-        cq_sim_attempt_t *attempt =
-            g_hash_table_lookup(sim->attempts, &target->request);
+        guint64 key = key_of(target->request, target->attempt);
+        const cq_sim_attempt_t *attempt =
+            g_hash_table_lookup(sim->attempts, &key);
         event.attempt.probe = CQ_PROBE_UNKNOWN;
         if (upstream->engine == NULL) {
             event.attempt.probe = CQ_PROBE_ALIVE;
--- a/packages/bench/replay.c
+++ b/packages/bench/replay.c
@@ -141,6 +141,8 @@
     if (req == NULL) {
         return;
     }
+    /* Not emulated: an older attempt that goes on beside it. */
+    cancel_work(run, req);
     req->attempt = send->attempt;
     req->group_len = MAX(send->group_len, 1);
     for (guint i = 0; i < req->group_len; i++) {
@@ -224,7 +226,7 @@
     case CQ_AC_STOP: {
         cq_replay_request_t *req =
             find_request(host->run, action->attempt.request);
-        if (req != NULL) {
+        if (req != NULL && req->attempt == action->attempt.attempt) {
             cancel_work(host->run, req);
         }
         break;
--- a/packages/bench/simstate.h
+++ b/packages/bench/simstate.h
@@ -97,6 +97,7 @@
 
 /**
  * struct cq_sim_attempt_t - one attempt of a request at an upstream
+ * @key: key in the table of attempts
  * @host_incarnation: incarnation of the host that sent it
  * @resume_from: tokens of the answer that the caller already has
  * @group: upstreams that share the prompt, of which the first decodes
@@ -115,6 +116,7 @@
     guint upstream;
     guint64 request;
     guint32 attempt_number;
+    guint64 key;
     int priority;
     gint64 resume_from;
     guint group[CQ_PREFILL_GROUP_MAX];
--- a/packages/core/action.h
+++ b/packages/core/action.h
@@ -118,6 +118,7 @@
 /**
  * struct cq_ac_answer_t - the one final answer of a request
  * @request: the request
+ * @attempt: number of the attempt whose answer is forwarded, or 0
  * @outcome: how it ended
  * @ran: whether it ran
  * @status: HTTP status
@@ -125,6 +126,7 @@
  */
 typedef struct {
     guint64 request;
+    guint32 attempt;
     cq_outcome_t outcome;
     cq_ran_t ran;
     int status;
--- a/packages/core/answer.c
+++ b/packages/core/answer.c
@@ -3,6 +3,7 @@
 #include "core/claim.h"
 #include "core/flow.h"
 #include "core/group.h"
+#include "core/hedge.h"
 #include "core/member.h"
 #include "core/place.h"
 #include "core/quarantine.h"
@@ -95,6 +96,7 @@
 {
     cq_flow_remove(request);
     cq_place_clear_earmark(core, request);
+    cq_hedge_settle(core, request);
     cq_attempt_abandon(core, request);
     cq_group_release(core, request);
     cq_task_close(core, request);
@@ -152,6 +154,7 @@
 {
     cq_ac_answer_t answer = {
         .request = request->id,
+        .attempt = request->attempt,
         .outcome = CQ_OUTCOME_DONE,
         .ran = CQ_RAN_YES,
         .status = status,
--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -4,6 +4,7 @@
 #include "core/flow.h"
 #include "core/group.h"
 #include "core/handoff.h"
+#include "core/hedge.h"
 #include "core/load.h"
 #include "core/member.h"
 #include "core/pass.h"
@@ -65,7 +66,7 @@
                                              core->now_us);
     gint64 streams = cq_load_streams(core, upstream);
     gint64 cached = cq_load_cached_tokens(upstream, request);
-    request->attempt++;
+    request->attempt = ++request->attempts;
     request->upstream = upstream;
     request->phase = CQ_PHASE_RUNNING;
     request->phase_start_us = core->now_us;
@@ -137,7 +138,7 @@
 static gboolean
 attempts_left(const cq_request_t *request)
 {
-    guint attempts = request->attempt - request->hands;
+    guint attempts = request->attempts - request->hands;
     return attempts - request->connect_failures < request->attempts_max &&
            attempts < request->attempts_max + CONNECT_FAILURES_MAX;
 }
@@ -274,6 +275,9 @@
     request->sent = FALSE;
     cq_load_remove_attempt(core, request);
     cq_group_release(core, request);
+    if (cq_hedge_fall_back(core, request)) {
+        return;
+    }
     gboolean blocked = cq_quarantine_blocks(core, request);
     if (blocked && failure != CQ_FAIL_FAULT) {
         cq_answer_outcome(core, request, cq_quarantine_outcome(core, request));
@@ -354,6 +358,7 @@
 static void
 on_tokens(cq_core_t *core, cq_request_t *request, const cq_ev_attempt_t *event)
 {
+    cq_hedge_settle(core, request);
     if (request->entered_prefill_us > 0) {
         cq_load_first_token(core, request);
         request->entered_prefill_us = 0;
@@ -370,6 +375,7 @@
 static void
 on_done(cq_core_t *core, cq_request_t *request, int status)
 {
+    cq_hedge_settle(core, request);
     cq_attempt_sent(core, request);
     gboolean success = status >= 200 && status < 300;
     request->upstream->broken_streak = 0;
@@ -420,6 +426,9 @@
         }
         return;
     }
+    if (request != NULL) {
+        cq_hedge_select(request, detail->attempt);
+    }
     gboolean running = request != NULL && (request->upstream != NULL ||
                                            request->phase == CQ_PHASE_HANDED);
     if (!running || request->attempt != detail->attempt) {
--- a/packages/core/handoff.c
+++ b/packages/core/handoff.c
@@ -4,6 +4,7 @@
 #include "core/attempt.h"
 #include "core/flow.h"
 #include "core/group.h"
+#include "core/hedge.h"
 #include "core/place.h"
 #include "core/reach.h"
 #include "core/table.h"
@@ -85,7 +86,7 @@
     request->phase_start_us = core->now_us;
     request->progress_us = core->now_us;
     request->forwarded_at_start = request->forwarded;
-    request->attempt++;
+    request->attempt = ++request->attempts;
     request->hands++;
     request->hand_host = cq_ident_host(row->name);
     request->sent = FALSE;
@@ -113,7 +114,7 @@
                        request->hand_host, how,
                        request->forwarded - request->forwarded_at_start);
     request->sent = FALSE;
-    if (cq_handoff_start(core, request)) {
+    if (cq_hedge_fall_back(core, request) || cq_handoff_start(core, request)) {
         return;
     }
     if (may_run_again(request) && !cq_reach_is_cut(core)) {
@@ -138,13 +139,14 @@
 {
     cq_attempt_sent(core, request);
     gboolean success = status >= 200 && status < 300;
-    if (request->forwarded > 0 && !success) {
-        fail(core, request, "refused");
-        return;
-    }
     if (states_not_run(status)) {
         request->possible_runs--;
     }
+    if (!success && (request->forwarded > 0 || cq_hedge_active(request))) {
+        fail(core, request, "refused");
+        return;
+    }
+    cq_hedge_settle(core, request);
     /* An attempt from here may have run, which the peer doesn't know. */
     if (states_not_run(status) && cq_answer_ran(request) != CQ_RAN_NO) {
         cq_answer_outcome(core, request, CQ_OUTCOME_BROKEN);
@@ -162,6 +164,7 @@
         cq_attempt_sent(core, request);
         break;
     case CQ_EV_TOKENS:
+        cq_hedge_settle(core, request);
         cq_attempt_forward(core, request, &event->attempt);
         break;
     case CQ_EV_DONE:
@@ -189,8 +192,8 @@
     }
 }
 
-/* Whether the running attempt is given up for a peer. A call that was sent and
- * may not be repeated stays, as its answer may still come. */
+/* Whether a peer is tried in place of the running attempt. A call that was
+ * sent and may not be repeated stays, as its answer may still come. */
 static gboolean
 is_silent(const cq_core_t *core, const cq_request_t *request)
 {
@@ -203,6 +206,25 @@
            (!request->sent || request->repeatable);
 }
 
+/* What was sent may still be answered, so it goes on until the peer answers.
+ */
+static void
+hand_silent(cq_core_t *core, cq_request_t *request)
+{
+    if (request->sent && request->group_len == 0) {
+        if (!cq_hedge_active(request)) {
+            cq_hedge_set_aside(request);
+            if (!cq_handoff_start(core, request)) {
+                cq_hedge_fall_back(core, request);
+            }
+        }
+        return;
+    }
+    cq_attempt_stop(core, request);
+    cq_attempt_fail(core, request,
+                    request->sent ? CQ_FAIL_BROKEN : CQ_FAIL_CONNECT);
+}
+
 void
 cq_handoff_queued(cq_core_t *core)
 {
@@ -220,9 +242,7 @@
         else if (request->phase == CQ_PHASE_RUNNING &&
                  is_silent(core, request) && may_hand(core, request) &&
                  choose_peer(core, request) != NULL) {
-            cq_attempt_stop(core, request);
-            cq_attempt_fail(core, request,
-                            request->sent ? CQ_FAIL_BROKEN : CQ_FAIL_CONNECT);
+            hand_silent(core, request);
         }
     }
 }
--- a/packages/core/invariants.c
+++ b/packages/core/invariants.c
@@ -30,6 +30,12 @@
         request->granted != request->group_len) {
         return "a group runs with memory that was not granted";
     }
+    if (request->standby.attempt != 0 &&
+        (!request->repeatable ||
+         (request->upstream == NULL && request->phase != CQ_PHASE_HANDED))) {
+        return "a second attempt runs beside none, or beside one that may not "
+               "be repeated";
+    }
     return NULL;
 }
 
@@ -47,6 +53,10 @@
         sums->streams++;
         sums->kv_tokens += request->entered_kv_tokens;
     }
+    if (request->standby.upstream == upstream) {
+        sums->streams++;
+        sums->kv_tokens += request->standby.entered_kv_tokens;
+    }
     if (request->earmark == upstream) {
         sums->kv_tokens += need;
     }
--- a/packages/core/quarantine.c
+++ b/packages/core/quarantine.c
@@ -545,8 +545,11 @@
         cq_request_t *request = CQ_ENTRY(link, cq_request_t, link);
         link = link->next;
         /* An answer that is being written shows that its parts are sound. */
-        gboolean writes = request->upstream != NULL &&
-                          request->forwarded > request->forwarded_at_start;
+        gboolean writes =
+            (request->upstream != NULL &&
+             request->forwarded > request->forwarded_at_start) ||
+            (request->standby.upstream != NULL &&
+             request->forwarded > request->standby.forwarded_at_start);
         if (!writes && cq_quarantine_blocks(core, request)) {
             cq_answer_outcome(core, request,
                               cq_quarantine_outcome(core, request));
--- a/packages/core/rate.c
+++ b/packages/core/rate.c
@@ -108,12 +108,13 @@
  * limit was known here: an earlier one may have been on its way when the
  * upstream first named the limit. */
 static gboolean
-ends_limit(const cq_core_t *core, const cq_rate_t *rate, guint64 request_id)
+ends_limit(const cq_core_t *core, const cq_upstream_t *upstream,
+           guint64 request_id)
 {
     const cq_request_t *request = cq_table_request(core, request_id);
-    return rate->limited && request != NULL &&
-           request->phase == CQ_PHASE_RUNNING &&
-           request->phase_start_us > rate->learned_us;
+    return upstream->rate.limited && request != NULL &&
+           request->upstream == upstream &&
+           request->phase_start_us > upstream->rate.learned_us;
 }
 
 void
@@ -133,7 +134,7 @@
         }
         break;
     case CQ_RATE_UNLIMITED:
-        if (ends_limit(core, rate, said->request)) {
+        if (ends_limit(core, upstream, said->request)) {
             state_rate(core, upstream, FALSE, 0, "answer");
         }
         break;
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -9,6 +9,7 @@
 
 #include "base/list.h"
 #include "core/core.h"
+#include "core/logstate.h"
 
 #define CQ_CLASSES 4
 
@@ -49,7 +50,8 @@
 /**
  * struct cq_task_t - a request placed on engines of a BATCH service, by this
  *   process or by a peer
- * @request: id of the request
+ * @request: id of the request; of a second attempt beside a running one, its
+ *   complement
  * @host: id of the host that placed it
  * @engines: those that prefill its prompt, each a part of it; the first one
  *   also decodes the answer
@@ -277,6 +279,27 @@
     guint round_robin_next;
 } cq_service_t;
 
+/**
+ * struct cq_standby_t - an attempt that goes on beside the running one: its
+ *   upstream is silent, and nobody has begun to answer in its place. Members
+ *   have the meaning that they have in cq_request_t
+ */
+typedef struct {
+    guint32 attempt;
+    cq_phase_t phase;
+    cq_upstream_t *upstream;
+    gboolean sent;
+    gint64 forwarded_at_start;
+    gint64 phase_start_us;
+    gint64 progress_us;
+    gint64 probed_us;
+    guint probes_unanswered;
+    gint64 entered_kv_tokens;
+    gint64 entered_prefill_us;
+    gint64 placed_at_start_us;
+    cq_task_t *task;
+} cq_standby_t;
+
 /**
  * struct cq_request_t - a request without a final answer
  * @link: in the core's list
@@ -303,7 +326,10 @@
  * @cost: engine seconds that it is expected to take
  * @start_tag: virtual start time in fair queueing
  * @finish_tag: virtual finish time in fair queueing
- * @attempt: number of the running or last attempt; the first is 1
+ * @attempt: number of the running or last attempt
+ * @attempts: number of attempts so far, which is also that of the newest one
+ * @standby: an attempt beside the running one; its number is 0 if there is
+ *   none
  * @upstream: upstream of the running attempt, or NULL
  * @earmark: engine on which its memory is set aside while it waits, or NULL
  * @earmark_until_us: when the earmark ends
@@ -377,6 +403,8 @@
     double start_tag;
     double finish_tag;
     guint32 attempt;
+    guint32 attempts;
+    cq_standby_t standby;
     cq_upstream_t *upstream;
     cq_upstream_t *earmark;
     gint64 earmark_until_us;
@@ -429,36 +457,6 @@
     GHashTable *shares;
 } cq_peer_t;
 
-/**
- * struct cq_claim_entry_t - the claim on an idempotency key
- * @claim: the record of the log that is in force
- * @seen_us: when this process read it
- */
-typedef struct {
-    cq_claim_t claim;
-    gint64 seen_us;
-} cq_claim_entry_t;
-
-/**
- * struct cq_lease_state_t - the lease as read from the log
- * @fence: fencing number in force; never decreases; 0: no lease yet
- * @host: host id of the holder
- * @incarnation: the holder's incarnation
- * @released: the holder gave it up
- * @renewal_read_us: when this process read the last renewal
- * @valid_until_us: as the holder: when this process stops giving orders
- * @last_append_us: when this process last wrote a lease record
- */
-typedef struct {
-    guint64 fence;
-    guint32 host;
-    guint64 incarnation;
-    gboolean released;
-    gint64 renewal_read_us;
-    gint64 valid_until_us;
-    gint64 last_append_us;
-} cq_lease_state_t;
-
 /**
  * struct cq_zone_t - another availability zone
  * @failed_us: when one of its upstreams last could not be reached, or 0
--- a/packages/core/task.c
+++ b/packages/core/task.c
@@ -98,7 +98,9 @@
              const cq_task_plan_t *plan)
 {
     cq_task_t *task = g_new0(cq_task_t, 1);
-    task->request = request->id;
+    const cq_task_t *other = request->standby.task;
+    gboolean id_taken = other != NULL && other->request == request->id;
+    task->request = id_taken ? ~request->id : request->id;
     task->host = core->host;
     task->engines_len = plan->engines_len;
     memcpy(task->engines, plan->engines, sizeof task->engines);
@@ -269,6 +271,9 @@
         if (request->task != NULL) {
             broadcast_placed(core, request->task);
         }
+        if (request->standby.task != NULL) {
+            broadcast_placed(core, request->standby.task);
+        }
     }
 }
 
--- a/packages/core/watchdog.c
+++ b/packages/core/watchdog.c
@@ -1,14 +1,13 @@
 #include "core/watchdog.h"
 
 #include "core/answer.h"
-#include "core/batchplace.h"
 #include "core/group.h"
+#include "core/hedge.h"
 #include "core/handoff.h"
 #include "core/load.h"
 #include "core/member.h"
 #include "core/attempt.h"
 #include "core/place.h"
-#include "core/quarantine.h"
 #include "core/rate.h"
 #include "core/reach.h"
 #include "core/table.h"
@@ -19,8 +18,8 @@
 /* For requests that have waited longer than this, the run time is estimated
  * for busy engines, else for idle ones. */
 #define QUEUED_LONG_US CQ_SECOND_US
-/* A plain call is tried elsewhere after this share of its target time without
- * an answer, or after progress_timeout_us if that is less. */
+/* A plain call is also tried elsewhere after this share of its target time
+ * without an answer, or after progress_timeout_us if that is less. */
 #define PLAIN_QUIET_PERCENT 75
 /* Interval at which another upstream is looked for. */
 #define MOVE_CHECK_INTERVAL_US (50 * CQ_MS_US)
@@ -79,49 +78,19 @@
     return task->first_token_us + expected_us + rules->progress_timeout_us;
 }
 
-/* Whether another upstream has a place for @request now. */
-static gboolean
-has_other_place(cq_core_t *core, cq_request_t *request)
-{
-    gboolean found;
-    guint64 last_failed = request->last_failed;
-    request->last_failed = request->upstream->id;
-    if (request->service->rules->kind == CQ_SERVICE_BATCH) {
-        cq_task_plan_t plan = {.engines_len = 0};
-        found = !cq_batchplace_any_waits(core, request->service) &&
-                cq_batchplace_choose(core, request, TRUE, &plan) &&
-                plan.start_delay_us == 0;
-    }
-    else {
-        found = cq_place_choose(core, request) != NULL;
-    }
-    request->last_failed = last_failed;
-    return found;
-}
-
-/* A silent upstream may be sound and go on, so an attempt there is given up
- * only for another one that can start at once. */
-static gboolean
-may_move(cq_core_t *core, cq_request_t *request)
+/* A silent upstream may be sound and go on, so another one is tried beside it.
+ */
+static void
+check_progress(cq_core_t *core, cq_request_t *request)
 {
     if (!request->sent || !cq_attempt_repeatable(request) ||
         core->now_us <= progress_due_us(request) ||
         core->now_us - request->move_checked_us < MOVE_CHECK_INTERVAL_US) {
-        return FALSE;
+        return;
     }
     request->move_checked_us = core->now_us;
     cq_reach_failed(core, request->upstream);
-    return cq_attempt_retry_allowed(request) &&
-           !cq_quarantine_blocks(core, request) &&
-           has_other_place(core, request);
-}
-
-static void
-check_progress(cq_core_t *core, cq_request_t *request)
-{
-    if (may_move(core, request)) {
-        fail_as_silent(core, request, "no_progress");
-    }
+    cq_hedge_start(core, request, "no_progress");
 }
 
 static void
@@ -267,10 +236,8 @@
         break;
     case CQ_PROBE_ALIVE:
         /* Without a record of the attempt, a slow call and a lost one look the
-         * same, so only a call that may be repeated is moved. */
-        if (request->repeatable) {
-            fail_as_silent(core, request, "no_progress");
-        }
+         * same. */
+        cq_hedge_start(core, request, "no_progress");
         break;
     case CQ_PROBE_SILENT:
         request->probes_unanswered++;
--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -167,7 +167,7 @@
         cq_relay_forward(app->relay, attempt);
         return;
     }
-    GBytes *bytes = cq_calls_take_events(app->calls, attempt->request);
+    GBytes *bytes = cq_calls_take_events(app->calls, attempt);
     if (cq_api_write(app->api, attempt->request, bytes)) {
         cq_calls_pause(app->calls, attempt->request, TRUE);
     }
@@ -194,7 +194,7 @@
         return;
     }
     cq_call_result_t result;
-    gboolean found = cq_calls_result(app->calls, answer->request, &result);
+    gboolean found = cq_calls_result(app->calls, answer, &result);
     cq_api_answer(app->api, answer, found ? &result : NULL);
     cq_calls_remove(app->calls, answer->request);
 }
--- a/packages/router/calls.c
+++ b/packages/router/calls.c
@@ -22,8 +22,9 @@
  * received: bytes not yet split into stream events
  * pending: complete stream events not yet taken by cq_calls_take_events()
  * body: the complete answer of a plain service, or NULL
+ * older: an earlier attempt of the request that goes on beside it, or NULL
  */
-typedef struct {
+typedef struct call {
     cq_calls_t *calls;
     guint64 request;
     guint32 attempt;
@@ -40,6 +41,7 @@
     GByteArray *pending;
     GBytes *body;
     guint refs;
+    struct call *older;
 } call_t;
 
 static void
@@ -61,11 +63,21 @@
 }
 
 static call_t *
-find(cq_calls_t *calls, guint64 request)
+newest(cq_calls_t *calls, guint64 request)
 {
     return g_hash_table_lookup(calls->by_request, &request);
 }
 
+static call_t *
+find(cq_calls_t *calls, guint64 request, guint32 attempt)
+{
+    call_t *call = newest(calls, request);
+    while (call != NULL && call->attempt != attempt) {
+        call = call->older;
+    }
+    return call;
+}
+
 static void
 cancel_call(call_t *call)
 {
@@ -76,11 +88,18 @@
     g_cancellable_cancel(call->cancellable);
 }
 
+/* Cancels @data and its older attempts. */
 static void
 free_call(gpointer data)
 {
-    cancel_call(data);
-    call_unref(data);
+    call_t *call = data;
+    while (call != NULL) {
+        call_t *older = call->older;
+        call->older = NULL;
+        cancel_call(call);
+        call_unref(call);
+        call = older;
+    }
 }
 
 static void
@@ -357,7 +376,11 @@
     call->cancellable = g_cancellable_new();
     call->received = g_byte_array_new();
     call->pending = g_byte_array_new();
-    g_hash_table_replace(calls->by_request, &call->request, call);
+    gpointer older = NULL;
+    g_hash_table_steal_extended(calls->by_request, &call->request, NULL,
+                                &older);
+    call->older = older;
+    g_hash_table_insert(calls->by_request, &call->request, call);
     call->message = make_message(calls, send, upstream, spec);
     if (call->message == NULL) {
         post_failed(call, CQ_FAIL_CONNECT);
@@ -373,8 +396,8 @@
 cq_calls_stop(cq_calls_t *calls, const cq_ac_attempt_t *attempt,
               const cq_upstream_view_t *upstream)
 {
-    call_t *call = find(calls, attempt->request);
-    if (call == NULL || call->attempt != attempt->attempt) {
+    call_t *call = find(calls, attempt->request, attempt->attempt);
+    if (call == NULL) {
         return;
     }
     gboolean notify_engine =
@@ -450,9 +473,9 @@
 }
 
 GBytes *
-cq_calls_take_events(cq_calls_t *calls, guint64 request)
+cq_calls_take_events(cq_calls_t *calls, const cq_ac_attempt_t *attempt)
 {
-    call_t *call = find(calls, request);
+    call_t *call = find(calls, attempt->request, attempt->attempt);
     if (call == NULL) {
         return g_bytes_new(NULL, 0);
     }
@@ -462,9 +485,10 @@
 }
 
 gboolean
-cq_calls_result(cq_calls_t *calls, guint64 request, cq_call_result_t *result)
+cq_calls_result(cq_calls_t *calls, const cq_ac_answer_t *answer,
+                cq_call_result_t *result)
 {
-    call_t *call = find(calls, request);
+    call_t *call = find(calls, answer->request, answer->attempt);
     if (call == NULL || call->body == NULL) {
         return FALSE;
     }
@@ -499,12 +523,12 @@
 void
 cq_calls_pause(cq_calls_t *calls, guint64 request, gboolean paused)
 {
-    call_t *call = find(calls, request);
-    if (call == NULL || call->paused == paused) {
-        return;
-    }
-    call->paused = paused;
-    if (!paused && call->stream != NULL) {
-        read_more(call);
+    for (call_t *call = newest(calls, request); call != NULL;
+         call = call->older) {
+        gboolean resumes = call->paused && !paused && call->stream != NULL;
+        call->paused = paused;
+        if (resumes) {
+            read_more(call);
+        }
     }
 }
--- a/packages/router/calls.h
+++ b/packages/router/calls.h
@@ -52,7 +52,8 @@
 void
 cq_calls_free(cq_calls_t *calls);
 
-/** cq_calls_send() - start an attempt at @upstream */
+/** cq_calls_send() - start an attempt at @upstream. Older calls of the request
+ * go on until they are stopped */
 void
 cq_calls_send(cq_calls_t *calls, const cq_ac_send_t *send,
               const cq_upstream_view_t *upstream, const cq_call_spec_t *spec);
@@ -69,17 +70,18 @@
 cq_calls_probe(cq_calls_t *calls, const cq_ac_attempt_t *attempt,
                const cq_upstream_view_t *upstream, gboolean model);
 
-/** cq_calls_take_events() - Return: the complete stream events of @request
+/** cq_calls_take_events() - Return: the complete stream events of @attempt
  * that have not been taken yet; free with g_bytes_unref() */
 GBytes *
-cq_calls_take_events(cq_calls_t *calls, guint64 request);
+cq_calls_take_events(cq_calls_t *calls, const cq_ac_attempt_t *attempt);
 
 /** cq_calls_result() - Return: whether a plain service has completely answered
- * @request; if so, @result is filled */
+ * the attempt of @answer; if so, @result is filled */
 gboolean
-cq_calls_result(cq_calls_t *calls, guint64 request, cq_call_result_t *result);
+cq_calls_result(cq_calls_t *calls, const cq_ac_answer_t *answer,
+                cq_call_result_t *result);
 
-/** cq_calls_remove() - cancel the call of @request, if any, and free it */
+/** cq_calls_remove() - cancel the calls of @request and free them */
 void
 cq_calls_remove(cq_calls_t *calls, guint64 request);
 
@@ -88,7 +90,7 @@
 void
 cq_calls_refuse_hand(cq_calls_t *calls, const cq_ac_hand_t *hand);
 
-/** cq_calls_pause() - pause reading the answer to @request, or resume it */
+/** cq_calls_pause() - pause reading the answers to @request, or resume it */
 void
 cq_calls_pause(cq_calls_t *calls, guint64 request, gboolean paused);
 
--- a/packages/router/outbound.h
+++ b/packages/router/outbound.h
@@ -83,7 +83,7 @@
 cq_outbound_free(cq_outbound_t *outbound);
 
 /** cq_outbound_send() - start the call @spec, on an idle connection if there
- * is one */
+ * is one. Older calls of the request go on until they are stopped */
 void
 cq_outbound_send(cq_outbound_t *outbound, const cq_outbound_call_t *spec);
 
@@ -91,17 +91,17 @@
 void
 cq_outbound_stop(cq_outbound_t *outbound, guint64 request, guint32 attempt);
 
-/** cq_outbound_answer() - Return: whether @request has a call; if so, @answer
- * is filled */
+/** cq_outbound_answer() - Return: whether @request has a call for @attempt; if
+ * so, @answer is filled */
 gboolean
-cq_outbound_answer(cq_outbound_t *outbound, guint64 request,
+cq_outbound_answer(cq_outbound_t *outbound, guint64 request, guint32 attempt,
                    cq_outbound_answer_t *answer);
 
-/** cq_outbound_remove() - abort the call of @request, if any, and free it */
+/** cq_outbound_remove() - abort the calls of @request and free them */
 void
 cq_outbound_remove(cq_outbound_t *outbound, guint64 request);
 
-/** cq_outbound_pause() - pause reading the answer to @request, or resume it
+/** cq_outbound_pause() - pause reading the answers to @request, or resume it
  */
 void
 cq_outbound_pause(cq_outbound_t *outbound, guint64 request, gboolean paused);
--- a/packages/router/relay.c
+++ b/packages/router/relay.c
@@ -477,7 +477,8 @@
     open_request_t *open_request = find(relay, attempt->request);
     cq_outbound_answer_t answer;
     if (open_request != NULL && open_request->exchange != NULL &&
-        cq_outbound_answer(relay->outbound, attempt->request, &answer) &&
+        cq_outbound_answer(relay->outbound, attempt->request, attempt->attempt,
+                           &answer) &&
         answer.head != NULL && answer.body->len > 0) {
         forward_events(relay, open_request, &answer);
     }
@@ -497,10 +498,10 @@
         const cq_ac_answer_t *answer)
 {
     cq_outbound_answer_t received;
-    gboolean complete =
-        answer->outcome == CQ_OUTCOME_DONE &&
-        cq_outbound_answer(relay->outbound, answer->request, &received) &&
-        received.head != NULL;
+    gboolean complete = answer->outcome == CQ_OUTCOME_DONE &&
+                        cq_outbound_answer(relay->outbound, answer->request,
+                                           answer->attempt, &received) &&
+                        received.head != NULL;
     if (open_request->response_started && complete) {
         cq_exchange_end(open_request->exchange);
     }
--- a/tests/unit/corefixture.h
+++ b/tests/unit/corefixture.h
@@ -229,11 +229,19 @@
     attempt_event(guint64 request, cq_event_kind_t kind,
                   cq_failure_t failure = CQ_FAIL_BROKEN,
                   const char *at_fault = "", int status = 200)
+    {
+        event_of(request, last_send(request)->attempt, kind, failure, at_fault,
+                 status);
+    }
+    void
+    event_of(guint64 request, guint32 attempt, cq_event_kind_t kind,
+             cq_failure_t failure = CQ_FAIL_BROKEN, const char *at_fault = "",
+             int status = 200)
     {
         cq_event_t event = {};
         event.kind = kind;
         event.attempt.request = request;
-        event.attempt.attempt = last_send(request)->attempt;
+        event.attempt.attempt = attempt;
         event.attempt.tokens = 1;
         event.attempt.status = status;
         event.attempt.failure = failure;
--- /dev/null
+++ b/tests/unit/hedge_test.cc
@@ -0,0 +1,245 @@
+// A second attempt beside a silent one: which of the two answers the caller,
+// and what happens when one of them fails.
+#include "corefixture.h"
+
+#include <map>
+
+namespace {
+
+using core_test::kMs;
+using core_test::kSecond;
+
+class Hedge : public core_test::CoreTest {
+  protected:
+    // A request of the plain service whose upstream has been silent for so
+    // long that another one is tried too; both have received it.
+    guint64
+    hedged_call()
+    {
+        guint64 id = submit(1, 300 * kMs, 0, "p");
+        attempt_event(id, CQ_EV_SENT);
+        advance(300 * kMs);
+        attempt_event(id, CQ_EV_SENT);
+        return id;
+    }
+    // The same for a stream of which the caller has one event.
+    guint64
+    hedged_stream(const char *service = "p")
+    {
+        guint64 id = submit(2000, 300 * kMs, 200 * kMs, service);
+        attempt_event(id, CQ_EV_TOKENS);
+        advance(1500 * kMs);
+        attempt_event(id, CQ_EV_SENT);
+        return id;
+    }
+    guint
+    stops_of(guint64 request, guint32 attempt)
+    {
+        guint stops = 0;
+        for (const cq_action_t &action : all_actions) {
+            stops += action.kind == CQ_AC_STOP &&
+                     action.attempt.request == request &&
+                     action.attempt.attempt == attempt;
+        }
+        return stops;
+    }
+    guint
+    forwards_of(guint64 request, guint32 attempt)
+    {
+        guint forwards = 0;
+        for (const cq_action_t &action : all_actions) {
+            forwards += action.kind == CQ_AC_FORWARD &&
+                        action.attempt.request == request &&
+                        action.attempt.attempt == attempt;
+        }
+        return forwards;
+    }
+    void
+    expect_success(guint64 request)
+    {
+        ASSERT_NE(answer_of(request), nullptr);
+        EXPECT_EQ(answer_of(request)->outcome, CQ_OUTCOME_DONE);
+        EXPECT_EQ(answer_of(request)->status, 200);
+    }
+};
+
+// The load: streams on a service whose upstreams are nearly full, so that the
+// one that looks free refuses.
+TEST_F(Hedge, AStreamWhoseSecondUpstreamRefusesIsNotCut)
+{
+    start_core(0, 2);
+    guint64 id = hedged_stream();
+    ASSERT_EQ(last_send(id)->attempt, 2u);
+    event_of(id, 2, CQ_EV_FAILED, CQ_FAIL_REFUSED);
+    EXPECT_EQ(answer_of(id), nullptr);
+    event_of(id, 1, CQ_EV_TOKENS);
+    event_of(id, 1, CQ_EV_DONE);
+    expect_success(id);
+    EXPECT_EQ(stops_of(id, 1), 0u);
+    EXPECT_EQ(forwards_of(id, 1), 2u);
+}
+
+TEST_F(Hedge, AStreamWhoseSecondEngineRefusesIsNotCut)
+{
+    start_core(2);
+    guint64 id = hedged_stream("m");
+    ASSERT_EQ(last_send(id)->attempt, 2u);
+    event_of(id, 2, CQ_EV_FAILED, CQ_FAIL_REFUSED);
+    EXPECT_EQ(answer_of(id), nullptr);
+    event_of(id, 1, CQ_EV_TOKENS);
+    event_of(id, 1, CQ_EV_DONE);
+    expect_success(id);
+}
+
+// The load: upstreams that work 2.8 s on each call, with a time limit of 4 s.
+TEST_F(Hedge, ASlowSafeCallIsAnsweredByItsFirstUpstream)
+{
+    start_core(0, 2);
+    timeout_us = 4 * kSecond;
+    guint64 id = hedged_call();
+    ASSERT_EQ(last_send(id)->attempt, 2u);
+    advance(2500 * kMs);
+    event_of(id, 1, CQ_EV_DONE);
+    expect_success(id);
+    EXPECT_EQ(stops_of(id, 2), 1u) << "it would work for nobody";
+}
+
+TEST_F(Hedge, TheAttemptThatAnswersFirstIsForwardedAlone)
+{
+    start_core(0, 2);
+    guint64 id = hedged_stream();
+    event_of(id, 2, CQ_EV_TOKENS);
+    EXPECT_EQ(stops_of(id, 1), 1u);
+    event_of(id, 1, CQ_EV_TOKENS);
+    event_of(id, 2, CQ_EV_TOKENS);
+    event_of(id, 2, CQ_EV_DONE);
+    expect_success(id);
+    EXPECT_EQ(forwards_of(id, 1), 1u);
+    EXPECT_EQ(forwards_of(id, 2), 2u);
+}
+
+TEST_F(Hedge, TheSecondAttemptGoesOnWhenTheFirstOneFails)
+{
+    start_core(0, 2);
+    guint64 id = hedged_stream();
+    event_of(id, 1, CQ_EV_FAILED);
+    EXPECT_EQ(answer_of(id), nullptr);
+    EXPECT_EQ(last_send(id)->attempt, 2u);
+    event_of(id, 2, CQ_EV_TOKENS);
+    event_of(id, 2, CQ_EV_DONE);
+    expect_success(id);
+}
+
+TEST_F(Hedge, AStreamWhoseBothAttemptsFailEndsAtOnce)
+{
+    start_core(0, 2);
+    guint64 id = hedged_stream();
+    event_of(id, 2, CQ_EV_FAILED);
+    EXPECT_EQ(answer_of(id), nullptr);
+    event_of(id, 1, CQ_EV_FAILED);
+    ASSERT_NE(answer_of(id), nullptr);
+    EXPECT_EQ(answer_of(id)->outcome, CQ_OUTCOME_BROKEN);
+}
+
+TEST_F(Hedge, AServerErrorOfTheSecondUpstreamIsNotTheAnswer)
+{
+    start_core(0, 2);
+    guint64 id = hedged_call();
+    event_of(id, 2, CQ_EV_FAILED, CQ_FAIL_FAULT);
+    EXPECT_EQ(answer_of(id), nullptr);
+    event_of(id, 1, CQ_EV_DONE);
+    expect_success(id);
+}
+
+TEST_F(Hedge, BothAttemptsStopWhenTheCallerLeaves)
+{
+    start_core(0, 2);
+    guint64 id = hedged_call();
+    hang_up(id);
+    EXPECT_EQ(stops_of(id, 1), 1u);
+    EXPECT_EQ(stops_of(id, 2), 1u);
+}
+
+TEST_F(Hedge, BothAttemptsStopAtTheDeadline)
+{
+    start_core(0, 2);
+    timeout_us = 2 * kSecond;
+    guint64 id = hedged_call();
+    advance(2 * kSecond);
+    ASSERT_NE(answer_of(id), nullptr);
+    EXPECT_EQ(answer_of(id)->outcome, CQ_OUTCOME_EXPIRED);
+    EXPECT_EQ(answer_of(id)->ran, CQ_RAN_UNKNOWN);
+    EXPECT_EQ(stops_of(id, 1), 1u);
+    EXPECT_EQ(stops_of(id, 2), 1u);
+}
+
+TEST_F(Hedge, AnUnsafeCallGetsNoSecondAttempt)
+{
+    start_core(0, 2);
+    guint64 id = submit(1, 300 * kMs, 0, "p", FALSE);
+    attempt_event(id, CQ_EV_SENT);
+    advance(3 * kSecond);
+    EXPECT_EQ(last_send(id)->attempt, 1u);
+}
+
+TEST_F(Hedge, ASecondAttemptCountsAgainstTheLimitOnAttempts)
+{
+    start_core(0, 4);
+    guint64 id = hedged_call();
+    event_of(id, 2, CQ_EV_FAILED, CQ_FAIL_REFUSED);
+    advance(3 * kSecond);
+    EXPECT_EQ(last_send(id)->attempt, 2u);
+}
+
+// Events of both attempts in every order: the caller gets the events of one
+// attempt at a time, never of one that was stopped, and one answer.
+TEST_F(Hedge, EventsOfTwoAttemptsAreNeverJoinedOutOfTurn)
+{
+    for (guint32 seed = 1; seed <= 400; seed++) {
+        all_actions.clear();
+        rows.clear();
+        start_core(4, 4);
+        GRand *rand = g_rand_new_with_seed(seed);
+        guint64 id = hedged_stream(seed % 2 == 0 ? "p" : "m");
+        ASSERT_EQ(last_send(id)->attempt, 2u) << seed;
+        for (int i = 0; i < 12 && answer_of(id) == nullptr; i++) {
+            guint32 attempts = last_send(id)->attempt;
+            guint32 attempt =
+                (guint32)g_rand_int_range(rand, 1, (gint32)attempts + 1);
+            static const cq_event_kind_t kinds[] = {CQ_EV_TOKENS, CQ_EV_TOKENS,
+                                                    CQ_EV_SENT, CQ_EV_FAILED,
+                                                    CQ_EV_DONE};
+            static const cq_failure_t failures[] = {
+                CQ_FAIL_BROKEN, CQ_FAIL_REFUSED, CQ_FAIL_FAULT};
+            event_of(id, attempt, kinds[g_rand_int_range(rand, 0, 5)],
+                     failures[g_rand_int_range(rand, 0, 3)]);
+            advance(g_rand_int_range(rand, 0, 2) * 400 * kMs);
+        }
+        g_rand_free(rand);
+        guint32 forwarded = 0;
+        std::map<guint32, bool> stopped;
+        guint answers = 0;
+        for (const cq_action_t &action : all_actions) {
+            if (action.kind == CQ_AC_FORWARD) {
+                EXPECT_FALSE(stopped[action.attempt.attempt]) << seed;
+                EXPECT_GE(action.attempt.attempt, forwarded)
+                    << "an older attempt goes on behind a newer one, seed "
+                    << seed;
+                forwarded = action.attempt.attempt;
+            }
+            if (action.kind == CQ_AC_STOP) {
+                stopped[action.attempt.attempt] = true;
+            }
+            answers += action.kind == CQ_AC_ANSWER;
+        }
+        EXPECT_LE(answers, 1u) << seed;
+        cq_actions_clear(&actions);
+        cq_core_free(core);
+        for (cq_rules_t *one : rules) {
+            cq_rules_unref(one);
+        }
+    }
+    start_core(1);
+}
+
+} // namespace
--- a/tests/unit/outbound_test.cc
+++ b/tests/unit/outbound_test.cc
@@ -212,7 +212,7 @@
     passed_on(guint64 request)
     {
         cq_outbound_answer_t received = {};
-        if (!cq_outbound_answer(outbound, request, &received)) {
+        if (!cq_outbound_answer(outbound, request, 1, &received)) {
             return "";
         }
         return std::string((const char *)received.body->data,
--- a/tests/unit/outpeer_test.cc
+++ b/tests/unit/outpeer_test.cc
@@ -229,7 +229,8 @@
         EXPECT_EQ(status, event.attempt.status);
         EXPECT_FALSE(reported(CQ_EV_UPSTREAM)) << status;
         cq_outbound_answer_t received;
-        ASSERT_TRUE(cq_outbound_answer(outbound_, call_.request, &received));
+        ASSERT_TRUE(cq_outbound_answer(outbound_, call_.request, call_.attempt,
+                                   &received));
         ASSERT_NE(nullptr, received.head);
         EXPECT_EQ(status, received.head->status);
         EXPECT_EQ(2u, received.body->len);
@@ -285,7 +286,8 @@
                   "14\r\nid: 1\ndata: x\n\nid: 2\r\n");
     ASSERT_TRUE(run_until([&] { return reported(CQ_EV_TOKENS); }));
     cq_outbound_answer_t received;
-    ASSERT_TRUE(cq_outbound_answer(outbound_, call_.request, &received));
+    ASSERT_TRUE(cq_outbound_answer(outbound_, call_.request, call_.attempt,
+                                   &received));
     EXPECT_EQ(
         "id: 1\ndata: x\n\n",
         std::string((const char *)received.body->data, received.body->len));
