--- a/packages/core/watchdog.c
+++ b/packages/core/watchdog.c
@@ -62,9 +62,9 @@
 progress_due_us(const cq_request_t *request)
 {
     const cq_rules_t *rules = request->service->rules;
-    if (rules->kind == CQ_SERVICE_PLAIN) {
+    if (rules->kind == CQ_SERVICE_PLAIN && request->forwarded == 0) {
         gint64 target_delay_us = request->target_us - request->arrived_us;
-        return request->phase_start_us +
+        return request->progress_us +
                MIN(target_delay_us * PLAIN_QUIET_PERCENT / 100,
                    rules->progress_timeout_us);
     }
--- a/tests/unit/hedge_test.cc
+++ b/tests/unit/hedge_test.cc
@@ -91,6 +91,15 @@
     expect_success(id);
 }
 
+TEST_F(Hedge, AStreamOnAPlainServiceWhoseEventsFlowIsNotSilent)
+{
+    start_core(0, 2);
+    guint64 id = submit(2000, 300 * kMs, 200 * kMs, "p");
+    start_stream(id);
+    advance(3 * kSecond);
+    EXPECT_EQ(last_send(id)->attempt, 1u);
+}
+
 // The load: upstreams that work 2.8 s on each call, with a time limit of 4 s.
 TEST_F(Hedge, ASlowSafeCallIsAnsweredByItsFirstUpstream)
 {
