A stream whose caller reads slowly doesn't count as silent (LOST)

Callers that read a stream slowly had it run a second time elsewhere: while more than 256 KB wait for such a caller its upstream isn't read, so it looked silent; in API mode a probe then found tokens that had not arrived, and the attempt was ended as lost.

The core now knows when an answer isn't read (PAUSED, RESUMED), and silence counts from the moment at which it is read again.

--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -415,6 +415,16 @@
     }
 }
 
+/* What its upstream sends meanwhile isn't seen, so that it looks silent. */
+static void
+set_paused(const cq_core_t *core, cq_request_t *request, gboolean paused)
+{
+    if (request != NULL) {
+        request->paused = paused;
+        request->progress_us = core->now_us;
+    }
+}
+
 void
 cq_attempt_event(cq_core_t *core, const cq_event_t *event)
 {
@@ -426,6 +436,10 @@
         }
         return;
     }
+    if (event->kind == CQ_EV_PAUSED || event->kind == CQ_EV_RESUMED) {
+        set_paused(core, request, event->kind == CQ_EV_PAUSED);
+        return;
+    }
     if (request != NULL) {
         cq_hedge_select(request, detail->attempt);
     }
--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -272,6 +272,8 @@
         cq_admission_request(core, &event->request);
         break;
     case CQ_EV_HANGUP:
+    case CQ_EV_PAUSED:
+    case CQ_EV_RESUMED:
     case CQ_EV_SENT:
     case CQ_EV_TOKENS:
     case CQ_EV_DONE:
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -25,6 +25,8 @@
     CQ_EV_TICK,        /* time has passed */
     CQ_EV_REQUEST,     /* a caller's request arrived */
     CQ_EV_HANGUP,      /* the caller closed its connection */
+    CQ_EV_PAUSED,      /* the answer is not read, since the caller is slow */
+    CQ_EV_RESUMED,     /* the answer is read again */
     CQ_EV_SENT,        /* a byte may have been sent to the upstream */
     CQ_EV_TOKENS,      /* tokens of an answer arrived */
     CQ_EV_DONE,        /* the whole answer was received */
--- a/packages/core/handoff.c
+++ b/packages/core/handoff.c
@@ -202,7 +202,7 @@
     if (task != NULL && !task->decoding) {
         quiet_from_us = MAX(quiet_from_us, task->first_token_us);
     }
-    return core->now_us - quiet_from_us > SILENT_US &&
+    return !request->paused && core->now_us - quiet_from_us > SILENT_US &&
            (!request->sent || request->repeatable);
 }
 
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -357,6 +357,7 @@
  * @target_us: target time of its first token or, in a plain service, of its
  *   answer
  * @gap_max_us: longest allowed time between events of its stream, or 0
+ * @paused: its answer is not read, since the caller is slow
  * @attempts_max: upstreams that may run it
  * @resumable: another upstream can continue its stream
  * @connect_failures: attempts that never reached their upstream
@@ -427,6 +428,7 @@
     guint backoffs;
     gint64 target_us;
     gint64 gap_max_us;
+    gboolean paused;
     guint attempts_max;
     gboolean resumable;
     guint connect_failures;
--- a/packages/core/watchdog.c
+++ b/packages/core/watchdog.c
@@ -103,6 +103,9 @@
         stop_and_fail(core, request, CQ_FAIL_CONNECT);
         return;
     }
+    if (request->paused) {
+        return;
+    }
     if (rules->progress_timeout_us > 0) {
         check_progress(core, request);
         return;
--- a/packages/router/calls.c
+++ b/packages/router/calls.c
@@ -531,4 +531,7 @@
             read_more(call);
         }
     }
+    cq_event_t event = {.kind = paused ? CQ_EV_PAUSED : CQ_EV_RESUMED};
+    event.attempt.request = request;
+    cq_app_post(calls->app, &event);
 }
--- a/packages/router/calls.h
+++ b/packages/router/calls.h
@@ -90,7 +90,8 @@
 void
 cq_calls_refuse_hand(cq_calls_t *calls, const cq_ac_hand_t *hand);
 
-/** cq_calls_pause() - pause reading the answers to @request, or resume it */
+/** cq_calls_pause() - pause reading the answers to @request, or resume it;
+ * reported as PAUSED or RESUMED */
 void
 cq_calls_pause(cq_calls_t *calls, guint64 request, gboolean paused);
 
--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -467,4 +467,7 @@
             cq_sock_pause_reading(call->conn->sock, paused);
         }
     }
+    cq_event_t event = {.kind = paused ? CQ_EV_PAUSED : CQ_EV_RESUMED};
+    event.attempt.request = request;
+    outbound->ops.post(&event, outbound->ops.data);
 }
--- a/packages/router/outbound.h
+++ b/packages/router/outbound.h
@@ -101,8 +101,8 @@
 void
 cq_outbound_remove(cq_outbound_t *outbound, guint64 request);
 
-/** cq_outbound_pause() - pause reading the answers to @request, or resume it
- */
+/** cq_outbound_pause() - pause reading the answers to @request, or resume it;
+ * reported as PAUSED or RESUMED */
 void
 cq_outbound_pause(cq_outbound_t *outbound, guint64 request, gboolean paused);
 
--- a/tests/unit/hedge_test.cc
+++ b/tests/unit/hedge_test.cc
@@ -113,6 +113,22 @@
     EXPECT_EQ(stops_of(id, 2), 1u) << "it would work for nobody";
 }
 
+// The load: callers that read their streams slowly.
+TEST_F(Hedge, AStreamWhoseCallerReadsSlowlyIsNotSilent)
+{
+    start_core(0, 2);
+    guint64 id = submit(2000, 300 * kMs, 200 * kMs, "p");
+    attempt_event(id, CQ_EV_TOKENS);
+    attempt_event(id, CQ_EV_PAUSED);
+    advance(3 * kSecond);
+    EXPECT_EQ(last_send(id)->attempt, 1u);
+    attempt_event(id, CQ_EV_RESUMED);
+    advance(kSecond);
+    EXPECT_EQ(last_send(id)->attempt, 1u);
+    advance(kSecond);
+    EXPECT_EQ(last_send(id)->attempt, 2u) << "now its upstream is silent";
+}
+
 TEST_F(Hedge, TheAttemptThatAnswersFirstIsForwardedAlone)
 {
     start_core(0, 2);
