Scripts beside each other draw ports of their own

Scripts of tests/proc that ran beside each other drew their first port at random and could collide; a run of proc/relayleaving ended early by that. A script now locks one of 24 ranges of 500 ports until it and the processes that it started have ended, and takes no range in which somebody listens.

--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -2,19 +2,54 @@
 # processes listed in PIDS are stopped and the scratch directory DIR is
 # removed.
 #
-# Environment: BUILD is the build directory, BASE the first port to use.
+# Environment: BUILD is the build directory, BASE the first port to use; by
+# default a range of ports that no other script on this machine has.
 BUILD=${BUILD:-build}
-# The default is below the kernel's range of ephemeral ports (32768 on Linux),
+# The ranges are below the kernel's range of ephemeral ports (32768 on Linux),
 # so that outgoing connections don't take these ports.
-BASE=${BASE:-$((20000 + RANDOM % 12000))}
+PORTS_FROM=20000
+PORTS_A_RANGE=500
+PORT_RANGES=24
+
+# nobody_listens FROM: does nobody listen at a port of the range?
+nobody_listens() {
+    local local_address state
+    while read -r _ local_address _ state _; do
+        [ "$state" = 0A ] || continue
+        local_address=$((16#${local_address##*:}))
+        [ $local_address -lt "$1" ] || [ $local_address -ge $(($1 + PORTS_A_RANGE)) ] || return 1
+    done < <(tail -qn +2 /proc/net/tcp /proc/net/tcp6 2>/dev/null)
+}
+
+# draw_ports: sets BASE to the first port of a range that no other script has,
+# and locks the range until this script and the processes that it started have
+# ended
+draw_ports() {
+    local i range first lock
+    first=$((RANDOM % PORT_RANGES))
+    for i in $(seq 0 $((PORT_RANGES - 1))); do
+        range=$(((first + i) % PORT_RANGES))
+        lock=/tmp/cuminquay-ports-$range
+        # Another user's file can be locked too, but not written to.
+        [ -e $lock ] || : >$lock
+        exec {PORTS_LOCK}<$lock
+        BASE=$((PORTS_FROM + range * PORTS_A_RANGE))
+        flock -n "$PORTS_LOCK" && nobody_listens $BASE && return 0
+        exec {PORTS_LOCK}<&-
+    done
+    say "FAILED: other scripts have all $PORT_RANGES ranges of ports; end some of them"
+    exit 1
+}
+
+say() { printf '%s\n' "$*"; }
+
+[ -n "${BASE:-}" ] || draw_ports
 DIR=$(mktemp -d)
 PIDS=""
 LOG_ADDR=127.0.0.1:$BASE
 HOSTS_ADDR=127.0.0.1:$((BASE + 1))
 HOST_ROWS=""
 
-say() { printf '%s\n' "$*"; }
-
 fail() {
     say "FAILED: $*"
     exit 1
