A connection whose other side reads nothing for some seconds keeps its answer

A caller that read nothing for 4 s lost the rest of its answer by a reset, though its system acknowledged every probe: TCP_USER_TIMEOUT counts probes of a closed window whether they are acknowledged or not.

While the window is closed and TCP_INFO shows acknowledgements, the user timeout is put off, 2 s at a time and never past 4 s after the last acknowledgement. So the kernel goes on probing that often, and a side that falls silent later is found in time. The longest such stall is 30 s, and waiting bytes of all such connections together are at most 32 MiB; beyond that, and where TCP_INFO doesn't show the window, the 4 s hold as before. The listener has a file of its own now.

--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -53,6 +53,11 @@
 #define CQ_TCP_UNACKED_MS                                                     \
     (1000 * (CQ_TCP_KEEPALIVE_IDLE_S +                                        \
              CQ_TCP_KEEPALIVE_INTERVAL_S * CQ_TCP_KEEPALIVE_PROBES))
+/* Longest time for which a connection is kept whose other side acknowledges
+ * probes but reads nothing, and the largest sum of bytes that wait for such
+ * connections; beyond either, CQ_TCP_UNACKED_MS applies to them too. */
+#define CQ_STALL_MAX_US (30 * CQ_SECOND_US)
+#define CQ_STALL_BYTES_MAX (32 * 1024 * 1024)
 /* After the time limit of a stop, answers are written for this time more. */
 #define CQ_FLUSH_AFTER_LIMIT_US (300 * CQ_MS_US)
 /* For this time after a configuration has lowered the idle timeout, callers
--- a/packages/http/sock.c
+++ b/packages/http/sock.c
@@ -14,6 +14,8 @@
 #include <unistd.h>
 
 #include "base/limits.h"
+#include "base/list.h"
+#include "http/stall.h"
 
 /* Per iteration of the main loop, a connection reads at most this number of
  * times into a buffer of this size, so that the others get their turn. */
@@ -31,12 +33,16 @@
  * A GSource for all connections of the main context. With a source for each of
  * them, each iteration of the main loop would poll every descriptor.
  * socks: number of connections; the source is destroyed with the last one
+ * unacked: connections that may have unacknowledged bytes; while there are
+ * any, check_timer is set
  */
 typedef struct {
     GSource source;
     int epoll_fd;
     gpointer epoll_tag;
     guint socks;
+    cq_list_t unacked;
+    guint check_timer;
 } poller_t;
 
 /*
@@ -56,6 +62,8 @@
     gboolean close_when_written;
     gboolean closed;
     guint refs;
+    cq_list_t unacked_link;
+    cq_stall_t stall;
 };
 
 static void
@@ -81,6 +89,9 @@
 poller_remove(poller_t *poller)
 {
     if (--poller->socks == 0) {
+        if (poller->check_timer != 0) {
+            g_source_remove(poller->check_timer);
+        }
         g_source_destroy(&poller->source);
     }
     g_source_unref(&poller->source);
@@ -94,6 +105,7 @@
     }
     sock->closed = TRUE;
     unregister(sock);
+    cq_list_remove(&sock->unacked_link);
     poller_remove(sock->poller);
     close(sock->fd);
     sock_unref(sock);
@@ -295,6 +307,7 @@
     if (poller == NULL) {
         source = g_source_new(&poller_funcs, sizeof(poller_t));
         poller = (poller_t *)(void *)source;
+        cq_list_init(&poller->unacked);
         poller->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
         g_assert(poller->epoll_fd >= 0);
         poller->epoll_tag =
@@ -317,6 +330,7 @@
     sock->opened = opened;
     sock->refs = 1;
     sock->write_buffer = g_byte_array_new();
+    cq_list_init(&sock->unacked_link);
     sock->poller = poller_add();
     struct epoll_event event = {.events = 0, .data.ptr = sock};
     sock->registered =
@@ -345,8 +359,8 @@
                sizeof unacked_ms);
 }
 
-static gboolean
-parse_addr(const char *addr, struct sockaddr_in *to)
+gboolean
+cq_sock_parse_address(const char *addr, struct sockaddr_in *to)
 {
     const char *colon = strrchr(addr, ':');
     char ip[INET_ADDRSTRLEN] = "";
@@ -369,7 +383,7 @@
 cq_sock_is_address(const char *addr)
 {
     struct sockaddr_in address;
-    return parse_addr(addr, &address);
+    return cq_sock_parse_address(addr, &address);
 }
 
 cq_sock_t *
@@ -393,7 +407,7 @@
 cq_sock_connect(const char *addr, const cq_sock_ops_t *ops)
 {
     struct sockaddr_in to;
-    gboolean ok = parse_addr(addr, &to);
+    gboolean ok = cq_sock_parse_address(addr, &to);
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     g_assert(fd >= 0);
     set_options(fd);
@@ -412,6 +426,46 @@
     return sock;
 }
 
+static gboolean
+check_unacked(gpointer data)
+{
+    poller_t *poller = data;
+    gsize held = 0;
+    cq_list_t *link = poller->unacked.next;
+    while (link != &poller->unacked) {
+        cq_sock_t *sock = CQ_ENTRY(link, cq_sock_t, unacked_link);
+        gsize unwritten = cq_sock_unwritten_bytes(sock);
+        gboolean patient = held + unwritten <= CQ_STALL_BYTES_MAX;
+        cq_stall_state_t state =
+            cq_stall_check(&sock->stall, sock->fd, patient);
+        link = link->next;
+        if (state == CQ_STALL_CLOSED && patient) {
+            held += unwritten;
+        }
+        if (state == CQ_STALL_NONE && unwritten == 0) {
+            cq_list_remove(&sock->unacked_link);
+        }
+    }
+    if (cq_list_empty(&poller->unacked)) {
+        poller->check_timer = 0;
+        return G_SOURCE_REMOVE;
+    }
+    return G_SOURCE_CONTINUE;
+}
+
+static void
+check_later(cq_sock_t *sock)
+{
+    poller_t *poller = sock->poller;
+    if (cq_list_empty(&sock->unacked_link)) {
+        cq_list_append(&poller->unacked, &sock->unacked_link);
+    }
+    if (poller->check_timer == 0) {
+        poller->check_timer =
+            g_timeout_add(CQ_STALL_CHECK_MS, check_unacked, poller);
+    }
+}
+
 void
 cq_sock_write(cq_sock_t *sock, const void *bytes, gsize len)
 {
@@ -420,6 +474,7 @@
     }
     gboolean waiting = sock->write_buffer->len > sock->written_len;
     g_byte_array_append(sock->write_buffer, bytes, (guint)len);
+    check_later(sock);
     if (!sock->opened || waiting) {
         return;
     }
@@ -499,63 +554,3 @@
     setsockopt(sock->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
     sock_close(sock);
 }
-
-typedef struct {
-    int fd;
-    cq_sock_accepted_t accepted;
-    void *data;
-} listener_t;
-
-static void
-listener_free(gpointer data)
-{
-    listener_t *listener = data;
-    close(listener->fd);
-    g_free(listener);
-}
-
-static gboolean
-on_connection(gint fd, GIOCondition condition, gpointer data)
-{
-    (void)condition;
-    listener_t *listener = data;
-    for (;;) {
-        int accepted_fd =
-            accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (accepted_fd < 0) {
-            return G_SOURCE_CONTINUE;
-        }
-        listener->accepted(accepted_fd, listener->data);
-    }
-}
-
-guint
-cq_sock_listen(const char *addr, cq_sock_accepted_t accepted, void *data,
-               cq_error_t *error)
-{
-    struct sockaddr_in address;
-    int on = 1;
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (fd < 0 || !parse_addr(addr, &address) ||
-        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
-        bind(fd, (struct sockaddr *)&address, sizeof address) != 0 ||
-        listen(fd, CQ_LISTEN_BACKLOG) != 0) {
-        cq_error_set(error, CQ_ERROR_UNREACHABLE,
-                     "%s: %s; give a free address of this host", addr,
-                     g_strerror(errno));
-        if (fd >= 0) {
-            close(fd);
-        }
-        return 0;
-    }
-    listener_t *listener = g_new0(listener_t, 1);
-    listener->fd = fd;
-    listener->accepted = accepted;
-    listener->data = data;
-    GSource *source = g_unix_fd_source_new(fd, G_IO_IN);
-    g_source_set_callback(source, G_SOURCE_FUNC(on_connection), listener,
-                          listener_free);
-    guint id = g_source_attach(source, NULL);
-    g_source_unref(source);
-    return id;
-}
--- a/packages/http/sock.h
+++ b/packages/http/sock.h
@@ -9,6 +9,7 @@
 #define CQ_SOCK_H
 
 #include <glib.h>
+#include <netinet/in.h>
 
 #include "base/error.h"
 
@@ -49,6 +50,11 @@
 gboolean
 cq_sock_is_address(const char *addr);
 
+/** cq_sock_parse_address() - Return: whether @addr is such an address; @to
+ * gets it */
+gboolean
+cq_sock_parse_address(const char *addr, struct sockaddr_in *to);
+
 /** cq_sock_from_fd() - Return: a connection that owns the accepted @fd */
 cq_sock_t *
 cq_sock_from_fd(int fd, const cq_sock_ops_t *ops);
--- /dev/null
+++ b/packages/http/stall.h
@@ -0,0 +1,55 @@
+/**
+ * DOC: stall
+ *
+ * Tells a TCP connection whose other side reads nothing for a while from one
+ * whose other side is silent. The user timeout of Linux (TCP_USER_TIMEOUT)
+ * ends both: it also counts the time in which every probe of a closed window
+ * is acknowledged. So while the window is closed and acknowledgements arrive,
+ * the user timeout is put off, a little at a time. That also makes the kernel
+ * probe that often, so that silence which begins later is found in time.
+ *
+ * Where TCP_INFO can't be read or doesn't show these facts, the user timeout
+ * stays as it was set.
+ */
+#ifndef CQ_STALL_H
+#define CQ_STALL_H
+
+#include <glib.h>
+
+G_BEGIN_DECLS
+
+/* Interval of cq_stall_check() of a connection with unacknowledged bytes. */
+#define CQ_STALL_CHECK_MS 500
+
+/**
+ * struct cq_stall_t - what is known of a connection; all 0 at first
+ * @since_us: the other side's window has been closed since then; 0: it is open
+ * @acked: bytes acknowledged by then
+ * @put_off: the user timeout is longer than CQ_TCP_UNACKED_MS
+ */
+typedef struct {
+    gint64 since_us;
+    guint64 acked;
+    gboolean put_off;
+} cq_stall_t;
+
+/**
+ * enum cq_stall_state_t - what a check has found
+ * @CQ_STALL_NONE: everything is acknowledged
+ * @CQ_STALL_MOVING: bytes are on their way, or their state isn't known
+ * @CQ_STALL_CLOSED: the window is closed, and acknowledgements arrive
+ */
+typedef enum {
+    CQ_STALL_NONE,
+    CQ_STALL_MOVING,
+    CQ_STALL_CLOSED,
+} cq_stall_state_t;
+
+/** cq_stall_check() - look at the connection @fd, and put its user timeout off
+ * if the window is closed and @patient is TRUE */
+cq_stall_state_t
+cq_stall_check(cq_stall_t *stall, int fd, gboolean patient);
+
+G_END_DECLS
+
+#endif
--- a/tests/unit/sock_test.cc
+++ b/tests/unit/sock_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
+#include <linux/filter.h>
 #include <malloc.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -98,6 +99,13 @@
 // A sound upstream may be silent for a second or so, and has one second more.
 constexpr int kSilenceMs = 2000;
 
+// More than the kernel's buffers hold.
+constexpr gsize kBytes = 14 * 1024 * 1024;
+// The longest time for which the other side may be silent: the user timeout of
+// 4 s, from the first probe or the last acknowledgement on, and the next
+// probe.
+constexpr int kSilentMaxMs = 6000;
+
 // One end of a TCP connection over loopback, with the options of the product.
 class TcpOptions : public ::testing::Test {
   protected:
@@ -115,15 +123,49 @@
         fd = socket(AF_INET, SOCK_STREAM, 0);
         ASSERT_EQ(connect(fd, (sockaddr *)&to, sizeof to), 0);
         cq_sock_ops_t ops = {};
-        ops.ended = [](void *, cq_sock_end_t) {};
+        ops.ended = [](void *data, cq_sock_end_t) { *(bool *)data = true; };
+        ops.data = &ended;
         sock = cq_sock_from_fd(fd, &ops);
+        other = accept(listener, nullptr, nullptr);
+        ASSERT_GE(other, 0);
     }
     void
     TearDown() override
     {
         cq_sock_abort(sock);
+        close(other);
         close(listener);
     }
+    // Runs the main loop until then, or until the connection has ended.
+    // Return: how long it ran.
+    int
+    run_ms(int max_ms)
+    {
+        gint64 start_us = g_get_monotonic_time();
+        int ran_ms = 0;
+        while (!ended && ran_ms < max_ms) {
+            g_main_context_iteration(nullptr, FALSE);
+            g_usleep(10 * 1000);
+            ran_ms = (int)((g_get_monotonic_time() - start_us) / 1000);
+        }
+        return ran_ms;
+    }
+    void
+    write(gsize len)
+    {
+        std::string bytes(len, 'x');
+        cq_sock_write(sock, bytes.data(), bytes.size());
+    }
+    // From now on the other side gets nothing and acknowledges nothing.
+    void
+    silence_other()
+    {
+        sock_filter drop = BPF_STMT(BPF_RET | BPF_K, 0);
+        sock_fprog program = {1, &drop};
+        ASSERT_EQ(setsockopt(other, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                             sizeof program),
+                  0);
+    }
     int
     option(int name)
     {
@@ -135,6 +177,8 @@
 
     int listener = -1;
     int fd = -1;
+    int other = -1;
+    bool ended = false;
     cq_sock_t *sock = nullptr;
 };
 
@@ -163,18 +207,11 @@
 // long body.
 TEST_F(TcpOptions, AnotherSideThatReadsNothingForAWhileGetsAll)
 {
-    constexpr gint64 kPauseUs = 6 * G_USEC_PER_SEC;
-    constexpr gsize kBytes = 14 * 1024 * 1024;
-    int other = accept(listener, nullptr, nullptr);
-    ASSERT_GE(other, 0);
-    std::string bytes(kBytes, 'x');
-    cq_sock_write(sock, bytes.data(), bytes.size());
+    constexpr int kPauseMs = 6000;
+    write(kBytes);
     ASSERT_GT(cq_sock_unwritten_bytes(sock), 0u);
-    gint64 until_us = g_get_monotonic_time() + kPauseUs;
-    while (g_get_monotonic_time() < until_us) {
-        g_main_context_iteration(nullptr, FALSE);
-        g_usleep(10 * 1000);
-    }
+    run_ms(kPauseMs);
+    std::string bytes(kBytes, 'x');
     gsize received = 0;
     for (int i = 0; i < 1000 && received < kBytes; i++) {
         g_main_context_iteration(nullptr, FALSE);
@@ -189,7 +226,73 @@
         g_usleep(10 * 1000);
     }
     EXPECT_EQ(received, kBytes);
-    close(other);
+}
+
+// The kernel probes a closed window ever more rarely, if it may.
+TEST_F(TcpOptions, AnotherSideThatFallsSilentAfterAWhileIsFoundInTime)
+{
+    write(kBytes);
+    run_ms(7000);
+    ASSERT_FALSE(ended);
+    silence_other();
+    int silent_ms = run_ms(20000);
+    EXPECT_TRUE(ended);
+    EXPECT_LE(silent_ms, kSilentMaxMs);
+}
+
+TEST_F(TcpOptions, AnotherSideThatIsSilentIsFoundInTime)
+{
+    silence_other();
+    write(kBytes);
+    EXPECT_LE(run_ms(20000), kSilentMaxMs);
+    EXPECT_TRUE(ended);
+}
+
+TEST_F(TcpOptions, AnotherSideThatIsSilentOnAQuietConnectionIsFoundInTime)
+{
+    write(1);
+    run_ms(700);
+    silence_other();
+    EXPECT_LE(run_ms(20000), kSilentMaxMs);
+    EXPECT_TRUE(ended);
+}
+
+// What waits for callers that read nothing is bounded, all together: the
+// others end when they did before.
+TEST_F(TcpOptions, SidesThatReadNothingDontTakeMemoryWithoutEnd)
+{
+    constexpr int kSides = 5;
+    constexpr gsize kHeldMax = 32 * 1024 * 1024;
+    struct side {
+        bool ended = false;
+        cq_sock_t *sock = nullptr;
+        int other = -1;
+    } sides[kSides];
+    sockaddr_in to = {};
+    socklen_t len = sizeof to;
+    ASSERT_EQ(getsockname(listener, (sockaddr *)&to, &len), 0);
+    std::string bytes(kBytes, 'x');
+    for (side &one : sides) {
+        int one_fd = socket(AF_INET, SOCK_STREAM, 0);
+        ASSERT_EQ(connect(one_fd, (sockaddr *)&to, sizeof to), 0);
+        one.other = accept(listener, nullptr, nullptr);
+        cq_sock_ops_t ops = {};
+        ops.ended = [](void *data, cq_sock_end_t) { *(bool *)data = true; };
+        ops.data = &one.ended;
+        one.sock = cq_sock_from_fd(one_fd, &ops);
+        cq_sock_write(one.sock, bytes.data(), bytes.size());
+    }
+    run_ms(7000);
+    gsize held = 0;
+    int kept = 0;
+    for (side &one : sides) {
+        held += one.ended ? 0 : cq_sock_unwritten_bytes(one.sock);
+        kept += !one.ended;
+        cq_sock_abort(one.sock);
+        close(one.other);
+    }
+    EXPECT_LE(held, kHeldMax);
+    EXPECT_GE(kept, 2);
 }
 
 } // namespace
