A process without a free descriptor refuses new connections and goes on

With 420 callers' channels and 400 descriptors a host ended by an assertion in cq_sock_connect(); and a listener that couldn't accept spun.

A connection to others that gets no descriptor ends from the main loop with an end of its own, which the core takes as an attempt that did not run, without blame for the upstream. Counted in cuminquay_no_descriptor_total; event=descriptors_short and descriptors_enough at the change of state.

--- a/packages/base/counters.c
+++ b/packages/base/counters.c
@@ -40,6 +40,7 @@
     [CQ_N_PEERS_REJECTED] = "peers_rejected_total",
     [CQ_N_BAD_REQUESTS] = "bad_requests_total",
     [CQ_N_BODIES_TOO_LONG] = "bodies_too_long_total",
+    [CQ_N_NO_DESCRIPTOR] = "no_descriptor_total",
     [CQ_N_CONTROL_BYTES] = "control_bytes_total",
     [CQ_N_INVARIANTS_BROKEN] = "invariants_broken_total",
 };
--- a/packages/http/sock.c
+++ b/packages/http/sock.c
@@ -1,7 +1,6 @@
 #define _GNU_SOURCE
 #include "http/sock.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <glib-unix.h>
@@ -43,6 +42,7 @@
     guint socks;
     cq_list_t unacked;
     guint check_timer;
+    guint64 unopened;
 } poller_t;
 
 /*
@@ -88,6 +88,9 @@
 static void
 poller_remove(poller_t *poller)
 {
+    if (poller == NULL) {
+        return;
+    }
     if (--poller->socks == 0) {
         if (poller->check_timer != 0) {
             g_source_remove(poller->check_timer);
@@ -107,7 +110,9 @@
     unregister(sock);
     cq_list_remove(&sock->unacked_link);
     poller_remove(sock->poller);
-    close(sock->fd);
+    if (sock->fd >= 0) {
+        close(sock->fd);
+    }
     sock_unref(sock);
 }
 
@@ -297,19 +302,29 @@
     .finalize = on_poller_finalized,
 };
 
-/* Return: a reference to the poller of the default main context. */
 static poller_t *
-poller_add(void)
+find_poller(void)
 {
     GSource *source = g_main_context_find_source_by_funcs_user_data(
         NULL, &poller_funcs, NULL);
-    poller_t *poller = (poller_t *)(void *)source;
+    return (poller_t *)(void *)source;
+}
+
+/* Return: a reference to the poller of the default main context, or NULL if
+ * there is no descriptor for one. */
+static poller_t *
+poller_add(void)
+{
+    poller_t *poller = find_poller();
     if (poller == NULL) {
-        source = g_source_new(&poller_funcs, sizeof(poller_t));
+        int epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+        if (epoll_fd < 0) {
+            return NULL;
+        }
+        GSource *source = g_source_new(&poller_funcs, sizeof(poller_t));
         poller = (poller_t *)(void *)source;
         cq_list_init(&poller->unacked);
-        poller->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
-        g_assert(poller->epoll_fd >= 0);
+        poller->epoll_fd = epoll_fd;
         poller->epoll_tag =
             g_source_add_unix_fd(source, poller->epoll_fd, G_IO_IN);
         g_source_set_callback(source, NULL, NULL, NULL);
@@ -321,6 +336,28 @@
     return poller;
 }
 
+static gboolean
+on_unopened(gpointer data)
+{
+    cq_sock_t *sock = data;
+    sock_end(sock, sock->fd < 0 ? CQ_SOCK_UNOPENED : CQ_SOCK_REFUSED);
+    sock_unref(sock);
+    return G_SOURCE_REMOVE;
+}
+
+/* The failure is reported from the main loop, after its caller has got the
+ * connection. */
+static void
+report_unopened(cq_sock_t *sock)
+{
+    sock->opened = FALSE;
+    unregister(sock);
+    sock->refs++;
+    g_idle_add(on_unopened, sock);
+}
+
+/* Return: a connection on @fd. Without a descriptor, for it or for the poller,
+ * it ends at once. */
 static cq_sock_t *
 sock_new(int fd, const cq_sock_ops_t *ops, gboolean opened)
 {
@@ -334,9 +371,20 @@
     sock->poller = poller_add();
     struct epoll_event event = {.events = 0, .data.ptr = sock};
     sock->registered =
+        fd >= 0 && sock->poller != NULL &&
         epoll_ctl(sock->poller->epoll_fd, EPOLL_CTL_ADD, fd, &event) == 0;
-    g_assert(sock->registered);
-    update_events(sock);
+    if (sock->registered) {
+        update_events(sock);
+        return sock;
+    }
+    if (fd >= 0) {
+        close(fd);
+        sock->fd = -1;
+    }
+    if (sock->poller != NULL) {
+        sock->poller->unopened++;
+    }
+    report_unopened(sock);
     return sock;
 }
 
@@ -359,33 +407,6 @@
                sizeof unacked_ms);
 }
 
-gboolean
-cq_sock_parse_address(const char *addr, struct sockaddr_in *to)
-{
-    const char *colon = strrchr(addr, ':');
-    char ip[INET_ADDRSTRLEN] = "";
-    if (colon == NULL || (gsize)(colon - addr) >= sizeof ip) {
-        return FALSE;
-    }
-    memcpy(ip, addr, (gsize)(colon - addr));
-    guint64 port = 0;
-    if (!g_ascii_string_to_unsigned(colon + 1, 10, 1, G_MAXUINT16, &port,
-                                    NULL)) {
-        return FALSE;
-    }
-    memset(to, 0, sizeof *to);
-    to->sin_family = AF_INET;
-    to->sin_port = htons((guint16)port);
-    return inet_pton(AF_INET, ip, &to->sin_addr) == 1;
-}
-
-gboolean
-cq_sock_is_address(const char *addr)
-{
-    struct sockaddr_in address;
-    return cq_sock_parse_address(addr, &address);
-}
-
 cq_sock_t *
 cq_sock_from_fd(int fd, const cq_sock_ops_t *ops)
 {
@@ -394,13 +415,11 @@
     return sock_new(fd, ops, TRUE);
 }
 
-static gboolean
-on_connect_failed(gpointer data)
+guint64
+cq_sock_unopened(void)
 {
-    cq_sock_t *sock = data;
-    sock_end(sock, CQ_SOCK_REFUSED);
-    sock_unref(sock);
-    return G_SOURCE_REMOVE;
+    const poller_t *poller = find_poller();
+    return poller != NULL ? poller->unopened : 0;
 }
 
 cq_sock_t *
@@ -409,19 +428,21 @@
     struct sockaddr_in to;
     gboolean ok = cq_sock_parse_address(addr, &to);
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    g_assert(fd >= 0);
+    if (fd >= 0 && (guint)fd >= cq_sock_descriptors()) {
+        close(fd);
+        fd = -1;
+    }
+    if (fd < 0) {
+        return sock_new(fd, ops, FALSE);
+    }
     set_options(fd);
     if (ok) {
         int result = connect(fd, (struct sockaddr *)&to, sizeof to);
         ok = result == 0 || errno == EINPROGRESS;
     }
     cq_sock_t *sock = sock_new(fd, ops, FALSE);
-    if (!ok) {
-        /* The failure is reported from the main loop, after this function has
-         * returned the connection to its caller. */
-        unregister(sock);
-        sock->refs++;
-        g_idle_add(on_connect_failed, sock);
+    if (!ok && sock->registered) {
+        report_unopened(sock);
     }
     return sock;
 }
@@ -457,6 +478,9 @@
 check_later(cq_sock_t *sock)
 {
     poller_t *poller = sock->poller;
+    if (!sock->registered) {
+        return;
+    }
     if (cq_list_empty(&sock->unacked_link)) {
         cq_list_append(&poller->unacked, &sock->unacked_link);
     }
--- a/packages/http/sock.h
+++ b/packages/http/sock.h
@@ -19,9 +19,11 @@
 
 /** enum cq_sock_end_t - how a connection ended */
 typedef enum {
-    CQ_SOCK_EOF,     /* closed by the other side */
-    CQ_SOCK_RESET,   /* reset, or TCP timed out */
-    CQ_SOCK_REFUSED, /* could not be opened */
+    CQ_SOCK_EOF,      /* closed by the other side */
+    CQ_SOCK_RESET,    /* reset, or TCP timed out */
+    CQ_SOCK_REFUSED,  /* could not be opened */
+    CQ_SOCK_UNOPENED, /* was not tried: this process has no descriptor for it
+                       */
 } cq_sock_end_t;
 
 /**
@@ -42,7 +44,8 @@
     void *data;
 } cq_sock_ops_t;
 
-/** typedef cq_sock_accepted_t - takes ownership of an accepted descriptor */
+/** typedef cq_sock_accepted_t - takes ownership of an accepted descriptor; -1:
+ * a connection was closed, as this process has no descriptor for it */
 typedef void (*cq_sock_accepted_t)(int fd, void *data);
 
 /** cq_sock_is_address() - Return: whether @addr is `ip:port`, with an IPv4
@@ -55,6 +58,17 @@
 gboolean
 cq_sock_parse_address(const char *addr, struct sockaddr_in *to);
 
+/** cq_sock_descriptors() - Return: the number of descriptors that connections
+ * may use; some of the process's own are left for other uses */
+guint
+cq_sock_descriptors(void);
+
+/** cq_sock_unopened() - Return: how many connections to others were not tried,
+ * as there was no descriptor; it begins again at 0 when no connection is left
+ */
+guint64
+cq_sock_unopened(void);
+
 /** cq_sock_from_fd() - Return: a connection that owns the accepted @fd */
 cq_sock_t *
 cq_sock_from_fd(int fd, const cq_sock_ops_t *ops);
--- a/packages/router/inbound.c
+++ b/packages/router/inbound.c
@@ -1,6 +1,7 @@
 #include "router/inboundstate.h"
 
 #include <string.h>
+#include <unistd.h>
 
 #include "base/limits.h"
 #include "http/sock.h"
@@ -15,6 +16,9 @@
 /* Idle connections are kept a little longer than the configured timeout: they
  * are closed after this percentage of it. */
 #define IDLE_TIMEOUT_PERCENT 120
+/* Callers' connections leave this share of the descriptors to those to
+ * upstreams and peers. */
+#define UPSTREAM_SHARE 8
 
 static void
 parse_requests(cq_inbound_conn_t *conn);
@@ -246,6 +250,14 @@
 on_accepted(int fd, void *data)
 {
     cq_inbound_t *inbound = data;
+    guint descriptors = cq_sock_descriptors();
+    if (fd < 0 || (guint)fd >= descriptors - descriptors / UPSTREAM_SHARE) {
+        if (fd >= 0) {
+            close(fd);
+        }
+        inbound->refused++;
+        return;
+    }
     cq_inbound_conn_t *conn = g_new0(cq_inbound_conn_t, 1);
     conn->inbound = inbound;
     conn->refs = 1;
@@ -440,3 +452,9 @@
     }
     return unfinished;
 }
+
+guint64
+cq_inbound_refused(const cq_inbound_t *inbound)
+{
+    return inbound->refused;
+}
--- a/packages/router/inbound.h
+++ b/packages/router/inbound.h
@@ -80,6 +80,11 @@
 guint
 cq_inbound_unfinished(const cq_inbound_t *inbound);
 
+/** cq_inbound_refused() - Return: number of connections so far that were
+ * closed at once, as there was no descriptor for them */
+guint64
+cq_inbound_refused(const cq_inbound_t *inbound);
+
 /** cq_exchange_head() - Return: the request's head; borrowed */
 const cq_h1_head_t *
 cq_exchange_head(const cq_exchange_t *exchange);
--- a/packages/router/inboundstate.h
+++ b/packages/router/inboundstate.h
@@ -65,7 +65,10 @@
     void *owner;
 };
 
-/** struct cq_inbound - the server */
+/**
+ * struct cq_inbound - the server
+ * @refused: connections that were closed at once for want of a descriptor
+ */
 struct cq_inbound {
     cq_inbound_ops_t ops;
     cq_list_t conns;
@@ -75,6 +78,7 @@
     gsize body_bytes_max;
     gint64 head_timeout_us;
     cq_idle_limit_t idle_limit;
+    guint64 refused;
 };
 
 /** cq_inbound_remove_conn() - remove a connection and free its exchange; its
--- a/packages/router/links.c
+++ b/packages/router/links.c
@@ -351,7 +351,7 @@
 {
     cq_links_t *links = data;
     gboolean has_key = cq_app_settings(links->app)->peer_key[0] != '\0';
-    gboolean at_limit = links->open_links->len >= LINKS_MAX;
+    gboolean at_limit = fd < 0 || links->open_links->len >= LINKS_MAX;
     if (at_limit || (!has_key && !is_from_loopback(fd))) {
         cq_app_count(links->app, CQ_N_PEERS_REJECTED, 1);
         close(fd);
--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -412,7 +412,10 @@
     }
     if (conn->call != NULL) {
         gboolean not_connected = how == CQ_SOCK_REFUSED && !conn->call->sent;
-        fail(conn->call, not_connected ? CQ_FAIL_CONNECT : CQ_FAIL_BROKEN);
+        cq_failure_t failure =
+            not_connected ? CQ_FAIL_CONNECT : CQ_FAIL_BROKEN;
+        /* A lack of descriptors says nothing of the upstream. */
+        fail(conn->call, how == CQ_SOCK_UNOPENED ? CQ_FAIL_REFUSED : failure);
     }
     conn_close(conn);
     conn_unref(conn);
--- a/packages/router/relay.c
+++ b/packages/router/relay.c
@@ -7,6 +7,7 @@
 #include "router/reservations.h"
 #include "router/outbound.h"
 #include "router/refusal.h"
+#include "router/shortage.h"
 
 /* Interval between checks of connection timeouts, which are seconds long. */
 #define TIMEOUT_CHECK_MS 200
@@ -28,6 +29,7 @@
     GHashTable *requests;
     GRand *rand;
     guint timeout_timer;
+    cq_shortage_t shortage;
 };
 
 /*
@@ -260,6 +262,8 @@
 on_timeout_check(gpointer data)
 {
     cq_relay_t *relay = data;
+    cq_shortage_check(&relay->shortage, relay->app,
+                      cq_inbound_refused(relay->inbound));
     cq_inbound_check_timeouts(relay->inbound);
     cq_outbound_close_expired(relay->outbound);
     return G_SOURCE_CONTINUE;
--- a/tests/standin/server.c
+++ b/tests/standin/server.c
@@ -103,6 +103,9 @@
 static void
 on_accepted(int fd, void *data)
 {
+    if (fd < 0) {
+        return;
+    }
     const listener_t *listener = data;
     standin_conn_t *conn = g_new0(standin_conn_t, 1);
     conn->refs = 1;
--- a/tests/unit/outbound_test.cc
+++ b/tests/unit/outbound_test.cc
@@ -5,6 +5,7 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -425,4 +426,21 @@
     EXPECT_TRUE(tokens->attempt.unnumbered);
 }
 
+// The request didn't run, and another upstream gets it later; nothing is said
+// of this one.
+TEST_F(Outbound, ALackOfDescriptorsIsNotTheUpstreamsFault)
+{
+    rlimit before = {};
+    ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &before), 0);
+    rlimit none = before;
+    none.rlim_cur = 3;
+    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &none), 0);
+    send(1, "a");
+    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &before), 0);
+    ASSERT_TRUE(run_until([this] { return !events.empty(); }));
+    EXPECT_EQ(events.size(), 1u);
+    EXPECT_EQ(events[0].kind, CQ_EV_FAILED);
+    EXPECT_EQ(events[0].attempt.failure, CQ_FAIL_REFUSED);
+}
+
 } // namespace
