The bodies of requests are bounded together

60 unsafe calls of 4 MB on stopped upstreams took hundreds of MB at one host: the bodies of requests were bounded one by one only.

The bodies of all requests that are not yet answered are now at most 24 MiB, or one body of max_body_bytes. The request that exceeds it loses its body, is read to its end and gets 503, not run, with a Retry-After at which a request with a body as long is over at the latest.

--- a/packages/router/exchange.c
+++ b/packages/router/exchange.c
@@ -26,6 +26,12 @@
     return exchange->body;
 }
 
+gsize
+cq_exchange_dropped(const cq_exchange_t *exchange)
+{
+    return exchange->no_room ? exchange->body_len : 0;
+}
+
 void
 cq_exchange_set_owner(cq_exchange_t *exchange, void *owner)
 {
--- a/packages/router/inbound.c
+++ b/packages/router/inbound.c
@@ -16,6 +16,9 @@
 /* Idle connections are kept a little longer than the configured timeout: they
  * are closed after this percentage of it. */
 #define IDLE_TIMEOUT_PERCENT 120
+/* Bytes of the bodies of all requests together. Each is kept for as long as
+ * its request may be sent again, beside what an upstream has not yet read. */
+#define ALL_BODIES_BYTES_MAX (24 * 1024 * 1024)
 /* Callers' connections leave this share of the descriptors to those to
  * upstreams and peers. */
 #define UPSTREAM_SHARE 8
@@ -23,9 +26,18 @@
 static void
 parse_requests(cq_inbound_conn_t *conn);
 
+static void
+drop_body(cq_exchange_t *exchange)
+{
+    exchange->conn->inbound->buffered -= exchange->body->len;
+    g_byte_array_unref(exchange->body);
+    exchange->body = g_byte_array_new();
+}
+
 static void
 exchange_free(cq_exchange_t *exchange)
 {
+    drop_body(exchange);
     exchange->conn->exchange = NULL;
     cq_h1_clear_head(&exchange->head);
     g_byte_array_unref(exchange->body);
@@ -138,10 +150,22 @@
 {
     cq_inbound_conn_t *conn = data;
     cq_exchange_t *exchange = conn->exchange;
-    if (exchange->body->len + len > conn->inbound->body_bytes_max) {
+    cq_inbound_t *inbound = conn->inbound;
+    exchange->body_len += len;
+    if (exchange->body_len > inbound->body_bytes_max) {
         exchange->too_long = TRUE;
         return;
     }
+    if (inbound->buffered + len >
+        MAX(ALL_BODIES_BYTES_MAX, inbound->body_bytes_max)) {
+        exchange->no_room = TRUE;
+        drop_body(exchange);
+    }
+    /* The rest is read, so that the caller reads the refusal. */
+    if (exchange->no_room) {
+        return;
+    }
+    inbound->buffered += len;
     g_byte_array_append(exchange->body, (const guint8 *)bytes, (guint)len);
 }
 
--- a/packages/router/inbound.h
+++ b/packages/router/inbound.h
@@ -93,6 +93,12 @@
 const GByteArray *
 cq_exchange_body(const cq_exchange_t *exchange);
 
+/** cq_exchange_dropped() - Return: length of the request's body if it was
+ * dropped, as the bodies of all requests together had reached their bound;
+ * else 0. Such a request can only be refused. */
+gsize
+cq_exchange_dropped(const cq_exchange_t *exchange);
+
 /** cq_exchange_set_owner() - attach @owner, or NULL, to the exchange */
 void
 cq_exchange_set_owner(cq_exchange_t *exchange, void *owner);
--- a/packages/router/inboundstate.h
+++ b/packages/router/inboundstate.h
@@ -52,12 +52,18 @@
     guint refs;
 } cq_inbound_conn_t;
 
-/** struct cq_exchange - a request and its answer */
+/**
+ * struct cq_exchange - a request and its answer
+ * @body_len: bytes of the body received, kept or not
+ * @no_room: its body is dropped, as the bodies of all have reached their bound
+ */
 struct cq_exchange {
     cq_inbound_conn_t *conn;
     cq_h1_head_t head;
     GByteArray *body;
+    gsize body_len;
     gboolean too_long;
+    gboolean no_room;
     gboolean chunked;
     gboolean started;
     gboolean dispatched;
@@ -67,6 +73,7 @@
 
 /**
  * struct cq_inbound - the server
+ * @buffered: bytes of the bodies of all requests whose answer is not complete
  * @refused: connections that were closed at once for want of a descriptor
  */
 struct cq_inbound {
@@ -78,6 +85,7 @@
     gsize body_bytes_max;
     gint64 head_timeout_us;
     cq_idle_limit_t idle_limit;
+    gsize buffered;
     guint64 refused;
 };
 
--- a/packages/router/prompt.c
+++ b/packages/router/prompt.c
@@ -156,3 +156,15 @@
                         strlen(STREAM_MEMBER));
     return g_byte_array_free_to_bytes(out);
 }
+
+void
+cq_prompt_format_parts(const cq_parts_t *parts, char *to, gsize size)
+{
+    to[0] = '\0';
+    for (guint i = 0; i < parts->len; i++) {
+        char id[32];
+        g_snprintf(id, sizeof id, "%s%" G_GINT64_MODIFIER "x",
+                   i > 0 ? "," : "", parts->ids[i]);
+        g_strlcat(to, id, size);
+    }
+}
--- a/packages/router/prompt.h
+++ b/packages/router/prompt.h
@@ -44,6 +44,14 @@
 GBytes *
 cq_prompt_for_engine(GBytes *body);
 
+/* Room for the ids of the parts of a prompt in a log line. */
+#define CQ_PROMPT_PARTS_BYTES (CQ_PROMPT_PARTS_MAX * 17 + 1)
+
+/** cq_prompt_format_parts() - write the ids of the parts to @to, separated by
+ * commas */
+void
+cq_prompt_format_parts(const cq_parts_t *parts, char *to, gsize size);
+
 G_END_DECLS
 
 #endif
--- a/packages/router/relay.c
+++ b/packages/router/relay.c
@@ -4,6 +4,7 @@
 
 #include "platform/headers.h"
 #include "router/inbound.h"
+#include "router/prompt.h"
 #include "router/reservations.h"
 #include "router/outbound.h"
 #include "router/refusal.h"
@@ -14,9 +15,6 @@
 /* Room for the addresses and reservation ids of the largest group. */
 #define HELPERS_BYTES (CQ_PREFILL_GROUP_MAX * (CQ_ADDR_BYTES + CQ_NAME_BYTES))
 
-/* Room for the ids of the parts of a prompt in a log line. */
-#define PARTS_BYTES (CQ_PROMPT_PARTS_MAX * 17 + 1)
-
 /* Room for the id of a stream event. */
 #define LAST_EVENT_BYTES 32
 
@@ -80,8 +78,8 @@
 
 /* Answers a request that cannot be routed and is not posted to the core. */
 static void
-reject_request(cq_relay_t *relay, cq_exchange_t *exchange, int status,
-               const char *code, const char *remedy)
+reject_until(cq_relay_t *relay, cq_exchange_t *exchange, int status,
+             const char *code, gint64 retry_after_us, const char *remedy)
 {
     cq_request_fields_t fields =
         cq_headers_parse_request(cq_exchange_head(exchange));
@@ -90,10 +88,38 @@
                "attempt=%s status=%d code=%s config=%" G_GUINT64_FORMAT,
                fields.attempt_id != NULL ? fields.attempt_id : "-", status,
                code, relay->routes != NULL ? relay->routes->version : 0);
-    gint64 retry_after_us = status == 503 ? CQ_RETRY_AFTER_MIN_US : 0;
     refuse(exchange, status, code, CQ_RAN_NO, retry_after_us, remedy);
 }
 
+static void
+reject_request(cq_relay_t *relay, cq_exchange_t *exchange, int status,
+               const char *code, const char *remedy)
+{
+    gint64 retry_after_us = status == 503 ? CQ_RETRY_AFTER_MIN_US : 0;
+    reject_until(relay, exchange, status, code, retry_after_us, remedy);
+}
+
+/* Return: after how long there is room for a body of @len bytes: when a
+ * request with such a body is over at the latest. */
+static gint64
+room_after(const cq_relay_t *relay, gsize len)
+{
+    gint64 until_us = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, relay->requests);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const open_request_t *other = value;
+        if (other->exchange != NULL &&
+            cq_exchange_body(other->exchange)->len >= len &&
+            (until_us == 0 || other->deadline_us < until_us)) {
+            until_us = other->deadline_us;
+        }
+    }
+    gint64 left_us = until_us - cq_app_now_us(relay->app);
+    return MAX(left_us, CQ_RETRY_AFTER_MIN_US);
+}
+
 /* Return: the team of the request's key. Without a known key: "" if none is
  * needed, as the route is open or no keys are configured, else NULL. */
 static const char *
@@ -111,18 +137,6 @@
     return team;
 }
 
-static void
-format_parts(const cq_parts_t *parts, char *to, gsize size)
-{
-    to[0] = '\0';
-    for (guint i = 0; i < parts->len; i++) {
-        char id[32];
-        g_snprintf(id, sizeof id, "%s%" G_GINT64_MODIFIER "x",
-                   i > 0 ? "," : "", parts->ids[i]);
-        g_strlcat(to, id, size);
-    }
-}
-
 static guint64
 fingerprint_of(const cq_relay_t *relay, cq_exchange_t *exchange,
                const cq_request_fields_t *fields, const char *team)
@@ -162,8 +176,8 @@
     g_hash_table_insert(relay->requests, &open_request->id, open_request);
     const char *service = cq_route_pick(route, g_rand_double(relay->rand));
     guint64 fingerprint = fingerprint_of(relay, exchange, fields, team);
-    char parts[PARTS_BYTES];
-    format_parts(&fields->parts, parts, sizeof parts);
+    char parts[CQ_PROMPT_PARTS_BYTES];
+    cq_prompt_format_parts(&fields->parts, parts, sizeof parts);
     cq_app_log(relay->app, "asked",
                "request=%016" G_GINT64_MODIFIER "x attempt=%s team=%s "
                "service=%s tokens=%" G_GINT64_FORMAT
@@ -200,6 +214,13 @@
     cq_relay_t *relay = data;
     const cq_h1_head_t *head = cq_exchange_head(exchange);
     cq_request_fields_t fields = cq_headers_parse_request(head);
+    gsize dropped = cq_exchange_dropped(exchange);
+    if (dropped > 0) {
+        reject_until(relay, exchange, 503, "bodies_full",
+                     room_after(relay, dropped),
+                     "send it again after retry_after_ms");
+        return;
+    }
     if (relay->routes == NULL) {
         reject_request(relay, exchange, 503, "no_configuration",
                        "send it again after retry_after_ms");
--- a/tests/proc/relaylib.sh
+++ b/tests/proc/relaylib.sh
@@ -90,7 +90,7 @@
 
 # config VERSION ROUTES: writes a configuration to the store
 config() {
-    put keyed.op config "{\"version\":$1,\"routes\":[$2],\"services\":[{\"name\":\"p\"}],\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,\"header_timeout_ms\":1000,\"idle_timeout_ms\":${IDLE_MS:-3000}},\"tenants\":[{\"name\":\"team-1\",\"api_keys\":[\"secret-1\"]}]}"
+    put keyed.op config "{\"version\":$1,\"routes\":[$2],\"services\":[{\"name\":\"p\"}],\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":${BODY_BYTES:-100000},\"header_timeout_ms\":1000,\"idle_timeout_ms\":${IDLE_MS:-3000}},\"tenants\":[{\"name\":\"team-1\",\"api_keys\":[\"secret-1\"]}]}"
 }
 
 # two_replicas: starts the store and two upstreams, and writes a configuration
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -61,7 +61,7 @@
     run_unit "$BUILD/tests/${program}_test"
 done
 for script in ports demo badinput oddreports hangup operator drain holds giant orders retention \
-    relay relaywake relaypeers relayreads relayreaders relaybulk relayleft relayendless relaydescriptors relayleaving relaymany \
+    relay relaywake relaypeers relayreads relayreaders relaybulk relayleft relayendless relaydescriptors relaybodies relayleaving relaymany \
     relayoutage relayremoved relaylostpoll relaypoison relaypoisonkept relaycells relayera relaylimit relaycrashcall relaycrashkept relayidlechange relaystop \
     relayrefusalagain relaybrokenstream \
     relaycut relaycutall relaycutmost relayoddentries; do
