--- a/packages/http/sock.c
+++ b/packages/http/sock.c
@@ -1,7 +1,6 @@
 #define _GNU_SOURCE
 #include "http/sock.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <glib-unix.h>
@@ -14,6 +13,8 @@
 #include <unistd.h>
 
 #include "base/limits.h"
+#include "base/list.h"
+#include "http/stall.h"
 
 /* Per iteration of the main loop, a connection reads at most this number of
  * times into a buffer of this size, so that the others get their turn. */
@@ -31,12 +32,17 @@
  * A GSource for all connections of the main context. With a source for each of
  * them, each iteration of the main loop would poll every descriptor.
  * socks: number of connections; the source is destroyed with the last one
+ * unacked: connections that may have unacknowledged bytes; while there are
+ * any, check_timer is set
  */
 typedef struct {
     GSource source;
     int epoll_fd;
     gpointer epoll_tag;
     guint socks;
+    cq_list_t unacked;
+    guint check_timer;
+    guint64 unopened;
 } poller_t;
 
 /*
@@ -56,6 +62,8 @@
     gboolean close_when_written;
     gboolean closed;
     guint refs;
+    cq_list_t unacked_link;
+    cq_stall_t stall;
 };
 
 static void
@@ -80,7 +88,13 @@
 static void
 poller_remove(poller_t *poller)
 {
+    if (poller == NULL) {
+        return;
+    }
     if (--poller->socks == 0) {
+        if (poller->check_timer != 0) {
+            g_source_remove(poller->check_timer);
+        }
         g_source_destroy(&poller->source);
     }
     g_source_unref(&poller->source);
@@ -94,8 +108,11 @@
     }
     sock->closed = TRUE;
     unregister(sock);
+    cq_list_remove(&sock->unacked_link);
     poller_remove(sock->poller);
-    close(sock->fd);
+    if (sock->fd >= 0) {
+        close(sock->fd);
+    }
     sock_unref(sock);
 }
 
@@ -285,18 +302,29 @@
     .finalize = on_poller_finalized,
 };
 
-/* Return: a reference to the poller of the default main context. */
 static poller_t *
-poller_add(void)
+find_poller(void)
 {
     GSource *source = g_main_context_find_source_by_funcs_user_data(
         NULL, &poller_funcs, NULL);
-    poller_t *poller = (poller_t *)(void *)source;
+    return (poller_t *)(void *)source;
+}
+
+/* Return: a reference to the poller of the default main context, or NULL if
+ * there is no descriptor for one. */
+static poller_t *
+poller_add(void)
+{
+    poller_t *poller = find_poller();
     if (poller == NULL) {
-        source = g_source_new(&poller_funcs, sizeof(poller_t));
+        int epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+        if (epoll_fd < 0) {
+            return NULL;
+        }
+        GSource *source = g_source_new(&poller_funcs, sizeof(poller_t));
         poller = (poller_t *)(void *)source;
-        poller->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
-        g_assert(poller->epoll_fd >= 0);
+        cq_list_init(&poller->unacked);
+        poller->epoll_fd = epoll_fd;
         poller->epoll_tag =
             g_source_add_unix_fd(source, poller->epoll_fd, G_IO_IN);
         g_source_set_callback(source, NULL, NULL, NULL);
@@ -308,6 +336,28 @@
     return poller;
 }
 
+static gboolean
+on_unopened(gpointer data)
+{
+    cq_sock_t *sock = data;
+    sock_end(sock, sock->fd < 0 ? CQ_SOCK_UNOPENED : CQ_SOCK_REFUSED);
+    sock_unref(sock);
+    return G_SOURCE_REMOVE;
+}
+
+/* The failure is reported from the main loop, after its caller has got the
+ * connection. */
+static void
+report_unopened(cq_sock_t *sock)
+{
+    sock->opened = FALSE;
+    unregister(sock);
+    sock->refs++;
+    g_idle_add(on_unopened, sock);
+}
+
+/* Return: a connection on @fd. Without a descriptor, for it or for the poller,
+ * it ends at once. */
 static cq_sock_t *
 sock_new(int fd, const cq_sock_ops_t *ops, gboolean opened)
 {
@@ -317,12 +367,24 @@
     sock->opened = opened;
     sock->refs = 1;
     sock->write_buffer = g_byte_array_new();
+    cq_list_init(&sock->unacked_link);
     sock->poller = poller_add();
     struct epoll_event event = {.events = 0, .data.ptr = sock};
     sock->registered =
+        fd >= 0 && sock->poller != NULL &&
         epoll_ctl(sock->poller->epoll_fd, EPOLL_CTL_ADD, fd, &event) == 0;
-    g_assert(sock->registered);
-    update_events(sock);
+    if (sock->registered) {
+        update_events(sock);
+        return sock;
+    }
+    if (fd >= 0) {
+        close(fd);
+        sock->fd = -1;
+    }
+    if (sock->poller != NULL) {
+        sock->poller->unopened++;
+    }
+    report_unopened(sock);
     return sock;
 }
 
@@ -345,33 +407,6 @@
                sizeof unacked_ms);
 }
 
-static gboolean
-parse_addr(const char *addr, struct sockaddr_in *to)
-{
-    const char *colon = strrchr(addr, ':');
-    char ip[INET_ADDRSTRLEN] = "";
-    if (colon == NULL || (gsize)(colon - addr) >= sizeof ip) {
-        return FALSE;
-    }
-    memcpy(ip, addr, (gsize)(colon - addr));
-    guint64 port = 0;
-    if (!g_ascii_string_to_unsigned(colon + 1, 10, 1, G_MAXUINT16, &port,
-                                    NULL)) {
-        return FALSE;
-    }
-    memset(to, 0, sizeof *to);
-    to->sin_family = AF_INET;
-    to->sin_port = htons((guint16)port);
-    return inet_pton(AF_INET, ip, &to->sin_addr) == 1;
-}
-
-gboolean
-cq_sock_is_address(const char *addr)
-{
-    struct sockaddr_in address;
-    return parse_addr(addr, &address);
-}
-
 cq_sock_t *
 cq_sock_from_fd(int fd, const cq_sock_ops_t *ops)
 {
@@ -380,38 +415,81 @@
     return sock_new(fd, ops, TRUE);
 }
 
-static gboolean
-on_connect_failed(gpointer data)
+guint64
+cq_sock_unopened(void)
 {
-    cq_sock_t *sock = data;
-    sock_end(sock, CQ_SOCK_REFUSED);
-    sock_unref(sock);
-    return G_SOURCE_REMOVE;
+    const poller_t *poller = find_poller();
+    return poller != NULL ? poller->unopened : 0;
 }
 
 cq_sock_t *
 cq_sock_connect(const char *addr, const cq_sock_ops_t *ops)
 {
     struct sockaddr_in to;
-    gboolean ok = parse_addr(addr, &to);
+    gboolean ok = cq_sock_parse_address(addr, &to);
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    g_assert(fd >= 0);
+    if (fd >= 0 && (guint)fd >= cq_sock_descriptors()) {
+        close(fd);
+        fd = -1;
+    }
+    if (fd < 0) {
+        return sock_new(fd, ops, FALSE);
+    }
     set_options(fd);
     if (ok) {
         int result = connect(fd, (struct sockaddr *)&to, sizeof to);
         ok = result == 0 || errno == EINPROGRESS;
     }
     cq_sock_t *sock = sock_new(fd, ops, FALSE);
-    if (!ok) {
-        /* The failure is reported from the main loop, after this function has
-         * returned the connection to its caller. */
-        unregister(sock);
-        sock->refs++;
-        g_idle_add(on_connect_failed, sock);
+    if (!ok && sock->registered) {
+        report_unopened(sock);
     }
     return sock;
 }
 
+static gboolean
+check_unacked(gpointer data)
+{
+    poller_t *poller = data;
+    gsize held = 0;
+    cq_list_t *link = poller->unacked.next;
+    while (link != &poller->unacked) {
+        cq_sock_t *sock = CQ_ENTRY(link, cq_sock_t, unacked_link);
+        gsize unwritten = cq_sock_unwritten_bytes(sock);
+        gboolean patient = held + unwritten <= CQ_STALL_BYTES_MAX;
+        cq_stall_state_t state =
+            cq_stall_check(&sock->stall, sock->fd, patient);
+        link = link->next;
+        if (state == CQ_STALL_CLOSED && patient) {
+            held += unwritten;
+        }
+        if (state == CQ_STALL_NONE && unwritten == 0) {
+            cq_list_remove(&sock->unacked_link);
+        }
+    }
+    if (cq_list_empty(&poller->unacked)) {
+        poller->check_timer = 0;
+        return G_SOURCE_REMOVE;
+    }
+    return G_SOURCE_CONTINUE;
+}
+
+static void
+check_later(cq_sock_t *sock)
+{
+    poller_t *poller = sock->poller;
+    if (!sock->registered) {
+        return;
+    }
+    if (cq_list_empty(&sock->unacked_link)) {
+        cq_list_append(&poller->unacked, &sock->unacked_link);
+    }
+    if (poller->check_timer == 0) {
+        poller->check_timer =
+            g_timeout_add(CQ_STALL_CHECK_MS, check_unacked, poller);
+    }
+}
+
 void
 cq_sock_write(cq_sock_t *sock, const void *bytes, gsize len)
 {
@@ -420,6 +498,7 @@
     }
     gboolean waiting = sock->write_buffer->len > sock->written_len;
     g_byte_array_append(sock->write_buffer, bytes, (guint)len);
+    check_later(sock);
     if (!sock->opened || waiting) {
         return;
     }
@@ -499,63 +578,3 @@
     setsockopt(sock->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
     sock_close(sock);
 }
-
-typedef struct {
-    int fd;
-    cq_sock_accepted_t accepted;
-    void *data;
-} listener_t;
-
-static void
-listener_free(gpointer data)
-{
-    listener_t *listener = data;
-    close(listener->fd);
-    g_free(listener);
-}
-
-static gboolean
-on_connection(gint fd, GIOCondition condition, gpointer data)
-{
-    (void)condition;
-    listener_t *listener = data;
-    for (;;) {
-        int accepted_fd =
-            accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (accepted_fd < 0) {
-            return G_SOURCE_CONTINUE;
-        }
-        listener->accepted(accepted_fd, listener->data);
-    }
-}
-
-guint
-cq_sock_listen(const char *addr, cq_sock_accepted_t accepted, void *data,
-               cq_error_t *error)
-{
-    struct sockaddr_in address;
-    int on = 1;
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (fd < 0 || !parse_addr(addr, &address) ||
-        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
-        bind(fd, (struct sockaddr *)&address, sizeof address) != 0 ||
-        listen(fd, CQ_LISTEN_BACKLOG) != 0) {
-        cq_error_set(error, CQ_ERROR_UNREACHABLE,
-                     "%s: %s; give a free address of this host", addr,
-                     g_strerror(errno));
-        if (fd >= 0) {
-            close(fd);
-        }
-        return 0;
-    }
-    listener_t *listener = g_new0(listener_t, 1);
-    listener->fd = fd;
-    listener->accepted = accepted;
-    listener->data = data;
-    GSource *source = g_unix_fd_source_new(fd, G_IO_IN);
-    g_source_set_callback(source, G_SOURCE_FUNC(on_connection), listener,
-                          listener_free);
-    guint id = g_source_attach(source, NULL);
-    g_source_unref(source);
-    return id;
-}
--- a/packages/router/inbound.h
+++ b/packages/router/inbound.h
@@ -80,6 +80,11 @@
 guint
 cq_inbound_unfinished(const cq_inbound_t *inbound);
 
+/** cq_inbound_refused() - Return: number of connections so far that were
+ * closed at once, as there was no descriptor for them */
+guint64
+cq_inbound_refused(const cq_inbound_t *inbound);
+
 /** cq_exchange_head() - Return: the request's head; borrowed */
 const cq_h1_head_t *
 cq_exchange_head(const cq_exchange_t *exchange);
@@ -88,6 +93,12 @@
 const GByteArray *
 cq_exchange_body(const cq_exchange_t *exchange);
 
+/** cq_exchange_dropped() - Return: length of the request's body if it was
+ * dropped, as the bodies of all requests together had reached their bound;
+ * else 0. Such a request can only be refused. */
+gsize
+cq_exchange_dropped(const cq_exchange_t *exchange);
+
 /** cq_exchange_set_owner() - attach @owner, or NULL, to the exchange */
 void
 cq_exchange_set_owner(cq_exchange_t *exchange, void *owner);
