A 421 to one caller's condition no longer stops a service

Cause: each 421 was taken for the word of another upstream at the address, and so for an upstream that is leaving, for good and told to all hosts. Nobody looked at whether the request named a condition that the upstream doesn't meet.

A 421 to a request with such a condition is now a refusal and nothing more: the request goes to another upstream within its attempts and the retry budget, and else is answered 503, not run. Any other 421 is a new kind of failure, misdirected: this host avoids the upstream for 5 s, unless it is the last one of its service that takes work, and tells nobody. The entry in the store says whether the upstream has left. An address that is used again costs at most one refused attempt each 5 s at a host; requests that get 421 don't run.

outpeer_test wanted CQ_FAIL_LEAVING for a 421, which was the fault; it now wants exactly CQ_FAIL_MISDIRECTED.

--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -205,12 +205,18 @@
     return FALSE;
 }
 
+static gboolean
+service_takes_work(const cq_core_t *core, const cq_service_t *service)
+{
+    return any_takes_work(core, service->local) ||
+           any_takes_work(core, service->remote);
+}
+
 /* An upstream whose attempts break may be sound, and the requests at fault. */
 static void
 avoid_broken(const cq_core_t *core, const cq_request_t *request,
              cq_upstream_t *upstream)
 {
-    const cq_service_t *service = upstream->service;
     cq_member_avoid(core, upstream, CQ_SECOND_US);
     if (request->phase_start_us <= upstream->broken_us) {
         return;
@@ -218,17 +224,28 @@
     guint doublings = MIN(upstream->broken_streak, SUSPECT_DOUBLINGS_MAX);
     upstream->broken_streak++;
     upstream->broken_us = core->now_us;
-    if (any_takes_work(core, service->local) ||
-        any_takes_work(core, service->remote)) {
+    if (service_takes_work(core, upstream->service)) {
         cq_member_avoid(core, upstream, CQ_SECOND_US << doublings);
     }
 }
 
+/* Another upstream may have the address until the list of hosts shows it. One
+ * answer doesn't prove that, so it never puts aside a service's last one. */
+static void
+avoid_misdirected(const cq_core_t *core, cq_upstream_t *upstream)
+{
+    gint64 until_us = upstream->suspect_until_us;
+    cq_member_avoid(core, upstream, CQ_SUSPECT_AVOID_US);
+    if (!service_takes_work(core, upstream->service)) {
+        upstream->suspect_until_us = until_us;
+    }
+}
+
 void
 cq_attempt_fail(cq_core_t *core, cq_request_t *request, cq_failure_t failure)
 {
-    static const char *const failure_names[] = {"connect", "refused",
-                                                "leaving", "broken", "fault"};
+    static const char *const failure_names[] = {
+        "connect", "refused", "leaving", "broken", "fault", "misdirected"};
     cq_upstream_t *upstream = request->upstream;
     /* The connection failed after a byte was sent: the request may have run.
      */
@@ -242,14 +259,18 @@
                        "upstream=%s how=%s events=%" G_GINT64_FORMAT,
                        upstream->name, failure_names[failure],
                        request->forwarded - request->forwarded_at_start);
-    gboolean refused =
-        failure == CQ_FAIL_REFUSED || failure == CQ_FAIL_LEAVING;
+    gboolean refused = failure == CQ_FAIL_REFUSED ||
+                       failure == CQ_FAIL_LEAVING ||
+                       failure == CQ_FAIL_MISDIRECTED;
     if (refused && request->sent) {
         request->possible_runs--;
     }
     if (failure == CQ_FAIL_LEAVING) {
         cq_member_leaving(core, upstream, upstream->incarnation);
     }
+    if (failure == CQ_FAIL_MISDIRECTED) {
+        avoid_misdirected(core, upstream);
+    }
     if (failure == CQ_FAIL_CONNECT) {
         cq_member_avoid(core, upstream, CQ_SUSPECT_AVOID_US);
         cq_member_unreachable(core, upstream);
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -104,11 +104,12 @@
 
 /** enum cq_failure_t - how an attempt ended without an answer */
 typedef enum {
-    CQ_FAIL_CONNECT, /* no byte was sent to the upstream */
-    CQ_FAIL_REFUSED, /* the upstream states that it did not run */
-    CQ_FAIL_LEAVING, /* the same, because the upstream is leaving */
-    CQ_FAIL_BROKEN,  /* the connection ended early; it may have run */
-    CQ_FAIL_FAULT,   /* the upstream answered with a server error */
+    CQ_FAIL_CONNECT,     /* no byte was sent to the upstream */
+    CQ_FAIL_REFUSED,     /* the upstream states that it did not run */
+    CQ_FAIL_LEAVING,     /* the same, because the upstream is leaving */
+    CQ_FAIL_BROKEN,      /* the connection ended early; it may have run */
+    CQ_FAIL_FAULT,       /* the upstream answered with a server error */
+    CQ_FAIL_MISDIRECTED, /* refused: it isn't the upstream that was named */
 } cq_failure_t;
 
 /** enum cq_probe_t - an upstream's answer to a probe of an attempt */
--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -49,6 +49,7 @@
  * on_kept_conn: the connection was kept from an earlier request
  * to_peer: the call is to another entry host, not to an upstream
  * runs_once: the request must not be repeated
+ * conditional: the caller names a condition
  * events: the answer as a stream; its @whole is the body of any other one */
 struct call {
     guint64 request;
@@ -66,6 +67,7 @@
     gboolean on_kept_conn;
     gboolean to_peer;
     gboolean runs_once;
+    gboolean conditional;
     cq_events_t events;
 };
 
@@ -180,8 +182,8 @@
 {
     abort_call(call);
     cq_event_t event = {.attempt = {.failure = CQ_FAIL_REFUSED}};
-    if (reply->misdirected) {
-        event.attempt.failure = CQ_FAIL_LEAVING;
+    if (reply->misdirected && !call->conditional) {
+        event.attempt.failure = CQ_FAIL_MISDIRECTED;
     }
     if (reply->at_fault != NULL) {
         g_strlcpy(event.attempt.at_fault, reply->at_fault,
@@ -510,6 +512,7 @@
     call->events.resumes = spec->last_event >= 0;
     call->to_peer = spec->to_peer;
     call->runs_once = spec->fresh;
+    call->conditional = spec->conditional;
     g_hash_table_replace(outbound->by_request, &call->request, call);
     gboolean may_reuse = !spec->fresh && spec->attempt_id != NULL;
     conn_t *conn = may_reuse ? reuse_idle(outbound, spec) : NULL;
--- a/packages/router/outbound.h
+++ b/packages/router/outbound.h
@@ -39,6 +39,8 @@
  * @incarnation: its incarnation; idle connections to another incarnation at
  * the same address are not used
  * @fresh: use a new connection, not an idle one: the request may run once
+ * @conditional: the caller names a condition: 421 is the answer to that, and
+ * not a sign that another upstream now has the address
  * @attempt_id: the attempt's id in @head; an answer with another attempt id
  * is rejected. NULL: none, and the call gets a new connection
  * @method: HTTP method
@@ -54,6 +56,7 @@
     const char *addr;
     guint64 incarnation;
     gboolean fresh;
+    gboolean conditional;
     const char *attempt_id;
     const char *method;
     const GString *head;
--- a/packages/router/relay.c
+++ b/packages/router/relay.c
@@ -397,6 +397,7 @@
         .addr = view.addr,
         .incarnation = view.incarnation,
         .fresh = send->fresh,
+        .conditional = cq_headers_has_condition(forward.head),
     };
     start_call(relay, open_request, &call, out);
 }
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -48,6 +48,8 @@
 /* Header field that shows that an answer comes from a replica. */
 #define SEAL_FIELD "Cuminquay-Replica-Seal: s\r\n"
 #define EVENT_BYTES 64
+/* Requests that name another version of the weights get 421. */
+#define WEIGHTS_VERSION "2"
 /* Time for which a request runs before the program crashes under it. */
 #define CRASH_AFTER_MS 50
 #define ENDLESS_CHUNK_BYTES 16384
@@ -474,6 +476,11 @@
         answer_not_run(conn, head, 421, "");
         return;
     }
+    const char *version = cq_h1_get_field(head, "Cuminquay-Expect-Version");
+    if (version != NULL && strcmp(version, WEIGHTS_VERSION) != 0) {
+        answer_not_run(conn, head, 421, "");
+        return;
+    }
     const char *behaviour = strrchr(path, '/') + 1;
     gboolean resumed = cq_h1_get_field(head, "Last-Event-Id") != NULL;
     if (resumed && strcmp(behaviour, "thenfault") == 0) {
--- a/tests/unit/outbound_test.cc
+++ b/tests/unit/outbound_test.cc
@@ -108,6 +108,7 @@
         call.addr = address.c_str();
         call.incarnation = 1;
         call.fresh = fresh;
+        call.conditional = conditional;
         call.attempt_id = id;
         call.method = "GET";
         call.head = head;
@@ -158,8 +159,8 @@
     std::string
     outcome(guint64 request)
     {
-        static const char *const names[] = {"connect", "refused", "leaving",
-                                            "broken", "fault"};
+        static const char *const names[] = {
+            "connect", "refused", "leaving", "broken", "fault", "misdirected"};
         EXPECT_TRUE(run_until([&] {
             return last_event_of(request, CQ_EV_DONE) != nullptr ||
                    last_event_of(request, CQ_EV_FAILED) != nullptr;
@@ -226,6 +227,7 @@
     std::vector<cq_event_t> events;
     std::function<void(const cq_event_t &)> on_posted;
     gboolean fresh = FALSE;
+    gboolean conditional = FALSE;
     gint64 last_event = -1;
 };
 
@@ -270,6 +272,21 @@
               "broken");
 }
 
+// The caller names a version of the weights that this upstream doesn't have.
+TEST_F(Outbound, A421ToAConditionOfTheCallerSaysNothingOfItsUpstream)
+{
+    conditional = TRUE;
+    EXPECT_EQ(outcome_on_new(answer("421", id_field("a2") + kNotRun)),
+              "refused");
+    EXPECT_EQ(last_event_of(2, CQ_EV_UPSTREAM), nullptr);
+}
+
+TEST_F(Outbound, A421WithoutAConditionIsOfAnotherUpstreamAtTheAddress)
+{
+    EXPECT_EQ(outcome_on_new(answer("421", id_field("a2") + kNotRun)),
+              "misdirected");
+}
+
 TEST_F(LateRefusal, InTheSameReadAsTheEndOfAnAnswerEndsTheConnection)
 {
     // The next request is sent as soon as the answer is complete.
--- a/tests/unit/outpeer_test.cc
+++ b/tests/unit/outpeer_test.cc
@@ -255,7 +255,7 @@
     write(accept_one(), answer(421, ""));
     event = end();
     EXPECT_EQ(CQ_EV_FAILED, event.kind);
-    EXPECT_EQ(CQ_FAIL_LEAVING, event.attempt.failure);
+    EXPECT_EQ(CQ_FAIL_MISDIRECTED, event.attempt.failure);
 }
 
 TEST_F(OutboundTest, AnAnswerOfAPeerThatIsNotForThisCallIsBroken)
