Bring the arrays of candidates up to date before a cut host hands over

What could be seen: nothing yet in a log; read in the code by the review. A host that is cut off gives silent attempts up for a peer in the first step of placement, which reads the services' arrays of candidates.

The arrays are brought up to date first.

Evidence: Reach.ACutHostDoesntReadAnUpstreamThatTheSameTickHasFreed, sanitizer build, before: "heap-use-after-free ... in any_takes_work packages/core/attempt.c:201"; after: all of reach_test pass.

--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -101,9 +101,22 @@
     }
 }
 
+/* The arrays may name upstreams that a sweep has freed. */
+static void
+update_candidates(cq_core_t *core)
+{
+    for (guint i = 0; i < core->services->len; i++) {
+        cq_service_t *service = g_ptr_array_index(core->services, i);
+        if (service->rules != NULL && service->candidates_stale) {
+            cq_place_update_candidates(core, service);
+        }
+    }
+}
+
 static void
 place_waiting(cq_core_t *core)
 {
+    update_candidates(core);
     cq_handoff_queued(core);
     for (guint i = 0; i < core->services->len; i++) {
         cq_service_t *service = g_ptr_array_index(core->services, i);
--- a/tests/unit/reach_test.cc
+++ b/tests/unit/reach_test.cc
@@ -290,4 +290,47 @@
     EXPECT_TRUE(stopped);
 }
 
+// An upstream whose entry lapsed in an outage of the store is still in the
+// arrays of candidates when the sweep frees it, and an attempt that is silent
+// for too long was given up for a peer in the same tick.
+TEST_F(Reach, ACutHostDoesntReadAnUpstreamThatTheSameTickHasFreed)
+{
+    start(4, 1);
+    cq_upstream_view_t view;
+    auto drop_row = [&](const char *name) {
+        for (auto row = rows.begin(); row != rows.end(); ++row) {
+            if (std::string(row->name) == name) {
+                rows.erase(row);
+                break;
+            }
+        }
+        send_host_list();
+    };
+    drop_row("q3");
+    while (cq_core_upstream(core, cq_ident_hash("q3"), &view)) {
+        advance(10 * kMs);
+    }
+    gint64 sweep_us = now_us + 2 * kSecond;
+    advance(sweep_us - 310 * kMs - now_us);
+    peer_says("h1", FALSE);
+    guint64 id = submit(1, 3 * kSecond, 0, "p");
+    attempt_event(id, CQ_EV_SENT);
+    cut();
+    for (bool up : {true, false, true}) {
+        cq_event_t event = {};
+        event.kind = CQ_EV_LOG;
+        event.log_up = up;
+        step(event);
+    }
+    guint64 used = last_send(id)->upstream;
+    drop_row(used == cq_ident_hash("p0") ? "p1" : "p0");
+    guint64 freed = cq_ident_hash(used == cq_ident_hash("p0") ? "p1" : "p0");
+    advance(300 * kMs);
+    EXPECT_EQ(hand_of(id), nullptr);
+    EXPECT_TRUE(cq_core_upstream(core, freed, &view));
+    advance(10 * kMs);
+    EXPECT_NE(hand_of(id), nullptr);
+    EXPECT_FALSE(cq_core_upstream(core, freed, &view));
+}
+
 } // namespace
