A part of the configuration that can't be read no longer hides the rest

What callers saw: after a version with a team whose name has 64 bytes or more, a key that this version took away went on working, at all hosts, for good; new routes and teams of that version didn't exist. The same with one route without a host, a service without a name, a number out of range or a limit of -1. And a version that left no key at all opened every route to callers without a key.

Cause: the first part that couldn't be read made the whole record invalid. Keys were needed only if there was at least one.

Now what can't be read is left out, element by element and member by member, with a line record_part_ignored for each of the first 16, and the rest is in force. Once there are teams, a key is needed, whether or not one can be read.

--- a/packages/config/routes.h
+++ b/packages/config/routes.h
@@ -67,6 +67,10 @@
  * @all: array of cq_route_t*, owned
  * @by_host: host name to GPtrArray of its routes, longest prefix first
  * @team_by_key: API key to team name
+ * @needs_key: there are teams, so routes that aren't public need an API key,
+ *   also if no team or key could be read
+ * @left_out: what could not be read, as texts; the first few
+ * @left_out_count: how much could not be read
  * @rules: array of cq_rules_t*, one per service
  * @head_bytes_max: longest head of a request
  * @body_bytes_max: longest body of a request
@@ -78,6 +82,9 @@
     GPtrArray *all;
     GHashTable *by_host;
     GHashTable *team_by_key;
+    gboolean needs_key;
+    GPtrArray *left_out;
+    guint left_out_count;
     GPtrArray *rules;
     gsize head_bytes_max;
     gsize body_bytes_max;
--- a/packages/router/catalog.c
+++ b/packages/router/catalog.c
@@ -10,6 +10,18 @@
     gboolean rows_changed; /* since the last HOSTS event */
 };
 
+static void
+log_left_out(const cq_catalog_t *catalog, const cq_routes_t *routes)
+{
+    for (guint i = 0; i < routes->left_out->len; i++) {
+        cq_app_log(catalog->app, "record_part_ignored",
+                   "topic=config version=%" G_GUINT64_FORMAT
+                   " part=%u of=%u why=\"%s\"",
+                   routes->version, i + 1, routes->left_out_count,
+                   (const char *)g_ptr_array_index(routes->left_out, i));
+    }
+}
+
 /* Ignores a configuration whose version is not newer than the current one. */
 static void
 apply_config(cq_catalog_t *catalog, const cq_store_record_t *record)
@@ -41,6 +53,7 @@
                "version=%" G_GUINT64_FORMAT
                " routes=%u offset=%" G_GUINT64_FORMAT,
                routes->version, routes->all->len, record->offset);
+    log_left_out(catalog, routes);
     if (old != NULL) {
         cq_routes_free(old);
     }
--- a/packages/router/relay.c
+++ b/packages/router/relay.c
@@ -102,8 +102,7 @@
     if (fields->key != NULL) {
         team = cq_routes_team_by_key(relay->routes, fields->key);
     }
-    if (team == NULL && (route->is_public ||
-                         g_hash_table_size(relay->routes->team_by_key) == 0)) {
+    if (team == NULL && (route->is_public || !relay->routes->needs_key)) {
         return "";
     }
     return team;
