--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -95,8 +95,8 @@
 {
     abort_call(call);
     cq_event_t event = {.attempt = {.failure = CQ_FAIL_REFUSED}};
-    if (reply->misdirected) {
-        event.attempt.failure = CQ_FAIL_LEAVING;
+    if (reply->misdirected && !call->conditional) {
+        event.attempt.failure = CQ_FAIL_MISDIRECTED;
     }
     if (reply->at_fault != NULL) {
         g_strlcpy(event.attempt.at_fault, reply->at_fault,
@@ -412,6 +412,7 @@
     call->events.resumes = spec->last_event >= 0;
     call->to_peer = spec->to_peer;
     call->runs_once = spec->fresh;
+    call->conditional = spec->conditional;
     add_call(outbound, call);
     gboolean may_reuse = !spec->fresh && spec->attempt_id != NULL;
     cq_outconn_t *conn =
--- a/packages/router/outboundstate.h
+++ b/packages/router/outboundstate.h
@@ -41,6 +41,7 @@
  * @on_kept_conn: the connection was kept from an earlier request
  * @to_peer: the call is to another entry host, not to an upstream
  * @runs_once: the request must not be repeated
+ * @conditional: the caller names a condition
  * @events: the answer as a stream; its @whole is the body of any other one
  * @older: an earlier attempt of the request that goes on beside it, or NULL
  */
@@ -60,6 +61,7 @@
     gboolean on_kept_conn;
     gboolean to_peer;
     gboolean runs_once;
+    gboolean conditional;
     cq_events_t events;
     cq_outcall_t *older;
 };
