Find an engine that went dark before TCP does, if others hold memory for it (LEAK)

An attempt that holds memory on other engines gets no second attempt beside it, so that nothing but TCP ended it. Now, if its upstream has sent nothing for 2 s, a new connection to it is opened; if that is neither taken nor refused within a second, the attempt ends and the memory is released, a second before the bound. An engine that takes or refuses the connection keeps its attempt.

HeldMemory.IsReleasedSoonAfterTheDecodingEngineWentDark and IsKeptWhileTheDecodingEngineTakesConnections are new; without the change no connection is asked for.

--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -7,6 +7,7 @@
 #include "core/group.h"
 #include "core/handoff.h"
 #include "core/admission.h"
+#include "core/alive.h"
 #include "core/lease.h"
 #include "core/lending.h"
 #include "core/load.h"
@@ -345,6 +346,7 @@
         break;
     case CQ_EV_REACHED:
         cq_reach_apply(core, &event->reached);
+        cq_alive_reached(core, &event->reached);
         break;
     }
 }
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -471,10 +471,12 @@
  * struct cq_ev_reached_t - result of REACH
  * @upstream: the upstream's id
  * @opened: a connection to it opened in time
+ * @timed_out: it did not even refuse the connection in time
  */
 typedef struct {
     guint64 upstream;
     gboolean opened;
+    gboolean timed_out;
 } cq_ev_reached_t;
 
 /**
--- a/packages/core/reach.c
+++ b/packages/core/reach.c
@@ -25,13 +25,9 @@
 static void
 send_probe(cq_core_t *core, const cq_upstream_t *upstream)
 {
-    core->reach.probes_out++;
     core->reach.opened = FALSE;
     core->reach.probed_us = core->now_us;
-    cq_action_t action = {.kind = CQ_AC_REACH};
-    action.reach.upstream = upstream->id;
-    action.reach.timeout_us = PROBE_TIMEOUT_US;
-    cq_actions_add(core->actions, &action);
+    cq_reach_ask(core, upstream, PROBE_TIMEOUT_US);
 }
 
 static gboolean
@@ -151,6 +147,16 @@
                 (core->now_us - since_us) / CQ_MS_US);
 }
 
+void
+cq_reach_ask(cq_core_t *core, const cq_upstream_t *upstream, gint64 timeout_us)
+{
+    core->reach.probes_out++;
+    cq_action_t action = {.kind = CQ_AC_REACH};
+    action.reach.upstream = upstream->id;
+    action.reach.timeout_us = timeout_us;
+    cq_actions_add(core->actions, &action);
+}
+
 gboolean
 cq_reach_is_cut(const cq_core_t *core)
 {
--- a/packages/core/watchdog.c
+++ b/packages/core/watchdog.c
@@ -1,5 +1,6 @@
 #include "core/watchdog.h"
 
+#include "core/alive.h"
 #include "core/answer.h"
 #include "core/group.h"
 #include "core/hedge.h"
@@ -107,6 +108,7 @@
         return;
     }
     if (rules->progress_timeout_us > 0) {
+        cq_alive_check(core, request);
         check_progress(core, request);
         return;
     }
--- a/packages/router/reachprobe.c
+++ b/packages/router/reachprobe.c
@@ -20,11 +20,14 @@
 } probe_t;
 
 static void
-post(const cq_reachprobe_t *reachprobe, guint64 upstream, gboolean opened)
+post(const cq_reachprobe_t *reachprobe, guint64 upstream, gboolean opened,
+     gboolean timed_out)
 {
     cq_event_t event = {
         .kind = CQ_EV_REACHED,
-        .reached = {.upstream = upstream, .opened = opened},
+        .reached = {.upstream = upstream,
+                    .opened = opened,
+                    .timed_out = timed_out},
     };
     reachprobe->ops.post(&event, reachprobe->ops.data);
 }
@@ -41,18 +44,18 @@
 
 /* The event may start another probe, so this one is freed before. */
 static void
-finish(probe_t *probe, gboolean opened)
+finish(probe_t *probe, gboolean opened, gboolean timed_out)
 {
     cq_reachprobe_t *reachprobe = probe->reachprobe;
     guint64 upstream = probe->upstream;
     probe_free(probe);
-    post(reachprobe, upstream, opened);
+    post(reachprobe, upstream, opened, timed_out);
 }
 
 static void
 on_opened(void *data)
 {
-    finish(data, TRUE);
+    finish(data, TRUE, FALSE);
 }
 
 /* Not reached: the connection is closed as soon as it opens. */
@@ -68,13 +71,13 @@
 on_ended(void *data, cq_sock_end_t how)
 {
     (void)how;
-    finish(data, FALSE);
+    finish(data, FALSE, FALSE);
 }
 
 static gboolean
 on_timeout(gpointer data)
 {
-    finish(data, FALSE);
+    finish(data, FALSE, TRUE);
     return G_SOURCE_REMOVE;
 }
 
@@ -101,7 +104,7 @@
                    const char *addr)
 {
     if (addr == NULL || reachprobe->probes_len == CQ_REACH_PROBES_MAX) {
-        post(reachprobe, reach->upstream, FALSE);
+        post(reachprobe, reach->upstream, FALSE, FALSE);
         return;
     }
     probe_t *probe = g_new0(probe_t, 1);
--- a/tests/unit/hedge_test.cc
+++ b/tests/unit/hedge_test.cc
@@ -216,6 +216,71 @@
     EXPECT_EQ(last_send(id)->attempt, 2u);
 }
 
+// A prompt larger than one engine's memory; another engine holds a part of it.
+class HeldMemory : public Hedge {
+  protected:
+    void
+    start_prompt()
+    {
+        start_core(12);
+        id = submit_long(500000);
+        advance(20 * kMs);
+        cq_event_t event = {};
+        event.kind = CQ_EV_RESERVED;
+        event.reserved.request = id;
+        event.reserved.upstream = engines_in(CQ_AC_RESERVE).at(0);
+        event.reserved.granted = TRUE;
+        step(event);
+        attempt_event(id, CQ_EV_SENT);
+    }
+    void
+    reached(gboolean opened, gboolean timed_out)
+    {
+        cq_event_t event = {};
+        event.kind = CQ_EV_REACHED;
+        event.reached.upstream = last_send(id)->upstream;
+        event.reached.opened = opened;
+        event.reached.timed_out = timed_out;
+        step(event);
+    }
+    guint
+    connections_asked()
+    {
+        guint asked = 0;
+        for (const cq_action_t &action : all_actions) {
+            asked += action.kind == CQ_AC_REACH &&
+                     action.reach.upstream == last_send(id)->upstream;
+        }
+        return asked;
+    }
+    guint64 id = 0;
+};
+
+TEST_F(HeldMemory, IsReleasedSoonAfterTheDecodingEngineWentDark)
+{
+    start_prompt();
+    advance(2100 * kMs);
+    EXPECT_EQ(connections_asked(), 1u);
+    advance(kSecond);
+    reached(FALSE, TRUE);
+    EXPECT_EQ(engines_in(CQ_AC_RELEASE).size(), 1u);
+    EXPECT_EQ(stops_of(id, 1), 1u);
+}
+
+TEST_F(HeldMemory, IsKeptWhileTheDecodingEngineTakesConnections)
+{
+    start_prompt();
+    advance(2100 * kMs);
+    reached(TRUE, FALSE);
+    advance(1100 * kMs);
+    reached(FALSE, FALSE);
+    EXPECT_EQ(engines_in(CQ_AC_RELEASE).size(), 0u);
+    attempt_event(id, CQ_EV_TOKENS);
+    advance(900 * kMs);
+    reached(FALSE, TRUE);
+    EXPECT_EQ(engines_in(CQ_AC_RELEASE).size(), 0u) << "it is not quiet";
+}
+
 // Events of both attempts in every order: the caller gets the events of one
 // attempt at a time, never of one that was stopped, and one answer.
 TEST_F(Hedge, EventsOfTwoAttemptsAreNeverJoinedOutOfTurn)
