A request returns to the only upstream of its service, and not at once

Callers of a service with one upstream had a call sent again in the step in which the upstream refused it, or, when a connection to it had not opened, had it waiting for another upstream that doesn't exist until their time was over.

A request that only the upstream that refused it can take now returns there 200 ms later, and lets the others of its team pass meanwhile. One whose connection didn't open waits until that upstream is used again, if that is within its time and no other upstream is usable by then.

The time line of the scenario deadline has the second try at 10.01 s, when the upstream is used again; its expectations hold as they stand.

--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -18,6 +18,9 @@
 /* Attempts allowed beyond attempts_max, in place of those that never reached
  * their upstream. */
 #define CONNECT_FAILURES_MAX 2
+/* A request that only the upstream that refused it can take returns there
+ * after this time. */
+#define RETURN_DELAY_US (200 * CQ_MS_US)
 /* After a broken attempt an upstream gets no new work for a second. The time
  * doubles with each further one in a row, but at most SUSPECT_DOUBLINGS_MAX
  * times, and only while another upstream can take its work. */
@@ -311,6 +314,9 @@
     if (!blocked && may_run_again(request, failure) &&
         cq_member_usable_in_time(core, request) &&
         retry_budget_allows(core, request, failure)) {
+        if (refused && request->last_failed == 0) {
+            request->ready_us = core->now_us + RETURN_DELAY_US;
+        }
         requeue(core, request);
         return;
     }
--- a/packages/core/flow.c
+++ b/packages/core/flow.c
@@ -103,6 +103,20 @@
     queue->virtual_time = MAX(queue->virtual_time, request->start_tag);
 }
 
+/* Return: the first request of @flow that may be placed now, or NULL. */
+static cq_request_t *
+first_ready(const cq_flow_t *flow, gint64 now_us)
+{
+    const cq_list_t *link = flow->requests.next;
+    for (; link != &flow->requests; link = link->next) {
+        cq_request_t *request = CQ_ENTRY(link, cq_request_t, queue_link);
+        if (request->ready_us <= now_us) {
+            return request;
+        }
+    }
+    return NULL;
+}
+
 cq_request_t *
 cq_flow_next(const cq_class_queue_t *queue, double after, gint64 now_us)
 {
@@ -110,14 +124,12 @@
     const cq_list_t *link = queue->active_flows.next;
     for (; link != &queue->active_flows; link = link->next) {
         cq_flow_t *flow = CQ_ENTRY(link, cq_flow_t, active_link);
-        cq_request_t *head =
-            CQ_ENTRY(flow->requests.next, cq_request_t, queue_link);
-        gboolean is_later = head->finish_tag > after;
-        if (!is_later || head->ready_us > now_us) {
+        cq_request_t *first = first_ready(flow, now_us);
+        if (first == NULL || first->finish_tag <= after) {
             continue;
         }
-        if (best == NULL || head->finish_tag < best->finish_tag) {
-            best = head;
+        if (best == NULL || first->finish_tag < best->finish_tag) {
+            best = first;
         }
     }
     return best;
--- a/packages/core/watchdog.c
+++ b/packages/core/watchdog.c
@@ -156,10 +156,12 @@
         cq_answer_outcome(core, request, CQ_OUTCOME_RATE_LIMITED);
         return;
     }
-    if (request->service->rules->kind == CQ_SERVICE_PLAIN &&
-        !cq_member_usable_in_time(core, request)) {
-        cq_answer_outcome(core, request, CQ_OUTCOME_NO_UPSTREAM);
-        return;
+    if (request->service->rules->kind == CQ_SERVICE_PLAIN) {
+        cq_member_allow_last_failed(core, request);
+        if (!cq_member_usable_in_time(core, request)) {
+            cq_answer_outcome(core, request, CQ_OUTCOME_NO_UPSTREAM);
+            return;
+        }
     }
     if (request->service->rules->kind == CQ_SERVICE_BATCH) {
         check_late(core, request);
