Callers of the stand-in: streams in order, another key, an end on SIGTERM

A stream of 2xx whose events don't have the ids from 1 to the number asked for is logged as 'disorder'; before, callers took any whole answer as served.

--- a/tests/standin/callers.c
+++ b/tests/standin/callers.c
@@ -10,8 +10,14 @@
  *
  * RESULT is `served` for a complete answer with a status of 2xx, the status of
  * another complete answer, `cut` for an incomplete answer, `unread` for a
- * connection that ended without any, `refused`, or `late`. A request at_ms is
- * when it was sent, MS how long it took. */
+ * connection that ended without any, `refused`, `late`, or `disorder` for a
+ * stream of 2xx whose events don't have the ids from 1 to the number that the
+ * path asks for, in order. A request at_ms is when it was sent, MS how long it
+ * took. On SIGTERM no more are sent, and the program ends when all are
+ * answered.
+ */
+#include <glib-unix.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -24,6 +30,9 @@
 #define GRACE_MS 1000
 #define SERVED_STATUS_CLASS 2
 #define STATUSES_PER_CLASS 100
+#define DEFAULT_KEY "secret-1"
+#define STREAM_PART "/stream/"
+#define DEFAULT_EVENTS 10
 
 typedef struct {
     const fleet_options_t *options;
@@ -32,6 +41,7 @@
     char **kinds;
     guint sent;
     guint in_flight;
+    gboolean ending;
 } callers_t;
 
 /* idle: connections without a request
@@ -48,6 +58,9 @@
 /* A caller's connection, with at most one request at a time.
  * path: of the request; NULL: there is none
  * status: of its answer; 0: no head yet
+ * line: of the answer's stream, not yet ended
+ * events: ids of the stream received in order
+ * disordered: another id was received
  * timer: of the request */
 typedef struct {
     host_t *host;
@@ -60,6 +73,9 @@
     gboolean keep_alive;
     gboolean done;
     int status;
+    GString *line;
+    gint64 events;
+    gboolean disordered;
     gint64 sent_at_ms;
     gint64 sent_us;
     guint timer;
@@ -89,6 +105,7 @@
     caller->host->idle = g_list_remove(caller->host->idle, caller);
     cq_sock_abort(caller->sock);
     cq_h1_free(caller->parser);
+    g_string_free(caller->line, TRUE);
     g_free(caller);
 }
 
@@ -100,12 +117,51 @@
     caller->keep_alive = head->keep_alive;
 }
 
+static gboolean
+is_served_stream(const caller_t *caller)
+{
+    return caller->status / STATUSES_PER_CLASS == SERVED_STATUS_CLASS &&
+           caller->path != NULL && strstr(caller->path, STREAM_PART) != NULL;
+}
+
+static void
+note_line(caller_t *caller)
+{
+    const char *text = caller->line->str;
+    if (g_str_has_prefix(text, "id: ")) {
+        caller->events++;
+        caller->disordered |=
+            g_ascii_strtoll(text + strlen("id: "), NULL, 10) != caller->events;
+    }
+    g_string_truncate(caller->line, 0);
+}
+
 static void
 on_body(void *data, const char *bytes, gsize len)
 {
-    (void)data;
-    (void)bytes;
-    (void)len;
+    caller_t *caller = data;
+    for (gsize i = 0; i < len && is_served_stream(caller); i++) {
+        if (bytes[i] == '\n') {
+            note_line(caller);
+        }
+        else {
+            g_string_append_c(caller->line, bytes[i]);
+        }
+    }
+}
+
+/* Return: whether the answer so far is no stream, or one without a gap;
+ * @whole: it has ended. */
+static gboolean
+is_in_order(const caller_t *caller, gboolean whole)
+{
+    if (!is_served_stream(caller)) {
+        return TRUE;
+    }
+    const char *query = strchr(caller->path, '?');
+    gint64 wanted = standin_query_number(query != NULL ? query + 1 : "", "n",
+                                         DEFAULT_EVENTS);
+    return !caller->disordered && (!whole || caller->events == wanted);
 }
 
 static void
@@ -118,7 +174,8 @@
     }
     caller->done = TRUE;
     g_snprintf(status, sizeof status, "%d", caller->status);
-    finish(caller, caller->status / STATUSES_PER_CLASS == SERVED_STATUS_CLASS
+    finish(caller, !is_in_order(caller, TRUE) ? "disorder"
+                   : caller->status / STATUSES_PER_CLASS == SERVED_STATUS_CLASS
                        ? "served"
                        : status);
 }
@@ -154,9 +211,10 @@
         cq_h1_connection_closed(caller->parser);
     }
     if (caller->path != NULL) {
-        finish(caller, how == CQ_SOCK_REFUSED ? "refused"
-                       : caller->status != 0  ? "cut"
-                                              : "unread");
+        finish(caller, how == CQ_SOCK_REFUSED        ? "refused"
+                       : !is_in_order(caller, FALSE) ? "disorder"
+                       : caller->status != 0         ? "cut"
+                                                     : "unread");
     }
     free_caller(caller);
 }
@@ -165,7 +223,7 @@
 on_late(gpointer data)
 {
     caller_t *caller = data;
-    finish(caller, "late");
+    finish(caller, is_in_order(caller, FALSE) ? "late" : "disorder");
     free_caller(caller);
     return G_SOURCE_CONTINUE;
 }
@@ -185,6 +243,7 @@
     };
     caller->host = host;
     caller->kept = kept;
+    caller->line = g_string_new(NULL);
     caller->parser = cq_h1_new(&options);
     caller->sock = cq_sock_connect(host->addr, &ops);
     return caller;
@@ -204,20 +263,26 @@
     caller->number = ++callers->sent;
     caller->status = 0;
     caller->done = FALSE;
+    g_string_truncate(caller->line, 0);
+    caller->events = 0;
+    caller->disordered = FALSE;
     caller->sent_at_ms = g_get_real_time() / CQ_MS_US;
     caller->sent_us = g_get_monotonic_time();
     caller->timer = g_timeout_add(TIME_LIMIT_MS + GRACE_MS, on_late, caller);
     callers->in_flight++;
     char own[32];
     g_snprintf(own, sizeof own, "body %u", caller->number);
-    const char *body = callers->options->body;
+    const fleet_options_t *asked = callers->options;
+    const char *body = asked->body;
     body = !posts ? "" : body != NULL ? body : own;
     char *text = g_strdup_printf(
         "%s %s HTTP/1.1\r\nHost: fleet.example\r\n"
-        "Cuminquay-Credential: secret-1\r\nCuminquay-Attempt-Id: %s%u\r\n"
-        "Cuminquay-Deadline-Ms: %d\r\nContent-Length: %zu\r\n\r\n%s",
-        posts ? "POST" : "GET", caller->path, callers->options->name,
-        caller->number, TIME_LIMIT_MS, strlen(body), body);
+        "Cuminquay-Credential: %s\r\nCuminquay-Attempt-Id: %s%u\r\n"
+        "%s%sCuminquay-Deadline-Ms: %d\r\nContent-Length: %zu\r\n\r\n%s",
+        posts ? "POST" : "GET", caller->path,
+        asked->key != NULL ? asked->key : DEFAULT_KEY, asked->name,
+        caller->number, asked->field != NULL ? asked->field : "",
+        asked->field != NULL ? "\r\n" : "", TIME_LIMIT_MS, strlen(body), body);
     cq_h1_set_request_method(caller->parser, posts ? "POST" : "GET");
     cq_sock_write(caller->sock, text, strlen(text));
     g_free(text);
@@ -245,6 +310,14 @@
     return G_SOURCE_REMOVE;
 }
 
+static gboolean
+on_sigterm(gpointer data)
+{
+    callers_t *callers = data;
+    callers->ending = TRUE;
+    return G_SOURCE_CONTINUE;
+}
+
 gboolean
 fleet_callers(const fleet_options_t *options)
 {
@@ -267,7 +340,8 @@
         guint offset_ms = (guint)options->every_ms * i / callers->hosts->len;
         host->timer = g_timeout_add(offset_ms, on_first_round, host);
     }
-    while (g_get_monotonic_time() < end_us) {
+    g_unix_signal_add(SIGTERM, on_sigterm, callers);
+    while (!callers->ending && g_get_monotonic_time() < end_us) {
         g_main_context_iteration(NULL, TRUE);
     }
     for (guint i = 0; i < callers->hosts->len; i++) {
--- a/tests/standin/fleet.h
+++ b/tests/standin/fleet.h
@@ -28,6 +28,8 @@
  * @kinds: callers: paths of the requests sent at the same moment to each host,
  *   separated by commas; `+` before a path means POST
  * @body: callers: body of the POST requests; NULL: each has its own
+ * @key: callers: key of the requests; NULL: that of the tests' configuration
+ * @field: callers: a header line that each request has; NULL: none
  * @every_ms: callers: time between two such moments
  * @for_ms: callers: time after which no more are sent
  */
@@ -41,6 +43,8 @@
     char *ports;
     char *kinds;
     char *body;
+    char *key;
+    char *field;
     int every_ms;
     int for_ms;
 } fleet_options_t;
--- a/tests/standin/fleet_main.c
+++ b/tests/standin/fleet_main.c
@@ -32,6 +32,8 @@
         {"ports", 0, 0, G_OPTION_ARG_STRING, &options.ports, "", NULL},
         {"kinds", 0, 0, G_OPTION_ARG_STRING, &options.kinds, "", NULL},
         {"body", 0, 0, G_OPTION_ARG_STRING, &options.body, "", NULL},
+        {"key", 0, 0, G_OPTION_ARG_STRING, &options.key, "", NULL},
+        {"field", 0, 0, G_OPTION_ARG_STRING, &options.field, "", NULL},
         {"every-ms", 0, 0, G_OPTION_ARG_INT, &options.every_ms, "", NULL},
         {"for-ms", 0, 0, G_OPTION_ARG_INT, &options.for_ms, "", NULL},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
