Drill of an upgrade: four hosts replaced one after the other, and back

Judged from the lines of callers and upstreams: LOST, TWICE, REFUSED, ORDER, MIXED, DENIED, CONFIG, DRAIN.

--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -52,10 +52,10 @@
     wait_for_http "http://$HOSTS_ADDR/hosts"
 }
 
-# start_host NAME: starts an entry host with the settings in NAME.toml; its
-# process id is in PID_<NAME>
+# start_host NAME: starts an entry host, HOST_PROGRAM, with the settings in
+# NAME.toml; its process id is in PID_<NAME>
 start_host() {
-    "$BUILD/cuminquay" --settings "$DIR/$1.toml" >>"$DIR/$1.log" 2>&1 &
+    "${HOST_PROGRAM:-$BUILD/cuminquay}" --settings "$DIR/$1.toml" >>"$DIR/$1.log" 2>&1 &
     PIDS="$PIDS $!"
     eval "PID_$1=$!"
 }
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -64,7 +64,7 @@
     relay relaywake relaypeers relayreads relayreaders relaybulk relayleft relayendless relayleaving relaymany \
     relayoutage relayremoved relaylostpoll relaypoison relaypoisonkept relaycells relayera relaylimit relaycrashcall relaycrashkept relayidlechange relaystop \
     relayrefusalagain relaybrokenstream \
-    relaycut relaycutall relaycutmost relayoddentries; do
+    relaycut relaycutall relaycutmost relayoddentries relayupgrade; do
     run_script "tests/proc/$script.sh"
 done
 
