Send retractions apart from reports that earlier versions know

Hosts before reject a whole message in which one report on a prompt part is of a kind that they don't know. A host of this version that had taken crashes back put these reports into one message with crashes and answers, also into the one that a new peer gets with all that is blocked: during an upgrade, an older host that linked got no blocked part from it.

Each message now has reports of kinds that were added together; their order stays. No field for a version is needed: what an older host rejects is what it couldn't use. Generated code: comments only.

--- a/packages/router/partsync.c
+++ b/packages/router/partsync.c
@@ -22,11 +22,12 @@
 send_reports(cq_partsync_t *sync, cq_links_scope_t scope,
              const GArray *reports)
 {
-    if (reports->len > 0) {
-        GBytes *frame = cq_codec_encode_parts(rows_of(reports), reports->len);
-        cq_links_send_frame(sync->links, scope, own_zone(sync), frame);
-        g_bytes_unref(frame);
+    GPtrArray *frames = cq_codec_encode_parts(rows_of(reports), reports->len);
+    for (guint i = 0; i < frames->len; i++) {
+        cq_links_send_frame(sync->links, scope, own_zone(sync),
+                            g_ptr_array_index(frames, i));
     }
+    g_ptr_array_unref(frames);
 }
 
 cq_partsync_t *
@@ -67,11 +68,11 @@
 {
     GArray *reports = g_array_new(FALSE, FALSE, sizeof(cq_part_report_t));
     cq_core_part_reports(cq_app_core(sync->app), reports);
-    if (reports->len > 0) {
-        GBytes *frame = cq_codec_encode_parts(rows_of(reports), reports->len);
-        cq_link_send(link, frame);
-        g_bytes_unref(frame);
+    GPtrArray *frames = cq_codec_encode_parts(rows_of(reports), reports->len);
+    for (guint i = 0; i < frames->len; i++) {
+        cq_link_send(link, g_ptr_array_index(frames, i));
     }
+    g_ptr_array_unref(frames);
     g_array_unref(reports);
 }
 
--- a/packages/wire/codec.c
+++ b/packages/wire/codec.c
@@ -281,10 +281,24 @@
     to->age_us = (guint64)report->age_us;
 }
 
-GBytes *
-cq_codec_encode_parts(const cq_part_report_t *rows, guint len)
+/* Return: the same number for kinds that were added together. */
+static guint
+generation_of(cq_part_report_kind_t kind)
+{
+    switch (kind) {
+    case CQ_PART_CRASHED:
+    case CQ_PART_ANSWERED:
+        return 0;
+    case CQ_PART_RETRACTED:
+    case CQ_PART_CONFIRMED:
+        return 1;
+    }
+    g_assert_not_reached();
+}
+
+static GBytes *
+pack_reports(const cq_part_report_t *rows, guint len)
 {
-    g_assert(len <= CQ_PART_REPORTS_MAX);
     Cq__PartReport *reports = g_new(Cq__PartReport, len);
     Cq__PartReport **report_ptrs = g_new(Cq__PartReport *, len);
     for (guint i = 0; i < len; i++) {
@@ -303,6 +317,23 @@
     return bytes;
 }
 
+GPtrArray *
+cq_codec_encode_parts(const cq_part_report_t *rows, guint len)
+{
+    g_assert(len <= CQ_PART_REPORTS_MAX);
+    GPtrArray *frames =
+        g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
+    guint first = 0;
+    for (guint i = 1; i <= len; i++) {
+        if (i == len ||
+            generation_of(rows[i].kind) != generation_of(rows[first].kind)) {
+            g_ptr_array_add(frames, pack_reports(&rows[first], i - first));
+            first = i;
+        }
+    }
+    return frames;
+}
+
 char *
 cq_codec_format_part_record(const cq_part_record_t *record, gint64 unix_us)
 {
--- a/packages/wire/codec.h
+++ b/packages/wire/codec.h
@@ -54,9 +54,11 @@
 GBytes *
 cq_codec_encode_entry(const cq_config_entry_t *entry);
 
-/** cq_codec_encode_parts() - Return: a frame with @len reports on parts of
- * prompts, at most CQ_PART_REPORTS_MAX */
-GBytes *
+/** cq_codec_encode_parts() - Return: frames (GBytes) with @len reports on
+ * parts of prompts, at most CQ_PART_REPORTS_MAX, in their order. A kind of
+ * report that was added later never shares a frame with earlier kinds, as a
+ * host that doesn't know it rejects the whole frame. Unref the array */
+GPtrArray *
 cq_codec_encode_parts(const cq_part_report_t *rows, guint len);
 
 /** cq_codec_format_part_record() - Return: @record as text, written at
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -322,7 +322,10 @@
 
 
 /*
- * Crashes of upstreams under requests with a part, and answers on suspects.
+ * Crashes of upstreams under requests with a part, answers on suspects, and
+ * crashes that are taken back. Kinds of reports that were added at different
+ * times are sent in messages of their own: a receiver rejects a whole message
+ * with a kind that it doesn't know.
  */
 struct  Cq__PartReports
 {
