--- a/tests/proc/relayupgrade.sh
+++ b/tests/proc/relayupgrade.sh
@@ -34,10 +34,4 @@
 kill -TERM $CHANGES_PID
 wait $CHANGES_PID 2>/dev/null
 end_callers
-# shellcheck disable=SC2086
-verdict_of $NAMES >"$DIR/verdict"
-grep -v "^broken" "$DIR/verdict"
-grep "^broken" "$DIR/verdict" | sed 's/:.*//' | sort | uniq -c
-[ -z "$KEEP" ] || cp -r "$DIR" "$KEEP"
-while read -r line; do note "$line"; done < <(grep "^broken" "$DIR/verdict" | head -20)
-end_notes
+end_drill
--- a/tests/proc/upgrade.awk
+++ b/tests/proc/upgrade.awk
@@ -1,7 +1,8 @@
 # Reads, in this order, the planned stops, the changes, the lines of upstreams
 # and those of callers (with "call " before each). Prints what callers saw, and
 # a line "broken RULE ..." for each request with which a rule was broken.
-# disturbed: "PORT FROM TO;..." hosts and times that LOST leaves out.
+# A line "trouble port=PORT from=TIME to=TIME" beside the stops is a time that
+# LOST leaves out at a host, or with port=all at all.
 
 # value of NAME= in the line
 function value(name,    i, n) {
@@ -49,6 +50,8 @@
     return 0
 }
 
+BEGIN { stops = troubles = 0 }
+
 /^h[0-9]+ port=/ {
     stop_port[stops] = value("port") + 0; stop_from[stops] = value("from") + 0; stop_to[stops] = value("to") + 0
     stop_ready[stops++] = value("ready") + 0
--- a/tests/proc/upgradelib.sh
+++ b/tests/proc/upgradelib.sh
@@ -139,11 +139,35 @@
     done
 }
 
-# verdict_of NAME...: prints what these callers saw, in the order of all_bounds;
-# the numbers after "broken" must be 0
+# rejected: prints the sum of what hosts rejected of their peers' messages
+rejected() {
+    local i
+    for i in $HOST_NUMBERS; do curl -sf "http://127.0.0.1:$(($(port_of "$i") + 1))/metrics"; done |
+        awk '/^cuminquay_(peer_frames_bad|peers_rejected|invariants_broken)_total / {n[$1] += $2}
+            END {for (k in n) printf "%s=%d ", k, n[k]}'
+}
+
+# verdict_of NAME...: prints what these callers saw, see upgrade.awk
 verdict_of() {
     local name
     for name in "$@"; do sed "s/^/call /" "$DIR/$name.calls"; done |
         cat "$STOPS_FILE" "$CHANGES_FILE" "$ARRIVALS_FILE" - |
         awk -v obey=$OBEY_MS -v slack=$READ_SLACK_MS -f tests/proc/upgrade.awk
 }
+
+# end_drill: fails if a rule was broken, or a failure was recorded; KEEP names a
+# folder that keeps what callers, hosts and upstreams wrote
+end_drill() {
+    local line counts
+    counts=$(rejected)
+    say "rejected by hosts: $counts"
+    case $counts in *peers_rejected_total=0*) ;; *) note "hosts rejected peers: $counts" ;; esac
+    case $counts in *invariants_broken_total=0*) ;; *) note "invariants were broken: $counts" ;; esac
+    # shellcheck disable=SC2086
+    verdict_of $NAMES >"$DIR/verdict"
+    grep -v "^broken" "$DIR/verdict"
+    grep "^broken" "$DIR/verdict" | sed 's/:.*//' | sort | uniq -c
+    [ -z "${KEEP:-}" ] || cp -r "$DIR" "$KEEP"
+    while read -r line; do note "$line"; done < <(grep "^broken" "$DIR/verdict" | head -20)
+    end_notes
+}
