--- a/tests/run.sh
+++ b/tests/run.sh
@@ -64,7 +64,7 @@
     relay relaywake relaypeers relayreads relayreaders relaybulk relayleft relayendless relaydescriptors relaybodies relayleaving relaymany \
     relayoutage relayremoved relaylostpoll relaypoison relaypoisonkept relaycells relayera relaylimit relaycrashcall relaycrashkept relayidlechange relaystop \
     relayrefusalagain relaybrokenstream relayversion relayteams \
-    relaycut relaycutall relaycutmost relayoddentries; do
+    relaycut relaycutall relaycutmost relayoddentries relayupgrade; relayoddentries; do
     run_script "tests/proc/$script.sh"
 done
 
