An order carried out late keeps memory for a second at most

A renewal that got no answer may be carried out after the memory was released; it then stayed set aside until the next release, 3 s later. A release that was answered is now followed by another one after 1 s while such an order is possible.

--- a/packages/router/reservations.c
+++ b/packages/router/reservations.c
@@ -9,7 +9,10 @@
 #define RESERVATION_MS 3000
 #define RENEW_INTERVAL_MS 1000
 #define RELEASE_RETRY_MS 500
-/* An order that got no answer is carried out within this time or never. */
+/* An order that got no answer is carried out within this time or never, and
+ * would set the memory aside for another RESERVATION_MS. Until then a release
+ * that was answered is followed by another one after RELEASE_AGAIN_MS. */
+#define RELEASE_AGAIN_MS 1000
 #define LATE_ORDER_MAX_MS 13000
 #define RESERVATION_ID_BYTES 40
 
@@ -120,7 +123,7 @@
     }
     reservation->uncertain = reservation->uncertain || !answered;
     gboolean all_answered = answered && reservation->in_flight == 0;
-    schedule(reservation, all_answered ? RESERVATION_MS : RELEASE_RETRY_MS);
+    schedule(reservation, all_answered ? RELEASE_AGAIN_MS : RELEASE_RETRY_MS);
 }
 
 static cq_reserve_call_t
