What arrived while a host stood still is read before time limits are judged

A host that got no processor between opening a connection and its next look at it could judge the connection's time limit (300 ms) in the same iteration of the main loop, and take an upstream that had accepted at once for unreachable. A tick in an iteration that has taken more than 50 ms is now put off to the next one, once in a row.

--- a/packages/router/tick.c
+++ b/packages/router/tick.c
@@ -2,11 +2,23 @@
 
 #include "base/limits.h"
 
+/* An iteration of the main loop that has taken this long has not yet read what
+ * arrived meanwhile. */
+#define STOOD_STILL_US (50 * CQ_MS_US)
+
 static gboolean
 on_timer(gpointer data)
 {
     cq_tick_t *tick = data;
+    gint64 iteration_us =
+        g_get_monotonic_time() - g_source_get_time(g_main_current_source());
     tick->timer = 0;
+    if (iteration_us > STOOD_STILL_US && !tick->postponed) {
+        tick->postponed = TRUE;
+        cq_tick_request(tick, 0);
+        return G_SOURCE_REMOVE;
+    }
+    tick->postponed = FALSE;
     tick->run(tick->data);
     /* No effect if run() has set an earlier tick or stopped the timer. */
     cq_tick_request(tick, CQ_IDLE_TICK_US);
--- a/packages/router/tick.h
+++ b/packages/router/tick.h
@@ -2,7 +2,8 @@
  * DOC: tick
  *
  * Timer of the core's ticks. A tick that needs to come earlier can be
- * requested; without a request the next one comes after CQ_IDLE_TICK_US.
+ * requested; without a request the next one comes after CQ_IDLE_TICK_US. If
+ * the process stood still, what has arrived meanwhile is read before a tick.
  */
 #ifndef CQ_TICK_H
 #define CQ_TICK_H
@@ -17,12 +18,14 @@
  * @data: passed to @run
  * @timer: id of the GLib source of the next tick, or 0
  * @delay_us: delay with which @timer was set
+ * @postponed: the last tick was put off to the next iteration of the main loop
  */
 typedef struct {
     void (*run)(void *data);
     void *data;
     guint timer;
     gint64 delay_us;
+    gboolean postponed;
 } cq_tick_t;
 
 /** cq_tick_start() - start ticks that call @run; the first one comes after
