An upstream id that passes to another service gets that service's requests

Cause: the list of hosts was read for the address, zone and state of a known upstream, not for its service.

The upstream is moved, unless the entry is of an older start, with a line service_changed. Attempts that run there go on. Bookings and reservations of requests of the first service on it are dropped, and placed anew.

--- a/packages/core/batchplace.c
+++ b/packages/core/batchplace.c
@@ -528,7 +528,7 @@
 static void
 update_booking(cq_core_t *core, cq_request_t *request)
 {
-    if (!cq_booking_usable(core, request->task) ||
+    if (!cq_booking_usable(core, request) ||
         cq_booking_superseded(request->task)) {
         cq_task_close(core, request);
     }
--- a/packages/core/booking.c
+++ b/packages/core/booking.c
@@ -69,11 +69,13 @@
 }
 
 gboolean
-cq_booking_usable(const cq_core_t *core, const cq_task_t *task)
+cq_booking_usable(const cq_core_t *core, const cq_request_t *request)
 {
+    const cq_task_t *task = request->task;
     for (guint i = 0; i < task->engines_len; i++) {
         if (!cq_place_usable(core, task->engines[i]) ||
-            task->engines[i]->rate.limited) {
+            task->engines[i]->rate.limited ||
+            task->engines[i]->service != request->service) {
             return FALSE;
         }
     }
--- a/packages/core/booking.h
+++ b/packages/core/booking.h
@@ -17,10 +17,10 @@
  * first, so the part would delay what was placed before. */
 #define CQ_BOOKING_PENDING_MAX_US (30 * CQ_MS_US)
 
-/** cq_booking_usable() - Return: whether all engines of @task still accept
- * work */
+/** cq_booking_usable() - Return: whether all engines that @request has booked
+ * still belong to its service and accept work */
 gboolean
-cq_booking_usable(const cq_core_t *core, const cq_task_t *task);
+cq_booking_usable(const cq_core_t *core, const cq_request_t *request);
 
 /** cq_booking_superseded() - Return: whether another task uses an engine of
  * the booked task @own at the same time and has precedence. Every host comes
--- a/packages/core/group.c
+++ b/packages/core/group.c
@@ -103,6 +103,25 @@
     return -1;
 }
 
+/* Whether the engines of the group, and those that prefill with it, still
+ * belong to the service of @request. */
+static gboolean
+in_service(const cq_request_t *request)
+{
+    const cq_task_t *task = request->task;
+    for (guint i = 0; i < request->group_len; i++) {
+        if (request->group[i]->service != request->service) {
+            return FALSE;
+        }
+    }
+    for (guint i = 0; task != NULL && i < task->engines_len; i++) {
+        if (task->engines[i]->service != request->service) {
+            return FALSE;
+        }
+    }
+    return TRUE;
+}
+
 void
 cq_group_reserved(cq_core_t *core, const cq_ev_reserved_t *event)
 {
@@ -114,7 +133,7 @@
     if (index < 0 || request->group_granted[index]) {
         return;
     }
-    if (!event->granted) {
+    if (!event->granted || !in_service(request)) {
         cq_group_back_off(core, request);
         return;
     }
--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -104,6 +104,13 @@
         upstream->ordered_model = 0;
         g_hash_table_remove_all(upstream->cached_prefixes);
     }
+    if (!g_str_equal(upstream->service->name, row->service)) {
+        cq_ring_add(&core->ring, core->now_us, 0, 0, "service_changed",
+                    "upstream=%s from=%s service=%s", upstream->name,
+                    upstream->service->name, row->service);
+        cq_table_move_upstream(upstream,
+                               cq_table_ensure_service(core, row->service));
+    }
     g_strlcpy(upstream->addr, row->addr, sizeof upstream->addr);
     g_strlcpy(upstream->zone, row->zone, sizeof upstream->zone);
     if (row->leaving) {
--- a/packages/core/table.c
+++ b/packages/core/table.c
@@ -181,6 +181,16 @@
     return upstream;
 }
 
+void
+cq_table_move_upstream(cq_upstream_t *upstream, cq_service_t *service)
+{
+    upstream->service->candidates_stale = TRUE;
+    cq_list_remove(&upstream->link);
+    upstream->service = service;
+    service->candidates_stale = TRUE;
+    cq_list_append(&service->upstreams, &upstream->link);
+}
+
 void
 cq_table_drop_upstream(cq_core_t *core, cq_upstream_t *upstream)
 {
--- a/packages/core/table.h
+++ b/packages/core/table.h
@@ -52,6 +52,11 @@
 cq_table_add_upstream(cq_core_t *core, cq_service_t *service,
                       const char *name);
 
+/** cq_table_move_upstream() - let @upstream belong to @service from now on;
+ * attempts that run there go on */
+void
+cq_table_move_upstream(cq_upstream_t *upstream, cq_service_t *service);
+
 /** cq_table_drop_upstream() - free @upstream, which no request may use */
 void
 cq_table_drop_upstream(cq_core_t *core, cq_upstream_t *upstream);
--- a/tests/unit/facts_test.cc
+++ b/tests/unit/facts_test.cc
@@ -94,4 +94,132 @@
     EXPECT_EQ(answer_of(id)->ran, CQ_RAN_NO);
 }
 
+class AnotherService : public core_test::CoreTest {
+  protected:
+    // Beside "p" there is the plain service "q", without upstreams.
+    void
+    start()
+    {
+        start_core(0, 2);
+        other = core_test::make_rules("q", CQ_SERVICE_PLAIN);
+        cq_event_t event = {};
+        event.kind = CQ_EV_RULES;
+        event.rules = other;
+        step(event);
+    }
+    void
+    TearDown() override
+    {
+        CoreTest::TearDown();
+        cq_rules_unref(other);
+    }
+    void
+    p0_enters_q(guint64 incarnation)
+    {
+        for (cq_host_row_t &row : rows) {
+            if (std::string(row.name) == "p0") {
+                g_strlcpy(row.service, "q", sizeof row.service);
+                row.incarnation = incarnation;
+            }
+        }
+        send_host_list();
+    }
+    // Whether requests to the service reach p0, of 20.
+    bool
+    reaches_p0(const char *service)
+    {
+        bool reached = false;
+        for (int i = 0; i < 20; i++) {
+            guint64 id = submit(1, 300 * kMs, 0, service);
+            const cq_ac_send_t *send = last_send(id);
+            reached |= send != nullptr && send->upstream == p0;
+            hang_up(id);
+        }
+        return reached;
+    }
+
+    guint64 p0 = cq_ident_hash("p0");
+    cq_rules_t *other = nullptr;
+};
+
+// An upstream that starts again under its id for another service kept getting
+// the requests of the first one.
+TEST_F(AnotherService, GetsTheIdAndItsRequests)
+{
+    start();
+    EXPECT_TRUE(reaches_p0("p"));
+    guint64 running = 0;
+    while (running == 0) {
+        guint64 id = submit(1, 300 * kMs, 0, "p");
+        running = last_send(id)->upstream == p0 ? id : 0;
+    }
+    p0_enters_q(2);
+    EXPECT_FALSE(reaches_p0("p"));
+    EXPECT_TRUE(reaches_p0("q"));
+    attempt_event(running, CQ_EV_SENT);
+    attempt_event(running, CQ_EV_DONE);
+    advance(5 * kSecond);
+    EXPECT_FALSE(reaches_p0("p"));
+    EXPECT_TRUE(reaches_p0("q"));
+}
+
+TEST_F(AnotherService, DoesntGetTheIdByAnOlderEntry)
+{
+    start();
+    restart(p0);
+    p0_enters_q(1);
+    EXPECT_TRUE(reaches_p0("p"));
+    EXPECT_FALSE(reaches_p0("q"));
+}
+
+// A prompt that is booked on engines, or whose memory is set aside there,
+// doesn't start on one that has passed to another service meanwhile.
+TEST_F(AnotherService, TakesItsEngineOutOfBookings)
+{
+    start_core(12);
+    other = core_test::make_rules("q", CQ_SERVICE_BATCH);
+    guint64 booked = submit_long(160000);
+    ASSERT_EQ(last_send(booked), nullptr);
+    for (cq_host_row_t &row : rows) {
+        g_strlcpy(row.service, "q", sizeof row.service);
+        row.incarnation = 2;
+    }
+    rows.pop_back();
+    add_host_row("e99", "m", "a");
+    send_host_list();
+    advance(kSecond);
+    const cq_ac_send_t *send = last_send(booked);
+    for (guint i = 0; send != nullptr && i < send->group_len; i++) {
+        EXPECT_EQ(send->group[i], cq_ident_hash("e99"));
+    }
+}
+
+TEST_F(AnotherService, TakesItsEngineOutOfReservations)
+{
+    start_core(12);
+    other = core_test::make_rules("q", CQ_SERVICE_BATCH);
+    guint64 id = submit_long(500000);
+    advance(20 * kMs);
+    std::vector<guint64> held = engines_in(CQ_AC_RESERVE);
+    ASSERT_FALSE(held.empty());
+    ASSERT_EQ(last_send(id), nullptr);
+    for (cq_host_row_t &row : rows) {
+        if (cq_ident_hash(row.name) == held[0]) {
+            g_strlcpy(row.service, "q", sizeof row.service);
+            row.incarnation = 2;
+        }
+    }
+    send_host_list();
+    for (guint64 engine : held) {
+        cq_event_t event = {};
+        event.kind = CQ_EV_RESERVED;
+        event.reserved.request = id;
+        event.reserved.upstream = engine;
+        event.reserved.granted = TRUE;
+        step(event);
+    }
+    EXPECT_EQ(last_send(id), nullptr);
+    EXPECT_EQ(engines_in(CQ_AC_RELEASE), held);
+}
+
 } // namespace
