Requests that two parsers may read differently get 400

What callers could do: `Cuminquay-Tenant : x` and `Transfer-Encoding : chunked`, with a blank before the colon, were passed on to upstreams beside the host's own fields; a folded line was joined to the one before; a body in `gzip, chunked` was passed on without its coding; the connection stayed open after the 400 for a missing or second Host field. And a whole URL as target was answered 404.

Cause: http_parser takes all of these, and nothing checked what it leaves to its caller.

RFC 9112: names of fields are tokens (5.1), lines aren't folded (5.2), the only transfer coding is one `chunked`, and not in HTTP/1.0 (6.1); all else is 400 and the end of the connection, as with a wrong number of Host fields (3.2). A whole URL is served as a path, and its host goes before the Host field (3.2.2). In an answer, blanks before a colon are removed, as 5.1 asks of a proxy; the rest makes the answer a broken one. Fields with obs-text are passed on unchanged.

Not refused: a blank line after an empty value ("X:" and a line of one blank), which http_parser reports as an empty value; and any byte but CR in a chunk extension, which is dropped with it. Both are gone from what is passed on.

--- a/packages/http/h1.c
+++ b/packages/http/h1.c
@@ -16,6 +16,8 @@
     gboolean message_complete; /* done() is still to be called */
     gboolean no_body;          /* the response is to a HEAD request */
     gsize head_bytes;
+    const char *bytes;      /* given to the running cq_h1_feed() */
+    gboolean after_newline; /* those before ended with a newline and blanks */
     cq_h1_error_t error;
 };
 
@@ -27,10 +29,37 @@
     g_free(field->value);
 }
 
-static void
+static gboolean
+is_blank(char c)
+{
+    return c == ' ' || c == '\t';
+}
+
+/* Whether @text has the characters of a token (RFC 9110, 5.6.2) only. */
+static gboolean
+is_token(const char *text)
+{
+    for (const char *c = text; *c != '\0'; c++) {
+        if (!g_ascii_isalnum(*c) && strchr("!#$%&'*+-.^_`|~", *c) == NULL) {
+            return FALSE;
+        }
+    }
+    return text[0] != '\0';
+}
+
+/* Blanks before the colon are removed from a response, and make a request
+ * invalid (RFC 9112, 5.1). Return: FALSE if the field is invalid. */
+static gboolean
 add_field(cq_h1_t *reader)
 {
     if (reader->name->len > 0) {
+        if (reader->options.parse_responses) {
+            g_strchomp(reader->name->str);
+        }
+        if (!is_token(reader->name->str)) {
+            reader->error = CQ_H1_SYNTAX;
+            return FALSE;
+        }
         cq_h1_field_t field = {
             .name = g_strdup(reader->name->str),
             .value = g_strstrip(g_strdup(reader->value->str)),
@@ -40,6 +69,7 @@
     g_string_truncate(reader->name, 0);
     g_string_truncate(reader->value, 0);
     reader->in_value = FALSE;
+    return TRUE;
 }
 
 static int
@@ -82,17 +112,33 @@
 on_name(http_parser *parser, const char *at, size_t len)
 {
     cq_h1_t *reader = parser->data;
-    if (reader->in_value) {
-        add_field(reader);
+    if (reader->in_value && !add_field(reader)) {
+        return 1;
     }
     g_string_append_len(reader->name, at, (gssize)len);
     return count_head_bytes(reader, len);
 }
 
+/* Whether only blanks are between @at and the beginning of its line: the line
+ * continues the field before it. */
+static gboolean
+is_folded(const cq_h1_t *reader, const char *at)
+{
+    while (at > reader->bytes && is_blank(at[-1])) {
+        at--;
+    }
+    return at > reader->bytes ? at[-1] == '\n' : reader->after_newline;
+}
+
 static int
 on_value(http_parser *parser, const char *at, size_t len)
 {
     cq_h1_t *reader = parser->data;
+    /* An empty value is reported at the beginning of the next line. */
+    if (len > 0 && is_folded(reader, at)) {
+        reader->error = CQ_H1_SYNTAX;
+        return 1;
+    }
     reader->in_value = TRUE;
     g_string_append_len(reader->value, at, (gssize)len);
     return count_head_bytes(reader, len);
@@ -104,11 +150,28 @@
     return reader->options.parse_responses && reader->parser.status_code < 200;
 }
 
+/* Whether the body comes as the head says: the only coding that is known is
+ * one `chunked`, which HTTP/1.0 doesn't have (RFC 9112, 6.1). */
+static gboolean
+has_known_framing(const cq_h1_t *reader)
+{
+    const cq_h1_head_t *head = &reader->head;
+    guint codings = cq_h1_count_fields(head, "Transfer-Encoding");
+    if (codings == 0) {
+        return TRUE;
+    }
+    const char *coding = cq_h1_get_field(head, "Transfer-Encoding");
+    return codings == 1 && g_ascii_strcasecmp(coding, "chunked") == 0 &&
+           (!head->is_http10 || reader->options.parse_responses);
+}
+
 static int
 on_head(http_parser *parser)
 {
     cq_h1_t *reader = parser->data;
-    add_field(reader);
+    if (!add_field(reader)) {
+        return -1;
+    }
     cq_h1_head_t *head = &reader->head;
     head->target = reader->target->str;
     head->status =
@@ -125,6 +188,10 @@
     if (is_interim(reader)) {
         return 0;
     }
+    if (!has_known_framing(reader)) {
+        reader->error = CQ_H1_SYNTAX;
+        return -1;
+    }
     reader->options.ops.head(reader->options.ops.data, head);
     return reader->no_body ? 1 : 0;
 }
@@ -207,14 +274,29 @@
     reader->options.ops.done(reader->options.ops.data);
 }
 
+static void
+note_newline(cq_h1_t *reader, gsize used)
+{
+    const char *end = reader->bytes + used;
+    while (end > reader->bytes && is_blank(end[-1])) {
+        end--;
+    }
+    if (end > reader->bytes) {
+        reader->after_newline = end[-1] == '\n';
+    }
+    reader->bytes = NULL;
+}
+
 gsize
 cq_h1_feed(cq_h1_t *reader, const char *bytes, gsize len)
 {
     if (reader->error != CQ_H1_OK) {
         return 0;
     }
+    reader->bytes = bytes;
     gsize used =
         http_parser_execute(&reader->parser, &reader->callbacks, bytes, len);
+    note_newline(reader, used);
     enum http_errno code = HTTP_PARSER_ERRNO(&reader->parser);
     if (reader->error != CQ_H1_OK) {
         return used;
--- a/packages/http/h1.h
+++ b/packages/http/h1.h
@@ -3,7 +3,9 @@
  *
  * HTTP/1.1 messages: an incremental parser for requests or responses, which
  * stops right after each message, and helpers to inspect heads and to write
- * chunks. The grammar is http_parser's.
+ * chunks. The grammar is http_parser's, without what lets two parsers read a
+ * message differently (RFC 9112, 11.2): folded lines, blanks before a colon,
+ * names that are no tokens, transfer codings other than one `chunked`.
  */
 #ifndef CQ_H1_H
 #define CQ_H1_H
--- a/packages/router/exchange.c
+++ b/packages/router/exchange.c
@@ -38,6 +38,12 @@
     return exchange->owner;
 }
 
+void
+cq_exchange_close_after(cq_exchange_t *exchange)
+{
+    exchange->head.keep_alive = FALSE;
+}
+
 void
 cq_exchange_answer(cq_exchange_t *exchange, const cq_h1_head_t *head,
                    const void *body, gsize len)
--- a/packages/router/heads.c
+++ b/packages/router/heads.c
@@ -35,6 +35,29 @@
     }
 }
 
+void
+cq_heads_to_origin_form(cq_h1_head_t *head)
+{
+    static const char scheme[] = "http://";
+    gsize scheme_len = strlen(scheme);
+    if (g_ascii_strncasecmp(head->target, scheme, scheme_len) != 0) {
+        return;
+    }
+    const char *authority = head->target + scheme_len;
+    gsize authority_len = strcspn(authority, "/?#");
+    const char *path = authority + authority_len;
+    char *target = g_strconcat(path[0] == '/' ? "" : "/", path, NULL);
+    for (guint i = 0; i < head->fields->len; i++) {
+        cq_h1_field_t *field = &g_array_index(head->fields, cq_h1_field_t, i);
+        if (g_ascii_strcasecmp(field->name, "Host") == 0) {
+            g_free(field->value);
+            field->value = g_strndup(authority, authority_len);
+        }
+    }
+    g_free(head->target);
+    head->target = target;
+}
+
 gboolean
 cq_heads_without_body(const cq_h1_head_t *request, int status)
 {
--- a/packages/router/heads.h
+++ b/packages/router/heads.h
@@ -25,6 +25,11 @@
 cq_heads_append_upstream(GString *out, const cq_h1_head_t *head,
                          gboolean keep_open);
 
+/** cq_heads_to_origin_form() - if the target of the request @head is a whole
+ * URL, make it a path, and the URL's host the Host field (RFC 9112, 3.2.2) */
+void
+cq_heads_to_origin_form(cq_h1_head_t *head);
+
 /** cq_heads_without_body() - Return: whether the answer to @request with this
  * status has no body */
 gboolean
--- a/packages/router/inbound.c
+++ b/packages/router/inbound.c
@@ -120,6 +120,7 @@
     cq_exchange_t *exchange = g_new0(cq_exchange_t, 1);
     exchange->conn = conn;
     cq_h1_copy_head(&exchange->head, head);
+    cq_heads_to_origin_form(&exchange->head);
     exchange->body = g_byte_array_new();
     conn->exchange = exchange;
     set_state(conn, CQ_INBOUND_BODY);
--- a/packages/router/inbound.h
+++ b/packages/router/inbound.h
@@ -97,6 +97,11 @@
 void *
 cq_exchange_owner(const cq_exchange_t *exchange);
 
+/** cq_exchange_close_after() - close the connection after the answer: what
+ * follows an invalid request may be a part of it */
+void
+cq_exchange_close_after(cq_exchange_t *exchange);
+
 /** cq_exchange_answer() - send a complete answer with the end-to-end header
  * fields of @head; the exchange is freed */
 void
--- a/packages/router/relay.c
+++ b/packages/router/relay.c
@@ -203,6 +203,7 @@
         return;
     }
     if (cq_h1_count_fields(head, "Host") != 1) {
+        cq_exchange_close_after(exchange);
         reject_request(relay, exchange, 400, "bad_host",
                        "send one Host field");
         return;
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -57,13 +57,13 @@
     rm -f "$out"
 }
 
-for program in config json wire h1 platform oddrecords quarantine crashcall crashfleet retract cutfleet facts handfleet rate ratecore batchplace cell retry brokenstream return reach replay hist scn soak sock inbound outbound outpeer targets; do
+for program in config json wire h1 platform oddrecords quarantine crashcall crashfleet retract cutfleet facts handfleet rate ratecore batchplace cell retry brokenstream return reach replay hist scn soak sock inbound smuggle outbound outpeer targets; do
     run_unit "$BUILD/tests/${program}_test"
 done
 for script in demo badinput oddreports hangup operator drain holds giant orders retention \
     relay relaywake relaypeers relayreads relayreaders relaybulk relayleft relayendless relayleaving relaymany \
     relayoutage relayremoved relaylostpoll relaypoison relaypoisonkept relaycells relayera relaylimit relaycrashcall relaycrashkept relayidlechange relaystop \
-    relayrefusalagain relaybrokenstream relayversion relayteams \
+    relayrefusalagain relaybrokenstream relayversion relayteams relaysmuggle \
     relaycut relaycutall relaycutmost relayoddentries; do
     run_script "tests/proc/$script.sh"
 done
