The words of one engine make no zone suspect

Cause: two unreachable upstreams of a zone within a second make it suspect, and an engine's word counted as a connection of this host that had failed.

It takes two engines to accuse a zone, or a failure that the host saw itself.

Evidence: AtFault.AZoneIsSuspectOnlyIfTwoEnginesAccuseIt, without the condition: "facts_test.cc:258: Failure ... Actual: true"; passes with it, as do retry, batchplace and cell_test.

--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -273,7 +273,7 @@
     }
     if (failure == CQ_FAIL_CONNECT) {
         cq_member_avoid(core, upstream, CQ_SUSPECT_AVOID_US);
-        cq_member_unreachable(core, upstream);
+        cq_member_unreachable(core, upstream, 0);
         request->connect_failures++;
     }
     if (failure == CQ_FAIL_BROKEN) {
@@ -423,7 +423,7 @@
             cq_table_log_event(core, request, "at_fault", "upstream=%s",
                                engine->name);
             cq_member_avoid(core, engine, CQ_SUSPECT_AVOID_US);
-            cq_member_unreachable(core, engine);
+            cq_member_unreachable(core, engine, request->upstream->id);
             request->failed_helper = engine->id;
             return;
         }
--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -403,7 +403,8 @@
 }
 
 void
-cq_member_unreachable(cq_core_t *core, const cq_upstream_t *upstream)
+cq_member_unreachable(cq_core_t *core, const cq_upstream_t *upstream,
+                      guint64 accuser)
 {
     if (g_str_equal(upstream->zone, core->zone)) {
         return;
@@ -415,8 +416,10 @@
     }
     gboolean second_failure =
         core->now_us - zone->failed_us < ZONE_FAILURES_WITHIN_US &&
-        zone->failed_upstream != upstream->id;
+        zone->failed_upstream != upstream->id &&
+        (accuser == 0 || accuser != zone->accuser);
     zone->failed_us = core->now_us;
+    zone->accuser = accuser;
     zone->failed_upstream = upstream->id;
     if (second_failure && zone->suspect_until_us <= core->now_us) {
         cq_ring_add(&core->ring, core->now_us, 0, 0, "zone_suspect",
--- a/packages/core/member.h
+++ b/packages/core/member.h
@@ -36,9 +36,11 @@
 cq_member_is_first(const cq_core_t *core, guint64 key);
 
 /** cq_member_unreachable() - note that no connection to @upstream could be
- * made */
+ * made, by the word of the engine @accuser; 0: this host saw it itself. The
+ * words of one engine make no zone suspect */
 void
-cq_member_unreachable(cq_core_t *core, const cq_upstream_t *upstream);
+cq_member_unreachable(cq_core_t *core, const cq_upstream_t *upstream,
+                      guint64 accuser);
 
 /** cq_member_reached() - note that @upstream answers, so that its zone is not
  * cut off */
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -463,11 +463,13 @@
  * struct cq_zone_t - another availability zone
  * @failed_us: when one of its upstreams last could not be reached, or 0
  * @failed_upstream: id of that upstream
+ * @accuser: id of the engine that said so, or 0 if this host saw it itself
  * @suspect_until_us: its upstreams get no work before then
  */
 typedef struct {
     gint64 failed_us;
     guint64 failed_upstream;
+    guint64 accuser;
     gint64 suspect_until_us;
 } cq_zone_t;
 
--- a/tests/unit/facts_test.cc
+++ b/tests/unit/facts_test.cc
@@ -4,6 +4,9 @@
 
 #include <set>
 
+#include "core/member.h"
+#include "core/table.h"
+
 namespace {
 
 using core_test::kMs;
@@ -222,4 +225,62 @@
     EXPECT_EQ(engines_in(CQ_AC_RELEASE), held);
 }
 
+class AtFault : public core_test::CoreTest {
+  protected:
+    // No connection to the engine opens; the accuser says so, or with "" the
+    // host sees it itself.
+    void
+    unreachable(const char *engine, const char *accuser)
+    {
+        const cq_upstream_t *upstream =
+            cq_table_upstream(core, cq_ident_hash(engine));
+        cq_member_unreachable(core, upstream,
+                              accuser[0] != '\0' ? cq_ident_hash(accuser) : 0);
+    }
+    bool
+    zone_b_is_suspect()
+    {
+        return cq_member_zone_cut_off(
+            core, cq_table_upstream(core, cq_ident_hash("e5")));
+    }
+};
+
+// One broken engine that names its helpers one after the other doesn't make
+// the host avoid all upstreams of their zone; two that agree do.
+TEST_F(AtFault, AZoneIsSuspectOnlyIfTwoEnginesAccuseIt)
+{
+    start_core(6);
+    unreachable("e1", "e0");
+    unreachable("e3", "e0");
+    unreachable("e1", "e0");
+    EXPECT_FALSE(zone_b_is_suspect());
+    unreachable("e3", "e2");
+    EXPECT_TRUE(zone_b_is_suspect());
+}
+
+TEST_F(AtFault, AHostBelievesItsOwnConnections)
+{
+    start_core(6);
+    unreachable("e1", "");
+    unreachable("e1", "");
+    EXPECT_FALSE(zone_b_is_suspect());
+    unreachable("e3", "");
+    EXPECT_TRUE(zone_b_is_suspect());
+}
+
+// An engine can accuse the engines of the request's own task only.
+TEST_F(AtFault, AnEngineOfAnotherRequestIsNotAvoided)
+{
+    start_core(2);
+    guint64 id = submit_short();
+    std::string other =
+        last_send(id)->upstream == cq_ident_hash("e0") ? "e1" : "e0";
+    attempt_event(id, CQ_EV_SENT);
+    attempt_event(id, CQ_EV_FAILED, CQ_FAIL_REFUSED, (other + ":1").c_str());
+    EXPECT_EQ(last_send(id)->upstream, cq_ident_hash(other.c_str()));
+    EXPECT_LE(cq_member_accepts_from_us(
+                  cq_table_upstream(core, cq_ident_hash(other.c_str()))),
+              now_us);
+}
+
 } // namespace
