An engine's error doesn't end the lease for orders to all engines

What operators saw: a host that held the lease stopped ordering engines to load models for as long as one of them answered orders with an error, until its next renewal each time.

Cause: every answer but 200 was taken to mean that the engine had seen a newer fencing number. Only 409 says so.

That 409 is what router/engines.c passes on is not tested by a process.

--- a/packages/bench/orders.c
+++ b/packages/bench/orders.c
@@ -65,6 +65,7 @@
         event.ordered.upstream = upstream->id;
         event.ordered.fence = delivery->order.fence;
         event.ordered.accepted = !stale || !upstream->checks_fence;
+        event.ordered.outdated = !event.ordered.accepted;
         if (event.ordered.accepted) {
             start_model_load(sim, upstream,
                              cq_ident_hash(delivery->order.model));
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -197,12 +197,14 @@
  * struct cq_ev_ordered_t - an engine's answer to an ORDER action
  * @upstream: the engine's id
  * @fence: the order's fencing number
- * @accepted: FALSE: the engine has seen a higher fencing number
+ * @accepted: the engine carries it out
+ * @outdated: the engine has seen a higher fencing number
  */
 typedef struct {
     guint64 upstream;
     guint64 fence;
     gboolean accepted;
+    gboolean outdated;
 } cq_ev_ordered_t;
 
 /**
--- a/packages/core/order.c
+++ b/packages/core/order.c
@@ -34,7 +34,7 @@
                 "upstream=%s fence=%" G_GUINT64_FORMAT " accepted=%s",
                 upstream != NULL ? upstream->name : "-", event->fence,
                 event->accepted ? "yes" : "no");
-    if (!event->accepted && event->fence == core->lease.fence) {
+    if (event->outdated && event->fence == core->lease.fence) {
         cq_lease_lost(core);
     }
 }
--- a/packages/router/engines.c
+++ b/packages/router/engines.c
@@ -337,6 +337,7 @@
         event.ordered.upstream = call->upstream;
         event.ordered.fence = call->fence;
         event.ordered.accepted = status == 200;
+        event.ordered.outdated = status == 409;
         cq_app_post(engines->app, &event);
     }
     end_call(call);
--- a/tests/unit/facts_test.cc
+++ b/tests/unit/facts_test.cc
@@ -4,11 +4,13 @@
 
 #include <set>
 
+#include "core/lease.h"
 #include "core/member.h"
 #include "core/table.h"
 
 namespace {
 
+using core_test::CoreTest;
 using core_test::kMs;
 using core_test::kSecond;
 
@@ -283,4 +285,29 @@
               now_us);
 }
 
+// An engine that answers an order with an error made the host give up its
+// lease, with all orders to other engines.
+TEST_F(CoreTest, OnlyANewerFencingNumberEndsALease)
+{
+    start_core(1);
+    cq_event_t lease = {};
+    lease.kind = CQ_EV_LEASE;
+    lease.lease.offset = 6;
+    lease.lease.record.verb = CQ_LEASE_TAKE;
+    lease.lease.record.host = cq_ident_host("h0");
+    lease.lease.record.incarnation = 1;
+    lease.lease.record.sent_us = now_us;
+    step(lease);
+    ASSERT_EQ(cq_lease_fence(core), 7u);
+    cq_event_t answer = {};
+    answer.kind = CQ_EV_ORDERED;
+    answer.ordered.upstream = cq_ident_hash("e0");
+    answer.ordered.fence = 7;
+    step(answer);
+    EXPECT_EQ(cq_lease_fence(core), 7u);
+    answer.ordered.outdated = TRUE;
+    step(answer);
+    EXPECT_EQ(cq_lease_fence(core), 0u);
+}
+
 } // namespace
