--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -104,6 +104,13 @@
         upstream->ordered_model = 0;
         g_hash_table_remove_all(upstream->cached_prefixes);
     }
+    if (!g_str_equal(upstream->service->name, row->service)) {
+        cq_ring_add(&core->ring, core->now_us, 0, 0, "service_changed",
+                    "upstream=%s from=%s service=%s", upstream->name,
+                    upstream->service->name, row->service);
+        cq_table_move_upstream(upstream,
+                               cq_table_ensure_service(core, row->service));
+    }
     g_strlcpy(upstream->addr, row->addr, sizeof upstream->addr);
     g_strlcpy(upstream->zone, row->zone, sizeof upstream->zone);
     if (row->leaving) {
@@ -396,7 +403,8 @@
 }
 
 void
-cq_member_unreachable(cq_core_t *core, const cq_upstream_t *upstream)
+cq_member_unreachable(cq_core_t *core, const cq_upstream_t *upstream,
+                      guint64 accuser)
 {
     if (g_str_equal(upstream->zone, core->zone)) {
         return;
@@ -408,8 +416,10 @@
     }
     gboolean second_failure =
         core->now_us - zone->failed_us < ZONE_FAILURES_WITHIN_US &&
-        zone->failed_upstream != upstream->id;
+        zone->failed_upstream != upstream->id &&
+        (accuser == 0 || accuser != zone->accuser);
     zone->failed_us = core->now_us;
+    zone->accuser = accuser;
     zone->failed_upstream = upstream->id;
     if (second_failure && zone->suspect_until_us <= core->now_us) {
         cq_ring_add(&core->ring, core->now_us, 0, 0, "zone_suspect",
