A lost answer to the read of a config shows by that read's own time

What callers saw: CONFIG. Answers of the store were lost for 4.5 s, among them those to the reads that wait for the next configuration.

Cause: the read of the configuration waited for 30 s and was given up after 31 s; what ended it sooner was the failure of a read of the upstreams.

Change: when a topic is read, and when a read is overdue, is decided in one place without I/O (readplan). Hosts that read the store wait 0.8 s for the configuration and the upstreams; 0.3 s later another read is started beside the first, which doesn't count as failed, as the store may be slow. Hosts that leave reading to their peers hold a read of 30 s, and read again when a peer knows more (0.1 s) or no peer has read for 2 s. While the store doesn't answer, readers probe it by the upstreams each 0.5 s, and the other topics follow at once when it is back. New line: event=store_answer_lost.

Calls: two idle hosts read the configuration 10 times in 4 s, once or twice before; the upstreams as often, but records come more often than that in service.

--- a/packages/router/follower.c
+++ b/packages/router/follower.c
@@ -5,22 +5,11 @@
 #include "router/links.h"
 #include "router/partstore.h"
 #include "router/readerrole.h"
+#include "router/readlog.h"
 #include "router/registration.h"
 #include "router/relay.h"
+#include "router/storeread.h"
 
-/* Long-poll time of a read: how long the store holds it while there is no new
- * record. If the answer is lost, it takes that long until this process reads
- * again. A lost read of the upstreams, which is the first to show, also ends
- * the other reads. */
-static const guint read_wait_ms[CQ_TOPIC_COUNT] = {
-    [CQ_TOPIC_CONFIG] = 30000,
-    [CQ_TOPIC_UPSTREAMS] = 2500,
-    [CQ_TOPIC_HOSTS] = 30000,
-};
-/* Long-poll time of the hosts that read the upstreams for their peers: an
- * answer, also an empty one, shows the peers that the reader reaches the
- * store. */
-#define PEERS_READ_WAIT_MS 1000
 /* A host that gets a topic from its peers reads it itself if none of them has
  * read it for this time; 0: each host always reads the topic. */
 static const gint64 peers_read_max_us[CQ_TOPIC_COUNT] = {
@@ -42,7 +31,8 @@
  * that start or stop together are read together. */
 #define BATCH_DELAY_MS 200
 #define RETRY_MIN_MS 200
-#define RETRY_MAX_MS 1000
+/* How often the reads that are under way are looked at. */
+#define CHECK_MS 100
 /* Peers don't send higher ages. */
 #define PEER_READ_AGE_MAX_MS (24 * 3600 * 1000)
 /* A peer that can read the store itself lags by at most this time. */
@@ -53,10 +43,9 @@
  * current: received from the store or a peer since the last suspension
  * snapshot_complete: a snapshot has been read completely
  * failing: the last read failed
- * failures: number of reads that have failed since the last success
- * failing_since_us: when the first of them started
  * read_us: the copy had every record that the store had then; 0: not read
  * peers_read_us: the same, as peers that read the store say
+ * behind_since_us: since when a peer knows more than the copy has; 0: none
  */
 typedef struct {
     cq_follower_t *follower;
@@ -67,14 +56,15 @@
     gboolean current;
     gboolean snapshot_complete;
     gboolean failing;
-    guint failures;
-    gint64 failing_since_us;
+    cq_readlog_t log;
     guint retry_ms;
     guint timer;
     gint64 sampled_us;
     gint64 read_started_us;
     gint64 read_us;
     gint64 peers_read_us;
+    gint64 behind_since_us;
+    cq_storeread_t reads;
 } table_t;
 
 struct cq_follower {
@@ -87,6 +77,7 @@
     gboolean store_state_posted; /* a LOG event has been posted */
     cq_readerrole_t role;
     guint era_timer;
+    guint check_timer;
 };
 
 static void
@@ -158,44 +149,30 @@
     }
 }
 
-/* Logs the first failure in a row. */
-static void
-note_read_failed(table_t *table)
+static cq_readplan_t
+get_plan(table_t *table)
 {
-    table->failures++;
-    if (table->failures > 1) {
-        return;
-    }
-    table->failing_since_us = table->read_started_us;
-    gint64 took_us =
-        cq_app_now_us(table->follower->app) - table->read_started_us;
-    cq_app_log(table->follower->app, "store_read_failed",
-               "topic=%s took_ms=%" G_GINT64_FORMAT
-               " offset=%" G_GUINT64_FORMAT,
-               cq_topic_name(table->topic), took_us / CQ_MS_US, table->next);
-}
-
-static void
-note_read_again(table_t *table)
-{
-    gint64 now_us = cq_app_now_us(table->follower->app);
-    cq_app_log(table->follower->app, "store_read_again",
-               "topic=%s failures=%u for_ms=%" G_GINT64_FORMAT
-               " started_ms_ago=%" G_GINT64_FORMAT
-               " offset=%" G_GUINT64_FORMAT,
-               cq_topic_name(table->topic), table->failures,
-               (now_us - table->failing_since_us) / CQ_MS_US,
-               (now_us - table->read_started_us) / CQ_MS_US, table->next);
-    table->failures = 0;
+    return (cq_readplan_t){
+        .topic = table->topic,
+        .role = cq_readerrole_get(&table->follower->role),
+        .first = !table->current,
+        .failures = table->log.failures,
+        .peers_read_us = table->peers_read_us,
+        .behind_since_us = table->behind_since_us,
+    };
 }
 
 static void
 retry_read(table_t *table)
 {
-    note_read_failed(table);
+    cq_readlog_failed(&table->log, table->read_started_us, table->next);
     set_failing(table, TRUE);
-    table->retry_ms = CLAMP(table->retry_ms * 2, RETRY_MIN_MS, RETRY_MAX_MS);
-    schedule_read(table, table->retry_ms);
+    if (cq_storeread_get(&table->reads).len == 0) {
+        cq_readplan_t plan = get_plan(table);
+        guint max_ms = cq_readplan_retry_max_ms(&plan);
+        table->retry_ms = CLAMP(table->retry_ms * 2, RETRY_MIN_MS, max_ms);
+        schedule_read(table, table->retry_ms);
+    }
 }
 
 /* Return: delay before the next read. An empty answer should come only after
@@ -226,18 +203,27 @@
     }
 }
 
+static void
+cancel_reads(table_t *table)
+{
+    cq_store_cancel(table->follower->store, table);
+    cq_storeread_cancel(&table->reads);
+}
+
 /* The store did not answer a read of @table for a time. What it was to answer
  * in that time may be lost for other topics too, so their reads that still
- * wait from then are started again. */
+ * wait from then are started again, and those that failed are not put off. */
 static void
 restart_other_reads(const table_t *table)
 {
     cq_follower_t *follower = table->follower;
     for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
         table_t *other = &follower->tables[i];
-        gboolean waits = other != table && other->timer == 0;
-        if (waits && other->read_started_us < table->read_started_us) {
-            cq_store_cancel(follower->store, other);
+        gboolean waits = other->timer == 0 || other->log.failures > 0;
+        if (other != table && waits &&
+            other->read_started_us < table->read_started_us) {
+            g_clear_handle_id(&other->timer, g_source_remove);
+            cancel_reads(other);
             start_read(other);
         }
     }
@@ -247,8 +233,8 @@
 read_succeeded(table_t *table)
 {
     table->retry_ms = 0;
-    if (table->failures > 0) {
-        note_read_again(table);
+    if (cq_readlog_succeeded(&table->log, table->read_started_us,
+                             table->next)) {
         restart_other_reads(table);
     }
     table->read_us =
@@ -310,24 +296,11 @@
                CQ_STORE_READER_FOR_PEERS;
 }
 
-/* The first read after a failure does not wait for new records: if the store
- * is still out of reach, that shows after the time limit of one answer instead
- * of the whole long-poll time. */
-static guint
-long_poll_ms(const table_t *table)
-{
-    if (!table->current || table->failures > 0) {
-        return 0;
-    }
-    gboolean is_upstreams = table->topic == CQ_TOPIC_UPSTREAMS;
-    return is_upstreams && sends_to_peers(table) ? PEERS_READ_WAIT_MS
-                                                 : read_wait_ms[table->topic];
-}
-
 static void
-on_read(const cq_store_page_t *page, void *data)
+on_read(const cq_store_page_t *page, const cq_storeread_end_t *end, void *data)
 {
     table_t *table = data;
+    table->read_started_us = end->started_us;
     if (page->outcome != CQ_STORE_DONE) {
         read_failed(table, page->outcome);
         return;
@@ -339,6 +312,13 @@
     }
     table->next = MAX(table->next, page->next);
     table->current = TRUE;
+    table->behind_since_us = 0;
+    /* An older read was never answered: what it was to answer is lost, also
+     * for reads of other topics from that time. */
+    if (end->oldest_us < end->started_us && table->log.failures == 0) {
+        cq_readlog_lost(&table->log, end->oldest_us, table->next);
+        restart_other_reads(table);
+    }
     read_succeeded(table);
     schedule_read(table, next_read_delay_ms(table, page->records->len > 0));
 }
@@ -355,8 +335,28 @@
                              on_snapshot_page, table);
         return;
     }
-    cq_store_read(follower->store, table->topic, table->next,
-                  long_poll_ms(table), on_read, table);
+    cq_readplan_t plan = get_plan(table);
+    cq_storeread_start(&table->reads, table->next,
+                       cq_readplan_wait_ms(&plan, table->read_started_us),
+                       table->read_started_us);
+}
+
+/* Finds reads whose answers may be lost, and starts others beside them. */
+static gboolean
+on_check(gpointer data)
+{
+    cq_follower_t *follower = data;
+    gint64 now_us = cq_app_now_us(follower->app);
+    for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
+        table_t *table = &follower->tables[i];
+        cq_readplan_t plan = get_plan(table);
+        cq_readplan_reads_t reads = cq_storeread_get(&table->reads);
+        if (cq_readplan_is_overdue(&plan, &reads, now_us)) {
+            table->read_started_us = now_us;
+            cq_storeread_start(&table->reads, table->next, 0, now_us);
+        }
+    }
+    return G_SOURCE_CONTINUE;
 }
 
 static gboolean
@@ -387,8 +387,9 @@
         table->next_sampled = 0;
         table->read_us = 0;
         table->peers_read_us = 0;
+        table->behind_since_us = 0;
         table->snapshot_complete = FALSE;
-        cq_store_cancel(follower->store, table);
+        cancel_reads(table);
         schedule_read(table, 0);
     }
     cq_registration_renew(follower->registration);
@@ -413,8 +414,14 @@
         table_t *table = &follower->tables[i];
         table->follower = follower;
         table->topic = (cq_topic_t)i;
+        table->log = (cq_readlog_t){.app = app, .topic = table->topic};
+        table->reads = (cq_storeread_t){.store = follower->store,
+                                        .topic = table->topic,
+                                        .done = on_read,
+                                        .data = table};
         start_read(table);
     }
+    follower->check_timer = g_timeout_add(CHECK_MS, on_check, follower);
     follower->registration = cq_registration_new(app, follower->store);
     return follower;
 }
@@ -422,6 +429,7 @@
 void
 cq_follower_free(cq_follower_t *follower)
 {
+    g_source_remove(follower->check_timer);
     if (follower->era_timer != 0) {
         g_source_remove(follower->era_timer);
     }
@@ -461,12 +469,16 @@
 cq_follower_reread(cq_follower_t *follower)
 {
     /* Answers to earlier reads are discarded: they may be out of date. */
+    for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
+        cancel_reads(&follower->tables[i]);
+    }
     cq_store_reset(follower->store);
     for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
         table_t *table = &follower->tables[i];
         table->current = FALSE;
         table->read_us = 0;
         table->peers_read_us = 0;
+        table->behind_since_us = 0;
         if (table->timer != 0) {
             g_source_remove(table->timer);
             table->timer = 0;
@@ -516,11 +528,14 @@
                       guint64 age_ms)
 {
     table_t *table = &follower->tables[topic];
+    gint64 now_us = cq_app_now_us(follower->app);
+    if (at > table->next && table->behind_since_us == 0) {
+        table->behind_since_us = now_us;
+    }
     if (age_ms == 0 || age_ms > PEER_READ_AGE_MAX_MS || at > table->next) {
         return;
     }
-    gint64 read_us =
-        cq_app_now_us(follower->app) - (gint64)(age_ms - 1) * CQ_MS_US;
+    gint64 read_us = now_us - (gint64)(age_ms - 1) * CQ_MS_US;
     table->peers_read_us = MAX(table->peers_read_us, read_us);
     if (table->failing && time_until_own_read_us(table) > 0) {
         set_failing(table, FALSE);
@@ -571,6 +586,7 @@
     table_t *table = &follower->tables[topic];
     if (from <= table->next) {
         table->next = MAX(table->next, at);
+        table->behind_since_us = 0;
         table->current = TRUE;
     }
     cq_catalog_post(follower->catalog);
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -28,8 +28,9 @@
 typedef struct {
     char *name;
     GPtrArray *records;
-    guint64 first; /* offset of the oldest record that can be read */
-    guint reads;   /* number of read calls */
+    guint64 first;   /* offset of the oldest record that can be read */
+    guint reads;     /* number of read calls */
+    gboolean losing; /* reads are not answered */
 } topic_t;
 
 typedef struct store store_t;
@@ -331,6 +332,20 @@
     }
 }
 
+/* Forgets the reads of @topic that wait: they are never answered. */
+static void
+drop_waiters(store_t *store, const topic_t *topic)
+{
+    GList *link = store->waiters;
+    while (link != NULL) {
+        waiter_t *waiter = link->data;
+        link = link->next;
+        if (waiter->topic == topic) {
+            drop_waiter(store, waiter);
+        }
+    }
+}
+
 /* Calls of the test scripts:
  *   /put, /drop  add a record or a deletion
  *   /forget      makes the records so far unreadable
@@ -338,8 +353,9 @@
  *   /silence     ignores every call of an entry host, while on=1. A read that
  *                waited before goes on waiting, but is never answered if its
  *                time ends meanwhile, or with reads=drop
- *   /spoil       adds items that can't be read to /v1/log-newest, while on=1
- *   /restore     comes back from a copy in which the topic has len records
+ *   /lose        answers no read of the topic, also none that waits, while
+ * on=1 /spoil       adds items that can't be read to /v1/log-newest, while
+ * on=1 /restore     comes back from a copy in which the topic has len records
  *   /era         changes only the era that it names
  * All answer with the topic's number of read calls. */
 static void
@@ -368,6 +384,10 @@
         g_free(reads);
         answer_waiters(store);
     }
+    if (strcmp(path, "/lose") == 0) {
+        topic->losing = standin_query_number(query, "on", 0) != 0;
+        drop_waiters(store, topic);
+    }
     if (strcmp(path, "/spoil") == 0) {
         store->spoiling = standin_query_number(query, "on", 0) != 0;
     }
@@ -409,6 +429,9 @@
     }
     else if (strcmp(path, "/v1/log-read") == 0) {
         topic->reads++;
+        if (topic->losing) {
+            return;
+        }
         serve_read(view, conn, topic, query);
     }
     else if (strcmp(path, "/v1/log-append") == 0) {
