--- a/packages/router/catalog.c
+++ b/packages/router/catalog.c
@@ -101,10 +101,10 @@
 
 void
 cq_catalog_apply(cq_catalog_t *catalog, cq_topic_t topic,
-                 const cq_store_record_t *record)
+                 const cq_store_record_t *record, cq_record_source_t source)
 {
     cq_topicmap_t *map = catalog->maps[topic];
-    if (!cq_topicmap_is_new(map, record)) {
+    if (!cq_topicmap_is_new(map, record, source)) {
         return;
     }
     if (topic == CQ_TOPIC_CONFIG && cq_records_is_routes_key(record->key) &&
@@ -114,11 +114,30 @@
     if (topic == CQ_TOPIC_HOSTS && cq_partstore_owns(record->key)) {
         apply_part(catalog, record);
     }
-    if (cq_topicmap_add(map, record)) {
+    if (cq_topicmap_add(map, record, source)) {
         catalog->rows_changed = TRUE;
     }
 }
 
+gboolean
+cq_catalog_apply_claim(cq_catalog_t *catalog, cq_topic_t topic,
+                       const cq_topicmap_claim_t *claim)
+{
+    gboolean dropped = FALSE;
+    gboolean known =
+        cq_topicmap_add_claim(catalog->maps[topic], claim, &dropped);
+    if (dropped) {
+        catalog->rows_changed = TRUE;
+    }
+    return known;
+}
+
+cq_topicmap_t *
+cq_catalog_map(const cq_catalog_t *catalog, cq_topic_t topic)
+{
+    return catalog->maps[topic];
+}
+
 /* An entry that is merely missing may have expired in an outage of the store.
  * So upstreams that left on notice, with both records read at once, are first
  * listed as leaving. */
@@ -146,26 +165,13 @@
 }
 
 void
-cq_catalog_begin_snapshot(cq_catalog_t *catalog, cq_topic_t topic)
+cq_catalog_end_snapshot(cq_catalog_t *catalog, cq_topic_t topic)
 {
-    cq_topicmap_begin_snapshot(catalog->maps[topic]);
-}
-
-void
-cq_catalog_end_snapshot(cq_catalog_t *catalog, cq_topic_t topic, guint64 end)
-{
-    if (cq_topicmap_end_snapshot(catalog->maps[topic], end)) {
+    if (cq_topicmap_end_snapshot(catalog->maps[topic])) {
         catalog->rows_changed = TRUE;
     }
 }
 
-void
-cq_catalog_visit_from(const cq_catalog_t *catalog, cq_topic_t topic,
-                      guint64 from, cq_topicmap_visit_t visit, void *data)
-{
-    cq_topicmap_visit_from(catalog->maps[topic], from, visit, data);
-}
-
 void
 cq_catalog_begin_era(cq_catalog_t *catalog)
 {
--- a/packages/router/catalog.h
+++ b/packages/router/catalog.h
@@ -32,28 +32,28 @@
  * effect if a newer record of the same key is known */
 void
 cq_catalog_apply(cq_catalog_t *catalog, cq_topic_t topic,
-                 const cq_store_record_t *record);
+                 const cq_store_record_t *record, cq_record_source_t source);
+
+/** cq_catalog_apply_claim() - a peer has sent records of @topic, which have
+ * been applied; Return: whether the topic is now known up to the claim's end
+ */
+gboolean
+cq_catalog_apply_claim(cq_catalog_t *catalog, cq_topic_t topic,
+                       const cq_topicmap_claim_t *claim);
+
+/** cq_catalog_map() - Return: the records of @topic */
+cq_topicmap_t *
+cq_catalog_map(const cq_catalog_t *catalog, cq_topic_t topic);
 
 /** cq_catalog_post() - tell the core of upstreams and hosts that have changed
  */
 void
 cq_catalog_post(cq_catalog_t *catalog);
 
-/** cq_catalog_begin_snapshot() - the newest record of each key of @topic
- * follows */
-void
-cq_catalog_begin_snapshot(cq_catalog_t *catalog, cq_topic_t topic);
-
 /** cq_catalog_end_snapshot() - drop the keys that were not seen in a complete
- * snapshot whose first page ended at offset @end */
-void
-cq_catalog_end_snapshot(cq_catalog_t *catalog, cq_topic_t topic, guint64 end);
-
-/** cq_catalog_visit_from() - call @visit with each record of @topic whose
- * offset is @from or higher */
+ * snapshot */
 void
-cq_catalog_visit_from(const cq_catalog_t *catalog, cq_topic_t topic,
-                      guint64 from, cq_topicmap_visit_t visit, void *data);
+cq_catalog_end_snapshot(cq_catalog_t *catalog, cq_topic_t topic);
 
 /** cq_catalog_begin_era() - the store has come back from an older copy */
 void
--- a/packages/router/follower.c
+++ b/packages/router/follower.c
@@ -50,9 +50,8 @@
 typedef struct {
     cq_follower_t *follower;
     cq_topic_t topic;
-    guint64 next;         /* offset after the last record known */
-    guint64 next_sampled; /* next as it was at sampled_us */
-    guint64 snapshot_end; /* end offset that the first page gave */
+    cq_topicmap_t *map;
+    guint64 end_sampled; /* end of the map as it was at sampled_us */
     gboolean current;
     gboolean snapshot_complete;
     gboolean failing;
@@ -165,7 +164,8 @@
 static void
 retry_read(table_t *table)
 {
-    cq_readlog_failed(&table->log, table->read_started_us, table->next);
+    cq_readlog_failed(&table->log, table->read_started_us,
+                      cq_topicmap_end(table->map));
     set_failing(table, TRUE);
     if (cq_storeread_get(&table->reads).len == 0) {
         cq_readplan_t plan = get_plan(table);
@@ -190,16 +190,19 @@
 }
 
 static void
-apply_page(table_t *table, const cq_store_page_t *page)
+apply_page(table_t *table, const cq_store_page_t *page,
+           cq_record_source_t source)
 {
     if (page->unreadable > 0) {
         cq_app_log(table->follower->app, "records_unreadable",
                    "topic=%s offset=%" G_GUINT64_FORMAT " count=%u",
-                   cq_topic_name(table->topic), table->next, page->unreadable);
+                   cq_topic_name(table->topic), cq_topicmap_end(table->map),
+                   page->unreadable);
     }
     for (guint i = 0; i < page->records->len; i++) {
         cq_catalog_apply(table->follower->catalog, table->topic,
-                         &g_array_index(page->records, cq_store_record_t, i));
+                         &g_array_index(page->records, cq_store_record_t, i),
+                         source);
     }
 }
 
@@ -234,7 +237,7 @@
 {
     table->retry_ms = 0;
     if (cq_readlog_succeeded(&table->log, table->read_started_us,
-                             table->next)) {
+                             cq_topicmap_end(table->map))) {
         restart_other_reads(table);
     }
     table->read_us =
@@ -264,10 +267,8 @@
         read_failed(table, page->outcome);
         return;
     }
-    if (table->snapshot_end == 0) {
-        table->snapshot_end = page->end;
-    }
-    apply_page(table, page);
+    cq_topicmap_begin_page(table->map, page->end);
+    apply_page(table, page, CQ_SOURCE_SNAPSHOT);
     if (page->more && page->records->len > 0) {
         const cq_store_record_t *last = &g_array_index(
             page->records, cq_store_record_t, page->records->len - 1);
@@ -275,11 +276,7 @@
                              on_snapshot_page, table);
         return;
     }
-    cq_catalog_end_snapshot(table->follower->catalog, table->topic,
-                            table->snapshot_end);
-    /* Records may have been written while the pages were read, so reading
-     * goes on at the end offset that the first page gave. */
-    table->next = MAX(table->next, table->snapshot_end);
+    cq_catalog_end_snapshot(table->follower->catalog, table->topic);
     table->snapshot_complete = TRUE;
     table->current = TRUE;
     read_succeeded(table);
@@ -305,18 +302,20 @@
         read_failed(table, page->outcome);
         return;
     }
-    apply_page(table, page);
+    guint64 from = cq_topicmap_end(table->map);
+    apply_page(table, page, CQ_SOURCE_LOG);
     if (page->records->len > 0 && sends_to_peers(table)) {
-        cq_gossip_push(table->follower->app, table->topic, page->records,
-                       table->next, page->next);
+        cq_gossip_push(table->follower->app, table->topic, page->records, from,
+                       page->next);
     }
-    table->next = MAX(table->next, page->next);
+    cq_topicmap_add_page(table->map, page->next);
     table->current = TRUE;
     table->behind_since_us = 0;
     /* An older read was never answered: what it was to answer is lost, also
      * for reads of other topics from that time. */
     if (end->oldest_us < end->started_us && table->log.failures == 0) {
-        cq_readlog_lost(&table->log, end->oldest_us, table->next);
+        cq_readlog_lost(&table->log, end->oldest_us,
+                        cq_topicmap_end(table->map));
         restart_other_reads(table);
     }
     read_succeeded(table);
@@ -329,14 +328,13 @@
     cq_follower_t *follower = table->follower;
     table->read_started_us = cq_app_now_us(follower->app);
     if (!table->snapshot_complete) {
-        table->snapshot_end = 0;
-        cq_catalog_begin_snapshot(follower->catalog, table->topic);
+        cq_topicmap_begin_snapshot(table->map);
         cq_store_read_newest(follower->store, table->topic, NULL,
                              on_snapshot_page, table);
         return;
     }
     cq_readplan_t plan = get_plan(table);
-    cq_storeread_start(&table->reads, table->next,
+    cq_storeread_start(&table->reads, cq_topicmap_end(table->map),
                        cq_readplan_wait_ms(&plan, table->read_started_us),
                        table->read_started_us);
 }
@@ -353,7 +351,8 @@
         cq_readplan_reads_t reads = cq_storeread_get(&table->reads);
         if (cq_readplan_is_overdue(&plan, &reads, now_us)) {
             table->read_started_us = now_us;
-            cq_storeread_start(&table->reads, table->next, 0, now_us);
+            cq_storeread_start(&table->reads, cq_topicmap_end(table->map), 0,
+                               now_us);
         }
     }
     return G_SOURCE_CONTINUE;
@@ -383,8 +382,7 @@
     cq_catalog_begin_era(follower->catalog);
     for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
         table_t *table = &follower->tables[i];
-        table->next = 0;
-        table->next_sampled = 0;
+        table->end_sampled = 0;
         table->read_us = 0;
         table->peers_read_us = 0;
         table->behind_since_us = 0;
@@ -414,6 +412,7 @@
         table_t *table = &follower->tables[i];
         table->follower = follower;
         table->topic = (cq_topic_t)i;
+        table->map = cq_catalog_map(follower->catalog, table->topic);
         table->log = (cq_readlog_t){.app = app, .topic = table->topic};
         table->reads = (cq_storeread_t){.store = follower->store,
                                         .topic = table->topic,
@@ -509,7 +508,7 @@
 guint64
 cq_follower_offset(const cq_follower_t *follower, cq_topic_t topic)
 {
-    return follower->tables[topic].next;
+    return cq_topicmap_end(follower->tables[topic].map);
 }
 
 guint64
@@ -529,10 +528,11 @@
 {
     table_t *table = &follower->tables[topic];
     gint64 now_us = cq_app_now_us(follower->app);
-    if (at > table->next && table->behind_since_us == 0) {
+    if (at > cq_topicmap_end(table->map) && table->behind_since_us == 0) {
         table->behind_since_us = now_us;
     }
-    if (age_ms == 0 || age_ms > PEER_READ_AGE_MAX_MS || at > table->next) {
+    if (age_ms == 0 || age_ms > PEER_READ_AGE_MAX_MS ||
+        at > cq_topicmap_end(table->map)) {
         return;
     }
     gint64 read_us = now_us - (gint64)(age_ms - 1) * CQ_MS_US;
@@ -550,42 +550,36 @@
 {
     gint64 now_us = cq_app_now_us(table->follower->app);
     if (sends_to_peers(table) && table->read_us != 0 && !table->failing) {
-        return table->next;
+        return cq_topicmap_end(table->map);
     }
     if (now_us - table->sampled_us > PEER_LAG_MAX_US) {
         table->sampled_us = now_us;
-        table->next_sampled = table->next;
+        table->end_sampled = cq_topicmap_end(table->map);
         return 0;
     }
-    return table->next_sampled;
+    return table->end_sampled;
 }
 
-gboolean
-cq_follower_list_missing(cq_follower_t *follower, cq_topic_t topic, guint64 at,
-                         cq_topicmap_visit_t visit, void *data)
+const cq_topicmap_t *
+cq_follower_get_missing(cq_follower_t *follower, cq_topic_t topic, guint64 at)
 {
     table_t *table = &follower->tables[topic];
-    if (at >= offset_to_send(table)) {
-        return FALSE;
-    }
-    cq_catalog_visit_from(follower->catalog, topic, at, visit, data);
-    return TRUE;
+    return at < offset_to_send(table) ? table->map : NULL;
 }
 
 void
 cq_follower_add_record(cq_follower_t *follower, cq_topic_t topic,
                        const cq_store_record_t *record)
 {
-    cq_catalog_apply(follower->catalog, topic, record);
+    cq_catalog_apply(follower->catalog, topic, record, CQ_SOURCE_PEER);
 }
 
 void
-cq_follower_set_offset(cq_follower_t *follower, cq_topic_t topic, guint64 from,
-                       guint64 at)
+cq_follower_add_claim(cq_follower_t *follower, cq_topic_t topic,
+                      const cq_topicmap_claim_t *claim)
 {
     table_t *table = &follower->tables[topic];
-    if (from <= table->next) {
-        table->next = MAX(table->next, at);
+    if (cq_catalog_apply_claim(follower->catalog, topic, claim)) {
         table->behind_since_us = 0;
         table->current = TRUE;
     }
--- a/packages/router/follower.h
+++ b/packages/router/follower.h
@@ -77,20 +77,17 @@
                       guint64 age_ms);
 
 /**
- * cq_follower_list_missing() - list the records that a peer lacks
+ * cq_follower_get_missing() - get the records that a peer lacks
  * @follower: the follower
  * @topic: the topic
  * @at: offset after the last record that the peer knows
- * @visit: called with each newer record, but only if this process reads the
- *   topic for its peers, or if the peer is so far behind that it is not
- *   reading the store itself
- * @data: passed to @visit
  *
- * Return: whether the peer lacks records that this process sends.
+ * Return: the records of @topic if there are newer ones, and if this process
+ * reads the topic for its peers or the peer is so far behind that it is not
+ * reading the store itself; else NULL.
  */
-gboolean
-cq_follower_list_missing(cq_follower_t *follower, cq_topic_t topic, guint64 at,
-                         cq_topicmap_visit_t visit, void *data);
+const cq_topicmap_t *
+cq_follower_get_missing(cq_follower_t *follower, cq_topic_t topic, guint64 at);
 
 /** cq_follower_add_record() - add a record received from a peer to the copy of
  * @topic; no effect if a newer record of the same key is known */
@@ -98,11 +95,10 @@
 cq_follower_add_record(cq_follower_t *follower, cq_topic_t topic,
                        const cq_store_record_t *record);
 
-/** cq_follower_set_offset() - note that a peer has sent all records of @topic
- * from offset @from up to, but without, @at */
+/** cq_follower_add_claim() - note what a peer says that it has sent */
 void
-cq_follower_set_offset(cq_follower_t *follower, cq_topic_t topic, guint64 from,
-                       guint64 at);
+cq_follower_add_claim(cq_follower_t *follower, cq_topic_t topic,
+                      const cq_topicmap_claim_t *claim);
 
 G_END_DECLS
 
--- a/packages/router/gossip.c
+++ b/packages/router/gossip.c
@@ -130,6 +130,45 @@
     transfer->bytes += record_bytes(record);
 }
 
+/* Tells the peer up to where it knows all records now. A peer that doesn't
+ * understand a list of the keys that are left reads the store. */
+static void
+send_claim(const transfer_t *transfer, cq_topic_t topic,
+           const cq_topicmap_t *map, guint64 at)
+{
+    GArray *live = g_array_new(FALSE, FALSE, sizeof(guint64));
+    cq_topicmap_claim_t claim = cq_topicmap_get_claim(map, at, live);
+    Cq__Records records = CQ__RECORDS__INIT;
+    records.topic = topic;
+    records.from = claim.from;
+    records.at = claim.at;
+    records.complete = claim.complete;
+    records.rows_from = claim.complete ? claim.rows_from : 0;
+    records.live = (guint64 *)(void *)live->data;
+    records.n_live = claim.live_len;
+    gsize bytes = live->len * sizeof(guint64);
+    if (bytes < CQ_FRAME_BYTES_MAX - CQ_FRAME_OVERHEAD_BYTES) {
+        send_records(transfer->app, transfer->link, &records);
+    }
+    g_array_unref(live);
+}
+
+/* Sends the peer the records of @map from offset @at on. */
+static void
+send_missing(transfer_t *transfer, cq_topic_t topic, const cq_topicmap_t *map,
+             guint64 at)
+{
+    cq_topicmap_visit_from(map, at, add_bytes, transfer);
+    gboolean large = transfer->bytes > LARGE_TRANSFER_BYTES;
+    if (large && !is_elected_sender(transfer)) {
+        return;
+    }
+    cq_topicmap_visit_from(map, at, send_record, transfer);
+    if (!transfer->incomplete) {
+        send_claim(transfer, topic, map, at);
+    }
+}
+
 void
 cq_gossip_send(cq_app_t *app, cq_link_t *link, const Cq__Summary *summary)
 {
@@ -151,19 +190,10 @@
         transfer_t transfer = {
             .app = app, .link = link, .host = summary->host};
         guint64 at = summary->topics_at[i];
-        gboolean behind = cq_follower_list_missing(follower, topic, at,
-                                                   add_bytes, &transfer);
-        gboolean large = transfer.bytes > LARGE_TRANSFER_BYTES;
-        if (!behind || (large && !is_elected_sender(&transfer))) {
-            continue;
-        }
-        cq_follower_list_missing(follower, topic, at, send_record, &transfer);
-        if (!transfer.incomplete) {
-            Cq__Records records = CQ__RECORDS__INIT;
-            records.topic = topic;
-            records.from = at;
-            records.at = cq_follower_offset(follower, topic);
-            send_records(app, link, &records);
+        const cq_topicmap_t *map =
+            cq_follower_get_missing(follower, topic, at);
+        if (map != NULL) {
+            send_missing(&transfer, topic, map, at);
         }
     }
 }
@@ -224,7 +254,15 @@
         g_clear_pointer(&record.value, g_bytes_unref);
     }
     if (records->at > 0) {
-        cq_follower_set_offset(follower, topic, records->from, records->at);
+        cq_topicmap_claim_t claim = {
+            .from = records->from,
+            .at = records->at,
+            .complete = records->complete,
+            .rows_from = records->rows_from,
+            .live = records->live,
+            .live_len = records->n_live,
+        };
+        cq_follower_add_claim(follower, topic, &claim);
     }
     return valid;
 }
--- a/packages/router/topicmap.c
+++ b/packages/router/topicmap.c
@@ -30,12 +30,23 @@
 /*
  * entries: by key
  * ignored: by key whose newest record is invalid: hash of the reason
+ * end: offset after the last record known
+ * deletions_from: all records from this offset up to end are known, deletions
+ *   too; of older ones only what is left
+ * in_snapshot: a page of the snapshot being read has come
+ * snapshot_end: end of the topic when the store read the first page
+ * page_end: the same of the page that is being added
  */
 struct cq_topicmap {
     cq_app_t *app;
     cq_topic_t topic;
     GHashTable *entries;
     GHashTable *ignored;
+    guint64 end;
+    guint64 deletions_from;
+    gboolean in_snapshot;
+    guint64 snapshot_end;
+    guint64 page_end;
 };
 
 static void
@@ -184,10 +195,35 @@
     return TRUE;
 }
 
+guint64
+cq_topicmap_end(const cq_topicmap_t *map)
+{
+    return map->end;
+}
+
+/* Whether the key may have been deleted after @record without a trace in the
+ * map: a peer that lags, or a page that comes late, may still have it. */
+static gboolean
+may_be_deleted(const cq_topicmap_t *map, const cq_store_record_t *record,
+               cq_record_source_t source)
+{
+    gboolean is_late =
+        source == CQ_SOURCE_PEER ||
+        (source == CQ_SOURCE_SNAPSHOT && map->page_end < map->deletions_from);
+    return is_late && record->offset < map->deletions_from;
+}
+
 gboolean
-cq_topicmap_is_new(cq_topicmap_t *map, const cq_store_record_t *record)
+cq_topicmap_is_new(cq_topicmap_t *map, const cq_store_record_t *record,
+                   cq_record_source_t source)
 {
+    if (may_be_deleted(map, record, source)) {
+        return FALSE;
+    }
     entry_t *old = g_hash_table_lookup(map->entries, record->key);
+    if (old != NULL && source == CQ_SOURCE_SNAPSHOT) {
+        old->seen = TRUE;
+    }
     if (old != NULL && old->carried) {
         return !doubt(map, old, record);
     }
@@ -196,20 +232,17 @@
     }
     /* An entry that a snapshot dropped has no value any more. */
     gboolean was_dropped = old->record.value == NULL && record->value != NULL;
-    if (old->record.offset == record->offset && was_dropped) {
-        return TRUE;
-    }
-    old->seen = TRUE;
-    return FALSE;
+    return old->record.offset == record->offset && was_dropped;
 }
 
 gboolean
-cq_topicmap_add(cq_topicmap_t *map, const cq_store_record_t *record)
+cq_topicmap_add(cq_topicmap_t *map, const cq_store_record_t *record,
+                cq_record_source_t source)
 {
     entry_t *old = g_hash_table_lookup(map->entries, record->key);
     gboolean changed = FALSE;
     entry_t *entry = g_new0(entry_t, 1);
-    entry->seen = TRUE;
+    entry->seen = source == CQ_SOURCE_SNAPSHOT || (old != NULL && old->seen);
     copy_record(&entry->record, record);
     if (record->value == NULL && old != NULL) {
         entry->listed = old->listed;
@@ -264,6 +297,7 @@
 void
 cq_topicmap_begin_snapshot(cq_topicmap_t *map)
 {
+    map->in_snapshot = FALSE;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, map->entries);
@@ -272,8 +306,36 @@
     }
 }
 
+void
+cq_topicmap_begin_page(cq_topicmap_t *map, guint64 end)
+{
+    if (!map->in_snapshot) {
+        map->in_snapshot = TRUE;
+        map->snapshot_end = end;
+    }
+    map->page_end = end;
+}
+
+/* Return: whether this changes what cq_topicmap_list_hosts() gives. */
+static gboolean
+drop(entry_t *entry)
+{
+    gboolean changed = entry->valid;
+    entry->valid = FALSE;
+    g_clear_pointer(&entry->record.value, g_bytes_unref);
+    return changed;
+}
+
+/* A configuration stays in force until there is a newer one. */
+static gboolean
+can_drop(const cq_topicmap_t *map, const entry_t *entry, guint64 end)
+{
+    return map->topic != CQ_TOPIC_CONFIG && !entry->carried &&
+           entry->record.offset < end;
+}
+
 gboolean
-cq_topicmap_end_snapshot(cq_topicmap_t *map, guint64 end)
+cq_topicmap_end_snapshot(cq_topicmap_t *map)
 {
     gboolean dropped = FALSE;
     GHashTableIter iter;
@@ -281,17 +343,96 @@
     g_hash_table_iter_init(&iter, map->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         entry_t *entry = value;
-        gboolean written_before = entry->record.offset < end;
-        if (!entry->seen && !entry->carried && written_before &&
-            entry->valid) {
-            entry->valid = FALSE;
-            g_clear_pointer(&entry->record.value, g_bytes_unref);
-            dropped = TRUE;
+        if (!entry->seen && can_drop(map, entry, map->snapshot_end)) {
+            dropped |= drop(entry);
         }
     }
+    /* Records may have been written while the pages were read, so reading
+     * goes on at the end that the first page gave. */
+    if (map->end < map->snapshot_end) {
+        map->end = map->snapshot_end;
+        map->deletions_from = map->snapshot_end;
+    }
     return dropped;
 }
 
+void
+cq_topicmap_add_page(cq_topicmap_t *map, guint64 next)
+{
+    map->end = MAX(map->end, next);
+}
+
+static gboolean
+drop_all_but(cq_topicmap_t *map, const cq_topicmap_claim_t *claim)
+{
+    gboolean dropped = FALSE;
+    GHashTable *live = g_hash_table_new(g_int64_hash, g_int64_equal);
+    for (gsize i = 0; i < claim->live_len; i++) {
+        g_hash_table_add(live, (gpointer)&claim->live[i]);
+    }
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, map->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        entry_t *entry = value;
+        guint64 key = cq_ident_hash(entry->record.key);
+        if (!g_hash_table_contains(live, &key) &&
+            can_drop(map, entry, claim->at)) {
+            dropped |= drop(entry);
+        }
+    }
+    g_hash_table_unref(live);
+    return dropped;
+}
+
+gboolean
+cq_topicmap_add_claim(cq_topicmap_t *map, const cq_topicmap_claim_t *claim,
+                      gboolean *dropped)
+{
+    if (claim->from <= map->end) {
+        map->end = MAX(map->end, claim->at);
+        return TRUE;
+    }
+    if (!claim->complete || claim->rows_from > map->end) {
+        return FALSE;
+    }
+    if (claim->at > map->end) {
+        *dropped = drop_all_but(map, claim);
+        map->end = claim->at;
+        map->deletions_from = claim->at;
+    }
+    return TRUE;
+}
+
+static void
+list_live(const cq_topicmap_t *map, GArray *keys)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, map->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const entry_t *entry = value;
+        if (entry->record.value != NULL && !entry->carried) {
+            guint64 key = cq_ident_hash(entry->record.key);
+            g_array_append_val(keys, key);
+        }
+    }
+}
+
+cq_topicmap_claim_t
+cq_topicmap_get_claim(const cq_topicmap_t *map, guint64 at, GArray *live)
+{
+    cq_topicmap_claim_t claim = {.from = at, .at = map->end, .rows_from = at};
+    if (at < map->deletions_from) {
+        list_live(map, live);
+        claim.from = map->deletions_from;
+        claim.complete = TRUE;
+        claim.live = (const guint64 *)(const void *)live->data;
+        claim.live_len = live->len;
+    }
+    return claim;
+}
+
 void
 cq_topicmap_visit_from(const cq_topicmap_t *map, guint64 from,
                        cq_topicmap_visit_t visit, void *data)
@@ -310,6 +451,9 @@
 void
 cq_topicmap_begin_era(cq_topicmap_t *map)
 {
+    map->end = 0;
+    map->deletions_from = 0;
+    map->in_snapshot = FALSE;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, map->entries);
@@ -329,15 +473,12 @@
     entry->carried = FALSE;
     entry->record.offset = 0;
     if (entry->doubted.key == NULL || cq_partstore_owns(entry->record.key)) {
-        gboolean changed = entry->valid;
-        entry->valid = FALSE;
-        g_clear_pointer(&entry->record.value, g_bytes_unref);
-        return changed;
+        return drop(entry);
     }
     /* Adding the record frees the entry. */
     cq_store_record_t record = entry->doubted;
     entry->doubted = (cq_store_record_t){0};
-    gboolean changed = cq_topicmap_add(map, &record);
+    gboolean changed = cq_topicmap_add(map, &record, CQ_SOURCE_LOG);
     cq_store_record_clear(&record);
     return changed;
 }
--- a/packages/router/topicmap.h
+++ b/packages/router/topicmap.h
@@ -1,8 +1,14 @@
 /**
  * DOC: topicmap
  *
- * The newest record of each key of a topic of the platform's store. Records of
- * upstreams and entry hosts are parsed once, when they are added.
+ * The newest record of each key of a topic of the platform's store, and up to
+ * which offset they are known. Records of upstreams and entry hosts are parsed
+ * once, when they are added.
+ *
+ * A snapshot has no trace of the keys that were deleted before it. So there
+ * are two offsets: every record before the end is known, but of the deletions
+ * only those from another offset on. A peer that lacks older ones is told
+ * which keys are left.
  */
 #ifndef CQ_TOPICMAP_H
 #define CQ_TOPICMAP_H
@@ -39,15 +45,59 @@
 void
 cq_topicmap_note_valid(cq_topicmap_t *map, const char *key);
 
-/** cq_topicmap_is_new() - Return: whether the map lacks @record; if not, its
- * key counts as seen */
+/** enum cq_record_source_t - where a record comes from */
+typedef enum {
+    CQ_SOURCE_LOG,      /* from the store, in order of offset */
+    CQ_SOURCE_SNAPSHOT, /* from a page of the snapshot that is being read */
+    CQ_SOURCE_PEER,
+} cq_record_source_t;
+
+/**
+ * struct cq_topicmap_claim_t - what a peer says that it has sent
+ * @from: all records from this offset on, deletions too
+ * @at: up to this offset
+ * @complete: the records from @rows_from on were sent, and @live names the
+ *   keys that are left
+ * @rows_from: see @complete
+ * @live: hashes of the keys that have a value, @live_len of them
+ * @live_len: see @live
+ */
+typedef struct {
+    guint64 from;
+    guint64 at;
+    gboolean complete;
+    guint64 rows_from;
+    const guint64 *live;
+    gsize live_len;
+} cq_topicmap_claim_t;
+
+/** cq_topicmap_end() - Return: offset after the last record known */
+guint64
+cq_topicmap_end(const cq_topicmap_t *map);
+
+/** cq_topicmap_is_new() - Return: whether the map lacks @record, which is not
+ * older than what is known of its key */
 gboolean
-cq_topicmap_is_new(cq_topicmap_t *map, const cq_store_record_t *record);
+cq_topicmap_is_new(cq_topicmap_t *map, const cq_store_record_t *record,
+                   cq_record_source_t source);
 
 /** cq_topicmap_add() - add a copy of @record, which is new; Return: whether
  * this changes what cq_topicmap_list_hosts() gives */
 gboolean
-cq_topicmap_add(cq_topicmap_t *map, const cq_store_record_t *record);
+cq_topicmap_add(cq_topicmap_t *map, const cq_store_record_t *record,
+                cq_record_source_t source);
+
+/** cq_topicmap_add_page() - the records of a read of the store up to offset
+ * @next have been added */
+void
+cq_topicmap_add_page(cq_topicmap_t *map, guint64 next);
+
+/** cq_topicmap_add_claim() - a peer has sent records, which have been added:
+ * drop the keys that it shows to be deleted. Return: whether the map is now
+ * known up to the claim's end */
+gboolean
+cq_topicmap_add_claim(cq_topicmap_t *map, const cq_topicmap_claim_t *claim,
+                      gboolean *dropped);
 
 /** cq_topicmap_list_hosts() - append the upstreams or entry hosts to @rows, an
  * array of cq_host_row_t */
@@ -69,11 +119,16 @@
 void
 cq_topicmap_begin_snapshot(cq_topicmap_t *map);
 
-/** cq_topicmap_end_snapshot() - drop the keys that were not seen in a complete
- * snapshot whose first page ended at offset @end; records that were written
- * later stay. Return: whether a key was dropped */
+/** cq_topicmap_begin_page() - records of a page of the snapshot follow, which
+ * the store read when the topic ended at offset @end */
+void
+cq_topicmap_begin_page(cq_topicmap_t *map, guint64 end);
+
+/** cq_topicmap_end_snapshot() - the snapshot is complete: drop the keys that
+ * were not seen in it; records that were written after its first page stay.
+ * Return: whether a key was dropped */
 gboolean
-cq_topicmap_end_snapshot(cq_topicmap_t *map, guint64 end);
+cq_topicmap_end_snapshot(cq_topicmap_t *map);
 
 /** cq_topicmap_begin_era() - the store has come back from an older copy: its
  * records replace those of the map whatever their offsets are, except those of
@@ -94,6 +149,12 @@
 cq_topicmap_visit_from(const cq_topicmap_t *map, guint64 from,
                        cq_topicmap_visit_t visit, void *data);
 
+/** cq_topicmap_get_claim() - Return: what can be said to a peer that knows the
+ * topic up to offset @at, once it has been sent the records from there on;
+ * @live, an array of guint64, gets the keys that it borrows */
+cq_topicmap_claim_t
+cq_topicmap_get_claim(const cq_topicmap_t *map, guint64 at, GArray *live);
+
 G_END_DECLS
 
 #endif
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -1870,7 +1870,7 @@
   (ProtobufCMessageInit) cq__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cq__records__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cq__records__field_descriptors[8] =
 {
   {
     "rows",
@@ -1932,18 +1932,57 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "live",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Cq__Records, n_live),
+    offsetof(Cq__Records, live),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "complete",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Records, complete),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows_from",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Records, rows_from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cq__records__field_indices_by_name[] = {
   2,   /* field[2] = at */
+  6,   /* field[6] = complete */
   3,   /* field[3] = from */
+  5,   /* field[5] = live */
   0,   /* field[0] = rows */
+  7,   /* field[7] = rows_from */
   4,   /* field[4] = store_era */
   1,   /* field[1] = topic */
 };
 static const ProtobufCIntRange cq__records__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cq__records__descriptor =
 {
@@ -1953,7 +1992,7 @@
   "Cq__Records",
   "cq",
   sizeof(Cq__Records),
-  5,
+  8,
   cq__records__field_descriptors,
   cq__records__field_indices_by_name,
   1,  cq__records__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -263,7 +263,7 @@
 
 /*
  * If at is set, these records and those sent before are all records from
- * offset from up to that offset.
+ * offset from up to that offset, deletions too.
  */
 struct  Cq__Records
 {
@@ -277,10 +277,19 @@
    * Era of the store to which the offsets belong; 0: not known.
    */
   uint64_t store_era;
+  /*
+   * If complete is set: the rows and those sent before are all records from
+   * offset rows_from up to at, except deletions before from; live has a hash
+   * of each key that has a value at offset at.
+   */
+  size_t n_live;
+  uint64_t *live;
+  protobuf_c_boolean complete;
+  uint64_t rows_from;
 };
 #define CQ__RECORDS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cq__records__descriptor) \
-    , 0,NULL, 0, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
@@ -322,7 +331,8 @@
 
 
 /*
- * Crashes of upstreams under requests with a part, and answers on suspects.
+ * Crashes of upstreams under requests with a part, answers on suspects, and
+ * crashes that are taken back.
  */
 struct  Cq__PartReports
 {
