An entry that is missing after a cut counts as present only if it may have lapsed

What callers saw: DRAIN. Hosts were cut off from the store for 6.6 s; a replica's entry was removed 0.5 s after that.

Cause: every entry that was missing within 2 s of a host's own first answer counted as lapsed in an outage of the store, also if the store had been there all the time, and if the entry was removed after its return.

Change: the host list says until when what it lacks counts as present. That is so only for entries that are missing in the first answer after reads had failed, or that peers' records show to be missing meanwhile, and only if neither this host nor a peer that it hears had read the store for 2.5 s (router/outage); it ends 2 s after the first read by any of them. All else that is missing is gone at once. The line unlisted has lapsed=perhaps for them. The core no longer derives this from its LOG event.

CoreTest.EntriesThatExpiredInALogOutageStayUsableForAWhile drove the old rule by LOG events, which no longer decide this. It now sends a list that says so, with the same expectations; EntriesThatDidNotExpireInALogOutageAreGoneAtOnce has the LOG events, and wants the entry to be gone.

--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -144,10 +144,6 @@
 #define CQ_PEER_TIMEOUT_US (2 * CQ_SECOND_US)
 /* Length of the window over which rates are estimated. */
 #define CQ_RATE_WINDOW_US CQ_SECOND_US
-/* For this time after an outage of the log, upstreams whose entries are
- * missing from the host list are still used: the entries may have expired
- * during the outage and are then written again. */
-#define CQ_UNLISTED_GRACE_US (2 * CQ_SECOND_US)
 /* Rate limits of upstreams in a summary. If there are more, each summary has
  * others of them. */
 #define CQ_SUMMARY_RATES_MAX 64
--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -224,10 +224,6 @@
         return;
     }
     core->log_up = up;
-    gboolean had_outage = core->counters.value[CQ_N_LOG_OUTAGES] > 0;
-    if (up && had_outage) {
-        core->log_recovered_us = core->now_us;
-    }
     if (!up) {
         cq_counters_add(&core->counters, CQ_N_LOG_OUTAGES, 1);
     }
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -250,10 +250,14 @@
  * struct cq_ev_hosts_t - the whole host list
  * @rows: its rows
  * @len: number of @rows
+ * @lapsed_until_us: upstreams that the last list had and this one lacks count
+ *   as present until then, as their entries may have lapsed in an outage of
+ * the store; 0: they are gone
  */
 typedef struct {
     const cq_host_row_t *rows;
     guint len;
+    gint64 lapsed_until_us;
 } cq_ev_hosts_t;
 
 /**
--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -338,7 +338,7 @@
  * order is that of arrival, and not over hash tables: the core must give the
  * same actions and events for the same input. */
 static void
-note_list_changes(cq_core_t *core)
+note_list_changes(cq_core_t *core, gint64 lapsed_until_us)
 {
     for (guint i = 0; i < core->services->len; i++) {
         cq_service_t *service = g_ptr_array_index(core->services, i);
@@ -350,9 +350,11 @@
             }
             service->candidates_stale = TRUE;
             if (!upstream->listed) {
-                upstream->unlisted_us = core->now_us;
+                upstream->lapsed_until_us = lapsed_until_us;
                 cq_ring_add(&core->ring, core->now_us, 0, 0, "unlisted",
-                            "upstream=%s", upstream->name);
+                            "upstream=%s%s", upstream->name,
+                            lapsed_until_us > core->now_us ? " lapsed=perhaps"
+                                                           : "");
             }
         }
     }
@@ -383,7 +385,7 @@
         }
         update_upstream(core, upstream, row);
     }
-    note_list_changes(core);
+    note_list_changes(core, list->lapsed_until_us);
     cq_lending_update_zones(core, list);
     choose_peers(core, list);
     update_follows_log(core, list);
--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -79,22 +79,12 @@
     return x_rank < y_rank ? -1 : x_rank > y_rank;
 }
 
-/* Whether an upstream that is not in the host list is really gone. Entries
- * that expired during an outage of the log are written again once the log is
- * back, so an entry that is missing just then counts as present for
- * CQ_UNLISTED_GRACE_US. */
+/* An entry that may have lapsed in an outage of the store is written again
+ * once the store is back, so its upstream counts as present for a time. */
 static gboolean
 is_gone(const cq_core_t *core, const cq_upstream_t *upstream)
 {
-    if (upstream->listed) {
-        return FALSE;
-    }
-    gint64 recovered_us = core->log_recovered_us;
-    gboolean lapsed_in_outage =
-        recovered_us > 0 && upstream->unlisted_us >= recovered_us &&
-        upstream->unlisted_us < recovered_us + CQ_UNLISTED_GRACE_US;
-    return !lapsed_in_outage ||
-           core->now_us >= recovered_us + CQ_UNLISTED_GRACE_US;
+    return !upstream->listed && core->now_us >= upstream->lapsed_until_us;
 }
 
 /* Reduces the array to the subset that this host uses. Each host ranks the
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -138,7 +138,8 @@
  * @broken_streak: attempts in a row whose connection ended early; those that
  *   ran at the same time count as one
  * @broken_us: when @broken_streak was last raised
- * @unlisted_us: when it disappeared from the host list
+ * @lapsed_until_us: until when it counts as present though the host list lacks
+ *   it
  * @rate: its rate limit
  */
 typedef struct cq_upstream {
@@ -180,7 +181,7 @@
     gint64 offered_until_us;
     guint broken_streak;
     gint64 broken_us;
-    gint64 unlisted_us;
+    gint64 lapsed_until_us;
     cq_rate_t rate;
 } cq_upstream_t;
 
@@ -525,7 +526,6 @@
  * @tasks_broadcast_us: when all tasks of this process were last sent to peers
  * @reservations: reservations without a release
  * @log_up: the platform's log answers
- * @log_recovered_us: when the log last answered again after an outage
  * @drain_notice_us: until when new requests are accepted while draining
  * @drain_limit_us: when every remaining request is answered
  * @window_start_us: when the current window of the drain rates began
@@ -573,7 +573,6 @@
     gint64 tasks_broadcast_us;
     guint reservations;
     gboolean log_up;
-    gint64 log_recovered_us;
     gboolean draining;
     gint64 drain_notice_us;
     gint64 drain_limit_us;
--- a/packages/router/catalog.c
+++ b/packages/router/catalog.c
@@ -60,12 +60,13 @@
 }
 
 static void
-post_rows(cq_catalog_t *catalog, GArray *rows)
+post_rows(cq_catalog_t *catalog, GArray *rows, gint64 lapsed_until_us)
 {
     cq_topicmap_sort_hosts(rows);
     cq_event_t event = {.kind = CQ_EV_HOSTS};
     event.hosts.rows = (const cq_host_row_t *)(const void *)rows->data;
     event.hosts.len = rows->len;
+    event.hosts.lapsed_until_us = lapsed_until_us;
     cq_app_post(catalog->app, &event);
 }
 
@@ -142,7 +143,7 @@
  * So upstreams that left on notice, with both records read at once, are first
  * listed as leaving. */
 void
-cq_catalog_post(cq_catalog_t *catalog)
+cq_catalog_post(cq_catalog_t *catalog, gint64 lapsed_until_us)
 {
     if (!catalog->rows_changed) {
         return;
@@ -156,9 +157,9 @@
     cq_topicmap_list_left(upstreams, left);
     if (left->len > 0) {
         g_array_append_vals(left, rows->data, rows->len);
-        post_rows(catalog, left);
+        post_rows(catalog, left, lapsed_until_us);
     }
-    post_rows(catalog, rows);
+    post_rows(catalog, rows, lapsed_until_us);
     cq_app_connect_peers(catalog->app);
     g_array_unref(left);
     g_array_unref(rows);
@@ -188,5 +189,5 @@
             catalog->rows_changed = TRUE;
         }
     }
-    cq_catalog_post(catalog);
+    cq_catalog_post(catalog, 0);
 }
--- a/packages/router/catalog.h
+++ b/packages/router/catalog.h
@@ -45,10 +45,11 @@
 cq_topicmap_t *
 cq_catalog_map(const cq_catalog_t *catalog, cq_topic_t topic);
 
-/** cq_catalog_post() - tell the core of upstreams and hosts that have changed
- */
+/** cq_catalog_post() - tell the core of upstreams and hosts that have changed;
+ * those that are missing may have lapsed in an outage of the store, and count
+ * as present until @lapsed_until_us, or 0 */
 void
-cq_catalog_post(cq_catalog_t *catalog);
+cq_catalog_post(cq_catalog_t *catalog, gint64 lapsed_until_us);
 
 /** cq_catalog_end_snapshot() - drop the keys that were not seen in a complete
  * snapshot */
--- a/packages/router/follower.c
+++ b/packages/router/follower.c
@@ -3,6 +3,7 @@
 #include "router/catalog.h"
 #include "router/gossip.h"
 #include "router/links.h"
+#include "router/outage.h"
 #include "router/partstore.h"
 #include "router/readerrole.h"
 #include "router/readlog.h"
@@ -27,9 +28,6 @@
 #define FIRST_READ_DELAY_MS 700
 /* The store answers a long poll within this time after a new record. */
 #define STORE_DELAY_MAX_US (400 * CQ_MS_US)
-/* Delay before the next read after a new record, so that upstreams and hosts
- * that start or stop together are read together. */
-#define BATCH_DELAY_MS 200
 #define RETRY_MIN_MS 200
 /* How often the reads that are under way are looked at. */
 #define CHECK_MS 100
@@ -77,6 +75,7 @@
     cq_readerrole_t role;
     guint era_timer;
     guint check_timer;
+    cq_outage_t outage;
 };
 
 static void
@@ -175,20 +174,6 @@
     }
 }
 
-/* Return: delay before the next read. An empty answer should come only after
- * the long-poll time, so the next read can start at once; RETRY_MIN_MS avoids
- * a tight loop if the store did not hold the read. */
-static guint
-next_read_delay_ms(const table_t *table, gboolean got_records)
-{
-    if (!got_records) {
-        gint64 elapsed_us =
-            cq_app_now_us(table->follower->app) - table->read_started_us;
-        return elapsed_us < RETRY_MIN_MS * CQ_MS_US ? RETRY_MIN_MS : 0;
-    }
-    return table->topic == CQ_TOPIC_CONFIG ? 0 : BATCH_DELAY_MS;
-}
-
 static void
 apply_page(table_t *table, const cq_store_page_t *page,
            cq_record_source_t source)
@@ -235,16 +220,24 @@
 static void
 read_succeeded(table_t *table)
 {
+    cq_follower_t *follower = table->follower;
+    gint64 now_us = cq_app_now_us(follower->app);
     table->retry_ms = 0;
-    if (cq_readlog_succeeded(&table->log, table->read_started_us,
-                             cq_topicmap_end(table->map))) {
+    gboolean was_failing = cq_readlog_succeeded(
+        &table->log, table->read_started_us, cq_topicmap_end(table->map));
+    if (was_failing) {
         restart_other_reads(table);
     }
-    table->read_us =
-        MAX(table->read_started_us,
-            cq_app_now_us(table->follower->app) - STORE_DELAY_MAX_US);
+    table->read_us = MAX(table->read_started_us, now_us - STORE_DELAY_MAX_US);
     set_failing(table, FALSE);
-    cq_catalog_post(table->follower->catalog);
+    gint64 lapsed_until_us = 0;
+    if (table->topic == CQ_TOPIC_UPSTREAMS) {
+        cq_outage_note_read(&follower->outage, table->read_us);
+        lapsed_until_us =
+            was_failing ? cq_outage_lapsed_until_us(&follower->outage, now_us)
+                        : 0;
+    }
+    cq_catalog_post(follower->catalog, lapsed_until_us);
 }
 
 /* Goes on after an answer that has no records. */
@@ -319,7 +312,10 @@
         restart_other_reads(table);
     }
     read_succeeded(table);
-    schedule_read(table, next_read_delay_ms(table, page->records->len > 0));
+    gint64 took_us =
+        cq_app_now_us(table->follower->app) - table->read_started_us;
+    schedule_read(table, cq_readplan_delay_ms(
+                             table->topic, page->records->len > 0, took_us));
 }
 
 static void
@@ -472,6 +468,7 @@
         cancel_reads(&follower->tables[i]);
     }
     cq_store_reset(follower->store);
+    follower->outage = (cq_outage_t){0};
     for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
         table_t *table = &follower->tables[i];
         table->current = FALSE;
@@ -531,8 +528,12 @@
     if (at > cq_topicmap_end(table->map) && table->behind_since_us == 0) {
         table->behind_since_us = now_us;
     }
-    if (age_ms == 0 || age_ms > PEER_READ_AGE_MAX_MS ||
-        at > cq_topicmap_end(table->map)) {
+    gboolean reads = age_ms != 0 && age_ms <= PEER_READ_AGE_MAX_MS;
+    if (reads && topic == CQ_TOPIC_UPSTREAMS) {
+        cq_outage_note_read(&follower->outage,
+                            now_us - (gint64)(age_ms - 1) * CQ_MS_US);
+    }
+    if (!reads || at > cq_topicmap_end(table->map)) {
         return;
     }
     gint64 read_us = now_us - (gint64)(age_ms - 1) * CQ_MS_US;
@@ -583,5 +584,11 @@
         table->behind_since_us = 0;
         table->current = TRUE;
     }
-    cq_catalog_post(follower->catalog);
+    gint64 now_us = cq_app_now_us(follower->app);
+    gboolean may_lapse =
+        topic == CQ_TOPIC_UPSTREAMS &&
+        (table->failing || cq_outage_is_unread(&follower->outage, now_us));
+    cq_catalog_post(
+        follower->catalog,
+        may_lapse ? cq_outage_lapsed_until_us(&follower->outage, now_us) : 0);
 }
--- a/packages/router/readplan.c
+++ b/packages/router/readplan.c
@@ -19,6 +19,11 @@
  * show when it is back. */
 #define PROBE_US (500 * CQ_MS_US)
 #define RETRY_MAX_MS 1000
+/* Delay before the next read after a new record, so that upstreams and hosts
+ * that start or stop together are read together. */
+#define BATCH_DELAY_MS 200
+/* Avoids a tight loop if the store doesn't hold a read. */
+#define EMPTY_DELAY_MS 200
 /* Peers that have not read the topic for this time don't show any more whether
  * there are new records. */
 #define PEERS_FRESH_US (2000 * CQ_MS_US)
@@ -81,3 +86,12 @@
 {
     return probes(plan) ? PROBE_US / CQ_MS_US : RETRY_MAX_MS;
 }
+
+guint
+cq_readplan_delay_ms(cq_topic_t topic, gboolean got_records, gint64 took_us)
+{
+    if (!got_records) {
+        return took_us < EMPTY_DELAY_MS * CQ_MS_US ? EMPTY_DELAY_MS : 0;
+    }
+    return topic == CQ_TOPIC_CONFIG ? 0 : BATCH_DELAY_MS;
+}
--- a/packages/router/readplan.h
+++ b/packages/router/readplan.h
@@ -56,6 +56,11 @@
 cq_readplan_is_overdue(const cq_readplan_t *plan,
                        const cq_readplan_reads_t *reads, gint64 now_us);
 
+/** cq_readplan_delay_ms() - Return: delay before the next read, after one of
+ * @topic that took @took_us */
+guint
+cq_readplan_delay_ms(cq_topic_t topic, gboolean got_records, gint64 took_us);
+
 /** cq_readplan_retry_max_ms() - Return: longest delay after a read that failed
  */
 guint
--- a/tests/unit/batchplace_test.cc
+++ b/tests/unit/batchplace_test.cc
@@ -255,6 +255,21 @@
 }
 
 TEST_F(CoreTest, EntriesThatExpiredInALogOutageStayUsableForAWhile)
+{
+    start_core(1);
+    rows[0].name[0] = 'x';
+    send_host_list(now_us + 2 * kSecond);
+    guint64 id = submit_short();
+    EXPECT_EQ(last_send(id)->upstream, cq_ident_hash("e0"));
+    attempt_event(id, CQ_EV_TOKENS);
+    attempt_event(id, CQ_EV_DONE);
+    advance(2 * kSecond + 50 * kMs);
+    id = submit_short();
+    ASSERT_NE(last_send(id), nullptr);
+    EXPECT_EQ(last_send(id)->upstream, cq_ident_hash("x0"));
+}
+
+TEST_F(CoreTest, EntriesThatDidNotExpireInALogOutageAreGoneAtOnce)
 {
     start_core(1);
     cq_event_t event = {};
@@ -266,11 +281,6 @@
     rows[0].name[0] = 'x';
     send_host_list();
     guint64 id = submit_short();
-    EXPECT_EQ(last_send(id)->upstream, cq_ident_hash("e0"));
-    attempt_event(id, CQ_EV_TOKENS);
-    attempt_event(id, CQ_EV_DONE);
-    advance(2 * kSecond + 50 * kMs);
-    id = submit_short();
     ASSERT_NE(last_send(id), nullptr);
     EXPECT_EQ(last_send(id)->upstream, cq_ident_hash("x0"));
 }
