--- a/packages/router/follower.c
+++ b/packages/router/follower.c
@@ -3,24 +3,14 @@
 #include "router/catalog.h"
 #include "router/gossip.h"
 #include "router/links.h"
+#include "router/outage.h"
 #include "router/partstore.h"
 #include "router/readerrole.h"
+#include "router/readlog.h"
 #include "router/registration.h"
 #include "router/relay.h"
+#include "router/storeread.h"
 
-/* Long-poll time of a read: how long the store holds it while there is no new
- * record. If the answer is lost, it takes that long until this process reads
- * again. A lost read of the upstreams, which is the first to show, also ends
- * the other reads. */
-static const guint read_wait_ms[CQ_TOPIC_COUNT] = {
-    [CQ_TOPIC_CONFIG] = 30000,
-    [CQ_TOPIC_UPSTREAMS] = 2500,
-    [CQ_TOPIC_HOSTS] = 30000,
-};
-/* Long-poll time of the hosts that read the upstreams for their peers: an
- * answer, also an empty one, shows the peers that the reader reaches the
- * store. */
-#define PEERS_READ_WAIT_MS 1000
 /* A host that gets a topic from its peers reads it itself if none of them has
  * read it for this time; 0: each host always reads the topic. */
 static const gint64 peers_read_max_us[CQ_TOPIC_COUNT] = {
@@ -38,11 +28,9 @@
 #define FIRST_READ_DELAY_MS 700
 /* The store answers a long poll within this time after a new record. */
 #define STORE_DELAY_MAX_US (400 * CQ_MS_US)
-/* Delay before the next read after a new record, so that upstreams and hosts
- * that start or stop together are read together. */
-#define BATCH_DELAY_MS 200
 #define RETRY_MIN_MS 200
-#define RETRY_MAX_MS 1000
+/* How often the reads that are under way are looked at. */
+#define CHECK_MS 100
 /* Peers don't send higher ages. */
 #define PEER_READ_AGE_MAX_MS (24 * 3600 * 1000)
 /* A peer that can read the store itself lags by at most this time. */
@@ -53,28 +41,27 @@
  * current: received from the store or a peer since the last suspension
  * snapshot_complete: a snapshot has been read completely
  * failing: the last read failed
- * failures: number of reads that have failed since the last success
- * failing_since_us: when the first of them started
  * read_us: the copy had every record that the store had then; 0: not read
  * peers_read_us: the same, as peers that read the store say
+ * behind_since_us: since when a peer knows more than the copy has; 0: none
  */
 typedef struct {
     cq_follower_t *follower;
     cq_topic_t topic;
-    guint64 next;         /* offset after the last record known */
-    guint64 next_sampled; /* next as it was at sampled_us */
-    guint64 snapshot_end; /* end offset that the first page gave */
+    cq_topicmap_t *map;
+    guint64 end_sampled; /* end of the map as it was at sampled_us */
     gboolean current;
     gboolean snapshot_complete;
     gboolean failing;
-    guint failures;
-    gint64 failing_since_us;
+    cq_readlog_t log;
     guint retry_ms;
     guint timer;
     gint64 sampled_us;
     gint64 read_started_us;
     gint64 read_us;
     gint64 peers_read_us;
+    gint64 behind_since_us;
+    cq_storeread_t reads;
 } table_t;
 
 struct cq_follower {
@@ -87,6 +74,8 @@
     gboolean store_state_posted; /* a LOG event has been posted */
     cq_readerrole_t role;
     guint era_timer;
+    guint check_timer;
+    cq_outage_t outage;
 };
 
 static void
@@ -158,86 +147,71 @@
     }
 }
 
-/* Logs the first failure in a row. */
-static void
-note_read_failed(table_t *table)
-{
-    table->failures++;
-    if (table->failures > 1) {
-        return;
-    }
-    table->failing_since_us = table->read_started_us;
-    gint64 took_us =
-        cq_app_now_us(table->follower->app) - table->read_started_us;
-    cq_app_log(table->follower->app, "store_read_failed",
-               "topic=%s took_ms=%" G_GINT64_FORMAT
-               " offset=%" G_GUINT64_FORMAT,
-               cq_topic_name(table->topic), took_us / CQ_MS_US, table->next);
-}
-
-static void
-note_read_again(table_t *table)
+static cq_readplan_t
+get_plan(table_t *table)
 {
-    gint64 now_us = cq_app_now_us(table->follower->app);
-    cq_app_log(table->follower->app, "store_read_again",
-               "topic=%s failures=%u for_ms=%" G_GINT64_FORMAT
-               " started_ms_ago=%" G_GINT64_FORMAT
-               " offset=%" G_GUINT64_FORMAT,
-               cq_topic_name(table->topic), table->failures,
-               (now_us - table->failing_since_us) / CQ_MS_US,
-               (now_us - table->read_started_us) / CQ_MS_US, table->next);
-    table->failures = 0;
+    return (cq_readplan_t){
+        .topic = table->topic,
+        .role = cq_readerrole_get(&table->follower->role),
+        .first = !table->current,
+        .failures = table->log.failures,
+        .peers_read_us = table->peers_read_us,
+        .behind_since_us = table->behind_since_us,
+    };
 }
 
 static void
 retry_read(table_t *table)
 {
-    note_read_failed(table);
+    cq_readlog_failed(&table->log, table->read_started_us,
+                      cq_topicmap_end(table->map));
     set_failing(table, TRUE);
-    table->retry_ms = CLAMP(table->retry_ms * 2, RETRY_MIN_MS, RETRY_MAX_MS);
-    schedule_read(table, table->retry_ms);
-}
-
-/* Return: delay before the next read. An empty answer should come only after
- * the long-poll time, so the next read can start at once; RETRY_MIN_MS avoids
- * a tight loop if the store did not hold the read. */
-static guint
-next_read_delay_ms(const table_t *table, gboolean got_records)
-{
-    if (!got_records) {
-        gint64 elapsed_us =
-            cq_app_now_us(table->follower->app) - table->read_started_us;
-        return elapsed_us < RETRY_MIN_MS * CQ_MS_US ? RETRY_MIN_MS : 0;
+    if (cq_storeread_get(&table->reads).len == 0) {
+        cq_readplan_t plan = get_plan(table);
+        guint max_ms = cq_readplan_retry_max_ms(&plan);
+        table->retry_ms = CLAMP(table->retry_ms * 2, RETRY_MIN_MS, max_ms);
+        schedule_read(table, table->retry_ms);
     }
-    return table->topic == CQ_TOPIC_CONFIG ? 0 : BATCH_DELAY_MS;
 }
 
 static void
-apply_page(table_t *table, const cq_store_page_t *page)
+apply_page(table_t *table, const cq_store_page_t *page,
+           cq_record_source_t source)
 {
     if (page->unreadable > 0) {
         cq_app_log(table->follower->app, "records_unreadable",
                    "topic=%s offset=%" G_GUINT64_FORMAT " count=%u",
-                   cq_topic_name(table->topic), table->next, page->unreadable);
+                   cq_topic_name(table->topic), cq_topicmap_end(table->map),
+                   page->unreadable);
     }
     for (guint i = 0; i < page->records->len; i++) {
         cq_catalog_apply(table->follower->catalog, table->topic,
-                         &g_array_index(page->records, cq_store_record_t, i));
+                         &g_array_index(page->records, cq_store_record_t, i),
+                         source);
     }
 }
 
+static void
+cancel_reads(table_t *table)
+{
+    cq_store_cancel(table->follower->store, table);
+    cq_storeread_cancel(&table->reads);
+}
+
 /* The store did not answer a read of @table for a time. What it was to answer
  * in that time may be lost for other topics too, so their reads that still
- * wait from then are started again. */
+ * wait from then are started again, and those that failed are not put off. */
 static void
 restart_other_reads(const table_t *table)
 {
     cq_follower_t *follower = table->follower;
     for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
         table_t *other = &follower->tables[i];
-        gboolean waits = other != table && other->timer == 0;
-        if (waits && other->read_started_us < table->read_started_us) {
-            cq_store_cancel(follower->store, other);
+        gboolean waits = other->timer == 0 || other->log.failures > 0;
+        if (other != table && waits &&
+            other->read_started_us < table->read_started_us) {
+            g_clear_handle_id(&other->timer, g_source_remove);
+            cancel_reads(other);
             start_read(other);
         }
     }
@@ -246,16 +220,24 @@
 static void
 read_succeeded(table_t *table)
 {
+    cq_follower_t *follower = table->follower;
+    gint64 now_us = cq_app_now_us(follower->app);
     table->retry_ms = 0;
-    if (table->failures > 0) {
-        note_read_again(table);
+    gboolean was_failing = cq_readlog_succeeded(
+        &table->log, table->read_started_us, cq_topicmap_end(table->map));
+    if (was_failing) {
         restart_other_reads(table);
     }
-    table->read_us =
-        MAX(table->read_started_us,
-            cq_app_now_us(table->follower->app) - STORE_DELAY_MAX_US);
+    table->read_us = MAX(table->read_started_us, now_us - STORE_DELAY_MAX_US);
     set_failing(table, FALSE);
-    cq_catalog_post(table->follower->catalog);
+    gint64 lapsed_until_us = 0;
+    if (table->topic == CQ_TOPIC_UPSTREAMS) {
+        cq_outage_note_read(&follower->outage, table->read_us);
+        lapsed_until_us =
+            was_failing ? cq_outage_lapsed_until_us(&follower->outage, now_us)
+                        : 0;
+    }
+    cq_catalog_post(follower->catalog, lapsed_until_us);
 }
 
 /* Goes on after an answer that has no records. */
@@ -278,10 +260,8 @@
         read_failed(table, page->outcome);
         return;
     }
-    if (table->snapshot_end == 0) {
-        table->snapshot_end = page->end;
-    }
-    apply_page(table, page);
+    cq_topicmap_begin_page(table->map, page->end);
+    apply_page(table, page, CQ_SOURCE_SNAPSHOT);
     if (page->more && page->records->len > 0) {
         const cq_store_record_t *last = &g_array_index(
             page->records, cq_store_record_t, page->records->len - 1);
@@ -289,11 +269,7 @@
                              on_snapshot_page, table);
         return;
     }
-    cq_catalog_end_snapshot(table->follower->catalog, table->topic,
-                            table->snapshot_end);
-    /* Records may have been written while the pages were read, so reading
-     * goes on at the end offset that the first page gave. */
-    table->next = MAX(table->next, table->snapshot_end);
+    cq_catalog_end_snapshot(table->follower->catalog, table->topic);
     table->snapshot_complete = TRUE;
     table->current = TRUE;
     read_succeeded(table);
@@ -310,37 +286,36 @@
                CQ_STORE_READER_FOR_PEERS;
 }
 
-/* The first read after a failure does not wait for new records: if the store
- * is still out of reach, that shows after the time limit of one answer instead
- * of the whole long-poll time. */
-static guint
-long_poll_ms(const table_t *table)
-{
-    if (!table->current || table->failures > 0) {
-        return 0;
-    }
-    gboolean is_upstreams = table->topic == CQ_TOPIC_UPSTREAMS;
-    return is_upstreams && sends_to_peers(table) ? PEERS_READ_WAIT_MS
-                                                 : read_wait_ms[table->topic];
-}
-
 static void
-on_read(const cq_store_page_t *page, void *data)
+on_read(const cq_store_page_t *page, const cq_storeread_end_t *end, void *data)
 {
     table_t *table = data;
+    table->read_started_us = end->started_us;
     if (page->outcome != CQ_STORE_DONE) {
         read_failed(table, page->outcome);
         return;
     }
-    apply_page(table, page);
+    guint64 from = cq_topicmap_end(table->map);
+    apply_page(table, page, CQ_SOURCE_LOG);
     if (page->records->len > 0 && sends_to_peers(table)) {
-        cq_gossip_push(table->follower->app, table->topic, page->records,
-                       table->next, page->next);
+        cq_gossip_push(table->follower->app, table->topic, page->records, from,
+                       page->next);
     }
-    table->next = MAX(table->next, page->next);
+    cq_topicmap_add_page(table->map, page->next);
     table->current = TRUE;
+    table->behind_since_us = 0;
+    /* An older read was never answered: what it was to answer is lost, also
+     * for reads of other topics from that time. */
+    if (end->oldest_us < end->started_us && table->log.failures == 0) {
+        cq_readlog_lost(&table->log, end->oldest_us,
+                        cq_topicmap_end(table->map));
+        restart_other_reads(table);
+    }
     read_succeeded(table);
-    schedule_read(table, next_read_delay_ms(table, page->records->len > 0));
+    gint64 took_us =
+        cq_app_now_us(table->follower->app) - table->read_started_us;
+    schedule_read(table, cq_readplan_delay_ms(
+                             table->topic, page->records->len > 0, took_us));
 }
 
 static void
@@ -349,14 +324,34 @@
     cq_follower_t *follower = table->follower;
     table->read_started_us = cq_app_now_us(follower->app);
     if (!table->snapshot_complete) {
-        table->snapshot_end = 0;
-        cq_catalog_begin_snapshot(follower->catalog, table->topic);
+        cq_topicmap_begin_snapshot(table->map);
         cq_store_read_newest(follower->store, table->topic, NULL,
                              on_snapshot_page, table);
         return;
     }
-    cq_store_read(follower->store, table->topic, table->next,
-                  long_poll_ms(table), on_read, table);
+    cq_readplan_t plan = get_plan(table);
+    cq_storeread_start(&table->reads, cq_topicmap_end(table->map),
+                       cq_readplan_wait_ms(&plan, table->read_started_us),
+                       table->read_started_us);
+}
+
+/* Finds reads whose answers may be lost, and starts others beside them. */
+static gboolean
+on_check(gpointer data)
+{
+    cq_follower_t *follower = data;
+    gint64 now_us = cq_app_now_us(follower->app);
+    for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
+        table_t *table = &follower->tables[i];
+        cq_readplan_t plan = get_plan(table);
+        cq_readplan_reads_t reads = cq_storeread_get(&table->reads);
+        if (cq_readplan_is_overdue(&plan, &reads, now_us)) {
+            table->read_started_us = now_us;
+            cq_storeread_start(&table->reads, cq_topicmap_end(table->map), 0,
+                               now_us);
+        }
+    }
+    return G_SOURCE_CONTINUE;
 }
 
 static gboolean
@@ -383,12 +378,12 @@
     cq_catalog_begin_era(follower->catalog);
     for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
         table_t *table = &follower->tables[i];
-        table->next = 0;
-        table->next_sampled = 0;
+        table->end_sampled = 0;
         table->read_us = 0;
         table->peers_read_us = 0;
+        table->behind_since_us = 0;
         table->snapshot_complete = FALSE;
-        cq_store_cancel(follower->store, table);
+        cancel_reads(table);
         schedule_read(table, 0);
     }
     cq_registration_renew(follower->registration);
@@ -413,8 +408,15 @@
         table_t *table = &follower->tables[i];
         table->follower = follower;
         table->topic = (cq_topic_t)i;
+        table->map = cq_catalog_map(follower->catalog, table->topic);
+        table->log = (cq_readlog_t){.app = app, .topic = table->topic};
+        table->reads = (cq_storeread_t){.store = follower->store,
+                                        .topic = table->topic,
+                                        .done = on_read,
+                                        .data = table};
         start_read(table);
     }
+    follower->check_timer = g_timeout_add(CHECK_MS, on_check, follower);
     follower->registration = cq_registration_new(app, follower->store);
     return follower;
 }
@@ -422,6 +424,7 @@
 void
 cq_follower_free(cq_follower_t *follower)
 {
+    g_source_remove(follower->check_timer);
     if (follower->era_timer != 0) {
         g_source_remove(follower->era_timer);
     }
@@ -461,12 +464,17 @@
 cq_follower_reread(cq_follower_t *follower)
 {
     /* Answers to earlier reads are discarded: they may be out of date. */
+    for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
+        cancel_reads(&follower->tables[i]);
+    }
     cq_store_reset(follower->store);
+    follower->outage = (cq_outage_t){0};
     for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
         table_t *table = &follower->tables[i];
         table->current = FALSE;
         table->read_us = 0;
         table->peers_read_us = 0;
+        table->behind_since_us = 0;
         if (table->timer != 0) {
             g_source_remove(table->timer);
             table->timer = 0;
@@ -497,7 +505,7 @@
 guint64
 cq_follower_offset(const cq_follower_t *follower, cq_topic_t topic)
 {
-    return follower->tables[topic].next;
+    return cq_topicmap_end(follower->tables[topic].map);
 }
 
 guint64
@@ -516,11 +524,19 @@
                       guint64 age_ms)
 {
     table_t *table = &follower->tables[topic];
-    if (age_ms == 0 || age_ms > PEER_READ_AGE_MAX_MS || at > table->next) {
+    gint64 now_us = cq_app_now_us(follower->app);
+    if (at > cq_topicmap_end(table->map) && table->behind_since_us == 0) {
+        table->behind_since_us = now_us;
+    }
+    gboolean reads = age_ms != 0 && age_ms <= PEER_READ_AGE_MAX_MS;
+    if (reads && topic == CQ_TOPIC_UPSTREAMS) {
+        cq_outage_note_read(&follower->outage,
+                            now_us - (gint64)(age_ms - 1) * CQ_MS_US);
+    }
+    if (!reads || at > cq_topicmap_end(table->map)) {
         return;
     }
-    gint64 read_us =
-        cq_app_now_us(follower->app) - (gint64)(age_ms - 1) * CQ_MS_US;
+    gint64 read_us = now_us - (gint64)(age_ms - 1) * CQ_MS_US;
     table->peers_read_us = MAX(table->peers_read_us, read_us);
     if (table->failing && time_until_own_read_us(table) > 0) {
         set_failing(table, FALSE);
@@ -535,43 +551,44 @@
 {
     gint64 now_us = cq_app_now_us(table->follower->app);
     if (sends_to_peers(table) && table->read_us != 0 && !table->failing) {
-        return table->next;
+        return cq_topicmap_end(table->map);
     }
     if (now_us - table->sampled_us > PEER_LAG_MAX_US) {
         table->sampled_us = now_us;
-        table->next_sampled = table->next;
+        table->end_sampled = cq_topicmap_end(table->map);
         return 0;
     }
-    return table->next_sampled;
+    return table->end_sampled;
 }
 
-gboolean
-cq_follower_list_missing(cq_follower_t *follower, cq_topic_t topic, guint64 at,
-                         cq_topicmap_visit_t visit, void *data)
+const cq_topicmap_t *
+cq_follower_get_missing(cq_follower_t *follower, cq_topic_t topic, guint64 at)
 {
     table_t *table = &follower->tables[topic];
-    if (at >= offset_to_send(table)) {
-        return FALSE;
-    }
-    cq_catalog_visit_from(follower->catalog, topic, at, visit, data);
-    return TRUE;
+    return at < offset_to_send(table) ? table->map : NULL;
 }
 
 void
 cq_follower_add_record(cq_follower_t *follower, cq_topic_t topic,
                        const cq_store_record_t *record)
 {
-    cq_catalog_apply(follower->catalog, topic, record);
+    cq_catalog_apply(follower->catalog, topic, record, CQ_SOURCE_PEER);
 }
 
 void
-cq_follower_set_offset(cq_follower_t *follower, cq_topic_t topic, guint64 from,
-                       guint64 at)
+cq_follower_add_claim(cq_follower_t *follower, cq_topic_t topic,
+                      const cq_topicmap_claim_t *claim)
 {
     table_t *table = &follower->tables[topic];
-    if (from <= table->next) {
-        table->next = MAX(table->next, at);
+    if (cq_catalog_apply_claim(follower->catalog, topic, claim)) {
+        table->behind_since_us = 0;
         table->current = TRUE;
     }
-    cq_catalog_post(follower->catalog);
+    gint64 now_us = cq_app_now_us(follower->app);
+    gboolean may_lapse =
+        topic == CQ_TOPIC_UPSTREAMS &&
+        (table->failing || cq_outage_is_unread(&follower->outage, now_us));
+    cq_catalog_post(
+        follower->catalog,
+        may_lapse ? cq_outage_lapsed_until_us(&follower->outage, now_us) : 0);
 }
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -57,14 +57,14 @@
     rm -f "$out"
 }
 
-for program in config json wire h1 platform oddrecords quarantine crashcall crashfleet retract cutfleet facts handfleet hedge hedgefleet rate ratecore batchplace cell retry brokenstream return reach replay hist scn soak sock descriptor inbound smuggle outbound outpeer reservations tick targets; do
+for program in config json wire h1 platform oddrecords quarantine crashcall crashfleet retract cutfleet facts handfleet hedge hedgefleet rate ratecore batchplace cell retry brokenstream return reach replay hist scn soak sock descriptor inbound smuggle outbound outpeer storecopy outage reservations tick targets; do
     run_unit "$BUILD/tests/${program}_test"
 done
 for script in ports demo badinput oddreports hangup operator drain holds giant orders retention \
-    relay relaywake relaypeers relayreads relayreaders relaybulk relayleft relayendless relaydescriptors relaybodies relayleaving relaymany \
-    relayoutage relayremoved relaylostpoll relaypoison relaypoisonkept relaycells relayera relaylimit relaycrashcall relaycrashkept relayidlechange relaystop \
+    relay relaywake relaypeers relayreads relayreaders relayreadersback relaybulk relayleft relayendless relaydescriptors relaybodies relayleaving relaymany \
+    relayoutage relayremoved relaylostpoll relaylostconfig relaypoison relaypoisonkept relaycells relayera relaylimit relaycrashcall relaycrashkept relayidlechange relaystop \
     relayrefusalagain relaybrokenstream relayversion relayteams relaysmuggle \
-    relaycut relaycutall relaycutmost relayoddentries relayupgrade; do
+    relaycut relaycutall relaycutmost relaycutgone relayoddentries relayupgrade; do
     run_script "tests/proc/$script.sh"
 done
 
