Refuse what may outlast a planned stop, instead of starting and cutting it

Callers of a host that stops saw calls and streams, sent late in its notice, taken and passed on, and cut at the limit of the stop: a stream was reset, a call that may not be repeated and had run got 502.

Cause: a stopping host asked only whether its notice was over, not whether the request could end before the stop does. A host that was cut off from the upstreams didn't even ask that: it passed requests on to peers up to the limit, and their answers come back through the host that ends.

Change: core/stop.c decides. A request is started if its time limit ends before the stop, or if the longest of the last 128 to 256 requests of its route, from the first attempt to the answer, would.

--- a/packages/config/routes.c
+++ b/packages/config/routes.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "base/ident.h"
+
 /* Limits where the configuration states none. */
 #define HEAD_BYTES_MAX 16384
 #define BODY_BYTES_MAX (4 * 1024 * 1024)
@@ -63,6 +65,9 @@
     cq_route_t *route = g_new0(cq_route_t, 1);
     route->host = g_ascii_strdown(host, -1);
     route->prefix = g_strdup(prefix);
+    char *name = g_strconcat(route->host, prefix, NULL);
+    route->id = cq_ident_hash(name);
+    g_free(name);
     route->targets = g_array_new(FALSE, TRUE, sizeof(cq_route_target_t));
     route->attempts_max = 1;
     return route;
--- a/packages/config/routes.h
+++ b/packages/config/routes.h
@@ -35,6 +35,7 @@
 
 /**
  * struct cq_route_t - one route
+ * @id: hash of @host and @prefix
  * @host: host name that callers use
  * @prefix: path prefix, with a slash at both ends
  * @targets: array of cq_route_target_t
@@ -49,6 +50,7 @@
  * @is_public: callers need no API key
  */
 typedef struct {
+    guint64 id;
     char *host;
     char *prefix;
     GArray *targets;
--- a/packages/core/admission.c
+++ b/packages/core/admission.c
@@ -12,6 +12,7 @@
 #include "core/place.h"
 #include "core/quarantine.h"
 #include "core/rate.h"
+#include "core/stop.h"
 #include "core/table.h"
 #include "core/usage.h"
 
@@ -99,6 +100,7 @@
     request->suspects_len = event->parts.len;
     request->fingerprint = event->fingerprint;
     request->handed = event->handed;
+    request->kind = event->kind;
     if (request->fingerprint != 0) {
         request->suspects[request->suspects_len++] = request->fingerprint;
     }
@@ -172,9 +174,6 @@
 check_admission(const cq_core_t *core, const cq_request_t *request)
 {
     const cq_service_t *service = request->service;
-    if (core->draining && core->now_us >= core->drain_notice_us) {
-        return CQ_OUTCOME_DRAINING;
-    }
     if (cq_quarantine_blocks(core, request)) {
         return cq_quarantine_outcome(core, request);
     }
@@ -246,6 +245,10 @@
     }
     add_demand(request);
     cq_place_update_candidates(core, request->service);
+    if (!cq_stop_admits(core, request)) {
+        cq_answer_outcome(core, request, CQ_OUTCOME_DRAINING);
+        return;
+    }
     if (cq_handoff_start(core, request)) {
         cq_counters_add(&core->counters, CQ_N_ADMITTED, 1);
         return;
--- a/packages/core/answer.c
+++ b/packages/core/answer.c
@@ -8,6 +8,7 @@
 #include "core/quarantine.h"
 #include "core/rate.h"
 #include "core/attempt.h"
+#include "core/stop.h"
 #include "core/table.h"
 #include "core/task.h"
 #include "core/usage.h"
@@ -93,6 +94,7 @@
 end_request(cq_core_t *core, cq_request_t *request,
             const cq_ac_answer_t *answer)
 {
+    cq_stop_learn(core, request, answer->outcome, answer->status);
     cq_flow_remove(request);
     cq_place_clear_earmark(core, request);
     cq_attempt_abandon(core, request);
--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -69,6 +69,9 @@
     request->upstream = upstream;
     request->phase = CQ_PHASE_RUNNING;
     request->phase_start_us = core->now_us;
+    if (request->started_us == 0) {
+        request->started_us = core->now_us;
+    }
     request->progress_us = core->now_us;
     request->probed_us = 0;
     request->probes_unanswered = 0;
--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -1,6 +1,5 @@
 #include "core/core.h"
 
-#include "core/answer.h"
 #include "core/claim.h"
 #include "core/batchplace.h"
 #include "core/flow.h"
@@ -18,6 +17,7 @@
 #include "core/rate.h"
 #include "core/reach.h"
 #include "core/orphans.h"
+#include "core/stop.h"
 #include "core/attempt.h"
 #include "core/table.h"
 #include "core/task.h"
@@ -156,45 +156,6 @@
     cq_claim_sweep(core);
 }
 
-static void
-answer_all(cq_core_t *core)
-{
-    while (!cq_list_empty(&core->requests)) {
-        cq_request_t *request =
-            CQ_ENTRY(core->requests.next, cq_request_t, link);
-        cq_answer_outcome(core, request, CQ_OUTCOME_DRAINING);
-    }
-}
-
-static void
-drain(cq_core_t *core)
-{
-    if (!core->draining || core->stopped) {
-        return;
-    }
-    if (core->now_us >= core->drain_limit_us) {
-        answer_all(core);
-    }
-    gboolean notice_over = core->now_us >= core->drain_notice_us;
-    if (notice_over && cq_list_empty(&core->requests)) {
-        core->stopped = TRUE;
-        cq_action_t action = {.kind = CQ_AC_STOPPED};
-        cq_actions_add(core->actions, &action);
-        cq_ring_add(&core->ring, core->now_us, 0, 0, "stopped", "clean=yes");
-    }
-}
-
-static void
-begin_drain(cq_core_t *core, const cq_ev_drain_t *event)
-{
-    core->draining = TRUE;
-    core->drain_notice_us = core->now_us + event->notice_us;
-    core->drain_limit_us = core->now_us + event->limit_us;
-    cq_ring_add(&core->ring, core->now_us, 0, 0, "drain",
-                "notice_ms=%" G_GINT64_FORMAT " limit_ms=%" G_GINT64_FORMAT,
-                event->notice_us / CQ_MS_US, event->limit_us / CQ_MS_US);
-}
-
 /* Teams keep their index in the array of flows, so a queued request stays with
  * its team when the rules change. */
 static void
@@ -247,7 +208,7 @@
     {"sweep", sweep},         {"place", place_waiting},
     {"lease", cq_lease_tick}, {"order", cq_order_tick},
     {"peers", cq_peer_tick},  {"tasks", cq_task_tick},
-    {"drain", drain},         {"lend", cq_lending_tick},
+    {"stop", cq_stop_tick},   {"lend", cq_lending_tick},
 };
 
 static void
@@ -326,7 +287,7 @@
         set_log_state(core, event->log_up);
         break;
     case CQ_EV_DRAIN:
-        begin_drain(core, &event->drain);
+        cq_stop_begin(core, &event->drain);
         break;
     case CQ_EV_REACHED:
         cq_reach_apply(core, &event->reached);
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -77,6 +77,7 @@
  * @resumable: whether another upstream can continue its stream
  * @parts: parts of the prompt that other prompts may contain too
  * @fingerprint: hash of all that makes another request the same one, or 0
+ * @kind: hash of what its run time depends on besides the service, or 0
  * @handed: a peer that is cut off from the upstreams passed it on
  * @prefixes: prefixes of the prompt, the shortest first
  * @prefixes_len: number of @prefixes
@@ -97,6 +98,7 @@
     gboolean resumable;
     cq_parts_t parts;
     guint64 fingerprint;
+    guint64 kind;
     gboolean handed;
     cq_prefix_t prefixes[CQ_PREFIX_LEVELS];
     guint prefixes_len;
--- a/packages/core/handoff.c
+++ b/packages/core/handoff.c
@@ -83,6 +83,9 @@
     cq_task_close(core, request);
     request->phase = CQ_PHASE_HANDED;
     request->phase_start_us = core->now_us;
+    if (request->started_us == 0) {
+        request->started_us = core->now_us;
+    }
     request->progress_us = core->now_us;
     request->forwarded_at_start = request->forwarded;
     request->attempt++;
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -298,6 +298,7 @@
  * @fingerprint: hash of all that makes another request the same one, or 0
  * @is_trial: it is sent although one of @suspects is blocked
  * @prefixes: prefixes of its prompt, ascending
+ * @started_us: when its first attempt began, or 0
  * @phase_start_us: when @phase was entered
  * @ready_us: it is not placed before this time
  * @cost: engine seconds that it is expected to take
@@ -342,6 +343,7 @@
  * @handed: a peer passed it on to this host
  * @hands: number of times that it was passed on to a peer
  * @hand_host: host id of the peer to which it was last passed on, or 0
+ * @kind: hash of what its run time depends on, its route
  * @failed_helper: id of the engine that the upstream named as the cause of a
  *   failure, or 0
  */
@@ -370,6 +372,7 @@
     cq_prefix_t prefixes[CQ_PREFIX_LEVELS];
     guint prefixes_len;
     gint64 arrived_us;
+    gint64 started_us;
     gint64 deadline_us;
     gint64 phase_start_us;
     gint64 ready_us;
@@ -406,6 +409,7 @@
     guint holders_len;
     gint64 longest_gap_us;
     gboolean handed;
+    guint64 kind;
     guint hands;
     guint32 hand_host;
     guint64 failed_helper;
@@ -526,6 +530,7 @@
  * @reservations: reservations without a release
  * @log_up: the platform's log answers
  * @log_recovered_us: when the log last answered again after an outage
+ * @runs: run times of the kinds of requests, see core/stop.c
  * @drain_notice_us: until when new requests are accepted while draining
  * @drain_limit_us: when every remaining request is answered
  * @window_start_us: when the current window of the drain rates began
@@ -574,6 +579,7 @@
     guint reservations;
     gboolean log_up;
     gint64 log_recovered_us;
+    GHashTable *runs;
     gboolean draining;
     gint64 drain_notice_us;
     gint64 drain_limit_us;
--- a/packages/core/table.c
+++ b/packages/core/table.c
@@ -58,6 +58,8 @@
     core->upstream_by_id = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                                  NULL, free_upstream);
     core->service_by_name = g_hash_table_new(g_str_hash, g_str_equal);
+    core->runs =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     core->services = g_ptr_array_new_with_free_func(free_service);
     core->peer_by_host =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_peer);
@@ -89,6 +91,7 @@
     g_array_unref(core->peers);
     g_hash_table_unref(core->peer_by_host);
     g_hash_table_unref(core->service_by_name);
+    g_hash_table_unref(core->runs);
     g_hash_table_unref(core->request_by_id);
     g_hash_table_unref(core->upstream_by_id);
     g_ptr_array_unref(core->services);
--- a/packages/router/relay.c
+++ b/packages/router/relay.c
@@ -187,6 +187,7 @@
                     .resumable = route->retry_policy == CQ_RETRY_RESUME,
                     .parts = fields->parts,
                     .fingerprint = fingerprint,
+                    .kind = route->id,
                     .handed = fields->handed},
     };
     cq_app_post(relay->app, &event);
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -57,12 +57,12 @@
     rm -f "$out"
 }
 
-for program in config json wire h1 platform oddrecords quarantine crashcall crashfleet retract cutfleet handfleet rate ratecore batchplace cell retry brokenstream return reach replay hist scn soak sock inbound outbound outpeer targets; do
+for program in config json wire h1 platform oddrecords quarantine crashcall crashfleet retract cutfleet handfleet rate ratecore batchplace cell retry brokenstream return reach replay hist scn soak sock stop stopfleet inbound outbound outpeer targets; do
     run_unit "$BUILD/tests/${program}_test"
 done
 for script in demo badinput oddreports hangup operator drain holds giant orders retention \
     relay relaywake relaypeers relayreads relayreaders relaybulk relayleft relayendless relayleaving relaymany \
-    relayoutage relayremoved relaylostpoll relaypoison relaypoisonkept relaycells relayera relaylimit relaycrashcall relaycrashkept relayidlechange relaystop \
+    relayoutage relayremoved relaylostpoll relaypoison relaypoisonkept relaycells relayera relaylimit relaycrashcall relaycrashkept relayidlechange relaystop relaystoplate \
     relayrefusalagain relaybrokenstream \
     relaycut relaycutall relaycutmost relayoddentries; do
     run_script "tests/proc/$script.sh"
--- a/tests/unit/corefixture.h
+++ b/tests/unit/corefixture.h
@@ -160,6 +160,7 @@
         }
         event.request.fingerprint = fingerprint;
         event.request.handed = handed;
+        event.request.kind = kind;
         step(event);
         return event.request.id;
     }
@@ -329,6 +330,8 @@
     std::vector<guint64> parts;
     // Fingerprint of the requests that follow; 0: none.
     guint64 fingerprint = 0;
+    // What the run times of the requests that follow depend on.
+    guint64 kind = 0;
     // Whether a peer passed on the requests that follow.
     gboolean handed = FALSE;
     // Whether attempts that fail from now on were sent on kept connections.
