Tell peers of a stop at once, and try another peer when a stopping one refuses

Callers of a host that is cut off from the upstreams would get the 503 of a peer that had begun to stop, though other peers took requests: a stop was told with the next heartbeat, up to 0.5 s later, and a peer's refusal was final.

A stop now sends a summary at once, and a request that a peer refused as not run is passed on to another peer if that one is stopping, within the limit of three hand-overs. Other refusals stay final: they may come from an upstream and count against the retry budget.

Failed before: Reach.WhatAStoppingPeerRefusesIsPassedOnToAnother (answered after the first refusal) and Stop.PeersLearnOfItAtOnce ("Value of: told() Actual: false"). HandingHosts.ServeWhileHalfOfTheTakingHostsStop passed before as well.

--- a/packages/core/handoff.c
+++ b/packages/core/handoff.c
@@ -136,6 +136,14 @@
     return status == 503 || status == 429 || status == 408 || status == 421;
 }
 
+/* A peer that has begun to stop refuses what may outlast its stop. */
+static gboolean
+peer_stops(const cq_core_t *core, const cq_request_t *request)
+{
+    const cq_peer_t *peer = cq_table_peer(core, request->hand_host);
+    return peer != NULL && peer->draining;
+}
+
 static void
 on_done(cq_core_t *core, cq_request_t *request, int status)
 {
@@ -147,6 +155,10 @@
     }
     if (states_not_run(status)) {
         request->possible_runs--;
+        request->sent = FALSE;
+        if (peer_stops(core, request) && cq_handoff_start(core, request)) {
+            return;
+        }
     }
     /* An attempt from here may have run, which the peer doesn't know. */
     if (states_not_run(status) && cq_answer_ran(request) != CQ_RAN_NO) {
--- a/packages/core/stop.c
+++ b/packages/core/stop.c
@@ -91,6 +91,8 @@
     core->draining = TRUE;
     core->drain_notice_us = core->now_us + event->notice_us;
     core->drain_limit_us = core->now_us + event->limit_us;
+    /* Peers that are cut off pass nothing on to this host from now on. */
+    core->summary_needed = TRUE;
     cq_ring_add(&core->ring, core->now_us, 0, 0, "drain",
                 "notice_ms=%" G_GINT64_FORMAT " limit_ms=%" G_GINT64_FORMAT,
                 event->notice_us / CQ_MS_US, event->limit_us / CQ_MS_US);
--- a/tests/unit/handfleet_test.cc
+++ b/tests/unit/handfleet_test.cc
@@ -15,6 +15,9 @@
 constexpr gint64 kConnectTimeout = 300 * kMs;
 constexpr gint64 kHopNear = 1 * kMs;
 constexpr gint64 kHopFar = 30 * kMs;
+// A planned stop.
+constexpr gint64 kStopNotice = 300 * kMs;
+constexpr gint64 kStopLimit = kSecond;
 // What the rule counts begins this long after a cut.
 constexpr gint64 kStable = 3 * kSecond;
 
@@ -47,6 +50,20 @@
     {
         cut([](guint) { return false; }, cut_t::none);
     }
+    // Hosts for which @which holds stop as planned, and start again then.
+    void
+    stop(const std::function<bool(guint)> &which)
+    {
+        for (guint i = 0; i < hosts.size(); i++) {
+            if (which(i)) {
+                cq_event_t event = {};
+                event.kind = CQ_EV_DRAIN;
+                event.drain.notice_us = kStopNotice;
+                event.drain.limit_us = kStopLimit;
+                step(i, event);
+            }
+        }
+    }
     void
     restart(guint i)
     {
@@ -122,6 +139,9 @@
                 step(i, event);
             });
         }
+        else if (action.kind == CQ_AC_STOPPED) {
+            later(0, [this, i] { start(i); });
+        }
         else if (action.kind == CQ_AC_HAND) {
             hand(i, action.hand);
         }
@@ -302,6 +322,21 @@
     expect_whole(fleet);
 }
 
+// What is in flight at the peers that stop has more time than their stop.
+TEST_P(HandingHosts, ServeWhileHalfOfTheTakingHostsStop)
+{
+    HandFleet fleet(GetParam());
+    fleet.run(kSecond);
+    fleet.cut([](guint i) { return i % 2 == 0; }, cut_t::refused);
+    fleet.run(kStable);
+    fleet.stop([](guint i) { return i % 4 == 1; });
+    fleet.count(kStopNotice);
+    EXPECT_GT(fleet.asked[true], 0u);
+    EXPECT_GE(fleet.share(true) * 3, fleet.share(false) * 2);
+    EXPECT_EQ(fleet.twice, 0u);
+    expect_whole(fleet);
+}
+
 TEST_P(HandingHosts, ServeOverCutsThatComeAgain)
 {
     HandFleet fleet(GetParam());
--- a/tests/unit/reach_test.cc
+++ b/tests/unit/reach_test.cc
@@ -30,12 +30,14 @@
         }
     }
     void
-    peer_says(const std::string &host, gboolean cut_off)
+    peer_says(const std::string &host, gboolean cut_off,
+              gboolean draining = FALSE)
     {
         cq_summary_t summary = {};
         summary.host = cq_ident_host(host.c_str());
         summary.incarnation = 1;
         summary.cut_off = cut_off;
+        summary.draining = draining;
         cq_event_t event = {};
         event.kind = CQ_EV_SUMMARY;
         event.summary = &summary;
@@ -248,6 +250,29 @@
     EXPECT_EQ(answer_of(id)->status, 502);
 }
 
+// A request that may outlast the stop of the first peer.
+TEST_F(Reach, WhatAStoppingPeerRefusesIsPassedOnToAnother)
+{
+    start(3, 2);
+    cut();
+    for (gboolean repeatable : {0, 1}) {
+        peer_says("h1", FALSE);
+        peer_says("h2", FALSE);
+        guint64 id = call(repeatable);
+        ASSERT_NE(hand_of(id), nullptr);
+        std::string first = hand_of(id)->addr;
+        peer_event(id, CQ_EV_SENT);
+        peer_says(first.substr(0, 2), FALSE, TRUE);
+        peer_event(id, CQ_EV_DONE, 503);
+        EXPECT_EQ(answer_of(id), nullptr);
+        EXPECT_NE(hand_of(id)->addr, first);
+        peer_event(id, CQ_EV_SENT);
+        peer_event(id, CQ_EV_DONE, 503);
+        ASSERT_NE(answer_of(id), nullptr);
+        EXPECT_EQ(answer_of(id)->status, 503);
+    }
+}
+
 TEST_F(Reach, PeersThatAreCutOffGetNothing)
 {
     start(3, 2);
--- a/tests/unit/stop_test.cc
+++ b/tests/unit/stop_test.cc
@@ -242,4 +242,25 @@
     expect_refused(id);
 }
 
+TEST_F(Stop, PeersLearnOfItAtOnce)
+{
+    auto told = [this] {
+        for (const cq_action_t &action : all_actions) {
+            if (action.kind == CQ_AC_SUMMARY) {
+                return true;
+            }
+        }
+        return false;
+    };
+    all_actions.clear();
+    while (!told()) {
+        advance(10 * kMs);
+    }
+    advance(60 * kMs);
+    all_actions.clear();
+    stop();
+    advance(60 * kMs);
+    EXPECT_TRUE(told());
+}
+
 } // namespace
