An interim answer ends with its head, whatever its fields say

An upstream or the store that writes a 1xx answer with Content-Length or Transfer-Encoding had the bytes behind that head taken for a body, which RFC 9110, 15.2 rules out. At an upstream the answer itself was swallowed: the caller got 502, or nothing until the time was over. At the store those bytes were put before the answer's body: a read of records then gave records that no answer held.

Tried at each byte of the head, with FIN and RST, with a length, in chunks and with neither, behind interim answers, on new connections and on those that carried a whole answer, at an upstream (TornHead), at a peer (OutboundTest.AnAnswerOfAPeerThatEndsInItsHeadIsBroken) and at the store (Store.AnAnswerThatEndsInItsHeadFails, also within the body): each one counts as broken, before this change too.

--- a/packages/http/h1.c
+++ b/packages/http/h1.c
@@ -122,8 +122,10 @@
     const char *expect = cq_h1_get_field(head, "Expect");
     head->expects_continue =
         expect != NULL && g_ascii_strcasecmp(expect, "100-continue") == 0;
+    /* 1 means that no body follows. An interim response has none, whatever its
+     * fields say (RFC 9110, 15.2). */
     if (is_interim(reader)) {
-        return 0;
+        return 1;
     }
     reader->options.ops.head(reader->options.ops.data, head);
     return reader->no_body ? 1 : 0;
--- a/tests/unit/outbound_test.cc
+++ b/tests/unit/outbound_test.cc
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <functional>
 #include <string>
 #include <vector>
@@ -425,4 +426,104 @@
     EXPECT_TRUE(tokens->attempt.unnumbered);
 }
 
+// An upstream that stops in its answer's head, at each byte of it, and closes.
+class TornHead : public Outbound {
+  protected:
+    static std::vector<std::string>
+    heads()
+    {
+        const std::string fields = id_field("a2") + kSeal;
+        const std::string interim =
+            "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
+        const std::string length =
+            "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 5\r\n\r\n";
+        const std::string chunked =
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + fields +
+            "Transfer-Encoding: chunked\r\n\r\n";
+        const std::string neither = "HTTP/1.1 200 OK\r\n" + fields + "\r\n";
+        return {length, chunked, neither, interim + length,
+                interim + "HTTP/1.1 100 Continue\r\n\r\n" + chunked};
+    }
+    void
+    end_connection(int conn, bool reset)
+    {
+        if (reset) {
+            struct linger none = {1, 0};
+            setsockopt(conn, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+        }
+        close(conn);
+        conns.erase(std::find(conns.begin(), conns.end(), conn));
+    }
+    void
+    expect_broken(const std::string &head, bool on_kept, bool reset)
+    {
+        for (size_t len = 0; len < head.size(); len++) {
+            int kept = on_kept ? keep_connection() : -1;
+            send(2, "a2");
+            int conn = next_request();
+            ASSERT_TRUE(!on_kept || conn == kept);
+            if (len > 0) {
+                reply(conn, head.substr(0, len));
+            }
+            end_connection(conn, reset);
+            EXPECT_EQ(outcome(2), "broken") << head.substr(0, len);
+            EXPECT_EQ(last_event_of(2, CQ_EV_TOKENS), nullptr);
+            EXPECT_EQ(passed_on(2), "");
+            events.clear();
+            cq_outbound_remove(outbound, 1);
+            cq_outbound_remove(outbound, 2);
+        }
+    }
+};
+
+TEST_F(TornHead, OnANewConnectionIsBroken)
+{
+    for (const std::string &head : heads()) {
+        expect_broken(head, false, false);
+        expect_broken(head, false, true);
+    }
+}
+
+TEST_F(TornHead, AfterAWholeAnswerOnAKeptConnectionIsBroken)
+{
+    for (const std::string &head : heads()) {
+        expect_broken(head, true, false);
+        expect_broken(head, true, true);
+    }
+}
+
+TEST_F(TornHead, OfAnInterimAnswerOnlyIsBroken)
+{
+    for (const char *status : {"100", "102", "103", "199"}) {
+        events.clear();
+        send(2, "a2");
+        int conn = next_request();
+        reply(conn, std::string("HTTP/1.1 ") + status + " X\r\n" +
+                        id_field("a2") + kSeal + "\r\n");
+        end_connection(conn, false);
+        EXPECT_EQ(outcome(2), "broken") << status;
+        cq_outbound_remove(outbound, 2);
+    }
+}
+
+// RFC 9110, 15.2: an interim answer ends with its head.
+class InterimWithFraming : public Outbound,
+                           public ::testing::WithParamInterface<const char *> {
+};
+
+TEST_P(InterimWithFraming, DoesNotTakeTheAnswersBytes)
+{
+    EXPECT_EQ(outcome_on_new(std::string("HTTP/1.1 103 X\r\n") + GetParam() +
+                             "\r\n" +
+                             answer("200", id_field("a2") + kSeal, "whole")),
+              "done");
+    EXPECT_EQ(passed_on(2), "whole");
+}
+
+INSTANTIATE_TEST_SUITE_P(All, InterimWithFraming,
+                         ::testing::Values("Content-Length: 0\r\n",
+                                           "Content-Length: 5\r\n",
+                                           "Content-Length: 100\r\n",
+                                           "Transfer-Encoding: chunked\r\n"));
+
 } // namespace
--- a/tests/unit/outpeer_test.cc
+++ b/tests/unit/outpeer_test.cc
@@ -295,6 +295,45 @@
     EXPECT_EQ(CQ_FAIL_BROKEN, event.attempt.failure);
 }
 
+// At each byte of the head, with a length, in chunks and with neither, after
+// interim answers, on new connections and on those that carried an answer.
+TEST_F(OutboundTest, AnAnswerOfAPeerThatEndsInItsHeadIsBroken)
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    std::vector<std::string> heads;
+    for (const char *framing :
+         {"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+        heads.push_back(std::string("HTTP/1.1 200 OK\r\n") + kSealed +
+                        framing + "\r\n");
+        heads.push_back(interim + heads.back());
+    }
+    for (const std::string &head : heads) {
+        for (size_t len = 0; len < 2 * head.size(); len++) {
+            if (len % 2 == 0) { /* a kept connection */
+                call_.fresh = FALSE;
+                call_.upstream++;
+                send();
+                write(accept_one(), answer(200, kSealed));
+                EXPECT_EQ(CQ_EV_DONE, end().kind);
+            }
+            send();
+            int fd = len % 2 == 0 ? fds_.back() : accept_one();
+            if (len % 2 == 0) {
+                EXPECT_TRUE(run_until([&] { return received_request(fd); }));
+            }
+            std::string text = head.substr(0, len / 2);
+            if (!text.empty()) {
+                write(fd, text);
+            }
+            shutdown(fd, SHUT_WR);
+            cq_event_t event = end();
+            EXPECT_EQ(CQ_EV_FAILED, event.kind) << text;
+            EXPECT_EQ(CQ_FAIL_BROKEN, event.attempt.failure) << text;
+            EXPECT_FALSE(reported(CQ_EV_TOKENS)) << text;
+        }
+    }
+}
+
 TEST_F(OutboundTest, ARefusalCannotContinueAStream)
 {
     call_.last_event = 4;
--- /dev/null
+++ b/tests/unit/store_test.cc
@@ -0,0 +1,243 @@
+// Answers of the store that end early or come with interim answers. The store
+// is a socket of the test.
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "base/limits.h"
+#include "platform/store.h"
+
+namespace {
+
+// A read of one record: "k" with the value "v", at offset 0 of a topic that
+// ends at 1.
+const std::string kRecords("\0\0\0\0\0\0\0\1\0\0\0\0\0\0\0\0\0\0\0\3\1kv", 23);
+
+std::string
+length_field(const std::string &body)
+{
+    return "Content-Length: " + std::to_string(body.size()) + "\r\n";
+}
+
+class Store : public ::testing::Test {
+  protected:
+    void
+    SetUp() override
+    {
+        listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        struct sockaddr_in addr = {};
+        addr.sin_family = AF_INET;
+        addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t len = sizeof addr;
+        ASSERT_EQ(bind(listener, (struct sockaddr *)&addr, len), 0);
+        ASSERT_EQ(listen(listener, 16), 0);
+        ASSERT_EQ(getsockname(listener, (struct sockaddr *)&addr, &len), 0);
+        address = "127.0.0.1:" + std::to_string(ntohs(addr.sin_port));
+        store = cq_store_new(
+            address.c_str(), [](void *) {}, nullptr);
+    }
+    void
+    TearDown() override
+    {
+        cq_store_free(store);
+        if (conn >= 0) {
+            close(conn);
+        }
+        close(listener);
+    }
+    static bool
+    run_until(const std::function<bool()> &done)
+    {
+        gint64 end_us = g_get_monotonic_time() + 5 * CQ_SECOND_US;
+        while (!done()) {
+            if (g_get_monotonic_time() > end_us) {
+                return false;
+            }
+            g_main_context_iteration(nullptr, FALSE);
+        }
+        return true;
+    }
+    static void
+    on_done(const cq_store_page_t *page, void *data)
+    {
+        auto *test = static_cast<Store *>(data);
+        test->ended = true;
+        test->outcome = page->outcome;
+        test->values.clear();
+        for (guint i = 0; i < page->records->len; i++) {
+            cq_store_record_t *record =
+                &g_array_index(page->records, cq_store_record_t, i);
+            gsize len = 0;
+            const char *bytes =
+                (const char *)g_bytes_get_data(record->value, &len);
+            test->values +=
+                std::string(record->key) + "=" + std::string(bytes, len) + ";";
+        }
+    }
+    // Starts a call of this kind, and waits until the store has it.
+    void
+    call(char kind)
+    {
+        ended = false;
+        switch (kind) {
+        case 'r':
+            cq_store_read(store, CQ_TOPIC_UPSTREAMS, 0, 0, on_done, this);
+            break;
+        case 'n':
+            cq_store_read_newest(store, CQ_TOPIC_UPSTREAMS, nullptr, on_done,
+                                 this);
+            break;
+        default:
+            cq_store_write(store, CQ_TOPIC_HOSTS, "k", "v", on_done, this);
+        }
+        ASSERT_TRUE(run_until([this] {
+            int fd = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
+            if (fd >= 0) {
+                if (conn >= 0) {
+                    close(conn);
+                }
+                conn = fd;
+            }
+            char bytes[4096];
+            return conn >= 0 && recv(conn, bytes, sizeof bytes, 0) > 0;
+        }));
+    }
+    // Return: how the call ends that gets these bytes; with @close the store
+    // then closes the connection.
+    cq_store_outcome_t
+    answer(const std::string &bytes, bool close_conn)
+    {
+        if (!bytes.empty()) {
+            EXPECT_EQ(write(conn, bytes.data(), bytes.size()),
+                      (gssize)bytes.size());
+        }
+        if (close_conn) {
+            close(conn);
+            conn = -1;
+        }
+        EXPECT_TRUE(run_until([this] { return ended; }));
+        return outcome;
+    }
+    static std::string
+    body_of(char kind)
+    {
+        return kind == 'r'   ? kRecords
+               : kind == 'n' ? "{\"items\":[],\"end\":1}"
+                             : "{}";
+    }
+
+    int listener = -1;
+    int conn = -1;
+    std::string address;
+    cq_store_t *store = nullptr;
+    bool ended = false;
+    cq_store_outcome_t outcome = CQ_STORE_DONE;
+    std::string values;
+};
+
+TEST_F(Store, AWholeAnswerIsBelieved)
+{
+    call('r');
+    EXPECT_EQ(answer("HTTP/1.1 200 OK\r\n" + length_field(kRecords) + "\r\n" +
+                         kRecords,
+                     false),
+              CQ_STORE_DONE);
+    EXPECT_EQ(values, "k=v;");
+}
+
+// At each byte of the head, on new connections and on those that have carried
+// a whole answer, after an interim answer too.
+TEST_F(Store, AnAnswerThatEndsInItsHeadFails)
+{
+    for (char kind : {'r', 'n', 'w'}) {
+        std::string body = body_of(kind);
+        for (const std::string &framing :
+             {length_field(body),
+              std::string("Transfer-Encoding: chunked\r\n"), std::string()}) {
+            for (const char *interim :
+                 {"", "HTTP/1.1 103 Early Hints\r\n\r\n"}) {
+                std::string head =
+                    interim + ("HTTP/1.1 200 OK\r\n" + framing) + "\r\n";
+                for (size_t len = 0; len < 2 * head.size(); len++) {
+                    if (len % 2 == 0) {
+                        call('r');
+                        answer("HTTP/1.1 200 OK\r\n" + length_field(kRecords) +
+                                   "\r\n" + kRecords,
+                               false);
+                        ASSERT_EQ(outcome, CQ_STORE_DONE);
+                    }
+                    call(kind);
+                    EXPECT_EQ(answer(head.substr(0, len / 2), true),
+                              CQ_STORE_FAILED)
+                        << kind << head.substr(0, len / 2);
+                    EXPECT_EQ(values, "");
+                }
+            }
+        }
+    }
+}
+
+TEST_F(Store, AnAnswerThatEndsInItsBodyFails)
+{
+    for (char kind : {'r', 'n', 'w'}) {
+        std::string body = body_of(kind);
+        for (size_t len = 0; len < body.size(); len++) {
+            call(kind);
+            EXPECT_EQ(answer("HTTP/1.1 200 OK\r\n" + length_field(body) +
+                                 "\r\n" + body.substr(0, len),
+                             true),
+                      CQ_STORE_FAILED);
+            EXPECT_EQ(values, "");
+            call(kind);
+            char size[16];
+            g_snprintf(size, sizeof size, "%zx\r\n", body.size());
+            EXPECT_EQ(
+                answer(std::string("HTTP/1.1 200 OK\r\n"
+                                   "Transfer-Encoding: chunked\r\n\r\n") +
+                           size + body.substr(0, len),
+                       true),
+                CQ_STORE_FAILED);
+            EXPECT_EQ(values, "");
+        }
+    }
+}
+
+// RFC 9110, 15.2: an interim answer ends with its head.
+TEST_F(Store, AnInterimAnswerWithFramingTakesNoBytesOfTheAnswer)
+{
+    for (const char *framing :
+         {"", "Content-Length: 0\r\n", "Content-Length: 5\r\n",
+          "Transfer-Encoding: chunked\r\n"}) {
+        call('r');
+        EXPECT_EQ(answer(std::string("HTTP/1.1 103 Early Hints\r\n") +
+                             framing + "\r\nHTTP/1.1 200 OK\r\n" +
+                             length_field(kRecords) + "\r\n" + kRecords,
+                         false),
+                  CQ_STORE_DONE)
+            << framing;
+        EXPECT_EQ(values, "k=v;") << framing;
+    }
+}
+
+// The bytes behind the interim head are no answer.
+TEST_F(Store, ABodyOfAnInterimAnswerIsNotPutBeforeTheAnswers)
+{
+    call('r');
+    EXPECT_EQ(answer("HTTP/1.1 103 Early Hints\r\nContent-Length: 23\r\n\r\n" +
+                         kRecords +
+                         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+                         "\r\n",
+                     false),
+              CQ_STORE_FAILED);
+    EXPECT_EQ(values, "");
+}
+
+} // namespace
