--- a/tests/run.sh
+++ b/tests/run.sh
@@ -63,7 +63,7 @@
 for script in demo badinput oddreports hangup operator drain holds giant orders retention \
     relay relaywake relaypeers relayreads relayreaders relaybulk relayleft relayendless relayleaving relaymany \
     relayoutage relayremoved relaylostpoll relaypoison relaypoisonkept relaycells relayera relaylimit relaycrashcall relaycrashkept relayidlechange relaystop relaystoplate \
-    relayrefusalagain relaybrokenstream \
+    relayrefusalagain relaybrokenstream relaytornhead \
     relaycut relaycutall relaycutmost relayoddentries; do
     run_script "tests/proc/$script.sh"
 done
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -23,6 +23,9 @@
  *                  id, bare: no id, own: the request's
  *   cut            resets the connection without an answer
  *   slow           answers 200 after the time ms of the query, default 100 ms
+ *   tearhead       stops after as many bytes of its answer's head as the query
+ *                  names with at, and closes, or resets with ?reset=1; ?form=
+ *                  chunked, neither, interim: the head's kind; also of streams
  *   other words    no answer
  *
  * Streams, requested with /stream/ in the path. A stream that is resumed with
@@ -450,6 +453,30 @@
                    id_field);
 }
 
+/* Sends the beginning of an answer's head. */
+static void
+tear_head(standin_conn_t *conn, const cq_h1_head_t *head, const char *query)
+{
+    const char *framing = "Content-Length: 5\r\n";
+    if (query_is(query, "form", "chunked")) {
+        framing = "Content-Type: text/event-stream\r\n"
+                  "Transfer-Encoding: chunked\r\n";
+    }
+    if (query_is(query, "form", "neither")) {
+        framing = "";
+    }
+    char *text = g_strdup_printf(
+        "%sHTTP/1.1 200 OK\r\nCuminquay-Attempt-Id: %s\r\n" SEAL_FIELD
+        "%s\r\n",
+        query_is(query, "form", "interim") ? "HTTP/1.1 103 Early Hints\r\n\r\n"
+                                           : "",
+        field_or_dash(head, "Cuminquay-Attempt-Id"), framing);
+    gsize len = (gsize)standin_query_number(query, "at", 0);
+    standin_write(conn, text, MIN(len, strlen(text) - 1));
+    standin_disconnect(conn, standin_query_number(query, "reset", 0) != 0);
+    g_free(text);
+}
+
 static void
 on_request(standin_conn_t *conn, const cq_h1_head_t *head, const char *path,
            const char *query, const GByteArray *body, void *data)
@@ -504,6 +531,10 @@
         g_timeout_add(CRASH_AFTER_MS, on_crash, replica);
         return;
     }
+    if (strcmp(behaviour, "tearhead") == 0) {
+        tear_head(conn, head, query);
+        return;
+    }
     if (strstr(path, "/stream/") != NULL) {
         serve_stream(replica, conn, head, behaviour, query);
         return;
