--- a/packages/core/handoff.c
+++ b/packages/core/handoff.c
@@ -84,6 +84,9 @@
     cq_task_close(core, request);
     request->phase = CQ_PHASE_HANDED;
     request->phase_start_us = core->now_us;
+    if (request->started_us == 0) {
+        request->started_us = core->now_us;
+    }
     request->progress_us = core->now_us;
     request->forwarded_at_start = request->forwarded;
     request->attempt = ++request->attempts;
@@ -134,6 +137,14 @@
     return status == 503 || status == 429 || status == 408 || status == 421;
 }
 
+/* A peer that has begun to stop refuses what may outlast its stop. */
+static gboolean
+peer_stops(const cq_core_t *core, const cq_request_t *request)
+{
+    const cq_peer_t *peer = cq_table_peer(core, request->hand_host);
+    return peer != NULL && peer->draining;
+}
+
 static void
 on_done(cq_core_t *core, cq_request_t *request, int status)
 {
@@ -141,6 +152,10 @@
     gboolean success = status >= 200 && status < 300;
     if (states_not_run(status)) {
         request->possible_runs--;
+        request->sent = FALSE;
+        if (peer_stops(core, request) && cq_handoff_start(core, request)) {
+            return;
+        }
     }
     if (!success && (request->forwarded > 0 || cq_hedge_active(request))) {
         fail(core, request, "refused");
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -10,6 +10,7 @@
 #include "base/list.h"
 #include "core/core.h"
 #include "core/logstate.h"
+#include "core/reachstate.h"
 
 #define CQ_CLASSES 4
 
@@ -322,6 +323,7 @@
  * @fingerprint: hash of all that makes another request the same one, or 0
  * @is_trial: it is sent although one of @suspects is blocked
  * @prefixes: prefixes of its prompt, ascending
+ * @started_us: when its first attempt began, or 0
  * @phase_start_us: when @phase was entered
  * @ready_us: it is not placed before this time
  * @cost: engine seconds that it is expected to take
@@ -370,6 +372,7 @@
  * @handed: a peer passed it on to this host
  * @hands: number of times that it was passed on to a peer
  * @hand_host: host id of the peer to which it was last passed on, or 0
+ * @kind: hash of what its run time depends on, its route
  * @failed_helper: id of the engine that the upstream named as the cause of a
  *   failure, or 0
  */
@@ -398,6 +401,7 @@
     cq_prefix_t prefixes[CQ_PREFIX_LEVELS];
     guint prefixes_len;
     gint64 arrived_us;
+    gint64 started_us;
     gint64 deadline_us;
     gint64 phase_start_us;
     gint64 ready_us;
@@ -437,6 +441,7 @@
     guint holders_len;
     gint64 longest_gap_us;
     gboolean handed;
+    guint64 kind;
     guint hands;
     guint32 hand_host;
     guint64 failed_helper;
@@ -460,47 +465,6 @@
     GHashTable *shares;
 } cq_peer_t;
 
-/**
- * struct cq_zone_t - another availability zone
- * @failed_us: when one of its upstreams last could not be reached, or 0
- * @failed_upstream: id of that upstream
- * @accuser: id of the engine that said so, or 0 if this host saw it itself
- * @suspect_until_us: its upstreams get no work before then
- */
-typedef struct {
-    gint64 failed_us;
-    guint64 failed_upstream;
-    guint64 accuser;
-    gint64 suspect_until_us;
-} cq_zone_t;
-
-/** CQ_REACH_FAILED_MAX - failures that are remembered to find a cut */
-#define CQ_REACH_FAILED_MAX 8
-
-/**
- * struct cq_reach_t - whether this host can open connections to upstreams
- * @rand: chooses upstreams and peers; apart from the core's, so that the
- *   number of probes changes no other choice
- * @failed: upstreams at which an attempt failed since a connection last opened
- * @failed_len: number of @failed
- * @opened: a connection has opened since the last one was tried
- * @probed_us: when a connection was last tried to see whether it opens
- * @probes_out: such connections without a result
- * @cut_since_us: when the failures of the current cut began, or 0
- */
-typedef struct {
-    GRand *rand;
-    struct {
-        guint64 upstream;
-        gint64 at_us;
-    } failed[CQ_REACH_FAILED_MAX];
-    guint failed_len;
-    gboolean opened;
-    gint64 probed_us;
-    guint probes_out;
-    gint64 cut_since_us;
-} cq_reach_t;
-
 /** struct cq_quarantine_t - parts of prompts under which upstreams crash */
 typedef struct cq_quarantine cq_quarantine_t;
 
@@ -528,6 +492,7 @@
  * @tasks_broadcast_us: when all tasks of this process were last sent to peers
  * @reservations: reservations without a release
  * @log_up: the platform's log answers
+ * @runs: run times of the kinds of requests, see core/stop.c
  * @drain_notice_us: until when new requests are accepted while draining
  * @drain_limit_us: when every remaining request is answered
  * @window_start_us: when the current window of the drain rates began
@@ -575,6 +540,7 @@
     gint64 tasks_broadcast_us;
     guint reservations;
     gboolean log_up;
+    GHashTable *runs;
     gboolean draining;
     gint64 drain_notice_us;
     gint64 drain_limit_us;
