--- a/tests/unit/outpeer_test.cc
+++ b/tests/unit/outpeer_test.cc
@@ -230,7 +230,7 @@
         EXPECT_FALSE(reported(CQ_EV_UPSTREAM)) << status;
         cq_outbound_answer_t received;
         ASSERT_TRUE(cq_outbound_answer(outbound_, call_.request, call_.attempt,
-                                   &received));
+                                       &received));
         ASSERT_NE(nullptr, received.head);
         EXPECT_EQ(status, received.head->status);
         EXPECT_EQ(2u, received.body->len);
