--- a/packages/router/topicmap.c
+++ b/packages/router/topicmap.c
@@ -202,14 +202,14 @@
 }
 
 /* Whether the key may have been deleted after @record without a trace in the
- * map: a peer that lags, or a page that comes late, may still have it. */
+ * map: a peer that lags, or an answer of the store that comes late, may still
+ * have it. */
 static gboolean
 may_be_deleted(const cq_topicmap_t *map, const cq_store_record_t *record,
                cq_record_source_t source)
 {
     gboolean is_late =
-        source == CQ_SOURCE_PEER ||
-        (source == CQ_SOURCE_SNAPSHOT && map->page_end < map->deletions_from);
+        source != CQ_SOURCE_SNAPSHOT || map->page_end < map->deletions_from;
     return is_late && record->offset < map->deletions_from;
 }
 
@@ -217,13 +217,13 @@
 cq_topicmap_is_new(cq_topicmap_t *map, const cq_store_record_t *record,
                    cq_record_source_t source)
 {
-    if (may_be_deleted(map, record, source)) {
-        return FALSE;
-    }
     entry_t *old = g_hash_table_lookup(map->entries, record->key);
     if (old != NULL && source == CQ_SOURCE_SNAPSHOT) {
         old->seen = TRUE;
     }
+    if (may_be_deleted(map, record, source)) {
+        return FALSE;
+    }
     if (old != NULL && old->carried) {
         return !doubt(map, old, record);
     }
@@ -338,12 +338,15 @@
 cq_topicmap_end_snapshot(cq_topicmap_t *map)
 {
     gboolean dropped = FALSE;
+    /* A peer has meanwhile told what is left at a later offset. */
+    gboolean is_older = map->snapshot_end < map->deletions_from;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, map->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         entry_t *entry = value;
-        if (!entry->seen && can_drop(map, entry, map->snapshot_end)) {
+        if (!entry->seen && !is_older &&
+            can_drop(map, entry, map->snapshot_end)) {
             dropped |= drop(entry);
         }
     }
