--- a/packages/bench/attempts.c
+++ b/packages/bench/attempts.c
@@ -410,22 +410,6 @@
     cq_sim_post_event_after(host, &event, 2 * CQ_SIM_HOP_US);
 }
 
-void
-cq_sim_reach(cq_sim_t *sim, cq_sim_host_t *host, const cq_ac_reach_t *reach)
-{
-    const cq_sim_upstream_t *upstream =
-        &sim->upstreams[upstream_index(sim, reach->upstream)];
-    gboolean silent = upstream->frozen_until_us > cq_sim_now(sim) ||
-                      !cq_sim_reachable(sim, host->zone, upstream->zone);
-    cq_event_t event = {.kind = CQ_EV_REACHED};
-    event.reached.upstream = reach->upstream;
-    event.reached.opened = upstream->up && !silent;
-    event.reached.timed_out = silent;
-    /* A host that is down refuses the connection; a cut network is silent. */
-    cq_sim_post_event_after(host, &event,
-                            silent ? reach->timeout_us : 2 * CQ_SIM_HOP_US);
-}
-
 void
 cq_sim_change_reservation(cq_sim_t *sim, cq_sim_host_t *host,
                           cq_action_kind_t kind, const cq_ac_memory_t *memory)
--- a/packages/bench/simplatform.c
+++ b/packages/bench/simplatform.c
@@ -382,3 +382,20 @@
 {
     g_ptr_array_set_size(sim->log, (gint)MIN(keep, sim->log->len));
 }
+
+void
+cq_sim_reach(cq_sim_t *sim, cq_sim_host_t *host, const cq_ac_reach_t *reach)
+{
+    guint index = GPOINTER_TO_UINT(
+        g_hash_table_lookup(sim->upstream_by_id, &reach->upstream));
+    const cq_sim_upstream_t *upstream = &sim->upstreams[index];
+    gboolean silent = upstream->frozen_until_us > cq_sim_now(sim) ||
+                      !cq_sim_reachable(sim, host->zone, upstream->zone);
+    cq_event_t event = {.kind = CQ_EV_REACHED};
+    event.reached.upstream = reach->upstream;
+    event.reached.opened = upstream->up && !silent;
+    event.reached.timed_out = silent;
+    /* A host that is down refuses the connection; a cut network is silent. */
+    cq_sim_post_event_after(host, &event,
+                            silent ? reach->timeout_us : 2 * CQ_SIM_HOP_US);
+}
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -63,7 +63,7 @@
 for script in ports demo badinput oddreports hangup operator drain holds giant orders retention \
     relay relaywake relaypeers relayreads relayreaders relayreadersback relaybulk relayleft relayendless relaydescriptors relaybodies relayleaving relaymany \
     relayoutage relayremoved relaylostpoll relaylostconfig relaypoison relaypoisonkept relaycells relayera relaylimit relaycrashcall relaycrashkept relayidlechange relaystop relaystoplate \
-    relayrefusalagain relaybrokenstream relaytornhead relayversion relayteams relaysmuggle \
+    relayrefusalagain relayslowcall relaybrokenstream relaytornhead relayversion relayteams relaysmuggle \
     relaycut relaycutall relaycutmost relaycutgone relayoddentries relayupgrade; do
     run_script "tests/proc/$script.sh"
 done
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -38,10 +38,13 @@
  *   thenplain      as tear; answers 200 without a stream when it is resumed
  *   thenanswer     as tear; when it is resumed it answers as ?with= says:
  *                  fields and body of an error with that status; refused;
- * moved (421); chunked: a 500 in chunks; unsealed: a stream without the seal;
- * interim: 103, then the rest; old: a stream from its start, which ends with
- * event 5 without an id noid           events without ids; breaks off within
- * event 4 other words    the whole stream */
+ *                  moved (421); chunked: a 500 in chunks; unsealed: a
+ *                  stream without the seal; interim: 103, then the rest;
+ *                  old: a stream from its start, which ends with event 5
+ *                  without an id
+ *   noid           events without ids; breaks off within event 4
+ *   other words    the whole stream
+ */
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
