--- a/tests/unit/hedge_test.cc
+++ b/tests/unit/hedge_test.cc
@@ -216,6 +216,81 @@
     EXPECT_EQ(last_send(id)->attempt, 2u);
 }
 
+// The load: an upstream that can't go on with another one's stream.
+TEST_F(Hedge, AStreamThatTheSecondUpstreamWontResumeIsNotCut)
+{
+    start_core(0, 2);
+    guint64 id = hedged_stream();
+    ASSERT_EQ(last_send(id)->attempt, 2u);
+    event_of(id, 2, CQ_EV_DONE, CQ_FAIL_BROKEN, "", 409);
+    EXPECT_EQ(answer_of(id), nullptr);
+    EXPECT_EQ(stops_of(id, 1), 0u) << "it is alive";
+}
+
+class ThreeAttempts : public Hedge {
+  protected:
+    guint64
+    hedged_call3()
+    {
+        cq_event_t event = {};
+        event.kind = CQ_EV_REQUEST;
+        event.request.id =
+            cq_ident_request(cq_ident_host("h0"), 1, ++request_serial);
+        event.request.service = "p";
+        event.request.model = "";
+        event.request.repeatable = TRUE;
+        event.request.prompt_tokens = 1;
+        event.request.timeout_us = timeout_us;
+        event.request.target_us = 300 * kMs;
+        event.request.attempts_max = 3;
+        event.request.team = team;
+        step(event);
+        attempt_event(event.request.id, CQ_EV_SENT);
+        advance(300 * kMs);
+        attempt_event(event.request.id, CQ_EV_SENT);
+        return event.request.id;
+    }
+};
+
+// The load: of three upstreams one is silent, one full and one free.
+TEST_F(ThreeAttempts, ASecondAttemptThatIsRefusedIsNotSentThereAgain)
+{
+    for (int i = 0; i < 20; i++) {
+        all_actions.clear();
+        rows.clear();
+        start_core(0, 3);
+        for (int k = 0; k < i; k++) {
+            guint64 other = submit(1, 300 * kMs, 0, "p");
+            attempt_event(other, CQ_EV_SENT);
+            attempt_event(other, CQ_EV_DONE);
+        }
+        guint64 id = hedged_call3();
+        ASSERT_EQ(last_send(id)->attempt, 2u);
+        guint64 full = last_send(id)->upstream;
+        event_of(id, 2, CQ_EV_FAILED, CQ_FAIL_REFUSED);
+        advance(100 * kMs);
+        if (last_send(id)->attempt == 3) {
+            EXPECT_NE(last_send(id)->upstream, full) << "run " << i;
+        }
+        TearDown();
+    }
+    start_core(1);
+}
+
+// The load: a silent upstream, and another one that is full for a moment.
+TEST_F(ThreeAttempts, RefusalsInARowDontUseUpTheAttempts)
+{
+    start_core(0, 2);
+    guint64 id = hedged_call3();
+    gint64 first_us = now_us;
+    event_of(id, 2, CQ_EV_FAILED, CQ_FAIL_REFUSED);
+    for (int i = 0; i < 100 && last_send(id)->attempt < 3; i++) {
+        advance(10 * kMs);
+    }
+    EXPECT_GE(now_us - first_us, 200 * kMs)
+        << "returned to the upstream that refused it";
+}
+
 // A prompt larger than one engine's memory; another engine holds a part of it.
 class HeldMemory : public Hedge {
   protected:
@@ -281,6 +356,36 @@
     EXPECT_EQ(engines_in(CQ_AC_RELEASE).size(), 0u) << "it is not quiet";
 }
 
+TEST_F(HeldMemory, IsKeptWhenOnlyAProbeForACutTimedOut)
+{
+    start_prompt();
+    advance(2100 * kMs);
+    reached(TRUE, FALSE);
+    EXPECT_EQ(engines_in(CQ_AC_RELEASE).size(), 0u);
+    /* Of the probes of 300 ms that look into failures elsewhere. */
+    reached(FALSE, TRUE);
+    EXPECT_EQ(stops_of(id, 1), 0u) << "its engine took a connection just now";
+}
+
+TEST_F(HeldMemory, OfACallThatMayNotBeRepeatedIsKeptWhileItMayBeAnswered)
+{
+    start_core(12);
+    id = submit(500000, 3 * kSecond, 800 * kMs, "m", FALSE);
+    advance(20 * kMs);
+    cq_event_t event = {};
+    event.kind = CQ_EV_RESERVED;
+    event.reserved.request = id;
+    event.reserved.upstream = engines_in(CQ_AC_RESERVE).at(0);
+    event.reserved.granted = TRUE;
+    step(event);
+    attempt_event(id, CQ_EV_SENT);
+    advance(2100 * kMs);
+    reached(FALSE, TRUE);
+    EXPECT_EQ(stops_of(id, 1), 0u);
+    EXPECT_EQ(answer_of(id), nullptr)
+        << "ran=" << (answer_of(id) != nullptr ? answer_of(id)->ran : -1);
+}
+
 // Events of both attempts in every order: the caller gets the events of one
 // attempt at a time, never of one that was stopped, and one answer.
 TEST_F(Hedge, EventsOfTwoAttemptsAreNeverJoinedOutOfTurn)
@@ -332,4 +437,110 @@
     start_core(1);
 }
 
+// Two attempts beside changes of the configuration and of the list of
+// upstreams, in any order.
+TEST_F(Hedge, TwoAttemptsBesideChangesKeepTheLedgersAndAreAnsweredOnce)
+{
+    guint ended_alive = 0;
+    for (guint32 seed = 1; seed <= 1500; seed++) {
+        all_actions.clear();
+        rows.clear();
+        request_serial = 0;
+        start_core(4, 4);
+        GRand *rand = g_rand_new_with_seed(seed);
+        guint64 id = hedged_stream(seed % 2 == 0 ? "p" : "m");
+        std::map<guint32, bool> over;
+        guint64 version = 2;
+        std::vector<cq_rules_t *> more;
+        for (int i = 0; i < 25 && answer_of(id) == nullptr; i++) {
+            guint32 attempts = last_send(id)->attempt;
+            guint32 attempt =
+                (guint32)g_rand_int_range(rand, 1, (gint32)attempts + 1);
+            switch (g_rand_int_range(rand, 0, 9)) {
+            case 0: {
+                bool m = g_rand_boolean(rand);
+                cq_rules_t *r = core_test::make_rules(
+                    m ? "m" : "p", g_rand_boolean(rand) ? CQ_SERVICE_PLAIN
+                                                        : CQ_SERVICE_BATCH);
+                r->version = version++;
+                more.push_back(r);
+                cq_event_t event = {};
+                event.kind = CQ_EV_RULES;
+                event.rules = r;
+                step(event);
+                break;
+            }
+            case 1: {
+                if (rows.size() > 1) {
+                    rows.erase(rows.begin() +
+                               g_rand_int_range(rand, 0, (gint32)rows.size()));
+                    send_host_list();
+                }
+                break;
+            }
+            case 2: {
+                cq_host_row_t &row = rows[(size_t)g_rand_int_range(
+                    rand, 0, (gint32)rows.size())];
+                g_strlcpy(row.service, row.service[0] == 'm' ? "p" : "m",
+                          sizeof row.service);
+                row.incarnation++;
+                send_host_list();
+                break;
+            }
+            case 3:
+                if (!over[attempt]) {
+                    over[attempt] = true;
+                    event_of(id, attempt, CQ_EV_FAILED,
+                             (cq_failure_t)g_rand_int_range(rand, 0, 6));
+                }
+                break;
+            case 4:
+                if (!over[attempt] && g_rand_int_range(rand, 0, 3) == 0) {
+                    over[attempt] = true;
+                    event_of(id, attempt, CQ_EV_DONE);
+                }
+                break;
+            case 5:
+                if (!over[attempt])
+                    event_of(id, attempt, CQ_EV_TOKENS);
+                break;
+            case 6:
+                if (!over[attempt])
+                    event_of(id, attempt, CQ_EV_SENT);
+                break;
+            default:
+                advance(g_rand_int_range(rand, 0, 200) * 10 * kMs);
+            }
+            for (const cq_action_t &action : all_actions) {
+                if (action.kind == CQ_AC_STOP)
+                    over[action.attempt.attempt] = true;
+            }
+        }
+        const cq_ac_answer_t *answer = answer_of(id);
+        if (answer != nullptr && answer->outcome != CQ_OUTCOME_DONE &&
+            answer->outcome != CQ_OUTCOME_EXPIRED) {
+            // Attempts stopped by the core at the very end were alive.
+            guint alive = 0;
+            for (guint i = 0; i < actions.items->len; i++) {
+                alive += cq_actions_at(&actions, i)->kind == CQ_AC_STOP;
+            }
+            if (alive > 0) {
+                ended_alive++;
+                printf("seed %u outcome %d stops %u\n", seed, answer->outcome,
+                       alive);
+            }
+        }
+        g_rand_free(rand);
+        advance(25 * kSecond);
+        EXPECT_NE(answer_of(id), nullptr) << "stays for ever, seed " << seed;
+        TearDown();
+        for (cq_rules_t *r : more)
+            cq_rules_unref(r);
+        if (HasFailure())
+            break;
+    }
+    EXPECT_EQ(ended_alive, 0u);
+    start_core(1);
+}
+
 } // namespace
--- a/tests/unit/reach_test.cc
+++ b/tests/unit/reach_test.cc
@@ -333,4 +333,86 @@
     EXPECT_FALSE(cq_core_upstream(core, freed, &view));
 }
 
+// The load: a part of the prompt is blocked while the peer writes the answer.
+TEST_F(Reach, AStreamThatAPeerWritesIsNotCutByABlock)
+{
+    start(3, 1, 4);
+    cut();
+    parts = {0xbad};
+    guint64 id = submit_short();
+    ASSERT_NE(hand_of(id), nullptr);
+    peer_event(id, CQ_EV_SENT);
+    for (int i = 0; i < 6; i++) {
+        peer_event(id, CQ_EV_TOKENS);
+    }
+    for (const char *crash :
+         {"c1", "c2", "c3", "c4", "c5", "c6", "c7", "c8"}) {
+        cq_part_report_t row = {};
+        row.kind = CQ_PART_CRASHED;
+        row.service = cq_ident_hash("m");
+        row.part = 0xbad;
+        row.team = cq_ident_hash("t");
+        row.crash = cq_ident_hash(crash);
+        cq_event_t event = {};
+        event.kind = CQ_EV_PARTS;
+        event.parts.rows = &row;
+        event.parts.len = 1;
+        step(event);
+        advance(50 * kMs);
+        peer_event(id, CQ_EV_TOKENS);
+    }
+    EXPECT_EQ(answer_of(id), nullptr);
+}
+
+// The load: the peer's summaries are lost, its answer isn't.
+TEST_F(Reach, AStreamThatAPeerWritesIsNotCutWhenItsSummariesStop)
+{
+    start(3, 2);
+    cut();
+    guint64 id = submit(2000, 300 * kMs, 200 * kMs, "p");
+    ASSERT_NE(hand_of(id), nullptr);
+    guint32 attempt = hand_of(id)->attempt;
+    peer_event(id, CQ_EV_SENT);
+    gint64 first_us = now_us;
+    while (now_us < first_us + 3 * kSecond && answer_of(id) == nullptr &&
+           hand_of(id)->attempt == attempt) {
+        peer_event(id, CQ_EV_TOKENS);
+        advance(50 * kMs);
+    }
+    EXPECT_EQ(hand_of(id)->attempt, attempt) << (now_us - first_us) / kMs;
+    EXPECT_EQ(answer_of(id), nullptr) << (now_us - first_us) / kMs << " ms";
+}
+
+// The load: a cut host whose prompt holds memory at other engines; the peers
+// refuse.
+TEST_F(Reach, APromptWithMemorySetAsideIsKeptUntilAPeerAnswers)
+{
+    start(3, 1, 12);
+    guint64 id = submit_long(500000);
+    advance(20 * kMs);
+    cq_event_t event = {};
+    event.kind = CQ_EV_RESERVED;
+    event.reserved.request = id;
+    ASSERT_FALSE(engines_in(CQ_AC_RESERVE).empty());
+    event.reserved.upstream = engines_in(CQ_AC_RESERVE).at(0);
+    event.reserved.granted = TRUE;
+    step(event);
+    ASSERT_NE(last_send(id), nullptr);
+    attempt_event(id, CQ_EV_SENT);
+    attempt_event(id, CQ_EV_TOKENS);
+    cut();
+    advance(400 * kMs);
+    peer_says("h1", FALSE);
+    guint stops = 0;
+    for (const cq_action_t &action : all_actions) {
+        stops += action.kind == CQ_AC_STOP && action.attempt.request == id &&
+                 action.attempt.attempt == 1;
+    }
+    ASSERT_NE(hand_of(id), nullptr);
+    EXPECT_EQ(stops, 0u) << "nobody has begun to answer in its place";
+    peer_event(id, CQ_EV_SENT);
+    peer_event(id, CQ_EV_DONE, 503);
+    EXPECT_EQ(answer_of(id), nullptr);
+}
+
 } // namespace
