--- a/packages/bench/replay.c
+++ b/packages/bench/replay.c
@@ -215,6 +215,7 @@
         msg->event.kind = CQ_EV_REACHED;
         msg->event.reached.upstream = action->reach.upstream;
         msg->event.reached.opened = TRUE;
+        msg->event.reached.purpose = action->reach.purpose;
         break;
     }
     case CQ_AC_SPARE:
--- a/packages/bench/simplatform.c
+++ b/packages/bench/simplatform.c
@@ -395,6 +395,7 @@
     event.reached.upstream = reach->upstream;
     event.reached.opened = upstream->up && !silent;
     event.reached.timed_out = silent;
+    event.reached.purpose = reach->purpose;
     /* A host that is down refuses the connection; a cut network is silent. */
     cq_sim_post_event_after(host, &event,
                             silent ? reach->timeout_us : 2 * CQ_SIM_HOP_US);
--- a/packages/core/action.h
+++ b/packages/core/action.h
@@ -109,10 +109,12 @@
  *   answered by REACHED within @timeout_us
  * @upstream: the upstream's id
  * @timeout_us: time limit for it to open
+ * @purpose: echoed by REACHED
  */
 typedef struct {
     guint64 upstream;
     gint64 timeout_us;
+    cq_reach_purpose_t purpose;
 } cq_ac_reach_t;
 
 /**
--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -19,7 +19,8 @@
  * their upstream. */
 #define CONNECT_FAILURES_MAX 2
 /* A request that only the upstream that refused it can take returns there
- * after this time. */
+ * after this time, and one whose second attempt failed gets no other before.
+ */
 #define RETURN_DELAY_US (200 * CQ_MS_US)
 /* After a broken attempt an upstream gets no new work for a second. The time
  * doubles with each further one in a row, but at most SUSPECT_DOUBLINGS_MAX
@@ -303,6 +304,7 @@
     cq_load_remove_attempt(core, request);
     cq_group_release(core, request);
     if (cq_hedge_fall_back(core, request)) {
+        request->ready_us = core->now_us + RETURN_DELAY_US;
         return;
     }
     gboolean blocked = cq_quarantine_blocks(core, request);
@@ -405,9 +407,14 @@
 static void
 on_done(cq_core_t *core, cq_request_t *request, int status)
 {
-    cq_hedge_settle(core, request);
     cq_attempt_sent(core, request);
     gboolean success = status >= 200 && status < 300;
+    /* An error doesn't end a stream that the other attempt can go on with. */
+    if (request->forwarded > 0 && !success && cq_hedge_active(request)) {
+        cq_attempt_fail(core, request, CQ_FAIL_FAULT);
+        return;
+    }
+    cq_hedge_settle(core, request);
     request->upstream->broken_streak = 0;
     if (success) {
         cq_quarantine_progress(core, request, 0, TRUE);
--- a/packages/core/candidate.c
+++ b/packages/core/candidate.c
@@ -35,7 +35,8 @@
     for (guint i = 0; i < upstreams->len; i++) {
         cq_upstream_t *engine = g_ptr_array_index(upstreams, i);
         if (!cq_place_usable(core, engine) || !cq_rate_allows(core, engine) ||
-            engine->id == request->last_failed) {
+            engine->id == request->last_failed ||
+            engine == request->upstream) {
             continue;
         }
         assess_engine(core, request, engine,
@@ -53,7 +54,8 @@
         cq_upstream_t *engine = g_ptr_array_index(guests, i);
         if (cq_lending_is_offered(core, engine) &&
             cq_place_usable(core, engine) && !engine->rate.limited &&
-            engine->id != request->last_failed) {
+            engine->id != request->last_failed &&
+            engine != request->upstream) {
             assess_engine(core, request, engine,
                           &candidates->items[candidates->len++]);
         }
--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -302,8 +302,12 @@
         cq_stop_begin(core, &event->drain);
         break;
     case CQ_EV_REACHED:
-        cq_reach_apply(core, &event->reached);
-        cq_alive_reached(core, &event->reached);
+        if (event->reached.purpose == CQ_REACH_ALIVE) {
+            cq_alive_reached(core, &event->reached);
+        }
+        else {
+            cq_reach_apply(core, &event->reached);
+        }
         break;
     }
 }
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -475,16 +475,24 @@
     guint len;
 } cq_ev_parts_t;
 
+/** enum cq_reach_purpose_t - why a connection to an upstream is opened */
+typedef enum {
+    CQ_REACH_CUT,   /* to see whether this host is cut off */
+    CQ_REACH_ALIVE, /* to see whether that upstream is alive */
+} cq_reach_purpose_t;
+
 /**
  * struct cq_ev_reached_t - result of REACH
  * @upstream: the upstream's id
  * @opened: a connection to it opened in time
  * @timed_out: it did not even refuse the connection in time
+ * @purpose: that of the REACH
  */
 typedef struct {
     guint64 upstream;
     gboolean opened;
     gboolean timed_out;
+    cq_reach_purpose_t purpose;
 } cq_ev_reached_t;
 
 /**
--- a/packages/core/handoff.c
+++ b/packages/core/handoff.c
@@ -12,6 +12,9 @@
 
 /* Number of times that one request may be passed on. */
 #define HANDS_MAX 3
+/* A peer whose summaries stop still counts as at work on a request if
+ * something of its answer came within this time. */
+#define GONE_QUIET_US CQ_SECOND_US
 /* An attempt at an upstream without an answer for this time is given up for a
  * peer. */
 #define SILENT_US (300 * CQ_MS_US)
@@ -80,7 +83,9 @@
     }
     cq_flow_remove(request);
     cq_place_clear_earmark(core, request);
-    cq_group_release(core, request);
+    if (!cq_hedge_active(request)) {
+        cq_group_release(core, request);
+    }
     cq_task_close(core, request);
     request->phase = CQ_PHASE_HANDED;
     request->phase_start_us = core->now_us;
@@ -199,8 +204,9 @@
     gint64 connect_us = request->service->rules->connect_timeout_us;
     gboolean unopened =
         !request->sent && core->now_us - request->phase_start_us > connect_us;
-    gboolean gone =
-        request->repeatable && cq_table_peer(core, request->hand_host) == NULL;
+    gboolean gone = request->repeatable &&
+                    cq_table_peer(core, request->hand_host) == NULL &&
+                    core->now_us - request->progress_us > GONE_QUIET_US;
     if (unopened || gone) {
         cq_attempt_stop(core, request);
         fail(core, request, gone ? "gone" : "connect");
@@ -226,7 +232,7 @@
 static void
 hand_silent(cq_core_t *core, cq_request_t *request)
 {
-    if (request->sent && request->group_len == 0) {
+    if (request->sent) {
         if (!cq_hedge_active(request)) {
             cq_hedge_set_aside(request);
             if (!cq_handoff_start(core, request)) {
--- a/packages/core/hedge.c
+++ b/packages/core/hedge.c
@@ -2,6 +2,7 @@
 
 #include "core/attempt.h"
 #include "core/batchplace.h"
+#include "core/group.h"
 #include "core/load.h"
 #include "core/place.h"
 #include "core/quarantine.h"
@@ -97,16 +98,18 @@
 cq_hedge_start(cq_core_t *core, cq_request_t *request, const char *why)
 {
     if (cq_hedge_active(request) || request->group_len > 0 ||
-        request->is_trial || !cq_attempt_repeatable(request) ||
+        request->is_trial || core->now_us < request->ready_us ||
+        !cq_attempt_repeatable(request) ||
         !cq_attempt_retry_allowed(request) ||
         cq_quarantine_blocks(core, request)) {
         return FALSE;
     }
-    guint64 last_failed = request->last_failed;
-    request->last_failed = request->upstream->id;
     cq_task_plan_t plan = {.engines_len = 0};
     cq_upstream_t *upstream = choose(core, request, &plan);
-    request->last_failed = last_failed;
+    if (upstream == NULL && request->last_failed != 0) {
+        request->last_failed = 0;
+        upstream = choose(core, request, &plan);
+    }
     if (upstream == NULL) {
         return FALSE;
     }
@@ -154,6 +157,8 @@
         request->upstream != NULL ? request->upstream->name : "-",
         request->attempt, request->standby.attempt);
     cq_attempt_abandon(core, request);
+    /* Only an attempt that a peer was tried beside holds memory. */
+    cq_group_release(core, request);
     set_running(request, &request->standby);
     request->standby = (cq_standby_t){.attempt = 0};
 }
--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -187,7 +187,8 @@
     if (!cq_place_usable(core, upstream) || !cq_rate_allows(core, upstream)) {
         return FALSE;
     }
-    if (upstream->id == request->last_failed) {
+    if (upstream->id == request->last_failed ||
+        upstream == request->upstream) {
         return FALSE;
     }
     if (request->model != 0 && !cq_order_has_model(upstream, request->model)) {
--- a/packages/core/quarantine.c
+++ b/packages/core/quarantine.c
@@ -1,6 +1,7 @@
 #include "core/quarantine.h"
 
 #include "core/answer.h"
+#include "core/hedge.h"
 #include "core/member.h"
 #include "core/place.h"
 #include "core/reach.h"
@@ -545,11 +546,12 @@
         cq_request_t *request = CQ_ENTRY(link, cq_request_t, link);
         link = link->next;
         /* An answer that is being written shows that its parts are sound. */
-        gboolean writes =
-            (request->upstream != NULL &&
-             request->forwarded > request->forwarded_at_start) ||
-            (request->standby.upstream != NULL &&
-             request->forwarded > request->standby.forwarded_at_start);
+        gint64 before = cq_hedge_active(request)
+                            ? request->standby.forwarded_at_start
+                            : request->forwarded_at_start;
+        gboolean runs = request->phase == CQ_PHASE_RUNNING ||
+                        request->phase == CQ_PHASE_HANDED;
+        gboolean writes = runs && request->forwarded > before;
         if (!writes && cq_quarantine_blocks(core, request)) {
             cq_answer_outcome(core, request,
                               cq_quarantine_outcome(core, request));
--- a/packages/core/reach.c
+++ b/packages/core/reach.c
@@ -25,9 +25,13 @@
 static void
 send_probe(cq_core_t *core, const cq_upstream_t *upstream)
 {
+    core->reach.probes_out++;
     core->reach.opened = FALSE;
     core->reach.probed_us = core->now_us;
-    cq_reach_ask(core, upstream, PROBE_TIMEOUT_US);
+    cq_action_t action = {.kind = CQ_AC_REACH};
+    action.reach.upstream = upstream->id;
+    action.reach.timeout_us = PROBE_TIMEOUT_US;
+    cq_actions_add(core->actions, &action);
 }
 
 static gboolean
@@ -147,16 +151,6 @@
                 (core->now_us - since_us) / CQ_MS_US);
 }
 
-void
-cq_reach_ask(cq_core_t *core, const cq_upstream_t *upstream, gint64 timeout_us)
-{
-    core->reach.probes_out++;
-    cq_action_t action = {.kind = CQ_AC_REACH};
-    action.reach.upstream = upstream->id;
-    action.reach.timeout_us = timeout_us;
-    cq_actions_add(core->actions, &action);
-}
-
 gboolean
 cq_reach_is_cut(const cq_core_t *core)
 {
--- a/packages/core/reach.h
+++ b/packages/core/reach.h
@@ -39,12 +39,6 @@
 void
 cq_reach_tick(cq_core_t *core);
 
-/** cq_reach_ask() - have a connection to @upstream opened within @timeout_us;
- * the result is a REACHED event */
-void
-cq_reach_ask(cq_core_t *core, const cq_upstream_t *upstream,
-             gint64 timeout_us);
-
 G_END_DECLS
 
 #endif
--- a/packages/router/reachprobe.c
+++ b/packages/router/reachprobe.c
@@ -14,20 +14,21 @@
 typedef struct {
     cq_list_t link;
     cq_reachprobe_t *reachprobe;
-    guint64 upstream;
+    cq_ac_reach_t reach;
     cq_sock_t *sock;
     guint timer;
 } probe_t;
 
 static void
-post(const cq_reachprobe_t *reachprobe, guint64 upstream, gboolean opened,
-     gboolean timed_out)
+post(const cq_reachprobe_t *reachprobe, const cq_ac_reach_t *reach,
+     gboolean opened, gboolean timed_out)
 {
     cq_event_t event = {
         .kind = CQ_EV_REACHED,
-        .reached = {.upstream = upstream,
+        .reached = {.upstream = reach->upstream,
                     .opened = opened,
-                    .timed_out = timed_out},
+                    .timed_out = timed_out,
+                    .purpose = reach->purpose},
     };
     reachprobe->ops.post(&event, reachprobe->ops.data);
 }
@@ -47,9 +48,9 @@
 finish(probe_t *probe, gboolean opened, gboolean timed_out)
 {
     cq_reachprobe_t *reachprobe = probe->reachprobe;
-    guint64 upstream = probe->upstream;
+    cq_ac_reach_t reach = probe->reach;
     probe_free(probe);
-    post(reachprobe, upstream, opened, timed_out);
+    post(reachprobe, &reach, opened, timed_out);
 }
 
 static void
@@ -104,12 +105,12 @@
                    const char *addr)
 {
     if (addr == NULL || reachprobe->probes_len == CQ_REACH_PROBES_MAX) {
-        post(reachprobe, reach->upstream, FALSE, FALSE);
+        post(reachprobe, reach, FALSE, FALSE);
         return;
     }
     probe_t *probe = g_new0(probe_t, 1);
     probe->reachprobe = reachprobe;
-    probe->upstream = reach->upstream;
+    probe->reach = *reach;
     cq_list_init(&probe->link);
     cq_list_append(&reachprobe->probes, &probe->link);
     reachprobe->probes_len++;
