--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -353,9 +353,11 @@
  *   /silence     ignores every call of an entry host, while on=1. A read that
  *                waited before goes on waiting, but is never answered if its
  *                time ends meanwhile, or with reads=drop
- *   /lose        answers no read of the topic, also none that waits, while
- * on=1 /spoil       adds items that can't be read to /v1/log-newest, while
- * on=1 /restore     comes back from a copy in which the topic has len records
+ *   /lose        while on=1: answers no read of the topic, also none that
+ *                waits
+ *   /spoil       while on=1: adds items that can't be read to
+ *                /v1/log-newest
+ *   /restore     comes back from a copy in which the topic has len records
  *   /era         changes only the era that it names
  * All answer with the topic's number of read calls. */
 static void
