facts_test reads summaries in the step that sends them

Misdirected.AnswersToOneCallerDontTakeAServiceFromTheOthers kept the pointer of an action beyond its step: "heap-use-after-free ... in told_leaving", sanitizer build. It now counts over each step, of the load as well, wants at least one summary, and wants that none names a leaving upstream; before only the last one was looked at.

--- a/tests/unit/facts_test.cc
+++ b/tests/unit/facts_test.cc
@@ -16,17 +16,21 @@
 
 class Misdirected : public core_test::CoreTest {
   protected:
-    // Return: how many upstreams the last summary to the peers calls leaving.
-    guint
-    told_leaving()
+    // Advances the time, and counts the summaries to the peers and the
+    // upstreams that they call leaving.
+    void
+    advance_and_count(gint64 us)
     {
-        guint count = 0;
-        for (const cq_action_t &action : all_actions) {
-            if (action.kind == CQ_AC_SUMMARY) {
-                count = action.summary->leaving_len;
+        for (gint64 until_us = now_us + us; now_us < until_us;) {
+            advance(10 * kMs);
+            for (guint i = 0; i < actions.items->len; i++) {
+                const cq_action_t *action = cq_actions_at(&actions, i);
+                if (action->kind == CQ_AC_SUMMARY) {
+                    summaries++;
+                    told_leaving += action->summary->leaving_len;
+                }
             }
         }
-        return count;
     }
     // The upstreams that get the requests that follow.
     std::set<guint64>
@@ -53,6 +57,9 @@
         hang_up(id);
         return first;
     }
+
+    guint summaries = 0;
+    guint told_leaving = 0;
 };
 
 TEST_F(Misdirected, ACallIsTriedElsewhereAndItsUpstreamAvoidedForFiveSeconds)
@@ -77,12 +84,12 @@
     peer_sends_summary("h1");
     for (int i = 0; i < 60; i++) {
         misdirect();
-        advance(100 * kMs);
+        advance_and_count(100 * kMs);
         EXPECT_GE(used().size(), 1u) << i;
     }
-    advance(kSecond);
-    EXPECT_EQ(told_leaving(), 0u);
-    advance(5 * kSecond);
+    advance_and_count(6 * kSecond);
+    EXPECT_GT(summaries, 0u);
+    EXPECT_EQ(told_leaving, 0u);
     EXPECT_EQ(used().size(), 6u);
 }
 
