A deletion isn't lost when the readers of a zone restart as an older version

Since the same two fields promise deletions too, under the same names, so the receiver took the older promise for the newer one.

Change: `has_deletions` in Records. Without it only rows that come in one message with their offsets are believed (a read of the store, in every landed version), and lists of the keys that are left, which only newer versions send.

--- a/packages/router/gossip.c
+++ b/packages/router/gossip.c
@@ -142,6 +142,7 @@
     records.topic = topic;
     records.from = claim.from;
     records.at = claim.at;
+    records.has_deletions = claim.has_deletions;
     records.complete = claim.complete;
     records.rows_from = claim.complete ? claim.rows_from : 0;
     records.live = (guint64 *)(void *)live->data;
@@ -207,6 +208,7 @@
     Cq__Records message = CQ__RECORDS__INIT;
     message.topic = topic;
     message.from = from;
+    message.has_deletions = TRUE;
     message.store_era = cq_follower_era(cq_app_follower(app));
     message.rows = row_ptrs;
     gsize bytes = 0;
@@ -228,6 +230,17 @@
     g_free(rows);
 }
 
+/* Hosts of earlier versions don't say whether they have the deletions: they
+ * may have started from a snapshot, which lacks those before it. They send a
+ * read of the store as rows with its offsets, and what they know otherwise as
+ * rows without offsets and offsets without rows. */
+static gboolean
+has_deletions(const Cq__Records *records)
+{
+    gboolean is_read = records->n_rows > 0;
+    return records->has_deletions || records->complete || is_read;
+}
+
 gboolean
 cq_gossip_receive(cq_app_t *app, const Cq__Records *records)
 {
@@ -257,6 +270,7 @@
         cq_topicmap_claim_t claim = {
             .from = records->from,
             .at = records->at,
+            .has_deletions = has_deletions(records),
             .complete = records->complete,
             .rows_from = records->rows_from,
             .live = records->live,
--- a/packages/router/topicmap.c
+++ b/packages/router/topicmap.c
@@ -392,6 +392,9 @@
 cq_topicmap_add_claim(cq_topicmap_t *map, const cq_topicmap_claim_t *claim,
                       gboolean *dropped)
 {
+    if (!claim->has_deletions) {
+        return FALSE;
+    }
     if (claim->from <= map->end) {
         map->end = MAX(map->end, claim->at);
         return TRUE;
@@ -425,7 +428,8 @@
 cq_topicmap_claim_t
 cq_topicmap_get_claim(const cq_topicmap_t *map, guint64 at, GArray *live)
 {
-    cq_topicmap_claim_t claim = {.from = at, .at = map->end, .rows_from = at};
+    cq_topicmap_claim_t claim = {
+        .from = at, .at = map->end, .has_deletions = TRUE, .rows_from = at};
     if (at < map->deletions_from) {
         list_live(map, live);
         claim.from = map->deletions_from;
--- a/packages/router/topicmap.h
+++ b/packages/router/topicmap.h
@@ -54,8 +54,9 @@
 
 /**
  * struct cq_topicmap_claim_t - what a peer says that it has sent
- * @from: all records from this offset on, deletions too
+ * @from: all records from this offset on
  * @at: up to this offset
+ * @has_deletions: among them the deletions; without them nothing is known
  * @complete: the records from @rows_from on were sent, and @live names the
  *   keys that are left
  * @rows_from: see @complete
@@ -65,6 +66,7 @@
 typedef struct {
     guint64 from;
     guint64 at;
+    gboolean has_deletions;
     gboolean complete;
     guint64 rows_from;
     const guint64 *live;
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -1870,7 +1870,7 @@
   (ProtobufCMessageInit) cq__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cq__records__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cq__records__field_descriptors[9] =
 {
   {
     "rows",
@@ -1968,11 +1968,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "has_deletions",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Records, has_deletions),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cq__records__field_indices_by_name[] = {
   2,   /* field[2] = at */
   6,   /* field[6] = complete */
   3,   /* field[3] = from */
+  8,   /* field[8] = has_deletions */
   5,   /* field[5] = live */
   0,   /* field[0] = rows */
   7,   /* field[7] = rows_from */
@@ -1982,7 +1995,7 @@
 static const ProtobufCIntRange cq__records__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cq__records__descriptor =
 {
@@ -1992,7 +2005,7 @@
   "Cq__Records",
   "cq",
   sizeof(Cq__Records),
-  8,
+  9,
   cq__records__field_descriptors,
   cq__records__field_indices_by_name,
   1,  cq__records__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -263,7 +263,9 @@
 
 /*
  * If at is set, these records and those sent before are all records from
- * offset from up to that offset, deletions too.
+ * offset from up to that offset, deletions too if has_deletions is set. Without
+ * it, the sender may be of a version that doesn't ask whether it has them; rows
+ * in the same message as at are then a read of the store, which has them.
  */
 struct  Cq__Records
 {
@@ -286,10 +288,11 @@
   uint64_t *live;
   protobuf_c_boolean complete;
   uint64_t rows_from;
+  protobuf_c_boolean has_deletions;
 };
 #define CQ__RECORDS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cq__records__descriptor) \
-    , 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -64,7 +64,7 @@
     relay relaywake relaypeers relayreads relayreaders relayreadersback relaybulk relayleft relayendless relaydescriptors relaybodies relayleaving relaymany \
     relayoutage relayremoved relaylostpoll relaylostconfig relaypoison relaypoisonkept relaycells relayera relaylimit relaycrashcall relaycrashkept relayidlechange relaystop relaystoplate \
     relayrefusalagain relayslowcall relaybrokenstream relaytornhead relayversion relayteams relaysmuggle \
-    relaycut relaycutall relaycutmost relaycutgone relayoddentries relayupgrade; do
+    relaycut relaycutall relaycutmost relaycutgone relayoddentries relayupgrade relayupgradereaders; do
     run_script "tests/proc/$script.sh"
 done
 
