Tests: what the reads of the store must find, replayed over phases of reads and disruptions

The decisions of when to read, when a read is overdue and what an outage explains are replayed at one host, over all phases of lost answers, silent cuts and outages (readplan_test).

--- a/tests/run.sh
+++ b/tests/run.sh
@@ -57,7 +57,7 @@
     rm -f "$out"
 }
 
-for program in config json wire h1 platform oddrecords quarantine crashcall crashfleet retract cutfleet facts handfleet hedge hedgefleet rate ratecore batchplace cell retry brokenstream return reach replay hist scn soak sock stop stopfleet store descriptor inbound smuggle outbound outpeer storecopy outage reservations tick targets; do
+for program in config json wire h1 platform oddrecords quarantine crashcall crashfleet retract cutfleet facts handfleet hedge hedgefleet rate ratecore batchplace cell retry brokenstream return reach replay hist scn soak sock stop stopfleet store descriptor inbound smuggle outbound outpeer storecopy readplan outage reservations tick targets; do
     run_unit "$BUILD/tests/${program}_test"
 done
 for script in ports demo badinput oddreports hangup operator drain holds giant orders retention \
--- a/tests/unit/storecopy_test.cc
+++ b/tests/unit/storecopy_test.cc
@@ -21,6 +21,72 @@
     return text != nullptr ? (unsigned)strtoul(text, nullptr, 10) : kSeeds;
 }
 
+using map_ptr = std::unique_ptr<cq_topicmap_t, storeworld::map_free_t>;
+
+void
+add_entry(cq_topicmap_t *map, const char *key, guint64 offset,
+          cq_record_source_t source)
+{
+    std::string text = storeworld::value_of(key);
+    cq_store_record_t record = {};
+    record.offset = offset;
+    record.key = const_cast<char *>(key);
+    record.value = g_bytes_new(text.data(), text.size());
+    if (cq_topicmap_is_new(map, &record, source)) {
+        cq_topicmap_add(map, &record, source);
+    }
+    g_bytes_unref(record.value);
+}
+
+guint
+listed_len(cq_topicmap_t *map)
+{
+    GArray *rows = g_array_new(FALSE, FALSE, sizeof(cq_host_row_t));
+    cq_topicmap_list_hosts(map, rows);
+    guint len = rows->len;
+    g_array_unref(rows);
+    return len;
+}
+
+// Both readers of a zone were killed, and started from a snapshot after an
+// upstream's entry had been removed; they tell a host that went on what it
+// lacks, and it took that for everything (review/4).
+TEST(StoreCopies, APeerThatStartedFromASnapshotHidesADeletion)
+{
+    map_ptr host(cq_topicmap_new(nullptr, CQ_TOPIC_UPSTREAMS));
+    add_entry(host.get(), "stays", 0, CQ_SOURCE_LOG);
+    add_entry(host.get(), "removed", 1, CQ_SOURCE_LOG);
+    cq_topicmap_add_page(host.get(), 2);
+    // Offset 2 is the deletion, and 3 another write of the entry that stays.
+    map_ptr reader(cq_topicmap_new(nullptr, CQ_TOPIC_UPSTREAMS));
+    cq_topicmap_begin_snapshot(reader.get());
+    cq_topicmap_begin_page(reader.get(), 4);
+    add_entry(reader.get(), "stays", 3, CQ_SOURCE_SNAPSHOT);
+    cq_topicmap_end_snapshot(reader.get());
+    GArray *live = g_array_new(FALSE, FALSE, sizeof(guint64));
+    cq_topicmap_claim_t claim = cq_topicmap_get_claim(reader.get(), 2, live);
+    add_entry(host.get(), "stays", 3, CQ_SOURCE_PEER);
+    gboolean dropped = FALSE;
+    cq_topicmap_add_claim(host.get(), &claim, &dropped);
+    EXPECT_EQ(cq_topicmap_end(host.get()), 4u);
+    EXPECT_EQ(listed_len(host.get()), 1u);
+    g_array_unref(live);
+}
+
+// The same reader of an older version, which doesn't say what it lacks.
+TEST(StoreCopies, AnOlderPeerThatStartedFromASnapshotHidesADeletion)
+{
+    map_ptr host(cq_topicmap_new(nullptr, CQ_TOPIC_UPSTREAMS));
+    add_entry(host.get(), "removed", 1, CQ_SOURCE_LOG);
+    cq_topicmap_add_page(host.get(), 2);
+    cq_topicmap_claim_t claim = {};
+    claim.from = 2;
+    claim.at = 4;
+    gboolean dropped = FALSE;
+    EXPECT_FALSE(cq_topicmap_add_claim(host.get(), &claim, &dropped));
+    EXPECT_EQ(cq_topicmap_end(host.get()), 2u);
+}
+
 // Seeds in whose orders an answer of the store arrives after a peer has told
 // which keys are left.
 TEST(StoreCopies, ALateAnswerOfTheStoreDoesNotUndoWhatAPeerTold)
