A host that starts on an older copy of the store learns what is in force

Cause: records of an earlier era are not sent to peers, as their offsets mean nothing in the new one. For the configuration the version decides, whatever the era is, and the hosts that went on still have it in force, but only as parsed routes.

Change: the catalog keeps the record from which the routes in force were parsed; summaries tell the version in force. A peer that has read all that the store has, and still has an older version, is sent the record, by the two elected senders, once a version and link. It is applied if its version is newer, and is no part of the copy of the topic. Hosts of earlier versions don't tell their version, and are sent nothing.

Evidence: proc/relayerastart, before: "a call on a dropped route, at c: got '200 from p2', wanted '404*'"; after: passes (twice). relayera, relayreads, relayreaders, relaymany and wire_test pass.

--- a/packages/router/catalog.c
+++ b/packages/router/catalog.c
@@ -7,7 +7,8 @@
     cq_partstore_t *partstore;
     cq_topicmap_t *maps[CQ_TOPIC_COUNT];
     cq_routes_t *routes;
-    gboolean rows_changed; /* since the last HOSTS event */
+    cq_store_record_t config; /* from which routes was parsed */
+    gboolean rows_changed;    /* since the last HOSTS event */
 };
 
 static void
@@ -43,6 +44,12 @@
     }
     cq_routes_t *old = catalog->routes;
     catalog->routes = routes;
+    cq_store_record_clear(&catalog->config);
+    catalog->config = (cq_store_record_t){
+        .key = g_strdup(record->key),
+        .offset = record->offset,
+        .value = g_bytes_ref(record->value),
+    };
     cq_app_set_routes(catalog->app, routes);
     for (guint i = 0; i < routes->rules->len; i++) {
         cq_event_t event = {.kind = CQ_EV_RULES,
@@ -104,6 +111,7 @@
     if (catalog->routes != NULL) {
         cq_routes_free(catalog->routes);
     }
+    cq_store_record_clear(&catalog->config);
     g_free(catalog);
 }
 
@@ -113,6 +121,26 @@
     return catalog->routes != NULL;
 }
 
+const cq_store_record_t *
+cq_catalog_config(const cq_catalog_t *catalog)
+{
+    return catalog->routes != NULL ? &catalog->config : NULL;
+}
+
+guint64
+cq_catalog_config_version(const cq_catalog_t *catalog)
+{
+    return catalog->routes != NULL ? catalog->routes->version : 0;
+}
+
+void
+cq_catalog_apply_config(cq_catalog_t *catalog, const cq_store_record_t *record)
+{
+    if (cq_records_is_routes_key(record->key) && record->value != NULL) {
+        apply_config(catalog, record);
+    }
+}
+
 void
 cq_catalog_apply(cq_catalog_t *catalog, cq_topic_t topic,
                  const cq_store_record_t *record, cq_record_source_t source)
@@ -121,9 +149,8 @@
     if (!cq_topicmap_is_new(map, record, source)) {
         return;
     }
-    if (topic == CQ_TOPIC_CONFIG && cq_records_is_routes_key(record->key) &&
-        record->value != NULL) {
-        apply_config(catalog, record);
+    if (topic == CQ_TOPIC_CONFIG) {
+        cq_catalog_apply_config(catalog, record);
     }
     if (topic == CQ_TOPIC_HOSTS && cq_partstore_owns(record->key)) {
         apply_part(catalog, record);
--- a/packages/router/catalog.h
+++ b/packages/router/catalog.h
@@ -28,6 +28,22 @@
 gboolean
 cq_catalog_has_routes(const cq_catalog_t *catalog);
 
+/** cq_catalog_config() - Return: the record of the configuration in force, or
+ * NULL; its offset may be of an earlier era of the store */
+const cq_store_record_t *
+cq_catalog_config(const cq_catalog_t *catalog);
+
+/** cq_catalog_config_version() - Return: the version of the configuration in
+ * force, or 0 */
+guint64
+cq_catalog_config_version(const cq_catalog_t *catalog);
+
+/** cq_catalog_apply_config() - apply the configuration that is in force at a
+ * peer; no effect unless it is newer than the one in force here */
+void
+cq_catalog_apply_config(cq_catalog_t *catalog,
+                        const cq_store_record_t *record);
+
 /** cq_catalog_apply() - apply a record of @topic, from the store or a peer; no
  * effect if a newer record of the same key is known */
 void
--- a/packages/router/follower.c
+++ b/packages/router/follower.c
@@ -485,6 +485,12 @@
     cq_partstore_resume(follower->partstore);
 }
 
+cq_catalog_t *
+cq_follower_catalog(const cq_follower_t *follower)
+{
+    return follower->catalog;
+}
+
 guint64
 cq_follower_era(const cq_follower_t *follower)
 {
--- a/packages/router/follower.h
+++ b/packages/router/follower.h
@@ -13,6 +13,7 @@
 #include "config/routes.h"
 #include "platform/store.h"
 #include "router/app.h"
+#include "router/catalog.h"
 #include "router/topicmap.h"
 
 G_BEGIN_DECLS
@@ -49,6 +50,10 @@
 void
 cq_follower_reread(cq_follower_t *follower);
 
+/** cq_follower_catalog() - Return: what is known from the topics */
+cq_catalog_t *
+cq_follower_catalog(const cq_follower_t *follower);
+
 /** cq_follower_era() - Return: the era of the store to which the offsets
  * belong, or 0 if not known */
 guint64
--- a/packages/router/gossip.c
+++ b/packages/router/gossip.c
@@ -170,6 +170,47 @@
     }
 }
 
+/* A peer that has read all that the store has, and still has an older
+ * configuration, started after the store had come back from an older copy. */
+static void
+send_config(transfer_t *transfer, const Cq__Summary *summary)
+{
+    cq_follower_t *follower = cq_app_follower(transfer->app);
+    const cq_store_record_t *config =
+        cq_catalog_config(cq_follower_catalog(follower));
+    if (config == NULL || summary->n_topics_at <= CQ_TOPIC_CONFIG ||
+        summary->config_version == 0 ||
+        summary->config_version > cq_gossip_config_version(follower)) {
+        return;
+    }
+    guint64 at = summary->topics_at[CQ_TOPIC_CONFIG];
+    if (at < cq_follower_offset(follower, CQ_TOPIC_CONFIG) ||
+        cq_link_unsent_bytes(transfer->link) > UNSENT_BYTES_MAX ||
+        !is_elected_sender(transfer) || !should_send(transfer, config) ||
+        !cq_link_take_config(transfer->link,
+                             cq_gossip_config_version(follower))) {
+        return;
+    }
+    Cq__Record row;
+    Cq__Record *rows[] = {&row};
+    fill_row(&row, CQ_TOPIC_CONFIG, config);
+    row.offset = 0;
+    row.earlier_era = TRUE;
+    Cq__Records records = CQ__RECORDS__INIT;
+    records.topic = CQ_TOPIC_CONFIG;
+    records.n_rows = 1;
+    records.rows = rows;
+    send_records(transfer->app, transfer->link, &records);
+}
+
+guint64
+cq_gossip_config_version(const cq_follower_t *follower)
+{
+    return follower != NULL
+               ? cq_catalog_config_version(cq_follower_catalog(follower))
+               : 0;
+}
+
 void
 cq_gossip_send(cq_app_t *app, cq_link_t *link, const Cq__Summary *summary)
 {
@@ -197,6 +238,11 @@
             send_missing(&transfer, topic, map, at);
         }
     }
+    if (follower != NULL) {
+        transfer_t transfer = {
+            .app = app, .link = link, .host = summary->host};
+        send_config(&transfer, summary);
+    }
 }
 
 void
@@ -263,7 +309,12 @@
         if (!row->dropped) {
             record.value = g_bytes_new(row->value.data, row->value.len);
         }
-        cq_follower_add_record(follower, topic, &record);
+        if (!row->earlier_era) {
+            cq_follower_add_record(follower, topic, &record);
+        }
+        else if (topic == CQ_TOPIC_CONFIG) {
+            cq_catalog_apply_config(cq_follower_catalog(follower), &record);
+        }
         g_clear_pointer(&record.value, g_bytes_unref);
     }
     if (records->at > 0) {
--- a/packages/router/gossip.h
+++ b/packages/router/gossip.h
@@ -9,12 +9,19 @@
 #define CQ_GOSSIP_H
 
 #include "platform/store.h"
+#include "router/follower.h"
 #include "router/link.h"
 
 G_BEGIN_DECLS
 
+/** cq_gossip_config_version() - Return: the version of the configuration in
+ * force, or 0; @follower may be NULL */
+guint64
+cq_gossip_config_version(const cq_follower_t *follower);
+
 /** cq_gossip_send() - send over @link the records that its peer lacks
- * according to the offsets in its summary */
+ * according to the offsets in its summary, and the configuration in force if
+ * the store doesn't have it any more */
 void
 cq_gossip_send(cq_app_t *app, cq_link_t *link, const Cq__Summary *summary);
 
--- a/packages/router/link.c
+++ b/packages/router/link.c
@@ -31,6 +31,7 @@
     gboolean authenticated;
     gboolean closed;
     gint64 last_received_us;
+    guint64 config_sent; /* version, or 0 */
     guint refs;
 };
 
@@ -282,6 +283,14 @@
     return link->closed ? 0 : cq_sock_unwritten_bytes(link->sock);
 }
 
+gboolean
+cq_link_take_config(cq_link_t *link, guint64 version)
+{
+    gboolean is_new = link->config_sent < version;
+    link->config_sent = MAX(link->config_sent, version);
+    return is_new;
+}
+
 const char *
 cq_link_zone(const cq_link_t *link)
 {
--- a/packages/router/link.h
+++ b/packages/router/link.h
@@ -54,6 +54,11 @@
 gsize
 cq_link_unsent_bytes(const cq_link_t *link);
 
+/** cq_link_take_config() - note that a configuration is sent to the peer;
+ * Return: FALSE if that or a newer one was sent before */
+gboolean
+cq_link_take_config(cq_link_t *link, guint64 version);
+
 /** cq_link_zone() - Return: the peer's zone, as it says; "" until it has */
 const char *
 cq_link_zone(const cq_link_t *link);
--- a/packages/router/links.c
+++ b/packages/router/links.c
@@ -553,6 +553,7 @@
         .ages_ms = ages_ms,
         .len = CQ_TOPIC_COUNT,
         .era = follower != NULL ? cq_follower_era(follower) : 0,
+        .config_version = cq_gossip_config_version(follower),
     };
     GBytes *frame = cq_codec_encode_summary(summary, clock,
                                             follower != NULL ? &known : NULL);
--- a/packages/wire/codec.c
+++ b/packages/wire/codec.c
@@ -84,6 +84,7 @@
         message.n_topics_age_ms = known->len;
         message.topics_age_ms = (uint64_t *)known->ages_ms;
         message.store_era = known->era;
+        message.config_version = known->config_version + 1;
     }
     Cq__Frame frame = CQ__FRAME__INIT;
     frame.kind_case = CQ__FRAME__KIND_SUMMARY;
--- a/packages/wire/codec.h
+++ b/packages/wire/codec.h
@@ -26,12 +26,14 @@
  *   does not read the topic
  * @len: number of topics
  * @era: era of the store to which the offsets belong, or 0 if not known
+ * @config_version: version of the configuration in force, or 0
  */
 typedef struct {
     const guint64 *offsets;
     const guint64 *ages_ms;
     guint len;
     guint64 era;
+    guint64 config_version;
 } cq_topics_known_t;
 
 /** cq_codec_encode_summary() - Return: a framed summary stamped with @clock;
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -1150,7 +1150,7 @@
   (ProtobufCMessageInit) cq__rate__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cq__summary__field_descriptors[12] =
+static const ProtobufCFieldDescriptor cq__summary__field_descriptors[13] =
 {
   {
     "host",
@@ -1296,10 +1296,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_version",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Summary, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cq__summary__field_indices_by_name[] = {
   6,   /* field[6] = clock_logical */
   5,   /* field[5] = clock_us */
+  12,   /* field[12] = config_version */
   11,   /* field[11] = cut_off */
   2,   /* field[2] = draining */
   0,   /* field[0] = host */
@@ -1314,7 +1327,7 @@
 static const ProtobufCIntRange cq__summary__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor cq__summary__descriptor =
 {
@@ -1324,7 +1337,7 @@
   "Cq__Summary",
   "cq",
   sizeof(Cq__Summary),
-  12,
+  13,
   cq__summary__field_descriptors,
   cq__summary__field_indices_by_name,
   1,  cq__summary__number_ranges,
@@ -1780,7 +1793,7 @@
   (ProtobufCMessageInit) cq__tasks__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cq__record__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cq__record__field_descriptors[6] =
 {
   {
     "topic",
@@ -1842,9 +1855,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "earlier_era",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Record, earlier_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cq__record__field_indices_by_name[] = {
   4,   /* field[4] = dropped */
+  5,   /* field[5] = earlier_era */
   2,   /* field[2] = key */
   1,   /* field[1] = offset */
   0,   /* field[0] = topic */
@@ -1853,7 +1879,7 @@
 static const ProtobufCIntRange cq__record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cq__record__descriptor =
 {
@@ -1863,7 +1889,7 @@
   "Cq__Record",
   "cq",
   sizeof(Cq__Record),
-  5,
+  6,
   cq__record__field_descriptors,
   cq__record__field_indices_by_name,
   1,  cq__record__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -145,10 +145,15 @@
    * The sender can't open connections to any upstream.
    */
   protobuf_c_boolean cut_off;
+  /*
+   * Version of the configuration in force at the sender, plus 1; 1: it has
+   * none, 0: the sender is of a version that doesn't tell it.
+   */
+  uint64_t config_version;
 };
 #define CQ__SUMMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cq__summary__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0 }
 
 
 struct  Cq__Version
@@ -255,10 +260,15 @@
   char *key;
   ProtobufCBinaryData value;
   protobuf_c_boolean dropped;
+  /*
+   * The configuration in force at the sender, from an earlier era of the
+   * store: its offset means nothing, and its version decides.
+   */
+  protobuf_c_boolean earlier_era;
 };
 #define CQ__RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cq__record__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
 
 
 /*
