A large configuration comes into force while the store sends slowly

What callers saw: where the store sends slowly, as when all hosts of a large fleet read the same large record at once, a configuration whose answer takes longer than a second or two is never in force: the call ends at its time limit although bytes arrive all the time, and is made again.

Cause: two limits that don't look at the bytes. A call to the store had 1 s for its complete answer, and a read counted as lost 0.3 s after its wait, so that the same bytes were asked for up to three times beside one another.

Change: the time limit of a read goes on while bytes come (1 s between them, 30 s in all), and a read whose answer is arriving is not overdue. A lost answer stops, so it is found as soon as before.

Evidence: proc/relayslowbytes (231 KB at 100 KB/s a host), before: "h1 does not have the configuration" 4 s after it was written; after: in force at three hosts and at two that start, and the store sent 694,091 bytes, three times the configuration. The scripts of lost answers, outages and cuts pass as before.

--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -35,6 +35,9 @@
  * @body: the body, or NULL to send neither a body nor Content-Length
  * @body_len: its length in bytes
  * @timeout_ms: time limit for the complete response
+ * @stall_ms: the call goes on past that limit while less than this time has
+ *   passed since bytes of the response came; 0: it doesn't
+ * @total_ms: with @stall_ms, time limit for the complete response in any case
  * @head: called with the response's head before @done; may be NULL
  * @done: called once, unless the client is freed first
  * @data: passed to @head and @done
@@ -49,6 +52,8 @@
     const void *body;
     gsize body_len;
     guint timeout_ms;
+    guint stall_ms;
+    guint total_ms;
     cq_client_head_t head;
     cq_client_done_t done;
     void *data;
@@ -71,6 +76,12 @@
  * @call_data is the one that @data describes */
 typedef gboolean (*cq_client_match_t)(const void *call_data, const void *data);
 
+/** cq_client_heard_ago_us() - Return: time since bytes of a response came to
+ * one of the calls for which @match returns TRUE, or G_MAXINT64 */
+gint64
+cq_client_heard_ago_us(const cq_client_t *client, cq_client_match_t match,
+                       const void *data);
+
 /** cq_client_cancel() - cancel the calls for which @match returns TRUE,
  * without calling back; their connections are closed */
 void
--- a/packages/router/readplan.c
+++ b/packages/router/readplan.c
@@ -65,7 +65,9 @@
                        const cq_readplan_reads_t *reads, gint64 now_us)
 {
     gint64 age_us = now_us - reads->started_us;
-    if (reads->len == 0 || reads->len >= CQ_READPLAN_READS_MAX) {
+    gboolean is_arriving = reads->heard_ago_us < OVERDUE_US;
+    if (reads->len == 0 || reads->len >= CQ_READPLAN_READS_MAX ||
+        is_arriving) {
         return FALSE;
     }
     if (plan->failures > 0) {
--- a/packages/router/readplan.h
+++ b/packages/router/readplan.h
@@ -38,11 +38,13 @@
  * @len: their number
  * @started_us: when the newest one started
  * @wait_ms: how long the store holds that one while there is no record
+ * @heard_ago_us: time since bytes of an answer came, or G_MAXINT64
  */
 typedef struct {
     guint len;
     gint64 started_us;
     guint wait_ms;
+    gint64 heard_ago_us;
 } cq_readplan_reads_t;
 
 /** cq_readplan_wait_ms() - Return: how long the store is to hold the next read
--- a/packages/router/storeread.c
+++ b/packages/router/storeread.c
@@ -62,10 +62,14 @@
 cq_readplan_reads_t
 cq_storeread_get(const cq_storeread_t *reads)
 {
-    cq_readplan_reads_t get = {.wait_ms = reads->wait_ms};
+    cq_readplan_reads_t get = {.wait_ms = reads->wait_ms,
+                               .heard_ago_us = G_MAXINT64};
     for (guint i = 0; i < CQ_READPLAN_READS_MAX; i++) {
         if (reads->calls[i].busy) {
+            gint64 ago_us =
+                cq_store_heard_ago_us(reads->store, &reads->calls[i]);
             get.len++;
+            get.heard_ago_us = MIN(get.heard_ago_us, ago_us);
             get.started_us = MAX(get.started_us, reads->calls[i].started_us);
         }
     }
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -62,7 +62,7 @@
 done
 for script in ports demo badinput oddreports hangup operator drain holds giant orders retention \
     relay relaywake relaypeers relayreads relayreaders relayreadersback relaybulk relayleft relayendless relaydescriptors relaybodies relayleaving relaymany \
-    relayoutage relayremoved relaylostpoll relaylostconfig relaypoison relaypoisonkept relaycells relayera relayerastart relaylimit relaycrashcall relaycrashkept relayidlechange relaystop relaystoplate \
+    relayoutage relayremoved relaylostpoll relaylostconfig relayslowbytes relaypoison relaypoisonkept relaycells relayera relayerastart relaylimit relaycrashcall relaycrashkept relayidlechange relaystop relaystoplate \
     relayrefusalagain relayslowcall relaybrokenstream relaytornhead relayversion relayteams relaysmuggle \
     relaycut relaycutall relaycutmost relaycutgone relayoddentries relayupgrade relayupgradereaders; do
     run_script "tests/proc/$script.sh"
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -14,6 +14,7 @@
 #include <string.h>
 
 #include "fleet.h"
+#include "pace.h"
 
 #define LENGTH_FIELD_BYTES 4
 #define OFFSET_FIELD_BYTES 8
@@ -59,6 +60,7 @@
     gboolean silent;   /* gives no answer to calls that arrive now */
     gboolean spoiling; /* adds items that can't be read to /v1/log-newest */
     guint era;         /* how often it came back from an older copy, plus 1 */
+    standin_pace_t *pace; /* of the bodies of answers to entry hosts */
 };
 
 static topic_t *
@@ -91,9 +93,12 @@
 answer(standin_conn_t *conn, int status, const char *fields, const void *body,
        gsize len)
 {
-    char *all = g_strdup_printf("Store-Era: %u\r\n%s", the_store->era, fields);
-    standin_answer(conn, status, all, body, len);
-    g_free(all);
+    standin_printf(conn,
+                   "HTTP/1.1 %d %s\r\nStore-Era: %u\r\n%s"
+                   "Content-Length: %zu\r\n\r\n",
+                   status, cq_h1_reason_phrase(status), the_store->era, fields,
+                   len);
+    standin_pace_write(the_store->pace, conn, body, len);
 }
 
 /* Return: the record's value as it is read in @view; NULL: it is deleted. */
@@ -359,7 +364,10 @@
  *                /v1/log-newest
  *   /restore     comes back from a copy in which the topic has len records
  *   /era         changes only the era that it names
- * All answer with the topic's number of read calls. */
+ *   /pace        lets the bodies of all answers together leave at bytes_per_s;
+ *                0: at once
+ *   /written     answers with the number of bytes of these bodies so far
+ * All others answer with the topic's number of read calls. */
 static void
 serve_control(store_t *store, standin_conn_t *conn, const char *path,
               const char *query, topic_t *topic, const GByteArray *body)
@@ -396,11 +404,18 @@
     if (strcmp(path, "/era") == 0) {
         store->era = (guint)standin_query_number(query, "to", 1);
     }
+    if (strcmp(path, "/pace") == 0) {
+        standin_pace_set(store->pace,
+                         (guint)standin_query_number(query, "bytes_per_s", 0));
+    }
     if (strcmp(path, "/restore") == 0) {
         restore(store, topic, (guint)standin_query_number(query, "len", 0));
     }
     g_free(key);
-    char *text = g_strdup_printf("%u", topic->reads);
+    guint64 number = strcmp(path, "/written") == 0
+                         ? standin_pace_written(store->pace)
+                         : topic->reads;
+    char *text = g_strdup_printf("%" G_GUINT64_FORMAT, number);
     standin_answer(conn, 200, "", text, strlen(text));
     g_free(text);
 }
@@ -462,6 +477,7 @@
 {
     the_store = g_new0(store_t, 1);
     the_store->era = 1;
+    the_store->pace = standin_pace_new();
     the_store->topics = g_hash_table_new(g_str_hash, g_str_equal);
     gboolean listens = listen_at(options->listen_addr, FALSE);
     char **others =
--- a/tests/unit/readplan_test.cc
+++ b/tests/unit/readplan_test.cc
@@ -156,6 +156,7 @@
         }
         cq_readplan_reads_t under_way = {};
         under_way.len = (guint)reads.size();
+        under_way.heard_ago_us = G_MAXINT64;
         if (!reads.empty()) {
             under_way.started_us = (gint64)reads.back().started * CQ_MS_US;
             under_way.wait_ms = (guint)reads.back().wait;
@@ -262,6 +263,21 @@
     }
 }
 
+// A long answer that arrives slowly, as where many hosts read it at once.
+TEST(ReadPlan, AnAnswerThatArrivesIsAskedForAgain)
+{
+    cq_readplan_t plan = {};
+    plan.topic = CQ_TOPIC_CONFIG;
+    plan.role = CQ_STORE_READER_ALONE;
+    cq_readplan_reads_t reads = {};
+    reads.len = 1;
+    reads.heard_ago_us = 100 * CQ_MS_US;
+    gint64 now_us = 5 * CQ_SECOND_US;
+    EXPECT_FALSE(cq_readplan_is_overdue(&plan, &reads, now_us));
+    reads.heard_ago_us = 400 * CQ_MS_US;
+    EXPECT_TRUE(cq_readplan_is_overdue(&plan, &reads, now_us));
+}
+
 // What the short waits cost: the hosts that read for their zone, two a zone of
 // 13 or 33 hosts, or all of a small deployment.
 TEST(ReadPlan, ReadersStayWithinWhatTheStoreTakes)
