After the store came back older, copies hold records in doubt like others

What callers saw: nothing yet; found by the generated test. After the store has come back from an older copy, hosts that start, or lag, may hold an upstream whose entry was deleted since (DRAIN), or lack one that has written again, until its next write.

Cause: a record of an upstream that had left in the earlier era is kept apart for 5 s.

Change: such a record is sent, listed, compared and dropped like any other.

--- a/packages/router/topicmap.c
+++ b/packages/router/topicmap.c
@@ -191,7 +191,6 @@
     }
     cq_store_record_clear(&old->doubted);
     copy_record(&old->doubted, record);
-    old->seen = TRUE;
     return TRUE;
 }
 
@@ -225,7 +224,9 @@
         return FALSE;
     }
     if (old != NULL && old->carried) {
-        return !doubt(map, old, record);
+        gboolean is_older =
+            old->doubted.key != NULL && record->offset <= old->doubted.offset;
+        return !is_older && !doubt(map, old, record);
     }
     if (old == NULL || old->record.offset < record->offset) {
         return TRUE;
@@ -326,12 +327,22 @@
     return changed;
 }
 
-/* A configuration stays in force until there is a newer one. */
+/* Drops what is known of a key of this era if it is older than @end. A
+ * configuration stays in force until there is a newer one. Return: whether
+ * this changes what cq_topicmap_list_hosts() gives. */
 static gboolean
-can_drop(const cq_topicmap_t *map, const entry_t *entry, guint64 end)
+drop_before(const cq_topicmap_t *map, entry_t *entry, guint64 end)
 {
-    return map->topic != CQ_TOPIC_CONFIG && !entry->carried &&
-           entry->record.offset < end;
+    if (map->topic == CQ_TOPIC_CONFIG) {
+        return FALSE;
+    }
+    if (entry->carried) {
+        if (entry->doubted.offset < end) {
+            cq_store_record_clear(&entry->doubted);
+        }
+        return FALSE;
+    }
+    return entry->record.offset < end && drop(entry);
 }
 
 gboolean
@@ -345,9 +356,8 @@
     g_hash_table_iter_init(&iter, map->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         entry_t *entry = value;
-        if (!entry->seen && !is_older &&
-            can_drop(map, entry, map->snapshot_end)) {
-            dropped |= drop(entry);
+        if (!entry->seen && !is_older) {
+            dropped |= drop_before(map, entry, map->snapshot_end);
         }
     }
     /* Records may have been written while the pages were read, so reading
@@ -379,9 +389,8 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         entry_t *entry = value;
         guint64 key = cq_ident_hash(entry->record.key);
-        if (!g_hash_table_contains(live, &key) &&
-            can_drop(map, entry, claim->at)) {
-            dropped |= drop(entry);
+        if (!g_hash_table_contains(live, &key)) {
+            dropped |= drop_before(map, entry, claim->at);
         }
     }
     g_hash_table_unref(live);
@@ -410,6 +419,16 @@
     return TRUE;
 }
 
+/* Return: the newest record of the key in this era of the store, or NULL. */
+static const cq_store_record_t *
+record_of_era(const entry_t *entry)
+{
+    if (!entry->carried) {
+        return &entry->record;
+    }
+    return entry->doubted.key != NULL ? &entry->doubted : NULL;
+}
+
 static void
 list_live(const cq_topicmap_t *map, GArray *keys)
 {
@@ -417,9 +436,9 @@
     gpointer value;
     g_hash_table_iter_init(&iter, map->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const entry_t *entry = value;
-        if (entry->record.value != NULL && !entry->carried) {
-            guint64 key = cq_ident_hash(entry->record.key);
+        const cq_store_record_t *record = record_of_era(value);
+        if (record != NULL && record->value != NULL) {
+            guint64 key = cq_ident_hash(record->key);
             g_array_append_val(keys, key);
         }
     }
@@ -448,9 +467,9 @@
     gpointer value;
     g_hash_table_iter_init(&iter, map->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const entry_t *entry = value;
-        if (entry->record.offset >= from && !entry->carried) {
-            visit(map->topic, &entry->record, data);
+        const cq_store_record_t *record = record_of_era(value);
+        if (record != NULL && record->offset >= from) {
+            visit(map->topic, record, data);
         }
     }
 }
--- a/tests/unit/storecopy_test.cc
+++ b/tests/unit/storecopy_test.cc
@@ -143,4 +143,20 @@
     expect_held({10, 33, true}, 500);
 }
 
+// The store comes back from an older copy beside all of these.
+TEST(StoreCopies, HoldWhatTheStoreHasAfterItCameBackOlder)
+{
+    expect_held({1, 4, false, true}, 1);
+}
+
+TEST(StoreCopies, HoldWhatTheStoreHasAfterItCameBackOlderAt117Hosts)
+{
+    expect_held({9, 13, false, true}, 100);
+}
+
+TEST(StoreCopies, HoldWhatTheStoreHasAfterItCameBackOlderAt330Hosts)
+{
+    expect_held({10, 33, false, true}, 500);
+}
+
 } // namespace
--- a/tests/unit/storeworld.h
+++ b/tests/unit/storeworld.h
@@ -7,113 +7,41 @@
 #ifndef CQ_TESTS_STOREWORLD_H
 #define CQ_TESTS_STOREWORLD_H
 
-#include <deque>
 #include <map>
-#include <memory>
 #include <random>
 #include <string>
 #include <vector>
 
-#include "router/topicmap.h"
+#include "storehost.h"
+#include "storelog.h"
 
 namespace storeworld {
 
 constexpr int kReaders = 2; // of a zone
-constexpr int kKeys = 6;
 constexpr int kPageLen = 2;
 // Steps of 100 ms.
 constexpr int kSteps = 400;
 constexpr int kBound = 45;
 constexpr int kPeersMax = 20;
+constexpr int kEraSettle = 50;
 
 // zones, hosts: how many zones, and hosts in each
 // upgrade: a host that starts again may be of a version that says nothing of
 //   deletions, as in an upgrade; readers push what they read
+// eras: the store may come back from an older copy
 struct options_t {
     int zones = 1;
     int hosts = 4;
     bool upgrade = false;
+    bool eras = false;
 };
 
-struct record_t {
-    std::string key;
-    bool live;
-    int step;
-};
-
-struct row_t {
-    std::string key;
-    guint64 offset;
-    bool live;
-};
-
-struct answer_t {
-    int due;
-    int life; // of the receiving process
-    bool snapshot;
-    bool more;
-    guint64 end;
-    guint64 next;
-    std::vector<row_t> rows;
-};
-
-struct message_t {
-    int due;
-    int from_life;
-    int to_life;
-    bool summary;
-    bool reads; // the sender reads the store
-    bool pushed;
-    guint64 at;
-    std::vector<row_t> rows;
-    cq_topicmap_claim_t claim;
-    std::vector<guint64> live;
-};
-
-struct map_free_t {
-    void
-    operator()(cq_topicmap_t *map) const
-    {
-        cq_topicmap_free(map);
-    }
-};
-
-struct host_t {
-    std::unique_ptr<cq_topicmap_t, map_free_t> map;
-    int life = 0;
-    int up_at = 0;
-    bool older = false; // of a version that says nothing of deletions
-    bool cut = false;
-    bool snapshot_done = false;
-    bool first_page = true;
-    bool reading = false;
-    int read_again = 0;
-    int heard = 0; // when a peer that reads was heard
-    int in_touch_since = 0;
-    std::string after;
-    std::deque<answer_t> answers;
-};
-
-std::string
-value_of(const std::string &key)
-{
-    return R"({"service":"p","address":"10.0.0.1:80","zone":"a","slots":4,)"
-           R"("state":"ready","born":1,"name":")" +
-           key + "\"}";
-}
-
-void
-collect(cq_topic_t, const cq_store_record_t *record, void *data)
-{
-    auto *rows = static_cast<std::vector<row_t> *>(data);
-    rows->push_back({record->key, record->offset, record->value != nullptr});
-}
-
 class world_t {
   public:
     explicit world_t(unsigned seed, options_t options = {})
         : options_(options), draw_(seed)
     {
+        log_.below = [this](int n) { return below(n); };
         int count = options.zones * options.hosts;
         hosts_.resize((size_t)count);
         links_.resize((size_t)count);
@@ -129,7 +57,7 @@
     {
         for (step_ = 1; step_ < kSteps && wrong_.empty(); step_++) {
             disturb();
-            change();
+            log_.change(step_);
             for (int i = 0; i < count(); i++) {
                 if (is_up(i)) {
                     deliver(i);
@@ -146,9 +74,7 @@
     options_t options_;
     std::mt19937 draw_;
     int step_ = 0;
-    std::vector<record_t> log_;
-    guint64 first_ = 0; // oldest record that is kept
-    bool store_down_ = false;
+    log_t log_;
     std::vector<host_t> hosts_;
     // By sender and place of the receiver in their zone.
     std::vector<std::vector<std::deque<message_t>>> links_;
@@ -259,6 +185,9 @@
         if (below(25) != 0) {
             return;
         }
+        if (options_.eras && below(6) == 0) {
+            log_.restore(step_);
+        }
         // In pairs, as one disruption hides the other's.
         for (int n = 1 + below(2); n > 0; n--) {
             int i = below(count());
@@ -277,37 +206,15 @@
                 host_at(i).cut = !host_at(i).cut;
                 break;
             case 3:
-                store_down_ = !store_down_;
+                log_.down = !log_.down;
                 break;
             default:
-                first_ = log_.size();
+                log_.first = log_.size();
                 break;
             }
         }
     }
 
-    void
-    change()
-    {
-        if (store_down_ || below(4) != 0) {
-            return;
-        }
-        std::string key = "k" + std::to_string(below(kKeys));
-        log_.push_back({key, below(2) == 0, step_});
-    }
-
-    // Return: offset of the newest record of @key before @end, or -1.
-    int
-    newest(const std::string &key, size_t end) const
-    {
-        for (size_t i = end; i > 0; i--) {
-            if (log_[i - 1].key == key) {
-                return (int)i - 1;
-            }
-        }
-        return -1;
-    }
-
     void
     add(host_t &host, const std::vector<row_t> &rows,
         cq_record_source_t source)
@@ -326,6 +233,40 @@
         }
     }
 
+    // Notes the era in which a peer or the store counts offsets. Return:
+    // whether they mean the same records as those of the host.
+    bool
+    note_era(host_t &host, guint64 era)
+    {
+        guint64 own = host.era;
+        if (era > own) {
+            host.era = era;
+        }
+        if (own != 0 && era > own) {
+            cq_topicmap_begin_era(host.map.get());
+            host.answers.clear();
+            host.reading = false;
+            host.snapshot_done = false;
+            host.first_page = true;
+            host.after = "";
+            host.heard = 0;
+            host.settled_at = step_ + kEraSettle;
+            host.in_touch_since = host.settled_at;
+        }
+        return own == 0 || era == 0 || era == own;
+    }
+
+    void
+    settle(host_t &host)
+    {
+        if (host.settled_at != 0 && step_ >= host.settled_at &&
+            host.snapshot_done) {
+            cq_topicmap_end_era(host.map.get());
+            host.settled_at = 0;
+            host.in_touch_since = step_;
+        }
+    }
+
     // Sends the zone what was read, up to @next.
     void
     push(int i, const answer_t &answer, guint64 from)
@@ -352,6 +293,9 @@
             answer_t answer = host.answers.front();
             host.answers.pop_front();
             host.reading = false;
+            if (!note_era(host, answer.era)) {
+                continue;
+            }
             if (!answer.snapshot) {
                 guint64 from = cq_topicmap_end(host.map.get());
                 add(host, answer.rows, CQ_SOURCE_LOG);
@@ -379,6 +323,7 @@
     {
         host_t &host = host_at(i);
         deliver_answers(i);
+        settle(host);
         for (int n = 0; n < options_.hosts; n++) {
             int from = first_of_zone(i) + n;
             std::deque<message_t> &queue = link(from, i);
@@ -397,6 +342,9 @@
     receive(int i, int from, message_t &message)
     {
         host_t &host = host_at(i);
+        if (!note_era(host, message.era)) {
+            return;
+        }
         if (message.summary) {
             if (message.reads &&
                 message.at <= cq_topicmap_end(host.map.get())) {
@@ -454,6 +402,7 @@
         message.from_life = host_at(from).life;
         message.to_life = host_at(to).life;
         message.summary = summary;
+        message.era = host_at(from).era;
         return message;
     }
 
@@ -467,7 +416,7 @@
                 message_t message = start_message(i, to, true);
                 message.at = cq_topicmap_end(host.map.get());
                 message.reads = is_reader(i) && host.snapshot_done &&
-                                !host.cut && !store_down_;
+                                !host.cut && !log_.down;
                 link(i, to).push_back(message);
             }
         }
@@ -479,7 +428,7 @@
         host_t &host = host_at(i);
         bool reads = is_reader(i) || !host.snapshot_done ||
                      step_ - host.heard > kPeersMax;
-        if (host.cut || store_down_) {
+        if (host.cut || log_.down) {
             host.in_touch_since = step_;
             return;
         }
@@ -488,9 +437,10 @@
         }
         answer_t answer = {};
         answer.due = step_ + 1 + below(4);
+        answer.era = log_.era;
         answer.end = log_.size();
         guint64 from = cq_topicmap_end(host.map.get());
-        if (host.snapshot_done && from < first_) {
+        if (host.snapshot_done && from < log_.first) {
             host.snapshot_done = false;
             host.first_page = true;
             host.after = "";
@@ -503,7 +453,8 @@
         }
         else {
             for (size_t k = from; k < log_.size(); k++) {
-                answer.rows.push_back({log_[k].key, k, log_[k].live});
+                answer.rows.push_back(
+                    {log_.records[k].key, k, log_.records[k].live});
             }
             answer.next = log_.size();
         }
@@ -516,9 +467,9 @@
     {
         answer.snapshot = true;
         for (int k = 0; k < kKeys; k++) {
-            std::string key = "k" + std::to_string(k);
-            int at = newest(key, log_.size());
-            if (key <= after || at < 0 || !log_[(size_t)at].live) {
+            std::string key = key_name(k);
+            int at = log_.newest(key, log_.size());
+            if (key <= after || at < 0 || !log_.records[(size_t)at].live) {
                 continue;
             }
             if ((int)answer.rows.size() == kPageLen) {
@@ -535,7 +486,7 @@
     check(int i)
     {
         const host_t &host = host_at(i);
-        if (host.older) {
+        if (host.older || host.settled_at != 0 || host.era != log_.era) {
             return;
         }
         guint64 end = cq_topicmap_end(host.map.get());
@@ -548,13 +499,13 @@
         size_t settled = end;
         if (step_ - host.in_touch_since > kBound) {
             while (settled < log_.size() &&
-                   log_[settled].step < step_ - kBound) {
+                   log_.records[settled].step < step_ - kBound) {
                 settled++;
             }
         }
         for (int k = 0; k < kKeys; k++) {
-            std::string key = "k" + std::to_string(k);
-            int at = newest(key, settled);
+            std::string key = key_name(k);
+            int at = log_.newest(key, settled);
             auto found = known.find(key);
             bool live = found != known.end() && found->second.live;
             guint64 offset = found != known.end() ? found->second.offset : 0;
@@ -566,14 +517,16 @@
                                 std::to_string(step_) + " " + key +
                                 (is_late ? " (beyond its end)" : "");
             if (live && offset < (guint64)at) {
-                wrong_ = (log_[(size_t)at].live ? "older over newer"
-                                                : "deleted, and held") +
-                         where;
+                wrong_ =
+                    (log_.records[(size_t)at].live ? "older over newer"
+                                                   : "deleted, and held") +
+                    where;
             }
             // A later page of a snapshot may already lack what is deleted
             // after the end that the first one gave.
-            else if (!live && log_[(size_t)at].live && offset <= (guint64)at &&
-                     at == newest(key, log_.size())) {
+            else if (!live && log_.records[(size_t)at].live &&
+                     offset <= (guint64)at &&
+                     at == log_.newest(key, log_.size())) {
                 wrong_ = "lost" + where;
             }
         }
