--- a/tests/proc/relaycutgone.sh
+++ b/tests/proc/relaycutgone.sh
@@ -1,22 +1,27 @@
 #!/bin/bash
-# Hosts are without the store for 6.6 s. An upstream whose entry is removed 0.5 s
-# after that gets no requests from 3 s after it on; entries that lapsed in the
-# outage, and are back 1.5 s after it, have been served all the time.
+# An upstream whose entry was removed is used after a cut: hosts are without the
+# store for 5.6 to 7.1 s, so that their reads are in different phases as it ends.
+# An upstream whose entry is removed 0.5 s after that gets no requests from 3 s
+# after it on; entries that lapsed in the outage, and are back 1.5 s after it,
+# have been served all the time.
 BUILD=${1:-build}
 . tests/proc/relaylib.sh
 now_ms() { date +%s%3N; }
 two_replicas
-for i in 1 2; do replica x$i $((BASE + 24 + i)) p; done
-hosts_a_and_b x2
+CUTS="6.6 7.1 5.6 6.1"
+for i in 1 2 3 4; do replica x$i $((BASE + 24 + i)) p; done
+hosts_a_and_b x4
 sleep 2
 "$BUILD/tests/fleetstandin" callers --listen "127.0.0.1:$PORT_A,127.0.0.1:$PORT_B" --name c \
-    --log "$DIR/callers.log" --kinds /safe/ok --every-ms 25 --for-ms 40000 &
+    --log "$DIR/callers.log" --kinds /safe/ok --every-ms 25 --for-ms 70000 &
 PIDS="$PIDS $!"
-for round in 1 2; do
+round=0
+for cut in $CUTS; do
+    round=$((round + 1))
     put_upstream p1 $((BASE + 20)) p ready
     sleep 0.9
     silence 1 reads=drop
-    sleep 6.6
+    sleep $cut
     silence 0
     healed=$(now_ms)
     sleep 0.5
@@ -31,7 +36,7 @@
 sleep 4
 drop keyed.servers p1
 drop keyed.servers p2
-drop keyed.servers x2
+drop keyed.servers x4
 silence 0
 sleep 1.5
 put_upstream p1 $((BASE + 20)) p ready
