--- a/packages/router/gossip.c
+++ b/packages/router/gossip.c
@@ -170,25 +170,31 @@
     }
 }
 
-/* A peer that has read all that the store has, and still has an older
- * configuration, started after the store had come back from an older copy. */
+/* Whether the peer has read all that the store has, and still has an older
+ * configuration: it started after the store had come back from an older copy.
+ * One that a link carries is not sent again, as the peer may find it invalid.
+ */
+static gboolean
+lacks_config(const transfer_t *transfer, const Cq__Summary *summary)
+{
+    const cq_follower_t *follower = cq_app_follower(transfer->app);
+    guint64 version = cq_gossip_config_version(follower);
+    gboolean is_told =
+        summary->config_version > 0 && summary->n_topics_at > CQ_TOPIC_CONFIG;
+    return is_told && summary->config_version - 1 < version &&
+           summary->topics_at[CQ_TOPIC_CONFIG] >=
+               cq_follower_offset(follower, CQ_TOPIC_CONFIG) &&
+           cq_link_config_sent(transfer->link) < version;
+}
+
 static void
-send_config(transfer_t *transfer, const Cq__Summary *summary)
+send_config(transfer_t *transfer)
 {
-    cq_follower_t *follower = cq_app_follower(transfer->app);
+    const cq_follower_t *follower = cq_app_follower(transfer->app);
     const cq_store_record_t *config =
         cq_catalog_config(cq_follower_catalog(follower));
-    if (config == NULL || summary->n_topics_at <= CQ_TOPIC_CONFIG ||
-        summary->config_version == 0 ||
-        summary->config_version > cq_gossip_config_version(follower)) {
-        return;
-    }
-    guint64 at = summary->topics_at[CQ_TOPIC_CONFIG];
-    if (at < cq_follower_offset(follower, CQ_TOPIC_CONFIG) ||
-        cq_link_unsent_bytes(transfer->link) > UNSENT_BYTES_MAX ||
-        !is_elected_sender(transfer) || !should_send(transfer, config) ||
-        !cq_link_take_config(transfer->link,
-                             cq_gossip_config_version(follower))) {
+    if (cq_link_unsent_bytes(transfer->link) > UNSENT_BYTES_MAX ||
+        !is_elected_sender(transfer) || !should_send(transfer, config)) {
         return;
     }
     Cq__Record row;
@@ -200,6 +206,7 @@
     records.topic = CQ_TOPIC_CONFIG;
     records.n_rows = 1;
     records.rows = rows;
+    cq_link_note_config(transfer->link, cq_gossip_config_version(follower));
     send_records(transfer->app, transfer->link, &records);
 }
 
@@ -238,10 +245,9 @@
             send_missing(&transfer, topic, map, at);
         }
     }
-    if (follower != NULL) {
-        transfer_t transfer = {
-            .app = app, .link = link, .host = summary->host};
-        send_config(&transfer, summary);
+    transfer_t transfer = {.app = app, .link = link, .host = summary->host};
+    if (follower != NULL && lacks_config(&transfer, summary)) {
+        send_config(&transfer);
     }
 }
 
--- a/packages/router/link.c
+++ b/packages/router/link.c
@@ -283,12 +283,16 @@
     return link->closed ? 0 : cq_sock_unwritten_bytes(link->sock);
 }
 
-gboolean
-cq_link_take_config(cq_link_t *link, guint64 version)
+guint64
+cq_link_config_sent(const cq_link_t *link)
+{
+    return link->config_sent;
+}
+
+void
+cq_link_note_config(cq_link_t *link, guint64 version)
 {
-    gboolean is_new = link->config_sent < version;
-    link->config_sent = MAX(link->config_sent, version);
-    return is_new;
+    link->config_sent = version;
 }
 
 const char *
--- a/packages/router/link.h
+++ b/packages/router/link.h
@@ -54,10 +54,15 @@
 gsize
 cq_link_unsent_bytes(const cq_link_t *link);
 
-/** cq_link_take_config() - note that a configuration is sent to the peer;
- * Return: FALSE if that or a newer one was sent before */
-gboolean
-cq_link_take_config(cq_link_t *link, guint64 version);
+/** cq_link_config_sent() - Return: the version of the configuration that
+ * cq_link_note_config() was told of last, or 0 */
+guint64
+cq_link_config_sent(const cq_link_t *link);
+
+/** cq_link_note_config() - note that the configuration of @version is sent to
+ * the peer */
+void
+cq_link_note_config(cq_link_t *link, guint64 version);
 
 /** cq_link_zone() - Return: the peer's zone, as it says; "" until it has */
 const char *
--- a/packages/router/topicmap.h
+++ b/packages/router/topicmap.h
@@ -56,7 +56,7 @@
  * struct cq_topicmap_claim_t - what a peer says that it has sent
  * @from: all records from this offset on
  * @at: up to this offset
- * @has_deletions: among them the deletions; without them nothing is known
+ * @has_deletions: deletions count among them; else the claim proves nothing
  * @complete: the records from @rows_from on were sent, and @live names the
  *   keys that are left
  * @rows_from: see @complete
