One piece of code for what stood twice; no change of behaviour

* cq_store_record_copy() for the copy of a record (topicmap, catalog).
* cq_attempt_begin() for what an attempt at an upstream and a hand-over to a peer set alike.
* Tests: loopback.h has the listening socket and the main loop with a time limit of store_test and outbound_test; hedge_test counts stops and forwards in one function, and its requests with three attempts are those with two; put() of relaylib takes long texts, so that relayslowbytes writes its configuration like the others.

--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -61,6 +61,21 @@
     }
 }
 
+void
+cq_attempt_begin(const cq_core_t *core, cq_request_t *request,
+                 cq_phase_t phase)
+{
+    request->attempt = ++request->attempts;
+    request->phase = phase;
+    request->phase_start_us = core->now_us;
+    if (request->started_us == 0) {
+        request->started_us = core->now_us;
+    }
+    request->progress_us = core->now_us;
+    request->sent = FALSE;
+    request->forwarded_at_start = request->forwarded;
+}
+
 void
 cq_attempt_start(cq_core_t *core, cq_request_t *request,
                  cq_upstream_t *upstream)
@@ -70,18 +85,10 @@
                                              core->now_us);
     gint64 streams = cq_load_streams(core, upstream);
     gint64 cached = cq_load_cached_tokens(upstream, request);
-    request->attempt = ++request->attempts;
+    cq_attempt_begin(core, request, CQ_PHASE_RUNNING);
     request->upstream = upstream;
-    request->phase = CQ_PHASE_RUNNING;
-    request->phase_start_us = core->now_us;
-    if (request->started_us == 0) {
-        request->started_us = core->now_us;
-    }
-    request->progress_us = core->now_us;
     request->probed_us = 0;
     request->probes_unanswered = 0;
-    request->sent = FALSE;
-    request->forwarded_at_start = request->forwarded;
     add_load(core, request);
     cq_rate_note_sent(core, upstream);
     cq_counters_add(&core->counters, CQ_N_ATTEMPTS, 1);
--- a/packages/core/attempt.h
+++ b/packages/core/attempt.h
@@ -11,6 +11,12 @@
 
 G_BEGIN_DECLS
 
+/** cq_attempt_begin() - note that the next attempt of @request begins, in
+ * @phase */
+void
+cq_attempt_begin(const cq_core_t *core, cq_request_t *request,
+                 cq_phase_t phase);
+
 /** cq_attempt_start() - start an attempt of @request at @upstream */
 void
 cq_attempt_start(cq_core_t *core, cq_request_t *request,
--- a/packages/core/handoff.c
+++ b/packages/core/handoff.c
@@ -87,17 +87,9 @@
         cq_group_release(core, request);
     }
     cq_task_close(core, request);
-    request->phase = CQ_PHASE_HANDED;
-    request->phase_start_us = core->now_us;
-    if (request->started_us == 0) {
-        request->started_us = core->now_us;
-    }
-    request->progress_us = core->now_us;
-    request->forwarded_at_start = request->forwarded;
-    request->attempt = ++request->attempts;
+    cq_attempt_begin(core, request, CQ_PHASE_HANDED);
     request->hands++;
     request->hand_host = cq_ident_host(row->name);
-    request->sent = FALSE;
     cq_counters_add(&core->counters, CQ_N_HANDED, 1);
     cq_table_log_event(core, request, "handed",
                        "host=%s from_event=%" G_GINT64_FORMAT, row->name,
--- a/packages/core/hedge.c
+++ b/packages/core/hedge.c
@@ -157,7 +157,7 @@
         request->upstream != NULL ? request->upstream->name : "-",
         request->attempt, request->standby.attempt);
     cq_attempt_abandon(core, request);
-    /* Only an attempt that a peer was tried beside holds memory. */
+    /* The attempt holds engine memory if a peer was tried beside it. */
     cq_group_release(core, request);
     set_running(request, &request->standby);
     request->standby = (cq_standby_t){.attempt = 0};
--- a/packages/router/catalog.c
+++ b/packages/router/catalog.c
@@ -45,11 +45,7 @@
     cq_routes_t *old = catalog->routes;
     catalog->routes = routes;
     cq_store_record_clear(&catalog->config);
-    catalog->config = (cq_store_record_t){
-        .key = g_strdup(record->key),
-        .offset = record->offset,
-        .value = g_bytes_ref(record->value),
-    };
+    cq_store_record_copy(&catalog->config, record);
     cq_app_set_routes(catalog->app, routes);
     for (guint i = 0; i < routes->rules->len; i++) {
         cq_event_t event = {.kind = CQ_EV_RULES,
--- a/packages/router/topicmap.c
+++ b/packages/router/topicmap.c
@@ -49,14 +49,6 @@
     guint64 page_end;
 };
 
-static void
-copy_record(cq_store_record_t *to, const cq_store_record_t *from)
-{
-    to->key = g_strdup(from->key);
-    to->offset = from->offset;
-    to->value = from->value != NULL ? g_bytes_ref(from->value) : NULL;
-}
-
 static void
 free_entry(gpointer data)
 {
@@ -190,7 +182,7 @@
         return FALSE;
     }
     cq_store_record_clear(&old->doubted);
-    copy_record(&old->doubted, record);
+    cq_store_record_copy(&old->doubted, record);
     return TRUE;
 }
 
@@ -244,7 +236,7 @@
     gboolean changed = FALSE;
     entry_t *entry = g_new0(entry_t, 1);
     entry->seen = source == CQ_SOURCE_SNAPSHOT || (old != NULL && old->seen);
-    copy_record(&entry->record, record);
+    cq_store_record_copy(&entry->record, record);
     if (record->value == NULL && old != NULL) {
         entry->listed = old->listed;
     }
--- a/tests/proc/relaylib.sh
+++ b/tests/proc/relaylib.sh
@@ -23,8 +23,9 @@
     eval "PID_$port=$!"
 }
 
-# put TOPIC KEY TEXT: writes a record to the store
-put() { curl -sf -X POST --data-binary "$3" "http://$STORE_ADDR/put?topic=$1&key=$2" >/dev/null; }
+# put TOPIC KEY TEXT: writes a record to the store; the text may be longer than
+# an argument of a process
+put() { printf '%s' "$3" | curl -sf -X POST --data-binary @- "http://$STORE_ADDR/put?topic=$1&key=$2" >/dev/null; }
 
 # drop TOPIC KEY: deletes a key in the store
 drop() { curl -sf -X POST "http://$STORE_ADDR/drop?topic=$1&key=$2" >/dev/null; }
@@ -88,11 +89,14 @@
         "$1" "$1" "$2" "${TIMEOUT_MS:-4000}" "$3" "$4"
 }
 
-# config VERSION ROUTES: writes a configuration to the store
-config() {
-    put keyed.op config "{\"version\":$1,\"routes\":[$2],\"services\":[{\"name\":\"p\"}],\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":${BODY_BYTES:-100000},\"header_timeout_ms\":1000,\"idle_timeout_ms\":${IDLE_MS:-3000}},\"tenants\":[{\"name\":\"team-1\",\"api_keys\":[\"secret-1\"]}]}"
+# config_text VERSION ROUTES: prints a configuration
+config_text() {
+    printf '%s' "{\"version\":$1,\"routes\":[$2],\"services\":[{\"name\":\"p\"}],\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":${BODY_BYTES:-100000},\"header_timeout_ms\":1000,\"idle_timeout_ms\":${IDLE_MS:-3000}},\"tenants\":[{\"name\":\"team-1\",\"api_keys\":[\"secret-1\"]}]}"
 }
 
+# config VERSION ROUTES: writes a configuration to the store
+config() { put keyed.op config "$(config_text "$@")"; }
+
 # two_replicas: starts the store and two upstreams, and writes a configuration
 two_replicas() {
     fleetstandin store "$BASE"
--- a/tests/proc/relayslowbytes.sh
+++ b/tests/proc/relayslowbytes.sh
@@ -11,17 +11,13 @@
 SEEDS="\"127.0.0.1:$(($(port_of h1) + 2))\", \"127.0.0.1:$(($(port_of h2) + 2))\""
 pace() { curl -sf "http://$STORE_ADDR/pace?bytes_per_s=$1" >/dev/null; }
 written() { curl -sf "http://$STORE_ADDR/written"; }
-# large_config VERSION: writes a configuration with ROUTES_MORE routes more
+# large_config VERSION: writes a configuration with ROUTES_MORE routes more; its
+# text is in CONFIG
 large_config() {
     local i more=""
     for i in $(seq $ROUTES_MORE); do more="$more,$(route "/more-$i/" safe false false)"; done
-    config_file "$1" "$ROUTES$more"
-}
-# config_file VERSION ROUTES: as config, with a body that is too long for an
-# argument
-config_file() {
-    printf '%s' "{\"version\":$1,\"routes\":[$2],\"services\":[{\"name\":\"p\"}],\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,\"header_timeout_ms\":1000,\"idle_timeout_ms\":3000},\"tenants\":[{\"name\":\"team-1\",\"api_keys\":[\"secret-1\"]}]}" >"$DIR/config"
-    curl -sf -X POST --data-binary "@$DIR/config" "http://$STORE_ADDR/put?topic=keyed.op&key=config" >/dev/null
+    CONFIG=$(config_text "$1" "$ROUTES$more")
+    put keyed.op config "$CONFIG"
 }
 two_replicas
 for name in $(names 3); do entry_with_store $name "$(port_of $name)"; done
@@ -34,7 +30,7 @@
 pace $((3 * PACE))
 before=$(written)
 large_config 6
-len=$(stat -c %s "$DIR/config")
+len=${#CONFIG}
 say "the configuration has $len bytes, $((len / PACE)) s at the pace of a host"
 [ $len -gt $((PACE * 3 / 2)) ] || fail "the configuration is too short for this test"
 sleep $((len / PACE + 2))
--- a/tests/unit/corefixture.h
+++ b/tests/unit/corefixture.h
@@ -154,7 +154,7 @@
         event.request.timeout_us = timeout_us;
         event.request.target_us = target_us;
         event.request.gap_max_us = gap_max_us;
-        event.request.attempts_max = 2;
+        event.request.attempts_max = attempts_max;
         event.request.team = team;
         for (guint64 part : parts) {
             event.request.parts.ids[event.request.parts.len++] = part;
@@ -347,6 +347,7 @@
     gboolean on_kept_conn = FALSE;
     // Time limit of the requests that follow.
     gint64 timeout_us = 10 * kSecond;
+    guint attempts_max = 2;
     gint64 now_us = 1000 * kSecond;
     guint64 request_serial = 0;
 };
--- a/tests/unit/hedge_test.cc
+++ b/tests/unit/hedge_test.cc
@@ -33,26 +33,25 @@
         return id;
     }
     guint
-    stops_of(guint64 request, guint32 attempt)
+    count_actions(cq_action_kind_t kind, guint64 request, guint32 attempt)
     {
-        guint stops = 0;
+        guint count = 0;
         for (const cq_action_t &action : all_actions) {
-            stops += action.kind == CQ_AC_STOP &&
+            count += action.kind == kind &&
                      action.attempt.request == request &&
                      action.attempt.attempt == attempt;
         }
-        return stops;
+        return count;
+    }
+    guint
+    stops_of(guint64 request, guint32 attempt)
+    {
+        return count_actions(CQ_AC_STOP, request, attempt);
     }
     guint
     forwards_of(guint64 request, guint32 attempt)
     {
-        guint forwards = 0;
-        for (const cq_action_t &action : all_actions) {
-            forwards += action.kind == CQ_AC_FORWARD &&
-                        action.attempt.request == request &&
-                        action.attempt.attempt == attempt;
-        }
-        return forwards;
+        return count_actions(CQ_AC_FORWARD, request, attempt);
     }
     void
     expect_success(guint64 request)
@@ -229,26 +228,9 @@
 
 class ThreeAttempts : public Hedge {
   protected:
-    guint64
-    hedged_call3()
+    ThreeAttempts()
     {
-        cq_event_t event = {};
-        event.kind = CQ_EV_REQUEST;
-        event.request.id =
-            cq_ident_request(cq_ident_host("h0"), 1, ++request_serial);
-        event.request.service = "p";
-        event.request.model = "";
-        event.request.repeatable = TRUE;
-        event.request.prompt_tokens = 1;
-        event.request.timeout_us = timeout_us;
-        event.request.target_us = 300 * kMs;
-        event.request.attempts_max = 3;
-        event.request.team = team;
-        step(event);
-        attempt_event(event.request.id, CQ_EV_SENT);
-        advance(300 * kMs);
-        attempt_event(event.request.id, CQ_EV_SENT);
-        return event.request.id;
+        attempts_max = 3;
     }
 };
 
@@ -264,7 +246,7 @@
             attempt_event(other, CQ_EV_SENT);
             attempt_event(other, CQ_EV_DONE);
         }
-        guint64 id = hedged_call3();
+        guint64 id = hedged_call();
         ASSERT_EQ(last_send(id)->attempt, 2u);
         guint64 full = last_send(id)->upstream;
         event_of(id, 2, CQ_EV_FAILED, CQ_FAIL_REFUSED);
@@ -281,7 +263,7 @@
 TEST_F(ThreeAttempts, RefusalsInARowDontUseUpTheAttempts)
 {
     start_core(0, 2);
-    guint64 id = hedged_call3();
+    guint64 id = hedged_call();
     gint64 first_us = now_us;
     event_of(id, 2, CQ_EV_FAILED, CQ_FAIL_REFUSED);
     for (int i = 0; i < 100 && last_send(id)->attempt < 3; i++) {
--- a/tests/unit/outbound_test.cc
+++ b/tests/unit/outbound_test.cc
@@ -3,7 +3,6 @@
 // began.
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
 #include <fcntl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -15,10 +14,12 @@
 #include <vector>
 
 #include "router/outbound.h"
+#include "loopback.h"
 
 namespace {
 
-constexpr gint64 kWaitMaxUs = 5 * 1000 * 1000;
+using loopback::run_until;
+
 const std::string kSeal = "Cuminquay-Replica-Seal: s\r\n";
 const std::string kNotRun = "Cuminquay-Not-Executed: 1\r\n";
 
@@ -56,15 +57,8 @@
     void
     SetUp() override
     {
-        listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-        struct sockaddr_in addr = {};
-        addr.sin_family = AF_INET;
-        addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t len = sizeof addr;
-        ASSERT_EQ(bind(listener, (struct sockaddr *)&addr, len), 0);
-        ASSERT_EQ(listen(listener, 16), 0);
-        ASSERT_EQ(getsockname(listener, (struct sockaddr *)&addr, &len), 0);
-        address = "127.0.0.1:" + std::to_string(ntohs(addr.sin_port));
+        listener = loopback::listen_at(&address);
+        ASSERT_GE(listener, 0);
         cq_outbound_ops_t ops = {};
         ops.post = [](const cq_event_t *posted, void *data) {
             auto *test = static_cast<Outbound *>(data);
@@ -86,18 +80,6 @@
         close(listener);
     }
     // Runs the main loop until @done; Return: whether it is done in time.
-    static bool
-    run_until(const std::function<bool()> &done)
-    {
-        gint64 end_us = g_get_monotonic_time() + kWaitMaxUs;
-        while (!done()) {
-            if (g_get_monotonic_time() > end_us) {
-                return false;
-            }
-            g_main_context_iteration(nullptr, FALSE);
-        }
-        return true;
-    }
     void
     send(guint64 request, const char *id)
     {
--- a/tests/unit/store_test.cc
+++ b/tests/unit/store_test.cc
@@ -2,9 +2,7 @@
 // is a socket of the test.
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
 #include <fcntl.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -14,9 +12,12 @@
 
 #include "base/limits.h"
 #include "platform/store.h"
+#include "loopback.h"
 
 namespace {
 
+using loopback::run_until;
+
 // A read of one record: "k" with the value "v", at offset 0 of a topic that
 // ends at 1.
 const std::string kRecords("\0\0\0\0\0\0\0\1\0\0\0\0\0\0\0\0\0\0\0\3\1kv", 23);
@@ -32,15 +33,8 @@
     void
     SetUp() override
     {
-        listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-        struct sockaddr_in addr = {};
-        addr.sin_family = AF_INET;
-        addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t len = sizeof addr;
-        ASSERT_EQ(bind(listener, (struct sockaddr *)&addr, len), 0);
-        ASSERT_EQ(listen(listener, 16), 0);
-        ASSERT_EQ(getsockname(listener, (struct sockaddr *)&addr, &len), 0);
-        address = "127.0.0.1:" + std::to_string(ntohs(addr.sin_port));
+        listener = loopback::listen_at(&address);
+        ASSERT_GE(listener, 0);
         store = cq_store_new(
             address.c_str(), [](void *) {}, nullptr);
     }
@@ -53,18 +47,6 @@
         }
         close(listener);
     }
-    static bool
-    run_until(const std::function<bool()> &done)
-    {
-        gint64 end_us = g_get_monotonic_time() + 5 * CQ_SECOND_US;
-        while (!done()) {
-            if (g_get_monotonic_time() > end_us) {
-                return false;
-            }
-            g_main_context_iteration(nullptr, FALSE);
-        }
-        return true;
-    }
     static void
     on_done(const cq_store_page_t *page, void *data)
     {
