Split the records of the store by what they hold; one module says what is usable

Whether an upstream accepts new work is core/usable.c, taken out of core/place.c, so that what else may exclude an upstream has one place and does not grow place.c.

platform_test, oddrecords_test, rate_test, ratecore_test and batchplace_test pass.

--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -14,6 +14,7 @@
 #include "core/reach.h"
 #include "core/table.h"
 #include "core/task.h"
+#include "core/usable.h"
 
 /* Attempts allowed beyond attempts_max, in place of those that never reached
  * their upstream. */
@@ -213,7 +214,7 @@
 {
     for (guint i = 0; i < upstreams->len; i++) {
         const cq_upstream_t *upstream = g_ptr_array_index(upstreams, i);
-        if (!upstream->rate.limited && cq_place_usable(core, upstream)) {
+        if (!upstream->rate.limited && cq_usable_now(core, upstream)) {
             return TRUE;
         }
     }
--- a/packages/core/booking.c
+++ b/packages/core/booking.c
@@ -1,6 +1,7 @@
 #include "core/booking.h"
 
 #include "core/place.h"
+#include "core/usable.h"
 
 /* Of two bookings that start this close to each other, the one with the
  * smaller request id has precedence; else the one that starts first. */
@@ -73,7 +74,7 @@
 {
     const cq_task_t *task = request->task;
     for (guint i = 0; i < task->engines_len; i++) {
-        if (!cq_place_usable(core, task->engines[i]) ||
+        if (!cq_usable_now(core, task->engines[i]) ||
             task->engines[i]->rate.limited ||
             task->engines[i]->service != request->service) {
             return FALSE;
--- a/packages/core/candidate.c
+++ b/packages/core/candidate.c
@@ -4,6 +4,7 @@
 #include "core/lending.h"
 #include "core/place.h"
 #include "core/rate.h"
+#include "core/usable.h"
 
 static void
 assess_engine(const cq_core_t *core, const cq_request_t *request,
@@ -34,7 +35,7 @@
 {
     for (guint i = 0; i < upstreams->len; i++) {
         cq_upstream_t *engine = g_ptr_array_index(upstreams, i);
-        if (!cq_place_usable(core, engine) || !cq_rate_allows(core, engine) ||
+        if (!cq_usable_now(core, engine) || !cq_rate_allows(core, engine) ||
             engine->id == request->last_failed ||
             engine == request->upstream) {
             continue;
@@ -53,7 +54,7 @@
     for (guint i = 0; i < guests->len; i++) {
         cq_upstream_t *engine = g_ptr_array_index(guests, i);
         if (cq_lending_is_offered(core, engine) &&
-            cq_place_usable(core, engine) && !engine->rate.limited &&
+            cq_usable_now(core, engine) && !engine->rate.limited &&
             engine->id != request->last_failed &&
             engine != request->upstream) {
             assess_engine(core, request, engine,
--- a/packages/core/lending.c
+++ b/packages/core/lending.c
@@ -4,6 +4,7 @@
 
 #include "core/place.h"
 #include "core/table.h"
+#include "core/usable.h"
 
 /* Interval of offers, and how long an offer holds unless it is repeated. */
 #define OFFER_INTERVAL_US (150 * CQ_MS_US)
@@ -64,7 +65,7 @@
 is_idle(const cq_core_t *core, const cq_upstream_t *engine)
 {
     return engine->tasks->len == 0 && !engine->rate.limited &&
-           cq_place_usable(core, engine);
+           cq_usable_now(core, engine);
 }
 
 /* Adds @engine to the offer for its guest zone. */
--- a/packages/core/order.c
+++ b/packages/core/order.c
@@ -5,6 +5,7 @@
 #include "core/lease.h"
 #include "core/place.h"
 #include "core/table.h"
+#include "core/usable.h"
 
 void
 cq_order_report(cq_core_t *core, const cq_ev_load_t *report)
@@ -84,7 +85,7 @@
 {
     for (guint i = 0; i < upstreams->len; i++) {
         cq_upstream_t *upstream = g_ptr_array_index(upstreams, i);
-        if (!cq_place_usable(core, upstream)) {
+        if (!cq_usable_now(core, upstream)) {
             continue;
         }
         if (has_or_will_load(upstream, plan->model)) {
--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -6,6 +6,7 @@
 #include "core/order.h"
 #include "core/rate.h"
 #include "core/table.h"
+#include "core/usable.h"
 #include "core/usage.h"
 
 /* Added to the score of an engine in another zone. */
@@ -79,14 +80,6 @@
     return x_rank < y_rank ? -1 : x_rank > y_rank;
 }
 
-/* An entry that may have lapsed in an outage of the store is written again
- * once the store is back, so its upstream counts as present for a time. */
-static gboolean
-is_gone(const cq_core_t *core, const cq_upstream_t *upstream)
-{
-    return !upstream->listed && core->now_us >= upstream->lapsed_until_us;
-}
-
 /* Reduces the array to the subset that this host uses. Each host ranks the
  * upstreams differently; the chosen ones are then sorted into an order that is
  * the same on all hosts. */
@@ -135,7 +128,7 @@
         for (; link != &service->upstreams; link = link->next) {
             cq_upstream_t *upstream = CQ_ENTRY(link, cq_upstream_t, link);
             upstream->candidate_index = -1;
-            if (upstream->leaving || is_gone(core, upstream)) {
+            if (upstream->leaving || cq_usable_is_gone(core, upstream)) {
                 continue;
             }
             upstream->same_zone = g_str_equal(upstream->zone, core->zone);
@@ -155,16 +148,6 @@
     service->giant_len = giant_engines_len(service);
 }
 
-gboolean
-cq_place_usable(const cq_core_t *core, const cq_upstream_t *upstream)
-{
-    if (upstream->leaving || is_gone(core, upstream) ||
-        cq_member_zone_cut_off(core, upstream)) {
-        return FALSE;
-    }
-    return cq_member_accepts_from_us(upstream) <= core->now_us;
-}
-
 gint64
 cq_place_need_tokens(const cq_request_t *request)
 {
@@ -184,7 +167,7 @@
          const cq_upstream_t *upstream, gint64 need, gint64 streams_max)
 {
     const cq_rules_t *rules = request->service->rules;
-    if (!cq_place_usable(core, upstream) || !cq_rate_allows(core, upstream)) {
+    if (!cq_usable_now(core, upstream) || !cq_rate_allows(core, upstream)) {
         return FALSE;
     }
     if (upstream->id == request->last_failed ||
@@ -421,7 +404,7 @@
             at < local_len
                 ? g_ptr_array_index(service->local, at)
                 : g_ptr_array_index(service->remote, at - local_len);
-        if (cq_place_usable(core, upstream)) {
+        if (cq_usable_now(core, upstream)) {
             return upstream;
         }
     }
@@ -465,7 +448,7 @@
     }
     for (guint i = 0; i < len; i++) {
         cq_upstream_t *upstream = g_ptr_array_index(service->local, i);
-        if (!cq_place_usable(core, upstream)) {
+        if (!cq_usable_now(core, upstream)) {
             continue;
         }
         gint64 kv = cq_load_kv(core, upstream);
@@ -516,7 +499,7 @@
     }
     gboolean earmark_expired = request->earmark_until_us <= core->now_us;
     if (request->earmark != NULL &&
-        (earmark_expired || !cq_place_usable(core, request->earmark))) {
+        (earmark_expired || !cq_usable_now(core, request->earmark))) {
         cq_place_clear_earmark(core, request);
     }
     cq_upstream_t *upstream = choose_by_cost(core, request);
--- a/packages/core/place.h
+++ b/packages/core/place.h
@@ -21,10 +21,6 @@
 void
 cq_place_update_candidates(cq_core_t *core, cq_service_t *service);
 
-/** cq_place_usable() - Return: whether @upstream accepts new work now */
-gboolean
-cq_place_usable(const cq_core_t *core, const cq_upstream_t *upstream);
-
 /** cq_place_need_tokens() - Return: memory that @request needs, in tokens */
 gint64
 cq_place_need_tokens(const cq_request_t *request);
--- a/packages/core/rate.c
+++ b/packages/core/rate.c
@@ -6,6 +6,7 @@
 #include "core/place.h"
 #include "core/table.h"
 #include "core/usage.h"
+#include "core/usable.h"
 
 /* An upstream with a lower limit gets a request this often all the same, as it
  * can't tell otherwise that the limit has ended. */
@@ -249,7 +250,7 @@
         if (!upstream->rate.limited) {
             limits->any_unlimited = TRUE;
         }
-        else if (cq_place_usable(core, upstream)) {
+        else if (cq_usable_now(core, upstream)) {
             limits->any_limited = TRUE;
             limits->next_us = MIN(limits->next_us, cq_rate_next_us(upstream));
             limits->per_s += upstream->rate.share_per_s;
--- a/packages/router/registration.c
+++ b/packages/router/registration.c
@@ -4,7 +4,7 @@
 
 #include <string.h>
 
-#include "platform/records.h"
+#include "platform/rows.h"
 
 #define RETRY_MS 1000
 #define ANY_IP "0.0.0.0:"
@@ -65,7 +65,7 @@
     g_strlcpy(row.addr, settings->peers, sizeof row.addr);
     g_strlcpy(row.zone, settings->zone, sizeof row.zone);
     fill_callers(settings, &row);
-    char *text = cq_records_format_host(&row);
+    char *text = cq_rows_format_host(&row);
     registration->writing = TRUE;
     cq_store_write(registration->store, CQ_TOPIC_HOSTS, settings->host, text,
                    on_written, registration);
--- a/packages/router/topicmap.c
+++ b/packages/router/topicmap.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "platform/records.h"
+#include "platform/rows.h"
 #include "router/partstore.h"
 
 /*
@@ -85,10 +85,10 @@
         const char *text = g_bytes_get_data(entry->record.value, &len);
         gboolean upstream = map->topic == CQ_TOPIC_UPSTREAMS;
         entry->valid =
-            upstream ? cq_records_parse_upstream(entry->record.key, text, len,
-                                                 &entry->listed, &error)
-                     : cq_records_parse_host(entry->record.key, text, len,
-                                             &entry->listed, &error);
+            upstream ? cq_rows_parse_upstream(entry->record.key, text, len,
+                                              &entry->listed, &error)
+                     : cq_rows_parse_host(entry->record.key, text, len,
+                                          &entry->listed, &error);
         if (!entry->valid) {
             cq_topicmap_log_invalid(map, &entry->record, &error);
         }
--- a/tests/unit/oddrecords_test.cc
+++ b/tests/unit/oddrecords_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "platform/records.h"
+#include "platform/rows.h"
 
 namespace {
 
@@ -33,8 +34,8 @@
 parse_upstream(const std::string &text, cq_host_row_t *row)
 {
     cq_error_t error = {};
-    gboolean valid = cq_records_parse_upstream("i-1", text.data(), text.size(),
-                                               row, &error);
+    gboolean valid =
+        cq_rows_parse_upstream("i-1", text.data(), text.size(), row, &error);
     EXPECT_EQ(valid, error.text[0] == '\0') << error.text;
     return valid;
 }
@@ -359,8 +360,8 @@
     for (const char *name : {"", "a\r\nX: 1", "a\tb", "a\x7f"}) {
         cq_host_row_t row;
         cq_error_t error = {};
-        EXPECT_FALSE(cq_records_parse_upstream(name, text.data(), text.size(),
-                                               &row, &error))
+        EXPECT_FALSE(cq_rows_parse_upstream(name, text.data(), text.size(),
+                                            &row, &error))
             << name;
         EXPECT_STRNE(error.text, "");
     }
@@ -379,7 +380,7 @@
         cq_host_row_t row;
         cq_error_t error = {};
         EXPECT_FALSE(
-            cq_records_parse_host("h", text.data(), text.size(), &row, &error))
+            cq_rows_parse_host("h", text.data(), text.size(), &row, &error))
             << text.substr(0, 80);
         EXPECT_STRNE(error.text, "");
     }
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -7,6 +7,7 @@
 
 #include "platform/headers.h"
 #include "platform/records.h"
+#include "platform/rows.h"
 
 namespace {
 
@@ -186,8 +187,8 @@
 parse_upstream(const std::string &text, cq_host_row_t *row)
 {
     cq_error_t error = {};
-    gboolean valid = cq_records_parse_upstream("i-1", text.data(), text.size(),
-                                               row, &error);
+    gboolean valid =
+        cq_rows_parse_upstream("i-1", text.data(), text.size(), row, &error);
     EXPECT_EQ(valid, error.text[0] == '\0') << error.text;
     return valid;
 }
@@ -247,20 +248,18 @@
     g_strlcpy(row.addr, "10.1.0.4:9", sizeof row.addr);
     g_strlcpy(row.zone, "a", sizeof row.zone);
     row.incarnation = 1700000000456;
-    char *text = cq_records_format_host(&row);
+    char *text = cq_rows_format_host(&row);
     cq_host_row_t decoded;
     cq_error_t error = {};
-    ASSERT_TRUE(
-        cq_records_parse_host("h", text, strlen(text), &decoded, &error));
+    ASSERT_TRUE(cq_rows_parse_host("h", text, strlen(text), &decoded, &error));
     EXPECT_STREQ(decoded.addr, row.addr);
     EXPECT_EQ(decoded.incarnation, row.incarnation);
     EXPECT_STREQ(decoded.service, "");
     EXPECT_STREQ(decoded.callers, "");
     g_free(text);
     g_strlcpy(row.callers, "10.1.0.4:80", sizeof row.callers);
-    text = cq_records_format_host(&row);
-    ASSERT_TRUE(
-        cq_records_parse_host("h", text, strlen(text), &decoded, &error));
+    text = cq_rows_format_host(&row);
+    ASSERT_TRUE(cq_rows_parse_host("h", text, strlen(text), &decoded, &error));
     EXPECT_STREQ(decoded.callers, row.callers);
     EXPECT_STREQ(decoded.addr, row.addr);
     g_free(text);
@@ -280,7 +279,7 @@
         cq_host_row_t row;
         cq_error_t error = {};
         EXPECT_TRUE(
-            cq_records_parse_host("h", text.data(), text.size(), &row, &error))
+            cq_rows_parse_host("h", text.data(), text.size(), &row, &error))
             << callers;
         EXPECT_STREQ(row.callers, "") << callers;
         EXPECT_STREQ(row.addr, "10.1.0.4:9");
