Nothing new reaches the upstreams of a zone that operators want emptied

Cause: nothing read the records evacuate/ZONE in the topic of the configuration.

What accepts new work asks the mark in one place, core/usable, and the candidate arrays leave marked upstreams out, so that what asks when a service is usable knows it too. Prompts whose memory is being set aside there are placed anew at once.

--- a/packages/base/rules.h
+++ b/packages/base/rules.h
@@ -93,6 +93,9 @@
  *   for this time is moved to another upstream without first probing the
  *   current one; 0: the current one is always probed first
  * @speed: BATCH: cost model of an engine
+ * @cold_start_us: how long an upstream is cold after its start, or 0
+ * @cold_per_s: requests a second that a cold upstream takes from all hosts
+ *   together; 0: not stated
  * @teams: array of cq_team_rule_t
  * @models: array of cq_model_rule_t
  * @calls: array of cq_call_rule_t
@@ -120,6 +123,8 @@
     gint64 connect_timeout_us;
     gint64 progress_timeout_us;
     cq_engine_speed_t speed;
+    gint64 cold_start_us;
+    double cold_per_s;
     GArray *teams;
     GArray *models;
     GArray *calls;
--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -2,6 +2,7 @@
 
 #include "core/claim.h"
 #include "core/batchplace.h"
+#include "core/emptied.h"
 #include "core/flow.h"
 #include "core/group.h"
 #include "core/handoff.h"
@@ -298,6 +299,11 @@
     case CQ_EV_LOG:
         set_log_state(core, event->log_up);
         break;
+    case CQ_EV_EMPTIED:
+        if (cq_emptied_apply(core, &event->emptied)) {
+            cq_group_leave_emptied(core);
+        }
+        break;
     case CQ_EV_DRAIN:
         cq_stop_begin(core, &event->drain);
         break;
--- /dev/null
+++ b/packages/core/emptied.c
@@ -0,0 +1,62 @@
+#include "core/emptied.h"
+
+void
+cq_emptied_mark(const cq_core_t *core, cq_upstream_t *upstream)
+{
+    gboolean emptied =
+        g_hash_table_contains(core->emptied_zones, upstream->zone);
+    if (upstream->zone_emptied != emptied) {
+        upstream->zone_emptied = emptied;
+        upstream->service->candidates_stale = TRUE;
+    }
+}
+
+gboolean
+cq_emptied_apply(cq_core_t *core, const cq_ev_emptied_t *event)
+{
+    gboolean was_emptied =
+        g_hash_table_contains(core->emptied_zones, event->zone);
+    if (was_emptied == event->emptied) {
+        return FALSE;
+    }
+    if (event->emptied) {
+        g_hash_table_add(core->emptied_zones, g_strdup(event->zone));
+    }
+    else {
+        g_hash_table_remove(core->emptied_zones, event->zone);
+    }
+    guint upstreams = 0;
+    for (guint i = 0; i < core->services->len; i++) {
+        const cq_service_t *service = g_ptr_array_index(core->services, i);
+        const cq_list_t *link = service->upstreams.next;
+        for (; link != &service->upstreams; link = link->next) {
+            cq_upstream_t *upstream = CQ_ENTRY(link, cq_upstream_t, link);
+            if (g_str_equal(upstream->zone, event->zone)) {
+                cq_emptied_mark(core, upstream);
+                upstreams++;
+            }
+        }
+    }
+    cq_ring_add(&core->ring, core->now_us, 0, 0, "zone_emptied",
+                "zone=%s emptied=%s upstreams=%u", event->zone,
+                event->emptied ? "yes" : "no", upstreams);
+    core->placement_due = TRUE;
+    return TRUE;
+}
+
+gboolean
+cq_emptied_group(const cq_request_t *request)
+{
+    for (guint i = 0; i < request->group_len; i++) {
+        if (request->group[i]->zone_emptied) {
+            return TRUE;
+        }
+    }
+    const cq_task_t *task = request->task;
+    for (guint i = 0; task != NULL && i < task->engines_len; i++) {
+        if (task->engines[i]->zone_emptied) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -49,6 +49,7 @@
     CQ_EV_LOG,         /* the log became reachable or unreachable */
     CQ_EV_DRAIN,       /* this process is to stop */
     CQ_EV_REACHED,     /* a connection opened by REACH did or did not open */
+    CQ_EV_EMPTIED,     /* operators want a zone emptied, or no longer */
 } cq_event_kind_t;
 
 /**
@@ -241,6 +242,7 @@
  * @service: service of an upstream; "" for an entry host
  * @incarnation: increases with each restart
  * @leaving: whether it is leaving
+ * @cold_us: how much longer an upstream says that it is cold, or 0
  * @callers: an entry host's `ip:port` for callers, or ""
  */
 typedef struct {
@@ -251,6 +253,7 @@
     char service[CQ_NAME_BYTES];
     guint64 incarnation;
     gboolean leaving;
+    gint64 cold_us;
 } cq_host_row_t;
 
 /**
@@ -495,6 +498,16 @@
     cq_reach_purpose_t purpose;
 } cq_ev_reached_t;
 
+/**
+ * struct cq_ev_emptied_t - whether the upstreams of a zone get new work
+ * @zone: the zone
+ * @emptied: they get none
+ */
+typedef struct {
+    char zone[CQ_NAME_BYTES];
+    gboolean emptied;
+} cq_ev_emptied_t;
+
 /**
  * struct cq_ev_drain_t - a planned stop
  * @notice_us: how long from now new requests are still accepted
@@ -535,6 +548,7 @@
         cq_ev_tasks_t tasks;
         cq_ev_parts_t parts;
         const cq_spare_t *spare;
+        cq_ev_emptied_t emptied;
     };
 } cq_event_t;
 
--- a/packages/core/group.c
+++ b/packages/core/group.c
@@ -1,5 +1,6 @@
 #include "core/group.h"
 
+#include "core/emptied.h"
 #include "core/flow.h"
 #include "core/load.h"
 #include "core/place.h"
@@ -104,10 +105,13 @@
 }
 
 /* Whether the engines of the group, and those that prefill with it, still
- * belong to the service of @request. */
+ * belong to the service of @request and get new work. */
 static gboolean
 in_service(const cq_request_t *request)
 {
+    if (cq_emptied_group(request)) {
+        return FALSE;
+    }
     const cq_task_t *task = request->task;
     for (guint i = 0; i < request->group_len; i++) {
         if (request->group[i]->service != request->service) {
@@ -145,3 +149,18 @@
                          task != NULL ? task->engines[0] : request->group[0]);
     }
 }
+
+void
+cq_group_leave_emptied(cq_core_t *core)
+{
+    cq_list_t *link = core->requests.next;
+    for (; link != &core->requests; link = link->next) {
+        cq_request_t *request = CQ_ENTRY(link, cq_request_t, link);
+        if (request->phase == CQ_PHASE_RESERVING &&
+            cq_emptied_group(request)) {
+            cq_group_release(core, request);
+            cq_task_close(core, request);
+            cq_flow_push(core, request, TRUE);
+        }
+    }
+}
--- a/packages/core/group.h
+++ b/packages/core/group.h
@@ -38,6 +38,11 @@
 void
 cq_group_back_off(cq_core_t *core, cq_request_t *request);
 
+/** cq_group_leave_emptied() - give up the reservations that include an engine
+ * of a zone which is emptied; their requests are placed anew at once */
+void
+cq_group_leave_emptied(cq_core_t *core);
+
 G_END_DECLS
 
 #endif
--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -1,5 +1,6 @@
 #include "core/member.h"
 
+#include "core/emptied.h"
 #include "core/lending.h"
 #include "core/place.h"
 #include "core/rate.h"
@@ -113,6 +114,7 @@
     }
     g_strlcpy(upstream->addr, row->addr, sizeof upstream->addr);
     g_strlcpy(upstream->zone, row->zone, sizeof upstream->zone);
+    cq_emptied_mark(core, upstream);
     if (row->leaving) {
         cq_member_leaving(core, upstream, row->incarnation);
     }
--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -128,7 +128,8 @@
         for (; link != &service->upstreams; link = link->next) {
             cq_upstream_t *upstream = CQ_ENTRY(link, cq_upstream_t, link);
             upstream->candidate_index = -1;
-            if (upstream->leaving || cq_usable_is_gone(core, upstream)) {
+            if (upstream->leaving || upstream->zone_emptied ||
+                cq_usable_is_gone(core, upstream)) {
                 continue;
             }
             upstream->same_zone = g_str_equal(upstream->zone, core->zone);
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -144,6 +144,7 @@
  * @lapsed_until_us: until when it counts as present though the host list lacks
  *   it
  * @rate: its rate limit
+ * @zone_emptied: its zone is emptied, so it gets nothing new
  */
 typedef struct cq_upstream {
     cq_list_t link;
@@ -186,6 +187,7 @@
     gint64 broken_us;
     gint64 lapsed_until_us;
     cq_rate_t rate;
+    gboolean zone_emptied;
 } cq_upstream_t;
 
 /**
@@ -474,6 +476,7 @@
  * @entry_hosts: host ids of the other entry hosts on the host list, to the
  *   names of their zones
  * @zones: zone name to cq_zone_t*
+ * @emptied_zones: set of the names of the zones that operators want emptied
  * @host_list_received: a host list has arrived
  * @peers: array of cq_host_row_t: the entry hosts to keep links to
  * @has_cells: the fleet is divided into cells, so this host places requests of
@@ -522,6 +525,7 @@
     GHashTable *peer_by_host;
     GHashTable *entry_hosts;
     GHashTable *zones;
+    GHashTable *emptied_zones;
     gboolean host_list_received;
     GArray *peers;
     gboolean has_cells;
--- a/packages/core/table.c
+++ b/packages/core/table.c
@@ -65,6 +65,8 @@
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_peer);
     core->peers = g_array_new(FALSE, FALSE, sizeof(cq_host_row_t));
     core->cell_hosts = 1;
+    core->emptied_zones =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     core->cell_zones =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     core->offers_wanted =
@@ -86,6 +88,7 @@
     g_hash_table_unref(core->tasks);
     g_hash_table_unref(core->entry_hosts);
     g_hash_table_unref(core->zones);
+    g_hash_table_unref(core->emptied_zones);
     g_hash_table_unref(core->cell_zones);
     g_hash_table_unref(core->offers_wanted);
     g_array_unref(core->peers);
--- a/packages/core/usable.c
+++ b/packages/core/usable.c
@@ -13,7 +13,8 @@
 gboolean
 cq_usable_now(const cq_core_t *core, const cq_upstream_t *upstream)
 {
-    if (upstream->leaving || cq_usable_is_gone(core, upstream) ||
+    if (upstream->leaving || upstream->zone_emptied ||
+        cq_usable_is_gone(core, upstream) ||
         cq_member_zone_cut_off(core, upstream)) {
         return FALSE;
     }
--- a/packages/router/catalog.c
+++ b/packages/router/catalog.c
@@ -1,6 +1,7 @@
 #include "router/catalog.h"
 
 #include "platform/records.h"
+#include "router/emptying.h"
 
 struct cq_catalog {
     cq_app_t *app;
@@ -8,7 +9,8 @@
     cq_topicmap_t *maps[CQ_TOPIC_COUNT];
     cq_routes_t *routes;
     cq_store_record_t config; /* from which routes was parsed */
-    gboolean rows_changed;    /* since the last HOSTS event */
+    cq_emptying_t emptying;
+    gboolean rows_changed; /* since the last HOSTS event */
 };
 
 static void
@@ -95,12 +97,14 @@
     for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
         catalog->maps[i] = cq_topicmap_new(app, (cq_topic_t)i);
     }
+    cq_emptying_init(&catalog->emptying, app, catalog->maps[CQ_TOPIC_CONFIG]);
     return catalog;
 }
 
 void
 cq_catalog_free(cq_catalog_t *catalog)
 {
+    cq_emptying_clear(&catalog->emptying);
     for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
         cq_topicmap_free(catalog->maps[i]);
     }
@@ -154,6 +158,21 @@
     if (cq_topicmap_add(map, record, source)) {
         catalog->rows_changed = TRUE;
     }
+    if (topic == CQ_TOPIC_CONFIG && cq_emptying_owns(record->key)) {
+        cq_emptying_update(&catalog->emptying);
+    }
+}
+
+/* Keys of a topic may have been dropped; @dropped: ones that were listed. */
+static void
+note_dropped(cq_catalog_t *catalog, cq_topic_t topic, gboolean dropped)
+{
+    if (dropped) {
+        catalog->rows_changed = TRUE;
+    }
+    if (topic == CQ_TOPIC_CONFIG) {
+        cq_emptying_update(&catalog->emptying);
+    }
 }
 
 gboolean
@@ -163,9 +182,7 @@
     gboolean dropped = FALSE;
     gboolean known =
         cq_topicmap_add_claim(catalog->maps[topic], claim, &dropped);
-    if (dropped) {
-        catalog->rows_changed = TRUE;
-    }
+    note_dropped(catalog, topic, dropped);
     return known;
 }
 
@@ -204,9 +221,8 @@
 void
 cq_catalog_end_snapshot(cq_catalog_t *catalog, cq_topic_t topic)
 {
-    if (cq_topicmap_end_snapshot(catalog->maps[topic])) {
-        catalog->rows_changed = TRUE;
-    }
+    note_dropped(catalog, topic,
+                 cq_topicmap_end_snapshot(catalog->maps[topic]));
 }
 
 void
@@ -221,9 +237,8 @@
 cq_catalog_end_era(cq_catalog_t *catalog)
 {
     for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
-        if (cq_topicmap_end_era(catalog->maps[i])) {
-            catalog->rows_changed = TRUE;
-        }
+        note_dropped(catalog, (cq_topic_t)i,
+                     cq_topicmap_end_era(catalog->maps[i]));
     }
     cq_catalog_post(catalog, 0);
 }
--- a/packages/router/follower.c
+++ b/packages/router/follower.c
@@ -387,9 +387,7 @@
         schedule_read(table, 0);
     }
     cq_registration_renew(follower->registration);
-    if (follower->era_timer != 0) {
-        g_source_remove(follower->era_timer);
-    }
+    g_clear_handle_id(&follower->era_timer, g_source_remove);
     follower->era_timer =
         g_timeout_add(ERA_SETTLE_MS, on_era_settled, follower);
 }
@@ -425,14 +423,9 @@
 cq_follower_free(cq_follower_t *follower)
 {
     g_source_remove(follower->check_timer);
-    if (follower->era_timer != 0) {
-        g_source_remove(follower->era_timer);
-    }
+    g_clear_handle_id(&follower->era_timer, g_source_remove);
     for (guint i = 0; i < CQ_TOPIC_COUNT; i++) {
-        table_t *table = &follower->tables[i];
-        if (table->timer != 0) {
-            g_source_remove(table->timer);
-        }
+        g_clear_handle_id(&follower->tables[i].timer, g_source_remove);
     }
     cq_registration_free(follower->registration);
     cq_partstore_free(follower->partstore);
@@ -445,6 +438,7 @@
 cq_follower_ready(const cq_follower_t *follower)
 {
     return cq_catalog_has_routes(follower->catalog) &&
+           follower->tables[CQ_TOPIC_CONFIG].current &&
            follower->tables[CQ_TOPIC_UPSTREAMS].current;
 }
 
@@ -475,10 +469,7 @@
         table->read_us = 0;
         table->peers_read_us = 0;
         table->behind_since_us = 0;
-        if (table->timer != 0) {
-            g_source_remove(table->timer);
-            table->timer = 0;
-        }
+        g_clear_handle_id(&table->timer, g_source_remove);
         start_read(table);
     }
     cq_registration_resume(follower->registration);
--- a/packages/router/topicmap.c
+++ b/packages/router/topicmap.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "platform/records.h"
 #include "platform/rows.h"
 #include "router/partstore.h"
 
@@ -325,7 +326,8 @@
 static gboolean
 drop_before(const cq_topicmap_t *map, entry_t *entry, guint64 end)
 {
-    if (map->topic == CQ_TOPIC_CONFIG) {
+    if (map->topic == CQ_TOPIC_CONFIG &&
+        cq_records_is_routes_key(entry->record.key)) {
         return FALSE;
     }
     if (entry->carried) {
@@ -466,6 +468,21 @@
     }
 }
 
+void
+cq_topicmap_visit_held(const cq_topicmap_t *map, cq_topicmap_visit_t visit,
+                       void *data)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, map->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const entry_t *entry = value;
+        if (entry->record.value != NULL) {
+            visit(map->topic, &entry->record, data);
+        }
+    }
+}
+
 void
 cq_topicmap_begin_era(cq_topicmap_t *map)
 {
--- a/packages/router/topicmap.h
+++ b/packages/router/topicmap.h
@@ -151,6 +151,13 @@
 cq_topicmap_visit_from(const cq_topicmap_t *map, guint64 from,
                        cq_topicmap_visit_t visit, void *data);
 
+/** cq_topicmap_visit_held() - call @visit with the record of each key that
+ * counts as having a value, those that an earlier era of the store had too
+ */
+void
+cq_topicmap_visit_held(const cq_topicmap_t *map, cq_topicmap_visit_t visit,
+                       void *data);
+
 /** cq_topicmap_get_claim() - Return: what can be said to a peer that knows the
  * topic up to offset @at, once it has been sent the records from there on;
  * @live, an array of guint64, gets the keys that it borrows */
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -57,14 +57,14 @@
     rm -f "$out"
 }
 
-for program in config json wire h1 platform oddrecords quarantine crashcall crashfleet retract cutfleet facts handfleet hedge hedgefleet rate ratecore batchplace cell retry brokenstream return reach replay hist scn soak sock stop stopfleet store descriptor inbound smuggle outbound outpeer storecopy readplan outage reservations tick targets; do
+for program in config emptied json wire h1 platform oddrecords quarantine crashcall crashfleet retract cutfleet facts handfleet hedge hedgefleet rate ratecore batchplace cell retry brokenstream return reach replay hist scn soak sock stop stopfleet store descriptor inbound smuggle outbound outpeer storecopy readplan outage reservations tick targets; do
     run_unit "$BUILD/tests/${program}_test"
 done
 for script in ports demo badinput oddreports hangup operator drain holds giant orders retention \
     relay relaywake relaypeers relayreads relayreaders relayreadersback relaybulk relayleft relayendless relaydescriptors relaybodies relayleaving relaymany \
     relayoutage relayremoved relaylostpoll relaylostconfig relayslowbytes relaypoison relaypoisonkept relaycells relayera relayerastart relaylimit relaycrashcall relaycrashkept relayidlechange relaystop relaystoplate \
     relayrefusalagain relayslowcall relaybrokenstream relaytornhead relayversion relayteams relaysmuggle \
-    relaycut relaycutall relaycutmost relaycutgone relayoddentries relayupgrade relayupgradereaders; do
+    relaycut relaycutall relaycutmost relaycutgone relayemptied relayoddentries relayupgrade relayupgradereaders; do
     run_script "tests/proc/$script.sh"
 done
 
