--- a/tests/run.sh
+++ b/tests/run.sh
@@ -24,13 +24,23 @@
     fi
 }
 
-# run_unit PROGRAM: runs a GoogleTest program and records each of its tests. A
-# program that ends without GoogleTest's summary counts as a failed test.
-run_unit() {
-    local program=$1 out line name
-    out=$(mktemp)
-    "$program" --gtest_color=no >"$out" 2>&1
-    local code=$?
+# Several unit test programs run at once: most of them run in virtual time, and
+# the others mostly wait for sockets.
+UNITS_AT_ONCE=4
+UNITS=$(mktemp -d)
+trap 'rm -rf "$UNITS"' EXIT
+
+# start_unit NAME: runs a GoogleTest program; its output and status are kept
+start_unit() {
+    "$BUILD/tests/$1_test" --gtest_color=no >"$UNITS/$1.out" 2>&1
+    echo $? >"$UNITS/$1.code"
+}
+
+# record_unit NAME: records each test of a program that has run. A program that
+# ends without GoogleTest's summary counts as a failed test.
+record_unit() {
+    local line name out=$UNITS/$1.out code
+    code=$(cat "$UNITS/$1.code")
     while read -r line; do
         name=$(echo "$line" | sed 's/^\[[^]]*\] //; s/[ ,].*//')
         case "$line" in
@@ -38,11 +48,10 @@
         "[  FAILED  ]"*"ms)") record "$name" 1 ;;
         esac
     done <"$out"
-    grep -q " ran\. (" "$out" || record "$(basename "$program")" 1
-    if [ $code != 0 ]; then
+    grep -q " ran\. (" "$out" || record "$1_test" 1
+    if [ "$code" != 0 ]; then
         grep -vE "^\[ +(RUN|OK) |^\[-+\]|^$" "$out" | tail -40
     fi
-    rm -f "$out"
 }
 
 # run_script FILE: runs a script for at most 180 s and records it as one test
@@ -57,9 +66,13 @@
     rm -f "$out"
 }
 
-for program in config emptied json wire h1 platform oddrecords quarantine crashcall crashfleet retract cutfleet facts handfleet hedge hedgefleet rate ratecore batchplace cell retry brokenstream return reach replay hist scn soak sock stop stopfleet store descriptor inbound smuggle outbound outpeer storecopy readplan outage reservations tick targets; do
-    run_unit "$BUILD/tests/${program}_test"
+units="config emptied json wire h1 platform oddrecords quarantine crashcall crashfleet retract cutfleet facts handfleet hedge hedgefleet rate ratecore batchplace cell retry brokenstream return reach replay hist scn soak sock stop stopfleet store descriptor inbound smuggle outbound outpeer storecopy readplan outage reservations tick targets"
+for unit in $units; do
+    while [ "$(jobs -rp | wc -l)" -ge $UNITS_AT_ONCE ]; do wait -n; done
+    start_unit "$unit" &
 done
+wait
+for unit in $units; do record_unit "$unit"; done
 for script in ports demo badinput oddreports hangup operator drain holds giant orders retention \
     relay relaywake relaypeers relayreads relayreaders relayreadersback relaybulk relayleft relayendless relaydescriptors relaybodies relayleaving relaymany \
     relayoutage relayremoved relaylostpoll relaylostconfig relayslowbytes relaypoison relaypoisonkept relaycells relayera relayerastart relaylimit relaycrashcall relaycrashkept relayidlechange relaystop relaystoplate \
