Cold engines take parts of prompts, and more hosts share their rate

Cause: a cold engine got no parts of long prompts, so these went to the engines that short prompts had; and only one host for each four requests a second could send it anything.

Change: only the engine that decodes gets a request, so a cold engine takes parts whatever its rate; it decodes no prompt that is booked ahead. Half as many hosts as requests a second have a share: they send two requests more than the limit in any second at most.

--- a/packages/core/batchplace.c
+++ b/packages/core/batchplace.c
@@ -94,7 +94,7 @@
 can_decode(const cq_request_t *request, const cq_candidate_t *candidate)
 {
     const cq_engine_speed_t *speed = &request->service->rules->speed;
-    return candidate->pass.streams < speed->slots &&
+    return !candidate->parts_only && candidate->pass.streams < speed->slots &&
            can_hold(request, candidate);
 }
 
@@ -232,7 +232,7 @@
 /* Lists the engines on which a part of @part_us exceeds the gap limit of at
  * most @gaps_broken_max streams, the best ones first. An engine with a rate
  * limit gets no parts: they would count against it, and can't be shared out
- * ahead. */
+ * ahead. One that is cold is limited in whole requests only. */
 static guint
 list_part_options(const cq_candidate_list_t *candidates, gint64 part_us,
                   guint gaps_broken_max, part_option_t *options)
@@ -240,7 +240,7 @@
     guint len = 0;
     for (guint i = 0; i < candidates->len; i++) {
         const cq_candidate_t *candidate = &candidates->items[i];
-        if (cq_rate_is_bounded(candidate->engine)) {
+        if (candidate->engine->rate.limited) {
             continue;
         }
         guint gaps_broken = candidate->prefill_room_us < part_us
@@ -275,7 +275,8 @@
     for (guint i = 0; i < len && plan->engines_len < parts; i++) {
         const cq_candidate_t *candidate = options[i].candidate;
         gboolean is_last = plan->engines_len + 1 == parts;
-        gboolean decodes = can_decode(request, candidate);
+        gboolean decodes = can_decode(request, candidate) &&
+                           !cq_rate_is_bounded(candidate->engine);
         if (is_last && decoder == NULL && !decodes) {
             continue;
         }
--- a/packages/core/booking.c
+++ b/packages/core/booking.c
@@ -74,9 +74,12 @@
 cq_booking_usable(const cq_core_t *core, const cq_request_t *request)
 {
     const cq_task_t *task = request->task;
+    if (cq_rate_is_bounded(task->engines[0])) {
+        return FALSE;
+    }
     for (guint i = 0; i < task->engines_len; i++) {
         if (!cq_usable_now(core, task->engines[i]) ||
-            cq_rate_is_bounded(task->engines[i]) ||
+            task->engines[i]->rate.limited ||
             task->engines[i]->service != request->service) {
             return FALSE;
         }
--- a/packages/core/candidate.c
+++ b/packages/core/candidate.c
@@ -35,13 +35,16 @@
 {
     for (guint i = 0; i < upstreams->len; i++) {
         cq_upstream_t *engine = g_ptr_array_index(upstreams, i);
-        if (!cq_usable_now(core, engine) || !cq_rate_allows(core, engine) ||
+        gboolean may_decode = cq_rate_allows(core, engine);
+        if (!cq_usable_now(core, engine) ||
+            (!may_decode && engine->rate.limited) ||
             engine->id == request->last_failed ||
             engine == request->upstream) {
             continue;
         }
-        assess_engine(core, request, engine,
-                      &candidates->items[candidates->len++]);
+        cq_candidate_t *candidate = &candidates->items[candidates->len++];
+        assess_engine(core, request, engine, candidate);
+        candidate->parts_only = !may_decode;
     }
 }
 
--- a/packages/core/candidate.h
+++ b/packages/core/candidate.h
@@ -23,6 +23,8 @@
  * @wait_us: time until its prefill could begin
  * @recheck_due: it has a rate limit, and a request should go there to learn
  *   whether that still holds
+ * @parts_only: it is cold, and this host may send it no request now; parts of
+ *   prompts that others decode are none
  * @prefill_room_us: prefill that the next pass can take without exceeding a
  *   stream's gap limit
  */
@@ -32,6 +34,7 @@
     gint64 decode_us;
     gint64 wait_us;
     gboolean recheck_due;
+    gboolean parts_only;
     gint64 prefill_room_us;
 } cq_candidate_t;
 
--- a/packages/core/rate.c
+++ b/packages/core/rate.c
@@ -23,9 +23,10 @@
 #define ENDED_REPORT_US (10 * CQ_SECOND_US)
 /* Interval at which the limits are divided anew. */
 #define CHECK_INTERVAL_US (100 * CQ_MS_US)
-/* A cold upstream is bounded in each second, so that few hosts may have a
- * share: each may send one request more than its share in any second. */
-#define COLD_PER_SHARER 4
+/* A cold upstream is bounded in each second, in which a host may send one
+ * request more than its share. With half as many hosts as requests a second
+ * they send two more than the limit at most. */
+#define COLD_PER_SHARER 2
 /* Share of its target time that a request may wait for an upstream with a
  * limit. */
 #define WAIT_PERCENT 12
