A fleet's configuration can be checked before it is sent

What operators had: cuminquayctl check knew service files only; a configuration for the platform's store was seen to be wrong in the hosts' logs, or not at all.

Not built: the number of upstreams of a service isn't known to it, so attempts above that aren't found; nor idle limits below what callers use.

--- a/packages/config/routes.c
+++ b/packages/config/routes.c
@@ -39,6 +39,7 @@
     routes->all = g_ptr_array_new_with_free_func(free_route);
     routes->by_host = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                             free_host_routes);
+    routes->notes = g_ptr_array_new_with_free_func(g_free);
     routes->left_out = g_ptr_array_new_with_free_func(g_free);
     routes->team_by_key =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -55,6 +56,7 @@
 {
     g_hash_table_unref(routes->by_host);
     g_hash_table_unref(routes->team_by_key);
+    g_ptr_array_unref(routes->notes);
     g_ptr_array_unref(routes->left_out);
     g_ptr_array_unref(routes->rules);
     g_ptr_array_unref(routes->all);
--- a/packages/config/routes.h
+++ b/packages/config/routes.h
@@ -71,7 +71,9 @@
  * @team_by_key: API key to team name
  * @needs_key: there are teams, so routes that aren't public need an API key,
  *   also if no team or key could be read
+ * @notes: what holds and has no effect, as texts
  * @left_out: what could not be read, as texts; the first few
+ * @left_out_max: how many of them are kept
  * @left_out_count: how much could not be read
  * @rules: array of cq_rules_t*, one per service
  * @head_bytes_max: longest head of a request
@@ -85,7 +87,9 @@
     GHashTable *by_host;
     GHashTable *team_by_key;
     gboolean needs_key;
+    GPtrArray *notes;
     GPtrArray *left_out;
+    guint left_out_max;
     guint left_out_count;
     GPtrArray *rules;
     gsize head_bytes_max;
--- a/packages/ctl/commands.h
+++ b/packages/ctl/commands.h
@@ -18,6 +18,8 @@
 /**
  * struct cq_ctl_options_t - options of every command
  * @log_addr: `ip:port` of the platform's log, or NULL
+ * @store_addr: `ip:port` of the platform's store, or NULL
+ * @fleet: the files are configurations of a fleet
  * @operator_addrs: NULL-terminated operator addresses (`ip:port`) of
  * processes, or NULL
  * @json: print JSON
@@ -25,12 +27,30 @@
  */
 typedef struct {
     char *log_addr;
+    char *store_addr;
+    gboolean fleet;
     char **operator_addrs;
     gboolean json;
     char **args;
 } cq_ctl_options_t;
 
-/** cq_ctl_check() - check service files without publishing them */
+/**
+ * cq_ctl_check_fleet() - check configurations of a fleet before they are sent
+ * @options: @args are the names of the files; with @store_addr each is
+ *   compared with the version in force there
+ *
+ * Return: CQ_EXIT_REFUSED if there is a finding other than a change,
+ * CQ_EXIT_USAGE if hosts can't use a file at all.
+ */
+int
+cq_ctl_check_fleet(const cq_ctl_options_t *options);
+
+/** cq_ctl_diff() - the same, with the version in force */
+int
+cq_ctl_diff(const cq_ctl_options_t *options);
+
+/** cq_ctl_check() - check service files without publishing them, or
+ * configurations of a fleet if @fleet is set */
 int
 cq_ctl_check(const cq_ctl_options_t *options);
 
--- a/packages/ctl/main.c
+++ b/packages/ctl/main.c
@@ -14,7 +14,10 @@
 } command_t;
 
 static const command_t commands[] = {
-    {"check", cq_ctl_check, "FILE...", "check service files"},
+    {"check", cq_ctl_check, "[--fleet] FILE...",
+     "check service files, or a fleet's configurations"},
+    {"diff", cq_ctl_diff, "--store ADDRESS FILE...",
+     "the same for a fleet, and what differs from the version in force"},
     {"publish", cq_ctl_publish, "--log ADDRESS FILE...",
      "put all service files in force; none if one is invalid"},
     {"config", cq_ctl_config, "--log ADDRESS show|history",
@@ -73,6 +76,10 @@
     GOptionEntry entries[] = {
         {"log", 0, 0, G_OPTION_ARG_STRING, &options->log_addr,
          "Address of the platform's log", "IP:PORT"},
+        {"store", 0, 0, G_OPTION_ARG_STRING, &options->store_addr,
+         "Address of the platform's store", "IP:PORT"},
+        {"fleet", 0, 0, G_OPTION_ARG_NONE, &options->fleet,
+         "The files are configurations of a fleet", NULL},
         {"at", 0, 0, G_OPTION_ARG_STRING_ARRAY, &options->operator_addrs,
          "Operator address of a process; may be given again", "IP:PORT"},
         {"json", 0, 0, G_OPTION_ARG_NONE, &options->json, "Print JSON", NULL},
@@ -123,6 +130,7 @@
     options.args = argv + 2;
     int code = command->run(&options);
     g_free(options.log_addr);
+    g_free(options.store_addr);
     g_strfreev(options.operator_addrs);
     return code;
 }
--- a/packages/ctl/publish.c
+++ b/packages/ctl/publish.c
@@ -105,6 +105,9 @@
 int
 cq_ctl_check(const cq_ctl_options_t *options)
 {
+    if (options->fleet) {
+        return cq_ctl_check_fleet(options);
+    }
     if (options->args[0] == NULL) {
         fprintf(stderr, "cuminquayctl: check: no files; give FILE...\n");
         return CQ_EXIT_USAGE;
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -66,14 +66,14 @@
     rm -f "$out"
 }
 
-units="config emptied json wire h1 platform oddrecords quarantine crashcall crashfleet retract cutfleet facts handfleet hedge hedgefleet rate ratecore cold batchplace cell retry brokenstream return reach replay hist scn soak sock stop stopfleet store descriptor inbound smuggle outbound outpeer storecopy readplan outage reservations tick targets"
+units="audit config emptied json wire h1 platform oddrecords quarantine crashcall crashfleet retract cutfleet facts handfleet hedge hedgefleet rate ratecore cold batchplace cell retry brokenstream return reach replay hist scn soak sock stop stopfleet store descriptor inbound smuggle outbound outpeer storecopy readplan outage reservations tick targets"
 for unit in $units; do
     while [ "$(jobs -rp | wc -l)" -ge $UNITS_AT_ONCE ]; do wait -n; done
     start_unit "$unit" &
 done
 wait
 for unit in $units; do record_unit "$unit"; done
-for script in ports demo badinput oddreports hangup operator drain holds giant orders retention \
+for script in ports demo fleetcheck badinput oddreports hangup operator drain holds giant orders retention \
     relay relaywake relaypeers relayreads relayreaders relayreadersback relaybulk relayleft relayendless relaydescriptors relaybodies relayleaving relaymany \
     relayoutage relayremoved relaylostpoll relaylostconfig relayslowbytes relaypoison relaypoisonkept relaycells relayera relayerastart relaylimit relaycrashcall relaycrashkept relayidlechange relaystop relaystoplate \
     relayrefusalagain relayslowcall relaybrokenstream relaytornhead relayversion relayteams relaysmuggle \
