An upstream that changes its service while it is cold keeps its rate

The rate was read from the service's rules, which a service that no configuration has lacks: the process would have ended. ColdAgain.AnUpstreamThatPassesToAnUnknownService* crashed before.

--- a/packages/config/audit.c
+++ b/packages/config/audit.c
@@ -145,8 +145,7 @@
     if (route->target_us > route->timeout_us) {
         add(findings, CQ_FINDING_CONTRADICTION, route_place(route),
             "the target time of %" G_GINT64_FORMAT
-            " ms is above the time limit of %" G_GINT64_FORMAT
-            " ms; lower it",
+            " ms is above the time limit of %" G_GINT64_FORMAT " ms; lower it",
             route->target_us / CQ_MS_US, route->timeout_us / CQ_MS_US);
     }
     for (guint i = 0; i < route->targets->len; i++) {
@@ -237,8 +236,7 @@
     const cq_rules_t *rules = g_ptr_array_index(routes->rules, 0);
     GHashTable *teams = teams_with_keys(routes);
     for (guint i = 0; i < rules->teams->len; i++) {
-        const char *name =
-            g_array_index(rules->teams, cq_team_rule_t, i).name;
+        const char *name = g_array_index(rules->teams, cq_team_rule_t, i).name;
         if (name[0] != '\0' && !g_hash_table_contains(teams, name)) {
             add(findings, CQ_FINDING_NEVER_MATCHES,
                 g_strdup_printf("team %s", name),
@@ -404,8 +402,8 @@
             g_hash_table_insert(taken, team, GUINT_TO_POINTER(count + 1));
         }
     }
-    GList *names = g_list_sort(g_hash_table_get_keys(taken),
-                               (GCompareFunc)strcmp);
+    GList *names =
+        g_list_sort(g_hash_table_get_keys(taken), (GCompareFunc)strcmp);
     for (const GList *item = names; item != NULL; item = item->next) {
         add(findings, CQ_FINDING_CHANGE,
             g_strdup_printf("team %s", (const char *)item->data),
--- a/packages/core/rate.c
+++ b/packages/core/rate.c
@@ -46,8 +46,7 @@
     const cq_rate_t *rate = &upstream->rate;
     double named_per_s =
         rate->limited ? MAX(rate->per_s, TRIAL_PER_S) : G_MAXDOUBLE;
-    double cold_per_s =
-        rate->cold ? upstream->service->rules->cold_per_s : G_MAXDOUBLE;
+    double cold_per_s = rate->cold ? rate->cold_per_s : G_MAXDOUBLE;
     *per_s = MIN(named_per_s, cold_per_s);
     return 1 + (guint)(rate->cold ? *per_s / COLD_PER_SHARER : *per_s);
 }
@@ -224,6 +223,7 @@
         return;
     }
     rate->cold_until_us = MAX(rate->cold_until_us, until_us);
+    rate->cold_per_s = rules->cold_per_s;
     if (!rate->cold) {
         rate->cold = TRUE;
         update_share(core, upstream);
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -91,6 +91,7 @@
  * @learned_us: when this process learned of the statement
  * @confirmed_us: when an answer to this process last stated the rate
  * @cold: it is cold, and its service states a rate for that
+ * @cold_per_s: the requests a second that it takes meanwhile
  * @cold_until_us: until when it is, as far as this process knows
  * @share_per_s: this host's share of the lowest limit; 0: it has none
  * @is_first: this host has the lowest rank of those that have a share
@@ -104,6 +105,7 @@
     gint64 learned_us;
     gint64 confirmed_us;
     gboolean cold;
+    double cold_per_s;
     gint64 cold_until_us;
     double share_per_s;
     gboolean is_first;
--- a/packages/ctl/fleet.c
+++ b/packages/ctl/fleet.c
@@ -140,9 +140,8 @@
             print_json(file, finding);
         }
         else {
-            printf("%s: %s: %s: %s\n", file,
-                   cq_audit_kind_name(finding->kind), finding->place,
-                   finding->text);
+            printf("%s: %s: %s: %s\n", file, cq_audit_kind_name(finding->kind),
+                   finding->place, finding->text);
         }
     }
     return any_wrong;
@@ -203,7 +202,8 @@
 cq_ctl_diff(const cq_ctl_options_t *options)
 {
     if (options->store_addr == NULL) {
-        fprintf(stderr, "cuminquayctl: diff: no store; give --store ADDRESS\n");
+        fprintf(stderr,
+                "cuminquayctl: diff: no store; give --store ADDRESS\n");
         return CQ_EXIT_USAGE;
     }
     return cq_ctl_check_fleet(options);
--- a/tests/unit/audit_test.cc
+++ b/tests/unit/audit_test.cc
@@ -77,9 +77,8 @@
     }
     std::string lines = audit(config(bad + route("/a/")));
     size_t count = 0;
-    for (size_t at = 0; (at = lines.find("unreadable", at)) !=
-                        std::string::npos;
-         at++) {
+    for (size_t at = 0;
+         (at = lines.find("unreadable", at)) != std::string::npos; at++) {
         count++;
     }
     EXPECT_EQ(count, 40u);
@@ -98,30 +97,29 @@
     EXPECT_NE(
         audit(config("")).find("never_matches service n: no route names it"),
         std::string::npos);
-    EXPECT_NE(
-        audit(config(route("/a/"),
-                     R"(,"tenants":[{"name":"t","api_keys":["k"]},
+    EXPECT_NE(audit(config(route("/a/"),
+                           R"(,"tenants":[{"name":"t","api_keys":["k"]},
                          {"name":"u","api_keys":["k"]}])"))
-            .find("never_matches team u: one of its keys stands twice"),
-        std::string::npos);
+                  .find("never_matches team u: one of its keys stands twice"),
+              std::string::npos);
     EXPECT_NE(audit(config(route("/a/"),
                            R"(,"tenants":[{"name":"t","api_keys":[]}])"))
                   .find("never_matches team t: it has no key"),
               std::string::npos);
-    EXPECT_NE(
-        audit(config(R"({"host":"h","path_prefix":"/a/","split":[
+    EXPECT_NE(audit(config(R"({"host":"h","path_prefix":"/a/","split":[
                          {"service":"n","weight":1},
                          {"service":"n","weight":0}]})"))
-            .find("has a weight of 0"),
-        std::string::npos);
+                  .find("has a weight of 0"),
+              std::string::npos);
 }
 
 TEST(Audit, NamesLimitsThatContradictEachOther)
 {
-    EXPECT_NE(audit(config(R"({"host":"h","path_prefix":"/a/","service":"n",
+    EXPECT_NE(
+        audit(config(R"({"host":"h","path_prefix":"/a/","service":"n",
                                "timeout_ms":100,"goal_ms":300})"))
-                  .find("target time of 300 ms is above the time limit of 100"),
-              std::string::npos);
+            .find("target time of 300 ms is above the time limit of 100"),
+        std::string::npos);
     EXPECT_NE(audit(config(R"({"host":"h","path_prefix":"/a/",
                                "service":"q"})"))
                   .find("contradiction route h/a/: service q is not defined"),
@@ -165,8 +163,7 @@
               "change route h/c/: added\n"
               "change team t: 1 of its keys are taken away: requests with "
               "them get 401\n");
-    EXPECT_NE(audit(old, now).find("7 isn't newer than 8"),
-              std::string::npos);
+    EXPECT_NE(audit(old, now).find("7 isn't newer than 8"), std::string::npos);
     EXPECT_EQ(audit(now, now).find("change"), std::string::npos);
 }
 
@@ -195,8 +192,7 @@
                 cq_routes_find(routes, one->host, one->prefix);
             std::string place = std::string("never_matches route ") +
                                 one->host + one->prefix + ": ";
-            EXPECT_TRUE(found == one ||
-                        lines.find(place) != std::string::npos)
+            EXPECT_TRUE(found == one || lines.find(place) != std::string::npos)
                 << text << "\n"
                 << lines;
         }
--- a/tests/unit/cold_test.cc
+++ b/tests/unit/cold_test.cc
@@ -155,4 +155,24 @@
     EXPECT_LE(fleet.worst_second("b", from_us, fleet.now_us), fleet.allowed());
 }
 
+// Its entry names a service that no configuration has.
+TEST(ColdAgain, AnUpstreamThatPassesToAnUnknownServiceWhileItIsCold)
+{
+    Fleet fleet({4, 3, 6, 100}, 17);
+    fleet.run(kSecond);
+    fleet.set_zone_up("b", false);
+    fleet.set_zone_up("b", true, kColdTime);
+    fleet.run(200 * kMs);
+    for (cq_host_row_t &row : fleet.rows) {
+        if (row.service[0] != '\0' && row.zone[0] == 'b') {
+            g_strlcpy(row.service, "unknown", sizeof row.service);
+        }
+    }
+    for (guint i = 0; i < fleet.hosts.size(); i++) {
+        fleet.send_list(i);
+    }
+    fleet.run(2 * kColdTime);
+    EXPECT_EQ(fleet.refused, 0u);
+}
+
 } // namespace
