Short prompts keep slack for what the estimate misses

Cause: a short prompt goes to the fullest engine on which its estimate is just in time.

Change: each host keeps how late the newest 32 first tokens of a service came (core/slack), and takes engines first on which the estimate leaves free what one in twenty of them exceeds. Only where a route's aim is no longer than the pauses that its streams allow, as then one pass that is missed makes an answer late; with longer aims placement is as before.

Unit tests run: slack, batchplace, cold; the others not yet.

--- a/packages/core/batchplace.c
+++ b/packages/core/batchplace.c
@@ -60,15 +60,6 @@
  * become free together, and no longer than shorter prompts can wait. */
 #define BOOKING_AHEAD_MAX_US (300 * CQ_MS_US)
 
-/* Time until the first token of a request if the engine prefills a part of it
- * that takes @part_us. */
-static gint64
-first_token_delay_us(const cq_candidate_t *candidate, gint64 part_us)
-{
-    gint64 decode_us = candidate->pass.streams > 0 ? candidate->decode_us : 0;
-    return candidate->wait_us + part_us + decode_us;
-}
-
 /* Number of engines among which the memory of @request is divided. */
 static guint
 holders_needed(const cq_request_t *request)
@@ -114,16 +105,22 @@
 
 /* Whether @candidate is better than @best. Retries go to the engine that
  * begins soonest; other requests to the one with the most streams, so that
- * whole engines stay free. */
+ * whole engines stay free, but first to those with a first token in
+ * @safe_us. */
 static gboolean
 is_better(const cq_request_t *request, const cq_candidate_t *candidate,
-          const cq_candidate_t *best, gint64 prefill_us)
+          const cq_candidate_t *best, gint64 prefill_us, gint64 safe_us)
 {
     if (candidate->recheck_due != best->recheck_due) {
         return candidate->recheck_due;
     }
-    gint64 sooner_us = first_token_delay_us(best, prefill_us) -
-                       first_token_delay_us(candidate, prefill_us);
+    gint64 first_us = cq_candidate_first_token_us(candidate, prefill_us);
+    gint64 best_us = cq_candidate_first_token_us(best, prefill_us);
+    gint64 sooner_us = best_us - first_us;
+    if (request->attempt == 0 &&
+        (first_us <= safe_us) != (best_us <= safe_us)) {
+        return first_us <= safe_us;
+    }
     gint64 fuller = candidate->pass.streams - best->pass.streams;
     if (request->attempt > 0 || fuller == 0) {
         return sooner_us > 0;
@@ -139,7 +136,7 @@
     plan->engines_len = 1;
     plan->part_us = prefill_us;
     plan->wait_us = candidate->wait_us;
-    plan->first_token_us = first_token_delay_us(candidate, prefill_us);
+    plan->first_token_us = cq_candidate_first_token_us(candidate, prefill_us);
 }
 
 static guint
@@ -160,18 +157,20 @@
 {
     const cq_candidate_t *best[CHOICES_MAX + 1];
     guint len_max = choices_count(core, request);
+    gint64 safe_us = left_us - cq_task_slack_us(request);
     guint len = 0;
     for (guint i = 0; i < candidates->len; i++) {
         const cq_candidate_t *candidate = &candidates->items[i];
-        gint64 first_token_us = first_token_delay_us(candidate, prefill_us);
+        gint64 first_token_us =
+            cq_candidate_first_token_us(candidate, prefill_us);
         if (candidate->prefill_room_us < prefill_us ||
             first_token_us > left_us || !can_decode(request, candidate) ||
             conflicts_with_booking(request, candidate, first_token_us)) {
             continue;
         }
         guint slot = len;
-        for (; slot > 0 &&
-               is_better(request, candidate, best[slot - 1], prefill_us);
+        for (; slot > 0 && is_better(request, candidate, best[slot - 1],
+                                     prefill_us, safe_us);
              slot--) {
             best[slot] = best[slot - 1];
         }
@@ -195,7 +194,8 @@
     const cq_pass_t *pass = &candidate->pass;
     gint64 earliest_us =
         pass->busy_us <= CQ_BOOKING_PENDING_MAX_US ? 0 : pass->busy_us;
-    gint64 done_us = earliest_us + first_token_delay_us(candidate, part_us);
+    gint64 done_us =
+        earliest_us + cq_candidate_first_token_us(candidate, part_us);
     return done_us <= pass->next_booking_us ? earliest_us
                                             : pass->idle_after_us;
 }
--- a/packages/core/candidate.c
+++ b/packages/core/candidate.c
@@ -28,6 +28,13 @@
     }
 }
 
+gint64
+cq_candidate_first_token_us(const cq_candidate_t *candidate, gint64 part_us)
+{
+    gint64 decode_us = candidate->pass.streams > 0 ? candidate->decode_us : 0;
+    return candidate->wait_us + part_us + decode_us;
+}
+
 void
 cq_candidate_add_all(const cq_core_t *core, const cq_request_t *request,
                      const GPtrArray *upstreams,
--- a/packages/core/candidate.h
+++ b/packages/core/candidate.h
@@ -48,6 +48,11 @@
     guint len;
 } cq_candidate_list_t;
 
+/** cq_candidate_first_token_us() - Return: time until the first token of a
+ * request if the engine prefills a part of it that takes @part_us */
+gint64
+cq_candidate_first_token_us(const cq_candidate_t *candidate, gint64 part_us);
+
 /** cq_candidate_add_all() - add the usable engines of @upstreams */
 void
 cq_candidate_add_all(const cq_core_t *core, const cq_request_t *request,
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -11,6 +11,7 @@
 #include "core/core.h"
 #include "core/logstate.h"
 #include "core/reachstate.h"
+#include "core/slack.h"
 
 #define CQ_CLASSES 4
 
@@ -269,6 +270,7 @@
  * @output_tokens_high: estimated length that few answers exceed
  * @candidates_stale: the candidate arrays need rebuilding
  * @round_robin_next: next position of the round-robin policy
+ * @slack: how late the first tokens of short prompts came
  */
 typedef struct cq_service {
     char name[CQ_NAME_BYTES];
@@ -288,6 +290,7 @@
     double output_tokens_high;
     gboolean candidates_stale;
     guint round_robin_next;
+    cq_slack_t slack;
 } cq_service_t;
 
 /**
--- a/packages/core/task.c
+++ b/packages/core/task.c
@@ -137,12 +137,29 @@
     }
 }
 
+static gboolean
+needs_slack(const cq_request_t *request)
+{
+    return cq_slack_needed(request->target_us - request->arrived_us,
+                           request->gap_max_us);
+}
+
+gint64
+cq_task_slack_us(const cq_request_t *request)
+{
+    return needs_slack(request) ? cq_slack_us(&request->service->slack) : 0;
+}
+
 void
 cq_task_first_token(cq_core_t *core, cq_request_t *request)
 {
     if (request->task == NULL || request->task->decoding) {
         return;
     }
+    if (request->task->engines_len == 1 && needs_slack(request)) {
+        cq_slack_note(&request->service->slack,
+                      core->now_us - request->task->first_token_us);
+    }
     set_decoding(core, request->task);
     broadcast_change(core, request->task, CQ_TASK_DECODING);
 }
--- a/packages/core/task.h
+++ b/packages/core/task.h
@@ -45,6 +45,11 @@
 void
 cq_task_start(cq_core_t *core, cq_request_t *request);
 
+/** cq_task_slack_us() - Return: time to leave free beyond the estimate of the
+ * first token of @request; see slack.h */
+gint64
+cq_task_slack_us(const cq_request_t *request);
+
 /** cq_task_first_token() - note that prefill of @request is done */
 void
 cq_task_first_token(cq_core_t *core, cq_request_t *request);
