Copies of the operators' records are tested in generated orders

What callers would see otherwise: an evacuation that begins late or never at a host, or that never ends there.

Each host is asked what it holds, in both directions: deleted and held, or lost. The configuration itself may stay without its record.

--- a/tests/unit/storecopy_test.cc
+++ b/tests/unit/storecopy_test.cc
@@ -159,4 +159,41 @@
     expect_held({10, 33, false, true}, 500);
 }
 
+// The operators' records: those of emptied zones go with their deletion, and
+// the configuration stays.
+TEST(OperatorsRecords, AreHeldInAnyOrderOfDisruptions)
+{
+    expect_held({1, 4, false, false, true}, 1);
+}
+
+TEST(OperatorsRecords, AreHeldAt117Hosts)
+{
+    expect_held({9, 13, false, false, true}, 100);
+}
+
+TEST(OperatorsRecords, AreHeldAt330Hosts)
+{
+    expect_held({10, 33, false, false, true}, 500);
+}
+
+TEST(OperatorsRecords, AreHeldBesideAnOlderVersion)
+{
+    expect_held({1, 4, true, false, true}, 1);
+}
+
+TEST(OperatorsRecords, AreHeldBesideAnOlderVersionAt117Hosts)
+{
+    expect_held({9, 13, true, false, true}, 100);
+}
+
+TEST(OperatorsRecords, AreHeldAfterTheStoreCameBackOlder)
+{
+    expect_held({1, 4, false, true, true}, 1);
+}
+
+TEST(OperatorsRecords, AreHeldAfterTheStoreCameBackOlderAt117Hosts)
+{
+    expect_held({9, 13, false, true, true}, 100);
+}
+
 } // namespace
--- a/tests/unit/storehost.h
+++ b/tests/unit/storehost.h
@@ -55,6 +55,7 @@
     int life = 0;
     int up_at = 0;
     bool older = false; // of a version that says nothing of deletions
+    bool keeps = false; // of a version that doesn't drop operators' records
     bool cut = false;
     guint64 era = 0;
     int settled_at = 0; // when what an earlier era told ends
--- a/tests/unit/storelog.h
+++ b/tests/unit/storelog.h
@@ -12,6 +12,8 @@
 #include <string>
 #include <vector>
 
+#include "platform/wirenames.h"
+
 namespace storeworld {
 
 constexpr int kKeys = 6;
@@ -20,20 +22,16 @@
 constexpr int kLostMax = 12;
 constexpr int kRewriteSteps = 20;
 
-inline std::string
-key_name(int i)
-{
-    return "k" + std::to_string(i);
-}
-
 struct record_t {
     std::string key;
     bool live;
     int step;
 };
 
-// below(n) draws a number from 0 to n - 1.
+// below(n) draws a number from 0 to n - 1. With is_config, the first key is
+// that of the configuration, and the others empty a zone each.
 struct log_t {
+    bool is_config = false;
     std::function<int(int)> below;
     std::vector<record_t> records;
     guint64 first = 0; // oldest record that is kept
@@ -42,6 +40,16 @@
     std::map<std::string, bool> wanted; // whether the upstream is there
     std::map<std::string, int> due;     // when its entry is written again
 
+    // In order of the names.
+    std::string
+    key_name(int i) const
+    {
+        if (is_config && i == 0) {
+            return CQ_W_CONFIG_KEY;
+        }
+        return (is_config ? CQ_W_EMPTIED_PREFIX : "k") + std::to_string(i);
+    }
+
     size_t
     size() const
     {
--- a/tests/unit/storeworld.h
+++ b/tests/unit/storeworld.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "platform/records.h"
 #include "storehost.h"
 #include "storelog.h"
 
@@ -29,11 +30,16 @@
 // upgrade: a host that starts again may be of a version that says nothing of
 //   deletions, as in an upgrade; readers push what they read
 // eras: the store may come back from an older copy
+// config: the topic is that of the configuration, with zones to be emptied
+// keepers: a host that starts again may be of a version that drops none of its
+//   records for want of them in a snapshot or in a peer's list of keys
 struct options_t {
     int zones = 1;
     int hosts = 4;
     bool upgrade = false;
     bool eras = false;
+    bool config = false;
+    bool keepers = false;
 };
 
 class world_t {
@@ -42,6 +48,7 @@
         : options_(options), draw_(seed)
     {
         log_.below = [this](int n) { return below(n); };
+        log_.is_config = options.config;
         int count = options.zones * options.hosts;
         hosts_.resize((size_t)count);
         links_.resize((size_t)count);
@@ -137,8 +144,10 @@
         host.life = life;
         host.up_at = step_ + below(8);
         host.in_touch_since = host.up_at;
-        host.map.reset(cq_topicmap_new(nullptr, CQ_TOPIC_UPSTREAMS));
+        host.map.reset(cq_topicmap_new(
+            nullptr, options_.config ? CQ_TOPIC_CONFIG : CQ_TOPIC_UPSTREAMS));
         host.older = options_.upgrade && below(2) == 0;
+        host.keeps = options_.keepers && below(2) == 0;
     }
 
     // Restarts the first @len hosts of a zone.
@@ -215,21 +224,51 @@
         }
     }
 
+    static void
+    add_row(host_t &host, const row_t &row, cq_record_source_t source,
+            bool always)
+    {
+        std::string text = value_of(row.key);
+        cq_store_record_t record = {};
+        record.offset = row.offset;
+        record.key = const_cast<char *>(row.key.c_str());
+        record.value =
+            row.live ? g_bytes_new(text.data(), text.size()) : nullptr;
+        if (always || cq_topicmap_is_new(host.map.get(), &record, source)) {
+            cq_topicmap_add(host.map.get(), &record, source);
+        }
+        g_clear_pointer(&record.value, g_bytes_unref);
+    }
+
     void
     add(host_t &host, const std::vector<row_t> &rows,
         cq_record_source_t source)
     {
         for (const row_t &row : rows) {
-            std::string text = value_of(row.key);
-            cq_store_record_t record = {};
-            record.offset = row.offset;
-            record.key = const_cast<char *>(row.key.c_str());
-            record.value =
-                row.live ? g_bytes_new(text.data(), text.size()) : nullptr;
-            if (cq_topicmap_is_new(host.map.get(), &record, source)) {
-                cq_topicmap_add(host.map.get(), &record, source);
+            add_row(host, row, source, false);
+        }
+    }
+
+    static std::vector<row_t>
+    held_by(const host_t &host)
+    {
+        std::vector<row_t> rows;
+        cq_topicmap_visit_held(host.map.get(), collect, &rows);
+        return rows;
+    }
+
+    // Takes back what a host of a version that keeps it has dropped of @held.
+    static void
+    keep(host_t &host, const std::vector<row_t> &held)
+    {
+        std::map<std::string, row_t> left;
+        for (const row_t &row : held_by(host)) {
+            left[row.key] = row;
+        }
+        for (const row_t &row : held) {
+            if (host.keeps && left.find(row.key) == left.end()) {
+                add_row(host, row, CQ_SOURCE_SNAPSHOT, true);
             }
-            g_clear_pointer(&record.value, g_bytes_unref);
         }
     }
 
@@ -312,7 +351,9 @@
                 host.after = answer.rows.back().key;
                 continue;
             }
+            std::vector<row_t> held = held_by(host);
             cq_topicmap_end_snapshot(host.map.get());
+            keep(host, held);
             host.snapshot_done = true;
             host.read_again = step_ + 7;
         }
@@ -361,7 +402,9 @@
                 message.claim.complete = FALSE;
             }
             gboolean dropped = FALSE;
+            std::vector<row_t> held = held_by(host);
             cq_topicmap_add_claim(host.map.get(), &message.claim, &dropped);
+            keep(host, held);
         }
     }
 
@@ -467,7 +510,7 @@
     {
         answer.snapshot = true;
         for (int k = 0; k < kKeys; k++) {
-            std::string key = key_name(k);
+            std::string key = log_.key_name(k);
             int at = log_.newest(key, log_.size());
             if (key <= after || at < 0 || !log_.records[(size_t)at].live) {
                 continue;
@@ -486,12 +529,13 @@
     check(int i)
     {
         const host_t &host = host_at(i);
-        if (host.older || host.settled_at != 0 || host.era != log_.era) {
+        if (host.older || host.keeps || host.settled_at != 0 ||
+            host.era != log_.era) {
             return;
         }
         guint64 end = cq_topicmap_end(host.map.get());
         std::vector<row_t> rows;
-        cq_topicmap_visit_from(host.map.get(), 0, collect, &rows);
+        cq_topicmap_visit_held(host.map.get(), collect, &rows);
         std::map<std::string, row_t> known;
         for (const row_t &row : rows) {
             known[row.key] = row;
@@ -504,7 +548,7 @@
             }
         }
         for (int k = 0; k < kKeys; k++) {
-            std::string key = key_name(k);
+            std::string key = log_.key_name(k);
             int at = log_.newest(key, settled);
             auto found = known.find(key);
             bool live = found != known.end() && found->second.live;
@@ -516,16 +560,16 @@
             std::string where = " host " + std::to_string(i) + " step " +
                                 std::to_string(step_) + " " + key +
                                 (is_late ? " (beyond its end)" : "");
-            if (live && offset < (guint64)at) {
-                wrong_ =
-                    (log_.records[(size_t)at].live ? "older over newer"
-                                                   : "deleted, and held") +
-                    where;
+            bool is_live = log_.records[(size_t)at].live;
+            // A configuration stays in force until there is another one.
+            bool stays = !is_live && cq_records_is_routes_key(key.c_str());
+            if (live && offset < (guint64)at && !stays) {
+                wrong_ = (is_live ? "older over newer" : "deleted, and held") +
+                         where;
             }
             // A later page of a snapshot may already lack what is deleted
             // after the end that the first one gave.
-            else if (!live && log_.records[(size_t)at].live &&
-                     offset <= (guint64)at &&
+            else if (!live && is_live && offset <= (guint64)at &&
                      at == log_.newest(key, log_.size())) {
                 wrong_ = "lost" + where;
             }
