A peer of an older version doesn't hide the end of an evacuation

What callers saw: nothing yet; in an upgrade, a zone could stay emptied at some hosts after the operator took it back.

Their list of the keys that are left still names a deleted one, and a host that took the list for exact moved its position past the deletion.

Change: such a list says whether it is exact for this topic (Records, field 10); without that, the receiver doesn't move its position and reads the store itself or hears another peer. Lists of other topics count as before. While such peers are the only ones and the store is away, a host that starts isn't ready until the store answers, if a list is all that they can send it.

The scripts of real processes were not run.

--- a/packages/router/gossip.c
+++ b/packages/router/gossip.c
@@ -147,6 +147,7 @@
     records.rows_from = claim.complete ? claim.rows_from : 0;
     records.live = (guint64 *)(void *)live->data;
     records.n_live = claim.live_len;
+    records.live_has_operators = claim.live_has_operators;
     gsize bytes = live->len * sizeof(guint64);
     if (bytes < CQ_FRAME_BYTES_MAX - CQ_FRAME_OVERHEAD_BYTES) {
         send_records(transfer->app, transfer->link, &records);
@@ -332,6 +333,7 @@
             .rows_from = records->rows_from,
             .live = records->live,
             .live_len = records->n_live,
+            .live_has_operators = records->live_has_operators,
         };
         cq_follower_add_claim(follower, topic, &claim);
     }
--- a/packages/router/topicmap.c
+++ b/packages/router/topicmap.c
@@ -416,7 +416,9 @@
         map->end = MAX(map->end, claim->at);
         return TRUE;
     }
-    if (!claim->complete || claim->rows_from > map->end) {
+    gboolean is_exact =
+        map->topic != CQ_TOPIC_CONFIG || claim->live_has_operators;
+    if (!claim->complete || !is_exact || claim->rows_from > map->end) {
         return FALSE;
     }
     if (claim->at > map->end) {
@@ -463,6 +465,7 @@
         claim.complete = TRUE;
         claim.live = (const guint64 *)(const void *)live->data;
         claim.live_len = live->len;
+        claim.live_has_operators = TRUE;
     }
     return claim;
 }
--- a/packages/router/topicmap.h
+++ b/packages/router/topicmap.h
@@ -62,6 +62,8 @@
  * @rows_from: see @complete
  * @live: hashes of the keys that have a value, @live_len of them
  * @live_len: see @live
+ * @live_has_operators: that holds for the topic of the configuration too; a
+ *   peer of an older version may name keys there that have been deleted
  */
 typedef struct {
     guint64 from;
@@ -71,6 +73,7 @@
     guint64 rows_from;
     const guint64 *live;
     gsize live_len;
+    gboolean live_has_operators;
 } cq_topicmap_claim_t;
 
 /** cq_topicmap_end() - Return: offset after the last record known */
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -1896,7 +1896,7 @@
   (ProtobufCMessageInit) cq__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cq__records__field_descriptors[9] =
+static const ProtobufCFieldDescriptor cq__records__field_descriptors[10] =
 {
   {
     "rows",
@@ -2006,6 +2006,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "live_has_operators",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cq__Records, live_has_operators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cq__records__field_indices_by_name[] = {
   2,   /* field[2] = at */
@@ -2013,6 +2025,7 @@
   3,   /* field[3] = from */
   8,   /* field[8] = has_deletions */
   5,   /* field[5] = live */
+  9,   /* field[9] = live_has_operators */
   0,   /* field[0] = rows */
   7,   /* field[7] = rows_from */
   4,   /* field[4] = store_era */
@@ -2021,7 +2034,7 @@
 static const ProtobufCIntRange cq__records__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor cq__records__descriptor =
 {
@@ -2031,7 +2044,7 @@
   "Cq__Records",
   "cq",
   sizeof(Cq__Records),
-  9,
+  10,
   cq__records__field_descriptors,
   cq__records__field_indices_by_name,
   1,  cq__records__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -299,10 +299,15 @@
   protobuf_c_boolean complete;
   uint64_t rows_from;
   protobuf_c_boolean has_deletions;
+  /*
+   * The keys in live are all that are left in the topic of the configuration
+   * too; senders of versions that don't know this keep deleted ones.
+   */
+  protobuf_c_boolean live_has_operators;
 };
 #define CQ__RECORDS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cq__records__descriptor) \
-    , 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/unit/storecopy_test.cc
+++ b/tests/unit/storecopy_test.cc
@@ -186,6 +186,13 @@
     expect_held({9, 13, true, false, true}, 100);
 }
 
+// A host of the version before drops none of these records, as it has no use
+// for them: what it says to be left proves nothing.
+TEST(OperatorsRecords, AreNotHeldForeverBesideAVersionThatKeepsThem)
+{
+    expect_held({1, 4, false, false, true, true}, 1);
+}
+
 TEST(OperatorsRecords, AreHeldAfterTheStoreCameBackOlder)
 {
     expect_held({1, 4, false, true, true}, 1);
--- a/tests/unit/storeworld.h
+++ b/tests/unit/storeworld.h
@@ -425,6 +425,9 @@
             message.live.push_back(g_array_index(live, guint64, k));
         }
         g_array_unref(live);
+        if (host.keeps) {
+            message.claim.live_has_operators = FALSE;
+        }
         if (host.older) {
             message.live.clear();
             message.claim = {};
