A comment that the lint took for a function is reworded

tests/lint.sh printed that cq_usable_now() has no doc comment in core/emptied.h, as a line of the DOC comment looked like a declaration. No change of code.

--- a/packages/core/emptied.h
+++ b/packages/core/emptied.h
@@ -3,7 +3,7 @@
  *
  * Zones that operators want emptied: their upstreams get nothing new, in
  * whatever way it would reach them, and finish what they have. Each upstream
- * carries a mark, which cq_usable_now() and the candidate arrays ask.
+ * carries a mark, which core/usable and the candidate arrays ask.
  *
  * Load: the upstreams of a zone are taken out of service at a busy hour, and
  * the other zones take over at once.
