An answer whose bytes drip isn't waited for

Cause: a read counted as arriving, and went on for up to 30 s, as long as any byte had come within 0.3 s and 1 s; no other read was started beside it.

Change: only 1,024 bytes, or the first ones, count as an answer that is arriving (http/arrival). Long answers that arrive slowly are waited for as before.

--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -4,6 +4,7 @@
 
 #include "base/limits.h"
 #include "base/list.h"
+#include "http/arrival.h"
 #include "http/h1.h"
 #include "http/sock.h"
 
@@ -31,8 +32,8 @@
     GDestroyNotify data_free;
     guint timer;
     guint stall_ms;
-    gint64 ends_us;  /* end of the total time limit */
-    gint64 heard_us; /* when bytes of the response came last, or 0 */
+    gint64 ends_us; /* end of the total time limit */
+    cq_arrival_t arrival;
     gint64 idle_since_us;
     guint refs;
 } conn_t;
@@ -129,7 +130,7 @@
 {
     conn_t *conn = data;
     conn->refs++;
-    conn->heard_us = g_get_monotonic_time();
+    cq_arrival_add(&conn->arrival, len, g_get_monotonic_time());
     gsize used = conn->busy ? cq_h1_feed(conn->reader, bytes, len) : 0;
     gboolean unusable = !conn->busy && !conn->keep_alive;
     if (used < len || unusable || cq_h1_error(conn->reader) != CQ_H1_OK) {
@@ -152,15 +153,16 @@
     conn_unref(conn);
 }
 
-/* Return: for how long the call may go on without further bytes. */
+/* Return: for how long the call may go on unless more of the response
+ * arrives. */
 static gint64
 time_left_us(const conn_t *conn)
 {
     gint64 now_us = g_get_monotonic_time();
-    if (conn->stall_ms == 0 || conn->heard_us == 0) {
+    if (conn->stall_ms == 0 || conn->arrival.heard_us == 0) {
         return 0;
     }
-    gint64 stalled_us = conn->heard_us + conn->stall_ms * CQ_MS_US;
+    gint64 stalled_us = conn->arrival.heard_us + conn->stall_ms * CQ_MS_US;
     return MIN(stalled_us, conn->ends_us) - now_us;
 }
 
@@ -264,7 +266,7 @@
     conn->timer = g_timeout_add(call->timeout_ms, on_timeout, conn);
     conn->stall_ms = call->stall_ms;
     conn->ends_us = g_get_monotonic_time() + call->total_ms * CQ_MS_US;
-    conn->heard_us = 0;
+    conn->arrival = (cq_arrival_t){0};
     GString *out = g_string_new("");
     g_string_append_printf(out, "%s %s HTTP/1.1\r\nHost: %s\r\n", call->method,
                            call->path, call->addr);
@@ -289,8 +291,9 @@
     for (cq_list_t *link = client->conns.next; link != &client->conns;
          link = link->next) {
         const conn_t *conn = CQ_ENTRY(link, conn_t, link);
-        if (conn->busy && conn->heard_us != 0 && match(conn->data, data)) {
-            ago_us = MIN(ago_us, now_us - conn->heard_us);
+        gint64 heard_us = conn->arrival.heard_us;
+        if (conn->busy && heard_us != 0 && match(conn->data, data)) {
+            ago_us = MIN(ago_us, now_us - heard_us);
         }
     }
     return ago_us;
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -36,7 +36,7 @@
  * @body_len: its length in bytes
  * @timeout_ms: time limit for the complete response
  * @stall_ms: the call goes on past that limit while less than this time has
- *   passed since bytes of the response came; 0: it doesn't
+ *   passed since the response was last arriving (http/arrival); 0: it doesn't
  * @total_ms: with @stall_ms, time limit for the complete response in any case
  * @head: called with the response's head before @done; may be NULL
  * @done: called once, unless the client is freed first
--- a/tests/unit/store_test.cc
+++ b/tests/unit/store_test.cc
@@ -108,6 +108,32 @@
         EXPECT_TRUE(run_until([this] { return ended; }));
         return outcome;
     }
+    // Sends @bytes, and @each bytes more every 100 ms, until the call has
+    // ended or @ms have passed. Return: the longest time in ms for which the
+    // answer was not arriving meanwhile.
+    int
+    send_slowly(const std::string &bytes, size_t each, int ms)
+    {
+        EXPECT_EQ(write(conn, bytes.data(), bytes.size()),
+                  (gssize)bytes.size());
+        const std::string more(each, '\0');
+        gint64 start_us = g_get_monotonic_time();
+        gint64 next_us = start_us;
+        gint64 longest_us = 0;
+        EXPECT_TRUE(run_until([&] {
+            gint64 now_us = g_get_monotonic_time();
+            gint64 ago_us = cq_store_heard_ago_us(store, this);
+            if (ago_us != G_MAXINT64) {
+                longest_us = MAX(longest_us, ago_us);
+            }
+            if (now_us >= next_us && !ended) {
+                next_us += 100 * CQ_MS_US;
+                EXPECT_EQ(write(conn, more.data(), each), (gssize)each);
+            }
+            return ended || now_us - start_us > ms * CQ_MS_US;
+        }));
+        return (int)(longest_us / CQ_MS_US);
+    }
     static std::string
     body_of(char kind)
     {
@@ -125,6 +151,26 @@
     std::string values;
 };
 
+// Bytes that drip from a connection whose other side has lost the rest kept a
+// read for 30 s, and kept others from being started beside it.
+TEST_F(Store, AnAnswerWhoseBytesDripIsNotWaitedFor)
+{
+    call('r');
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n";
+    EXPECT_GE(send_slowly(head, 1, 2000), 800);
+    EXPECT_TRUE(ended);
+    EXPECT_EQ(outcome, CQ_STORE_FAILED);
+}
+
+TEST_F(Store, AnAnswerThatArrivesSlowlyIsWaitedFor)
+{
+    call('r');
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n";
+    EXPECT_LE(send_slowly(head, 1200, 2000), 200);
+    EXPECT_FALSE(ended);
+}
+
 TEST_F(Store, AWholeAnswerIsBelieved)
 {
     call('r');
