Reads of the configuration go on beside an older one after a failure

What callers would see: a key that was taken away, or a dropped route, in force beyond the bound at a host that leaves reading to its peers, when answers of the store are lost.

Cause: such a host's read waits for 30 s in the store. When its answer was lost and its peers had not read for 2 s, two reads were started beside it; when these failed too, no other was started before the old one ended, as retries begin only when no read is under way and overdue reads only without a failure.

Change: after a failure another read is started beside an older one, at the pace of retries, where the host has to read the configuration itself or a peer knows more.

--- a/packages/router/readplan.c
+++ b/packages/router/readplan.c
@@ -44,6 +44,17 @@
            plan->role != CQ_STORE_READER_NONE;
 }
 
+/* Whether reads go on after one has failed while an older one is still under
+ * way. That one may wait for LONG_WAIT_MS, and its answer may be lost too. */
+static gboolean
+retries_beside(const cq_readplan_t *plan, gint64 now_us)
+{
+    gboolean needs_config =
+        plan->topic == CQ_TOPIC_CONFIG &&
+        (is_reader(plan, now_us) || plan->behind_since_us != 0);
+    return probes(plan) || needs_config;
+}
+
 guint
 cq_readplan_wait_ms(const cq_readplan_t *plan, gint64 now_us)
 {
@@ -71,7 +82,8 @@
         return FALSE;
     }
     if (plan->failures > 0) {
-        return probes(plan) && age_us >= PROBE_US;
+        return retries_beside(plan, now_us) &&
+               age_us >= (gint64)cq_readplan_retry_max_ms(plan) * CQ_MS_US;
     }
     gint64 wait_us = (gint64)reads->wait_ms * CQ_MS_US;
     if (plan->topic == CQ_TOPIC_CONFIG && is_reader(plan, now_us)) {
