Slow readers: a test of the memory they take, known red

What callers would see: a host that many slow readers bring to its limit of memory ends, and with it every answer that it carries.

Cause, not mended here: a plain answer leaves the account of the 48 MiB when it is passed to the caller's connection, whose write buffer nothing bounds; a stream may hold 256 KiB for each caller, with no bound over all of them. CQ_STALL_BYTES_MAX only withdraws a longer user timeout, which then ends a connection whose window is closed after 4 s or more.

The test has 24 callers with plain answers of 14 MiB, then 2,000 with streams (a mode "slow" of fleetstandin; ?bytes= of the replica's streams), and calls that keep up beside them. Bound: a peak of 100,000 kB.

--- a/tests/run.sh
+++ b/tests/run.sh
@@ -74,7 +74,7 @@
 wait
 for unit in $units; do record_unit "$unit"; done
 for script in ports demo fleetcheck badinput oddreports hangup operator drain holds giant orders retention \
-    relay relaywake relaypeers relayreads relayreaders relayreadersback relaybulk relayleft relayendless relaydescriptors relaybodies relayleaving relaymany \
+    relay relaywake relaypeers relayreads relayreaders relayreadersback relaybulk relayleft relayendless relaydescriptors relaybodies relayslowreaders relayleaving relaymany \
     relayoutage relayremoved relaylostpoll relaylostconfig relayslowbytes relaypoison relaypoisonkept relaycells relayera relayerastart relaylimit relaycrashcall relaycrashkept relayidlechange relaystop relaystoplate \
     relayrefusalagain relayslowcall relaybrokenstream relaytornhead relayversion relayteams relaysmuggle \
     relaycut relaycutall relaycutmost relaycutgone relayemptied relayoddentries relayupgrade relayupgradereaders; do
--- a/tests/standin/fleet.h
+++ b/tests/standin/fleet.h
@@ -30,7 +30,9 @@
  * @body: callers: body of the POST requests; NULL: each has its own
  * @key: callers: key of the requests; NULL: that of the tests' configuration
  * @field: callers: a header line that each request has; NULL: none
- * @every_ms: callers: time between two such moments
+ * @every_ms: callers: time between two such moments; slow: between two reads
+ * of a caller, 0: it reads nothing
+ * @count: slow: number of callers
  * @for_ms: callers: time after which no more are sent
  */
 typedef struct {
@@ -46,6 +48,7 @@
     char *key;
     char *field;
     int every_ms;
+    int count;
     int for_ms;
 } fleet_options_t;
 
@@ -68,6 +71,11 @@
 gboolean
 fleet_callers(const fleet_options_t *options);
 
+/** fleet_slow_callers() - send many requests and read the answers slowly;
+ * Return: FALSE when the address is invalid */
+gboolean
+fleet_slow_callers(const fleet_options_t *options);
+
 /** fleet_replica() - serve as an upstream; Return: FALSE when it can't listen
  * or open its log */
 gboolean
--- a/tests/standin/fleet_main.c
+++ b/tests/standin/fleet_main.c
@@ -13,7 +13,7 @@
 static const fleet_mode_t modes[] = {
     {"store", fleet_store},        {"replica", fleet_replica},
     {"wake", fleet_connect_burst}, {"links", fleet_links},
-    {"callers", fleet_callers},
+    {"callers", fleet_callers},    {"slow", fleet_slow_callers},
 };
 
 int
@@ -35,6 +35,7 @@
         {"key", 0, 0, G_OPTION_ARG_STRING, &options.key, "", NULL},
         {"field", 0, 0, G_OPTION_ARG_STRING, &options.field, "", NULL},
         {"every-ms", 0, 0, G_OPTION_ARG_INT, &options.every_ms, "", NULL},
+        {"count", 0, 0, G_OPTION_ARG_INT, &options.count, "", NULL},
         {"for-ms", 0, 0, G_OPTION_ARG_INT, &options.for_ms, "", NULL},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
     };
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -44,6 +44,7 @@
  *                  without an id
  *   noid           events without ids; breaks off within event 4
  *   other words    the whole stream
+ * With ?bytes=N the data of an event is that long.
  */
 #include <stdio.h>
 #include <string.h>
@@ -79,6 +80,7 @@
     gint64 stall_at;   /* sends nothing from this event on; 0: never */
     gint64 endless_at; /* this event never ends; 0: none */
     gint64 bare_at;    /* events have no id from this one on; 0: all have */
+    gsize pad_bytes;   /* length of the data of an event */
 } stream_t;
 
 static const char *
@@ -198,7 +200,17 @@
         g_snprintf(event, sizeof event,
                    "id: %" G_GINT64_FORMAT "\ndata: x\n\n", stream->next);
     }
-    write_chunk(stream->conn, event);
+    if (stream->pad_bytes > 0) {
+        char *pad = g_strnfill(stream->pad_bytes, 'x');
+        char *padded = g_strdup_printf(
+            "id: %" G_GINT64_FORMAT "\ndata: %s\n\n", stream->next, pad);
+        write_chunk(stream->conn, padded);
+        g_free(padded);
+        g_free(pad);
+    }
+    else {
+        write_chunk(stream->conn, event);
+    }
     if (stream->next++ < stream->last) {
         return G_SOURCE_CONTINUE;
     }
@@ -226,6 +238,7 @@
     stream->conn = standin_ref(conn);
     stream->next = last != NULL ? g_ascii_strtoll(last, NULL, 10) + 1 : 1;
     stream->last = standin_query_number(query, "n", 10);
+    stream->pad_bytes = (gsize)standin_query_number(query, "bytes", 0);
     gboolean tears =
         g_str_has_prefix(behaviour, "then") || strcmp(behaviour, "tear") == 0;
     if (last == NULL && tears) {
