Find the pace of plain upstreams that have started or recovered

Callers of plain services: after a connection that did not open, an upstream got nothing for 5 s, so hosts that had been cut off for 2 s refused 1201 of the requests of the next 6 s (26 hosts, 900 requests a second, 6 upstreams, without a network); and one that refuses or flaps after its start got as much as the others.

No request waits for it.

--- a/packages/config/settings.c
+++ b/packages/config/settings.c
@@ -48,6 +48,8 @@
      CQ_TIMEOUT_MAX_MS, FALSE, NULL},
     {"drain", "limit_ms", CQ_FIELD_INTEGER, OFFSET(limit_ms), 0, 1,
      CQ_TIMEOUT_MAX_MS, FALSE, NULL},
+    {"upstreams", "find_pace", CQ_FIELD_BOOLEAN, OFFSET(find_pace), 0, 0, 0,
+     FALSE, NULL},
     {"log", "level", CQ_FIELD_CHOICE, OFFSET(log_level), 0, 0, 0, FALSE,
      level_names},
 };
--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -37,6 +37,8 @@
  * @retry_percent: the same as a percentage
  * @notice_ms: time after SIGTERM during which new requests are still accepted
  * @limit_ms: time after SIGTERM at which all requests still open are answered
+ * @find_pace: upstreams that have started or recovered get work at the pace
+ *   that their answers show
  * @seed: seed of the random number generator; 0: seed from the clock
  * @log_level: index of "debug", "info", "warn" or "error"
  */
@@ -57,6 +59,7 @@
     gint64 retry_percent;
     gint64 notice_ms;
     gint64 limit_ms;
+    gboolean find_pace;
     gint64 seed;
     int log_level;
 } cq_settings_t;
--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -7,6 +7,7 @@
 #include "core/hedge.h"
 #include "core/load.h"
 #include "core/member.h"
+#include "core/pace.h"
 #include "core/pass.h"
 #include "core/place.h"
 #include "core/quarantine.h"
@@ -288,7 +289,7 @@
         avoid_misdirected(core, upstream);
     }
     if (failure == CQ_FAIL_CONNECT) {
-        cq_member_avoid(core, upstream, CQ_SUSPECT_AVOID_US);
+        cq_member_avoid(core, upstream, cq_pace_avoid_us(core, upstream));
         cq_member_unreachable(core, upstream, 0);
         request->connect_failures++;
     }
@@ -298,6 +299,8 @@
     if (failure == CQ_FAIL_CONNECT || failure == CQ_FAIL_BROKEN) {
         cq_reach_failed(core, upstream);
     }
+    cq_pace_failed(core, request, failure,
+                   cq_member_rank(core, upstream->id).before);
     request->last_failed = upstream->id;
     if (request->failed_helper != 0) {
         request->last_failed = request->failed_helper;
@@ -384,6 +387,10 @@
         gint64 gap_us = core->now_us - request->progress_us;
         request->longest_gap_us = MAX(request->longest_gap_us, gap_us);
     }
+    if (request->upstream != NULL &&
+        request->forwarded == request->forwarded_at_start) {
+        cq_pace_answered(core, request);
+    }
     request->progress_us = core->now_us;
     request->probes_unanswered = 0;
     request->forwarded += event->tokens;
@@ -424,6 +431,9 @@
     }
     cq_hedge_settle(core, request);
     request->upstream->broken_streak = 0;
+    if (success && request->forwarded == request->forwarded_at_start) {
+        cq_pace_answered(core, request);
+    }
     if (success) {
         cq_quarantine_progress(core, request, 0, TRUE);
     }
--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -13,6 +13,7 @@
 #include "core/load.h"
 #include "core/member.h"
 #include "core/order.h"
+#include "core/pace.h"
 #include "core/peer.h"
 #include "core/place.h"
 #include "core/quarantine.h"
@@ -230,6 +231,12 @@
     }
 }
 
+static void
+begin_pace(cq_core_t *core, cq_upstream_t *upstream)
+{
+    cq_pace_begin(core, upstream, cq_member_rank(core, upstream->id).before);
+}
+
 /* The upstreams of a zone that was emptied may be cold at its end. */
 static void
 apply_emptied(cq_core_t *core, const cq_ev_emptied_t *event)
@@ -242,6 +249,7 @@
     }
     else {
         cq_emptied_each(core, event->zone, cq_rate_note_started);
+        cq_emptied_each(core, event->zone, begin_pace);
     }
 }
 
@@ -340,6 +348,7 @@
     core->host = cq_ident_host(options->host);
     core->incarnation = options->incarnation;
     core->policy = options->policy;
+    core->finds_pace = options->finds_pace;
     core->rand = g_rand_new_with_seed(options->seed);
     core->reach.rand = g_rand_new_with_seed(options->seed);
     core->started_us = -1;
--- a/packages/core/core.h
+++ b/packages/core/core.h
@@ -32,6 +32,8 @@
  * @incarnation: higher at every start of the process
  * @seed: seed of the core's random number generator
  * @policy: how upstreams are chosen
+ * @finds_pace: upstreams that have started or recovered get work at the pace
+ *   that their answers show, see core/pace.h
  */
 typedef struct {
     const char *host;
@@ -39,6 +41,7 @@
     guint64 incarnation;
     guint32 seed;
     cq_policy_t policy;
+    gboolean finds_pace;
 } cq_core_options_t;
 
 /**
--- a/packages/core/member.c
+++ b/packages/core/member.c
@@ -2,6 +2,7 @@
 
 #include "core/emptied.h"
 #include "core/lending.h"
+#include "core/pace.h"
 #include "core/place.h"
 #include "core/rate.h"
 #include "core/table.h"
@@ -90,6 +91,10 @@
 note_cold(cq_core_t *core, cq_upstream_t *upstream, const cq_host_row_t *row,
           gboolean has_started)
 {
+    if (has_started) {
+        cq_pace_started(core, upstream,
+                        cq_member_rank(core, upstream->id).before);
+    }
     if (row->cold_us >= 0) {
         cq_rate_note_cold(core, upstream, row->read_us + row->cold_us);
     }
--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -4,6 +4,7 @@
 #include "core/load.h"
 #include "core/member.h"
 #include "core/order.h"
+#include "core/pace.h"
 #include "core/rate.h"
 #include "core/table.h"
 #include "core/usable.h"
@@ -250,12 +251,14 @@
 /**
  * struct choice_t - the search for the best candidate
  * @streams_max: a candidate must have fewer streams than this
+ * @ignores_pace: a candidate may get more than its pace allows
  * @home: preferred engine for the first prefix of the prompt, or NULL
  * @best: the best candidate so far, or NULL
  * @best_score_us: its score
  */
 typedef struct {
     gint64 streams_max;
+    gboolean ignores_pace;
     cq_upstream_t *home;
     cq_upstream_t *best;
     gint64 best_score_us;
@@ -301,6 +304,9 @@
          cq_upstream_t *upstream)
 {
     gint64 need = cq_place_need_tokens(request);
+    if (!choice->ignores_pace && !cq_pace_allows(core, upstream)) {
+        return;
+    }
     if (!has_room(core, request, upstream, need, choice->streams_max)) {
         return;
     }
@@ -345,10 +351,12 @@
 }
 
 static cq_upstream_t *
-choose_with_limit(cq_core_t *core, cq_request_t *request, gint64 streams_max)
+choose_with_limit(cq_core_t *core, cq_request_t *request, gint64 streams_max,
+                  gboolean ignores_pace)
 {
     cq_service_t *service = request->service;
-    choice_t choice = {.streams_max = streams_max};
+    choice_t choice = {.streams_max = streams_max,
+                       .ignores_pace = ignores_pace};
     if (request->earmark != NULL) {
         consider(core, request, &choice, request->earmark);
         return choice.best;
@@ -386,9 +394,14 @@
         streams_max -=
             streams_max * percent * (100 - rules->first_token_weight) / 10000;
     }
-    cq_upstream_t *upstream = choose_with_limit(core, request, target);
+    cq_upstream_t *upstream = choose_with_limit(core, request, target, FALSE);
     if (upstream == NULL && streams_max > target && !exceeds) {
-        upstream = choose_with_limit(core, request, streams_max);
+        upstream = choose_with_limit(core, request, streams_max, FALSE);
+    }
+    /* Rather an upstream that gets more than its pace than a request that
+     * waits. */
+    if (upstream == NULL && core->finds_pace) {
+        upstream = choose_with_limit(core, request, target, TRUE);
     }
     return upstream;
 }
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -24,6 +24,27 @@
     CQ_CLASS_GIANT,
 } cq_class_t;
 
+/**
+ * struct cq_pace_t - how much this host may have running at an upstream that
+ *   has started or recovered
+ * @active: its pace is being found
+ * @window: requests of this host that may run there
+ * @since_us: when it started, or when it last failed
+ * @rank: this host's rank for it then
+ * @unopened: connections in a row that did not open
+ * @started_us: when it started last, as far as this process has seen
+ * @short_lives: starts in a row that each came soon after the one before
+ */
+typedef struct {
+    gboolean active;
+    guint window;
+    gint64 since_us;
+    guint rank;
+    guint unopened;
+    gint64 started_us;
+    guint short_lives;
+} cq_pace_t;
+
 /** enum cq_phase_t - states of a request */
 typedef enum {
     CQ_PHASE_CLAIMING, /* its claim record is not yet read back from the log */
@@ -153,6 +174,7 @@
  *   it
  * @rate: its rate limit
  * @zone_emptied: its zone is emptied, so it gets nothing new
+ * @pace: how much of it is used after it has started or recovered
  */
 typedef struct cq_upstream {
     cq_list_t link;
@@ -196,6 +218,7 @@
     gint64 lapsed_until_us;
     cq_rate_t rate;
     gboolean zone_emptied;
+    cq_pace_t pace;
 } cq_upstream_t;
 
 /**
@@ -268,6 +291,8 @@
  * @demand: by class: memory needed times run time of recent requests, with
  *   exponential decay
  * @output_tokens_high: estimated length that few answers exceed
+ * @usual_answer_us: usual time from the start of an attempt to the first event
+ *   or byte of its answer; 0: none has been answered
  * @candidates_stale: the candidate arrays need rebuilding
  * @round_robin_next: next position of the round-robin policy
  * @slack: how late the first tokens of short prompts came
@@ -288,6 +313,7 @@
     double retry_tokens;
     double demand[CQ_CLASSES];
     double output_tokens_high;
+    double usual_answer_us;
     gboolean candidates_stale;
     guint round_robin_next;
     cq_slack_t slack;
@@ -486,6 +512,7 @@
  * @entry_hosts: host ids of the other entry hosts on the host list, to the
  *   names of their zones
  * @zones: zone name to cq_zone_t*
+ * @finds_pace: the pace of upstreams that have started is to be found
  * @emptied_zones: set of the names of the zones that operators want emptied
  * @host_list_received: a host list has arrived
  * @peers: array of cq_host_row_t: the entry hosts to keep links to
@@ -535,6 +562,7 @@
     GHashTable *peer_by_host;
     GHashTable *entry_hosts;
     GHashTable *zones;
+    gboolean finds_pace;
     GHashTable *emptied_zones;
     gboolean host_list_received;
     GArray *peers;
--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -349,6 +349,7 @@
         .incarnation = app->incarnation,
         .seed = (guint32)settings->seed,
         .policy = CQ_POLICY_COST,
+        .finds_pace = settings->find_pace,
     };
     if (options.seed == 0) {
         options.seed = (guint32)app->incarnation;
--- a/tests/unit/config_test.cc
+++ b/tests/unit/config_test.cc
@@ -109,6 +109,30 @@
     }
 }
 
+TEST(Settings, ThePaceIsFoundOnlyWhereItIsAskedFor)
+{
+    const struct {
+        const char *text;
+        gboolean finds;
+    } cases[] = {
+        {"", FALSE},
+        {"[upstreams]\nfind_pace = false\n", FALSE},
+        {"[upstreams]\nfind_pace = true\n", TRUE},
+    };
+    for (const auto &c : cases) {
+        cq_settings_t settings;
+        cq_error_t error = {};
+        std::string text = std::string(kSettings) + c.text;
+        ASSERT_TRUE(
+            cq_settings_parse(text.c_str(), "f.toml", &settings, &error))
+            << error.text;
+        EXPECT_EQ(settings.find_pace, c.finds) << c.text;
+    }
+    EXPECT_NE(std::string::npos, settings_error(std::string(kSettings) +
+                                                "[upstreams]\nfind_pace = 3\n")
+                                     .find("upstreams.find_pace: found 3"));
+}
+
 TEST(Settings, ErrorsStateFileLineKeyValueAndRemedy)
 {
     EXPECT_EQ("f.toml:2: host.nam: unknown key, found a; write one of: name "
--- a/tests/unit/corefixture.h
+++ b/tests/unit/corefixture.h
@@ -47,6 +47,7 @@
         options.zone = "a";
         options.incarnation = 1;
         options.seed = 7;
+        options.finds_pace = finds_pace;
         core = cq_core_new(&options);
         cq_actions_init(&actions);
         rules[0] = make_rules("m", CQ_SERVICE_BATCH);
@@ -332,6 +333,8 @@
     std::vector<cq_host_row_t> rows;
     std::vector<cq_action_t> all_actions;
     std::vector<guint64> streaming;
+    // Set before the core starts: it finds the pace of plain upstreams.
+    gboolean finds_pace = FALSE;
     // Teams beside "t", to be set before the core starts.
     std::vector<const char *> more_teams;
     // Team and shared parts of the prompts of the requests that follow.
--- a/tests/unit/fleetfixture.h
+++ b/tests/unit/fleetfixture.h
@@ -16,6 +16,7 @@
     guint zones;
     guint upstreams;
     double requests_per_s; // of the whole fleet
+    gboolean finds_pace = FALSE;
 };
 
 struct host_t {
@@ -75,6 +76,7 @@
         with.zone = host.zone.c_str();
         with.incarnation = host.incarnation;
         with.seed = i + 1;
+        with.finds_pace = options.finds_pace;
         host.core = cq_core_new(&with);
         host.running = true;
         cq_event_t event = {};
