--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -10,6 +10,7 @@
 #include "base/list.h"
 #include "core/core.h"
 #include "core/logstate.h"
+#include "core/pacestate.h"
 #include "core/reachstate.h"
 #include "core/slack.h"
 
@@ -24,27 +25,6 @@
     CQ_CLASS_GIANT,
 } cq_class_t;
 
-/**
- * struct cq_pace_t - how much this host may have running at an upstream that
- *   has started or recovered
- * @active: its pace is being found
- * @window: requests of this host that may run there
- * @since_us: when it started, or when it last failed
- * @rank: this host's rank for it then
- * @unopened: connections in a row that did not open
- * @started_us: when it started last, as far as this process has seen
- * @short_lives: starts in a row that each came soon after the one before
- */
-typedef struct {
-    gboolean active;
-    guint window;
-    gint64 since_us;
-    guint rank;
-    guint unopened;
-    gint64 started_us;
-    guint short_lives;
-} cq_pace_t;
-
 /** enum cq_phase_t - states of a request */
 typedef enum {
     CQ_PHASE_CLAIMING, /* its claim record is not yet read back from the log */
