Which zones are emptied doesn't depend on a table's order

Found by the review of emptied zones: of more than 64 records, those of some zones were left out by the order of a hash table, which hosts don't share. There is no limit now; each record is a key that an operator has written. Prompts that give up reservations go back to the front of their flows in the order in which they came.

--- a/packages/core/group.c
+++ b/packages/core/group.c
@@ -153,8 +153,9 @@
 void
 cq_group_leave_emptied(cq_core_t *core)
 {
-    cq_list_t *link = core->requests.next;
-    for (; link != &core->requests; link = link->next) {
+    /* Each goes to the front of its flow, so the newest first. */
+    cq_list_t *link = core->requests.prev;
+    for (; link != &core->requests; link = link->prev) {
         cq_request_t *request = CQ_ENTRY(link, cq_request_t, link);
         if (request->phase == CQ_PHASE_RESERVING &&
             cq_emptied_group(request)) {
--- a/packages/router/emptying.c
+++ b/packages/router/emptying.c
@@ -4,9 +4,6 @@
 
 #include "platform/records.h"
 
-/* Zones that may be emptied at a time; further records are ignored. */
-#define ZONES_MAX 64
-
 void
 cq_emptying_init(cq_emptying_t *emptying, cq_app_t *app, cq_topicmap_t *map)
 {
@@ -62,10 +59,6 @@
                      "characters; name one",
                      CQ_NAME_BYTES - 1);
     }
-    else if (g_hash_table_size(found->zones) == ZONES_MAX) {
-        cq_error_set(&error, CQ_ERROR_LIMIT,
-                     "over %d zones are emptied; remove some", ZONES_MAX);
-    }
     if (error.kind != CQ_ERROR_NONE) {
         cq_topicmap_log_invalid(found->map, record, &error);
         return;
