Answers that a host has no room for accuse nobody

What callers saw: 20 callers that asked at once for plain answers of 14 MiB all got 502, and the request was blocked as one that crashes upstreams (one trial with real processes beside slow readers).

Cause: plain answers hold 48 MiB together at most. The one that exceeded it was reported as broken, like an upstream that ends in the middle, so its upstream was avoided and its request accused; after three of them the request was blocked at all hosts.

Change: such an attempt has a failure kind of its own. It is repeated after 0.2 s where that is allowed, and says nothing of the upstream, the request or this host's reach.

Evidence: CrashCall.IsNotBlockedForAnswersThatThisHostHasNoRoomFor fails with the failure kind of before and passes now. The trial itself was not run again; that the limit was the cause of its 502s is read from the code.

--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -182,7 +182,8 @@
 static gboolean
 may_run_again(const cq_request_t *request, cq_failure_t failure)
 {
-    if (failure != CQ_FAIL_BROKEN && failure != CQ_FAIL_FAULT) {
+    if (failure != CQ_FAIL_BROKEN && failure != CQ_FAIL_FAULT &&
+        failure != CQ_FAIL_NO_ROOM) {
         return request->forwarded == 0 || request->repeatable;
     }
     return cq_attempt_repeatable(request);
@@ -262,7 +263,8 @@
 cq_attempt_fail(cq_core_t *core, cq_request_t *request, cq_failure_t failure)
 {
     static const char *const failure_names[] = {
-        "connect", "refused", "leaving", "broken", "fault", "misdirected"};
+        "connect", "refused",     "leaving", "broken",
+        "fault",   "misdirected", "no_room"};
     cq_upstream_t *upstream = request->upstream;
     /* The connection failed after a byte was sent: the request may have run.
      */
@@ -330,7 +332,8 @@
     if (!blocked && may_run_again(request, failure) &&
         cq_member_usable_in_time(core, request) &&
         retry_budget_allows(core, request, failure)) {
-        if (refused && request->last_failed == 0) {
+        if ((refused && request->last_failed == 0) ||
+            failure == CQ_FAIL_NO_ROOM) {
             request->ready_us = core->now_us + RETURN_DELAY_US;
         }
         requeue(core, request);
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -115,6 +115,7 @@
     CQ_FAIL_BROKEN,      /* the connection ended early; it may have run */
     CQ_FAIL_FAULT,       /* the upstream answered with a server error */
     CQ_FAIL_MISDIRECTED, /* refused: it isn't the upstream that was named */
+    CQ_FAIL_NO_ROOM,     /* it ran, and this host can't hold its answer now */
 } cq_failure_t;
 
 /** enum cq_probe_t - an upstream's answer to a probe of an attempt */
--- a/packages/core/pace.c
+++ b/packages/core/pace.c
@@ -158,6 +158,7 @@
     case CQ_FAIL_FAULT:
     case CQ_FAIL_LEAVING:
     case CQ_FAIL_MISDIRECTED:
+    case CQ_FAIL_NO_ROOM:
         break;
     }
 }
--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -8,8 +8,9 @@
 /* Longest body of an answer that is not a stream. Such an answer is buffered
  * completely before it is forwarded. */
 #define BODY_BYTES_MAX (16 * 1024 * 1024)
-/* Bytes of all such bodies together; the answer that exceeds it is broken off.
- * Buffers grow to twice that, which the smallest host can hold. */
+/* Bytes of all such bodies together; the answer that exceeds it is broken off,
+ * which says nothing of its upstream or its request. Buffers grow to twice
+ * that, which the smallest host can hold. */
 #define ALL_BODIES_BYTES_MAX (48 * 1024 * 1024)
 
 /* HTTP status of a success that has no body, whatever type it states. */
@@ -210,11 +211,14 @@
         return;
     }
     cq_outbound_t *outbound = call->outbound;
-    if (call->events.whole->len + len > BODY_BYTES_MAX ||
-        outbound->buffered + len > ALL_BODIES_BYTES_MAX) {
+    if (call->events.whole->len + len > BODY_BYTES_MAX) {
         fail(call, CQ_FAIL_BROKEN);
         return;
     }
+    if (outbound->buffered + len > ALL_BODIES_BYTES_MAX) {
+        fail(call, CQ_FAIL_NO_ROOM);
+        return;
+    }
     outbound->buffered += len;
     g_byte_array_append(call->events.whole, (const guint8 *)bytes, (guint)len);
 }
--- a/tests/unit/crashcall_test.cc
+++ b/tests/unit/crashcall_test.cc
@@ -63,6 +63,23 @@
     const char *service = "p";
 };
 
+// Callers ask at once for more than this host can hold: each answer that it
+// breaks off is its own doing.
+TEST_F(CrashCall, IsNotBlockedForAnswersThatThisHostHasNoRoomFor)
+{
+    start_core(0, 8);
+    for (int i = 0; i < 6; i++) {
+        guint64 id = call(kSound);
+        ASSERT_NE(last_send(id), nullptr);
+        attempt_event(id, CQ_EV_SENT);
+        attempt_event(id, CQ_EV_FAILED, CQ_FAIL_NO_ROOM);
+        hang_up(id);
+        advance(100 * kMs);
+    }
+    advance(3 * kSecond);
+    EXPECT_TRUE(answer_once(kSound));
+}
+
 TEST_F(CrashCall, IsBlockedAfterThreeCrashes)
 {
     start_core(0, 8);
