The rank of a host isn't worked out where no pace is found

Found in a last reading. cq_attempt_fail() went through all entry hosts for the rank at each failed attempt, also where upstreams.find_pace is off and the pace drops it. And the check of an emptied zone's name takes its one way out at once. No change of behaviour.

--- a/packages/core/attempt.c
+++ b/packages/core/attempt.c
@@ -301,8 +301,10 @@
     if (failure == CQ_FAIL_CONNECT || failure == CQ_FAIL_BROKEN) {
         cq_reach_failed(core, upstream);
     }
-    cq_pace_failed(core, request, failure,
-                   cq_member_rank(core, upstream->id).before);
+    if (core->finds_pace) {
+        cq_pace_failed(core, request, failure,
+                       cq_member_rank(core, upstream->id).before);
+    }
     request->last_failed = upstream->id;
     if (request->failed_helper != 0) {
         request->last_failed = request->failed_helper;
--- a/packages/router/emptying.c
+++ b/packages/router/emptying.c
@@ -52,14 +52,12 @@
     if (zone == NULL) {
         return;
     }
-    cq_error_t error = {0};
     if (!is_zone_name(zone)) {
+        cq_error_t error = {0};
         cq_error_set(&error, CQ_ERROR_VALUE,
                      "the zone has no name of 1 to %d bytes without control "
                      "characters; name one",
                      CQ_NAME_BYTES - 1);
-    }
-    if (error.kind != CQ_ERROR_NONE) {
         cq_topicmap_log_invalid(found->map, record, &error);
         return;
     }
