--- a/review/standin-2/caller.c
+++ b/review/standin-2/caller.c
@@ -30,7 +30,7 @@
 #include <time.h>
 #include <unistd.h>
 
-#define ANSWER_BYTES (1024 * 1024)
+#define ANSWER_BYTES (16 * 1024 * 1024)
 
 static int port, count = 1, every_ms, window, sip_ms, pause_ms;
 static int limit_ms = 10000;
--- a/review/standin-2/replica.c
+++ b/review/standin-2/replica.c
@@ -4,10 +4,10 @@
  *
  * The last part of a path of the form NxBxG asks for an event stream of N
  * events of B bytes, one each G ms; it goes on behind Last-Event-Id. Any other
- * path is answered at once with 800 bytes. A request that expects another
- * replica gets 421. While the file --trouble exists, the body of a stream is
- * bytes that are no event (empty lines) in small chunks, without
- * end, until the caller closes.
+ * path is answered with 800 bytes, or with N bytes if its last part is
+ * bytes-N. A request that expects another replica gets 421. While the file
+ * --trouble exists, the body of a stream is bytes that are no event (empty
+ * lines) in small chunks, without end, until the caller closes.
  *
  * The record gets a line for each request that runs and for each end. */
 #include <arpa/inet.h>
@@ -165,9 +165,15 @@
         }
     }
     else {
-        len += sprintf(out + len, "Content-Length: %d\r\n\r\n", PLAIN_BYTES);
-        memset(out + len, 'y', PLAIN_BYTES);
-        ok = send_all(fd, out, (size_t)len + PLAIN_BYTES);
+        size_t body = PLAIN_BYTES;
+        if (slash != NULL && strncmp(slash, "/bytes-", 7) == 0) {
+            body = (size_t)atol(slash + 7);
+        }
+        len += sprintf(out + len, "Content-Length: %zu\r\n\r\n", body);
+        char *bytes_sent = malloc(body);
+        memset(bytes_sent, 'y', body);
+        ok = send_all(fd, out, (size_t)len) && send_all(fd, bytes_sent, body);
+        free(bytes_sent);
     }
     note(ok ? "has_sent_all" : "was_cut_off", attempt, path);
     return ok;
