Ask engines whether memory of a prompt without progress is in use

Between event=sent and event=first_token nothing was known of a prompt that holds the memory of engines: not whether the engine that decodes has begun, nor what the others hold for it.

A prompt without progress for 2 s now has its engines asked for their report, each second, on the connections of the reservations. event=memory says what they answer, once a change; inspections_total and memory_seen_unused_total count it. Nothing is decided by it yet.

--- a/packages/bench/replay.c
+++ b/packages/bench/replay.c
@@ -243,6 +243,7 @@
     }
     case CQ_AC_FORWARD:
     case CQ_AC_RELEASE:
+    case CQ_AC_INSPECT:
     case CQ_AC_PROBE:
     case CQ_AC_CLAIM:
     case CQ_AC_LEASE:
--- a/packages/bench/sim.c
+++ b/packages/bench/sim.c
@@ -137,6 +137,8 @@
     case CQ_AC_RELEASE:
         cq_sim_change_reservation(sim, host, action->kind, &action->memory);
         break;
+    case CQ_AC_INSPECT:
+        break;
     case CQ_AC_PROBE:
         cq_sim_probe(sim, host, &action->attempt);
         break;
--- a/packages/core/action.h
+++ b/packages/core/action.h
@@ -19,6 +19,7 @@
     CQ_AC_ANSWER,  /* end a request */
     CQ_AC_RESERVE, /* reserve an engine's memory */
     CQ_AC_RELEASE, /* release reserved memory */
+    CQ_AC_INSPECT, /* ask an engine whether reserved memory is in use */
     CQ_AC_PROBE,   /* ask an upstream about an attempt */
     CQ_AC_CLAIM,   /* append a claim record to the log */
     CQ_AC_LEASE,   /* append a lease record to the log */
@@ -136,7 +137,7 @@
 } cq_ac_answer_t;
 
 /**
- * struct cq_ac_memory_t - reserve or release an engine's memory
+ * struct cq_ac_memory_t - reserve or release an engine's memory, or ask of it
  * @request: the request for which it is reserved
  * @upstream: the engine's id
  * @tokens: RESERVE: how much
@@ -178,9 +179,9 @@
 
 /**
  * struct cq_action_t - one action
- * @kind: which member is set; STOP, FORWARD and PROBE use @attempt, RESERVE
- *   and RELEASE use @memory, CLAIM and LEASE are records to append to the log,
- *   TASK is a change to send to every peer, STOPPED uses none
+ * @kind: which member is set; STOP, FORWARD and PROBE use @attempt, RESERVE,
+ *   RELEASE and INSPECT use @memory, CLAIM and LEASE are records to append to
+ *   the log, TASK is a change to send to every peer, STOPPED uses none
  * @summary: SUMMARY: to send to every peer; freed by cq_actions_reset()
  */
 typedef struct {
--- a/packages/core/core.c
+++ b/packages/core/core.c
@@ -12,6 +12,7 @@
 #include "core/lending.h"
 #include "core/load.h"
 #include "core/member.h"
+#include "core/memuse.h"
 #include "core/order.h"
 #include "core/pace.h"
 #include "core/peer.h"
@@ -281,6 +282,9 @@
     case CQ_EV_RESERVED:
         cq_group_reserved(core, &event->reserved);
         break;
+    case CQ_EV_INSPECTED:
+        cq_memuse_apply(core, &event->inspected);
+        break;
     case CQ_EV_PROBED:
         cq_watchdog_probed(core, &event->attempt);
         break;
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -49,6 +49,7 @@
     CQ_EV_LOG,         /* the log became reachable or unreachable */
     CQ_EV_DRAIN,       /* this process is to stop */
     CQ_EV_REACHED,     /* a connection opened by REACH did or did not open */
+    CQ_EV_INSPECTED,   /* an engine answered INSPECT, or failed to */
     CQ_EV_EMPTIED,     /* operators want a zone emptied, or no longer */
 } cq_event_kind_t;
 
@@ -482,6 +483,46 @@
     guint len;
 } cq_ev_parts_t;
 
+/** enum cq_memory_use_t - what an engine says of a reservation */
+typedef enum {
+    CQ_MEMORY_UNKNOWN, /* it gave no answer that can be read */
+    CQ_MEMORY_NONE,    /* it has no such reservation */
+    CQ_MEMORY_WAITING, /* the memory isn't free yet */
+    CQ_MEMORY_HELD,    /* the memory is set aside, and no request uses it */
+    CQ_MEMORY_USED,    /* a request uses the memory */
+    CQ_MEMORY_USE_COUNT,
+} cq_memory_use_t;
+
+/**
+ * struct cq_memory_report_t - what an engine says of a reservation and itself
+ * @use: state of the reservation
+ * @age_us: its age
+ * @waiting: requests that the engine has not begun to run
+ * @running: requests that it runs
+ * @used_tokens: memory that is in use or reserved
+ * @memory_tokens: all of its memory
+ */
+typedef struct {
+    cq_memory_use_t use;
+    gint64 age_us;
+    gint64 waiting;
+    gint64 running;
+    gint64 used_tokens;
+    gint64 memory_tokens;
+} cq_memory_report_t;
+
+/**
+ * struct cq_ev_inspected_t - result of INSPECT
+ * @request: the request for which the memory is reserved
+ * @upstream: the engine's id
+ * @report: its answer
+ */
+typedef struct {
+    guint64 request;
+    guint64 upstream;
+    cq_memory_report_t report;
+} cq_ev_inspected_t;
+
 /** enum cq_reach_purpose_t - why a connection to an upstream is opened */
 typedef enum {
     CQ_REACH_CUT,   /* to see whether this host is cut off */
@@ -549,6 +590,7 @@
         gboolean log_up;
         cq_ev_drain_t drain;
         cq_ev_reached_t reached;
+        cq_ev_inspected_t inspected;
         cq_ev_tasks_t tasks;
         cq_ev_parts_t parts;
         const cq_spare_t *spare;
--- a/packages/core/group.c
+++ b/packages/core/group.c
@@ -3,6 +3,7 @@
 #include "core/emptied.h"
 #include "core/flow.h"
 #include "core/load.h"
+#include "core/memuse.h"
 #include "core/place.h"
 #include "core/attempt.h"
 #include "core/table.h"
@@ -27,6 +28,17 @@
     return cq_place_need_tokens(request) / engines + 1;
 }
 
+int
+cq_group_index(const cq_request_t *request, guint64 upstream)
+{
+    for (guint i = 0; i < request->group_len; i++) {
+        if (request->group[i]->id == upstream) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
 static void
 add_memory_action(cq_core_t *core, const cq_request_t *request,
                   cq_action_kind_t kind, const cq_upstream_t *upstream)
@@ -48,7 +60,9 @@
     g_assert(request->group_len > 0);
     request->phase = CQ_PHASE_RESERVING;
     request->phase_start_us = core->now_us;
+    request->reserved_us = core->now_us;
     request->granted = 0;
+    cq_memuse_begin(core, request);
     cq_counters_add(&core->counters, CQ_N_GROUPS, 1);
     cq_table_log_event(core, request, "reserve",
                        "engines=%u tokens_each=%" G_GINT64_FORMAT,
@@ -93,17 +107,6 @@
     cq_flow_push(core, request, TRUE);
 }
 
-static int
-group_index(const cq_request_t *request, guint64 upstream)
-{
-    for (guint i = 0; i < request->group_len; i++) {
-        if (request->group[i]->id == upstream) {
-            return (int)i;
-        }
-    }
-    return -1;
-}
-
 /* Whether the engines of the group, and those that prefill with it, still
  * belong to the service of @request and get new work. */
 static gboolean
@@ -133,7 +136,7 @@
     if (request == NULL || request->phase != CQ_PHASE_RESERVING) {
         return;
     }
-    int index = group_index(request, event->upstream);
+    int index = cq_group_index(request, event->upstream);
     if (index < 0 || request->group_granted[index]) {
         return;
     }
--- a/packages/core/group.h
+++ b/packages/core/group.h
@@ -18,6 +18,10 @@
 gint64
 cq_group_part_tokens(const cq_request_t *request);
 
+/** cq_group_index() - Return: index of the engine in request->group, or -1 */
+int
+cq_group_index(const cq_request_t *request, guint64 upstream);
+
 /** cq_group_reserve() - ask the engines in request->group to reserve memory */
 void
 cq_group_reserve(cq_core_t *core, cq_request_t *request);
--- /dev/null
+++ b/packages/core/memuse.h
@@ -0,0 +1,34 @@
+/**
+ * DOC: memuse
+ *
+ * Whether the memory that a request has reserved is in use. A reservation is
+ * renewed as long as its request is open, also if the engine that decodes
+ * never began with the request, or has ended it and its answer was lost. So
+ * while no token comes, the engines are asked what they hold for the request.
+ *
+ * Load: prompts that need the memory of several engines, while some of these
+ * engines are slow, take requests that they never begin, or have more prompts
+ * to read than they can.
+ */
+#ifndef CQ_MEMUSE_H
+#define CQ_MEMUSE_H
+
+#include "core/state.h"
+
+G_BEGIN_DECLS
+
+/** cq_memuse_begin() - the engines in request->group are asked to reserve */
+void
+cq_memuse_begin(const cq_core_t *core, cq_request_t *request);
+
+/** cq_memuse_check() - ask the engines in request->group, if it is time */
+void
+cq_memuse_check(cq_core_t *core, cq_request_t *request);
+
+/** cq_memuse_apply() - process the result of INSPECT */
+void
+cq_memuse_apply(cq_core_t *core, const cq_ev_inspected_t *event);
+
+G_END_DECLS
+
+#endif
--- a/packages/core/state.h
+++ b/packages/core/state.h
@@ -375,6 +375,9 @@
  * @group_len: number of @group
  * @granted: how many of them granted it
  * @backoffs: times that a reservation failed
+ * @reserved_us: when @group was last asked to reserve memory
+ * @inspected_us: when @group was last asked whether the memory is in use
+ * @memory_use: what each of @group last said to that
  * @target_us: target time of its first token or, in a plain service, of its
  *   answer
  * @gap_max_us: longest allowed time between events of its stream, or 0
@@ -449,6 +452,9 @@
     guint group_len;
     guint granted;
     guint backoffs;
+    gint64 reserved_us;
+    gint64 inspected_us;
+    cq_memory_use_t memory_use[CQ_PREFILL_GROUP_MAX];
     gint64 target_us;
     gint64 gap_max_us;
     gboolean paused;
--- a/packages/core/watchdog.c
+++ b/packages/core/watchdog.c
@@ -7,6 +7,7 @@
 #include "core/handoff.h"
 #include "core/load.h"
 #include "core/member.h"
+#include "core/memuse.h"
 #include "core/attempt.h"
 #include "core/place.h"
 #include "core/rate.h"
@@ -182,6 +183,7 @@
         cq_answer_outcome(core, request, CQ_OUTCOME_EXPIRED);
         return;
     }
+    cq_memuse_check(core, request);
     gint64 in_phase_us = core->now_us - request->phase_start_us;
     switch (request->phase) {
     case CQ_PHASE_CLAIMING:
--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -202,14 +202,11 @@
 static void
 order_memory(cq_app_t *app, cq_action_kind_t kind, const cq_ac_memory_t *order)
 {
-    switch (app->mode) {
-    case MODE_API:
-        cq_engines_order_memory(app->engines, kind, order);
-        break;
-    case MODE_RELAY:
+    if (app->mode == MODE_RELAY) {
         cq_relay_reservation(app->relay, kind, order);
-        break;
+        return;
     }
+    cq_engines_order_memory(app->engines, kind, order);
 }
 
 static guint
@@ -258,6 +255,7 @@
         break;
     case CQ_AC_RESERVE:
     case CQ_AC_RELEASE:
+    case CQ_AC_INSPECT:
         order_memory(app, action->kind, &action->memory);
         break;
     case CQ_AC_PROBE:
--- a/packages/router/engines.c
+++ b/packages/router/engines.c
@@ -312,6 +312,7 @@
 cq_engines_order_memory(cq_engines_t *engines, cq_action_kind_t kind,
                         const cq_ac_memory_t *memory)
 {
+    g_assert(kind == CQ_AC_RESERVE || kind == CQ_AC_RELEASE);
     char *text = g_strdup_printf("{\"request\":\"%016" G_GINT64_MODIFIER
                                  "x\",\"tokens\":%" G_GINT64_FORMAT
                                  ",\"expiry_ms\":%" G_GINT64_FORMAT "}",
--- a/packages/router/relay.c
+++ b/packages/router/relay.c
@@ -492,6 +492,9 @@
     if (kind == CQ_AC_RELEASE) {
         cq_reservations_release(relay->reservations, order);
     }
+    else if (kind == CQ_AC_INSPECT) {
+        cq_reservations_inspect(relay->reservations, order);
+    }
     else if (cq_core_upstream(cq_app_core(relay->app), order->upstream,
                               &view)) {
         cq_reservations_add(relay->reservations, order, &view);
--- a/packages/router/relay.h
+++ b/packages/router/relay.h
@@ -46,8 +46,8 @@
 void
 cq_relay_stop(cq_relay_t *relay, const cq_ac_attempt_t *attempt);
 
-/** cq_relay_reservation() - reserve KV memory at an engine, or release it
- * if @kind is CQ_AC_RELEASE */
+/** cq_relay_reservation() - reserve KV memory at an engine or, as @kind says,
+ * release it or ask whether it is in use */
 void
 cq_relay_reservation(cq_relay_t *relay, cq_action_kind_t kind,
                      const cq_ac_memory_t *order);
--- a/packages/router/reservations.c
+++ b/packages/router/reservations.c
@@ -230,6 +230,49 @@
     release(reservation);
 }
 
+/* Whose reservation is inspected. It may end before the engine answers. */
+typedef struct {
+    cq_reservations_t *owner;
+    guint64 request;
+    guint64 upstream;
+} inspected_t;
+
+static void
+on_inspected(const cq_memory_report_t *report, void *data)
+{
+    const inspected_t *inspected = data;
+    cq_event_t event = {
+        .kind = CQ_EV_INSPECTED,
+        .inspected = {.request = inspected->request,
+                      .upstream = inspected->upstream,
+                      .report = *report},
+    };
+    inspected->owner->ops.post(&event, inspected->owner->ops.data);
+}
+
+void
+cq_reservations_inspect(cq_reservations_t *reservations,
+                        const cq_ac_memory_t *order)
+{
+    const reservation_t *reservation =
+        find(reservations, order->request, order->upstream);
+    if (reservation == NULL) {
+        return;
+    }
+    inspected_t *inspected = g_new0(inspected_t, 1);
+    inspected->owner = reservations;
+    inspected->request = order->request;
+    inspected->upstream = order->upstream;
+    cq_reserve_inspection_t inspection = {
+        .addr = reservation->addr,
+        .id = reservation->id,
+        .done = on_inspected,
+        .data = inspected,
+        .data_free = g_free,
+    };
+    cq_reserve_inspect(reservations->client, &inspection);
+}
+
 const char *
 cq_reservations_id(const cq_reservations_t *reservations, guint64 request,
                    guint64 upstream)
--- a/packages/router/reservations.h
+++ b/packages/router/reservations.h
@@ -19,7 +19,7 @@
 
 /**
  * struct cq_reservations_ops_t - receiver of outcomes
- * @post: called with each RESERVED event
+ * @post: called with each RESERVED and INSPECTED event
  * @data: passed to @post
  */
 typedef struct {
@@ -49,6 +49,12 @@
 cq_reservations_release(cq_reservations_t *reservations,
                         const cq_ac_memory_t *order);
 
+/** cq_reservations_inspect() - ask the engine whether the reservation is in
+ * use */
+void
+cq_reservations_inspect(cq_reservations_t *reservations,
+                        const cq_ac_memory_t *order);
+
 /** cq_reservations_id() - Return: id of the reservation that @request has at
  * @upstream, or NULL; borrowed */
 const char *
--- a/tests/unit/reservations_test.cc
+++ b/tests/unit/reservations_test.cc
@@ -2,6 +2,8 @@
 // all.
 #include <gtest/gtest.h>
 
+#include <unistd.h>
+
 #include <functional>
 #include <list>
 #include <string>
@@ -30,7 +32,13 @@
         }
         ASSERT_NE(listener, 0u);
         cq_reservations_ops_t ops = {};
-        ops.post = [](const cq_event_t *, void *) {};
+        ops.post = [](const cq_event_t *event, void *data) {
+            auto *test = static_cast<Reservations *>(data);
+            if (event->kind == CQ_EV_INSPECTED) {
+                test->inspected.push_back(event->inspected);
+            }
+        };
+        ops.data = this;
         reservations = cq_reservations_new(&ops);
         memory.request = 1;
         memory.upstream = 2;
@@ -73,6 +81,9 @@
     gint64 held_until_us = 0;
     gint64 last_held_us = 0;
     gint64 first_release_us = 0;
+    // What the engine reports of itself, and what was read of it.
+    std::string report;
+    std::vector<cq_ev_inspected_t> inspected;
 };
 
 struct conn {
@@ -108,6 +119,13 @@
 Reservations::on_order(conn *from, const std::string &text)
 {
     const std::string done = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    if (text.find("GET /v1/report ") == 0) {
+        std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                             std::to_string(report.size()) + "\r\n\r\n" +
+                             report;
+        cq_sock_write(from->sock, answer.data(), answer.size());
+        return;
+    }
     bool release = text.find("\"op\":\"release\"") != std::string::npos;
     releases += release;
     reserves += !release;
@@ -160,4 +178,67 @@
     EXPECT_LE(held_ms, 1800);
 }
 
+TEST_F(Reservations, AnEngineSaysWhetherTheMemoryIsInUse)
+{
+    cq_upstream_view_t engine = {};
+    engine.addr = addr;
+    cq_reservations_add(reservations, &memory, &engine);
+    std::string id =
+        cq_reservations_id(reservations, memory.request, memory.upstream);
+    struct {
+        std::string tickets;
+        cq_memory_use_t use;
+    } const cases[] = {
+        {"[]", CQ_MEMORY_NONE},
+        {"[{\"id\":\"other\",\"state\":\"used\"}]", CQ_MEMORY_NONE},
+        {"[{\"id\":\"other\",\"state\":\"used\"},{\"id\":\"" + id +
+             "\",\"state\":\"held\",\"age_ms\":700}]",
+         CQ_MEMORY_HELD},
+        {"[{\"id\":\"" + id + "\",\"state\":\"used\"}]", CQ_MEMORY_USED},
+        {"[{\"id\":\"" + id + "\",\"state\":\"waiting\"}]", CQ_MEMORY_WAITING},
+        {"[{\"id\":\"" + id + "\",\"state\":7}]", CQ_MEMORY_UNKNOWN},
+        {"[7,null,{\"id\":[]}]", CQ_MEMORY_NONE},
+        {"{}", CQ_MEMORY_UNKNOWN},
+        {"[", CQ_MEMORY_UNKNOWN},
+    };
+    for (const auto &one : cases) {
+        inspected.clear();
+        report = "{\"waiting\":3,\"running\":4,\"kv_used\":50,"
+                 "\"kv_total\":60,\"tickets\":" +
+                 one.tickets + "}";
+        cq_reservations_inspect(reservations, &memory);
+        run(100);
+        ASSERT_EQ(inspected.size(), 1u) << one.tickets;
+        EXPECT_EQ(inspected[0].request, memory.request);
+        EXPECT_EQ(inspected[0].upstream, memory.upstream);
+        EXPECT_EQ(inspected[0].report.use, one.use) << one.tickets;
+        if (one.use == CQ_MEMORY_HELD) {
+            EXPECT_EQ(inspected[0].report.age_us, 700 * 1000);
+            EXPECT_EQ(inspected[0].report.waiting, 3);
+            EXPECT_EQ(inspected[0].report.running, 4);
+            EXPECT_EQ(inspected[0].report.used_tokens, 50);
+            EXPECT_EQ(inspected[0].report.memory_tokens, 60);
+        }
+    }
+}
+
+TEST_F(Reservations, AnEngineWithoutAReportSaysNothingOfTheMemory)
+{
+    cq_upstream_view_t engine = {};
+    engine.addr = addr;
+    cq_reservations_add(reservations, &memory, &engine);
+    run(50);
+    for (conn *one : conns) {
+        cq_sock_abort(one->sock);
+        one->ended = true;
+    }
+    g_source_remove(listener);
+    listener = cq_sock_listen(
+        addr, [](int fd, void *) { close(fd); }, nullptr, nullptr);
+    cq_reservations_inspect(reservations, &memory);
+    run(600);
+    ASSERT_EQ(inspected.size(), 1u);
+    EXPECT_EQ(inspected[0].report.use, CQ_MEMORY_UNKNOWN);
+}
+
 } // namespace
