Test: memory that nothing uses is released while a peer is asked

A host that counts as cut off keeps the attempt that holds the memory beside the one at the peer; connections to the engines that hold it may live on.

--- a/tests/unit/reach_test.cc
+++ b/tests/unit/reach_test.cc
@@ -440,4 +440,45 @@
     EXPECT_EQ(answer_of(id), nullptr);
 }
 
+// The load: the same; the engine that decodes has not begun, while connections
+// to the others live on.
+TEST_F(Reach, MemoryThatNothingUsesIsReleasedWhileAPeerIsAsked)
+{
+    start(3, 1, 12);
+    guint64 id = submit_long(500000);
+    advance(20 * kMs);
+    gint64 reserved_us = now_us;
+    guint64 holder = engines_in(CQ_AC_RESERVE).at(0);
+    cq_event_t event = {};
+    event.kind = CQ_EV_RESERVED;
+    event.reserved.request = id;
+    event.reserved.upstream = holder;
+    event.reserved.granted = TRUE;
+    step(event);
+    attempt_event(id, CQ_EV_SENT);
+    cut();
+    while (hand_of(id) == nullptr) {
+        ASSERT_LT(now_us, reserved_us + 4 * kSecond);
+        advance(100 * kMs);
+        peer_says("h1", FALSE);
+    }
+    peer_event(id, CQ_EV_SENT);
+    event = {};
+    event.kind = CQ_EV_INSPECTED;
+    event.inspected.request = id;
+    event.inspected.upstream = holder;
+    event.inspected.report.use = CQ_MEMORY_HELD;
+    while (engines_in(CQ_AC_RELEASE).empty()) {
+        ASSERT_LT(now_us, reserved_us + 9 * kSecond);
+        advance(500 * kMs);
+        peer_says("h1", FALSE);
+        step(event);
+    }
+    EXPECT_EQ(answer_of(id), nullptr);
+    peer_event(id, CQ_EV_TOKENS);
+    peer_event(id, CQ_EV_DONE);
+    ASSERT_NE(answer_of(id), nullptr);
+    EXPECT_EQ(answer_of(id)->outcome, CQ_OUTCOME_DONE);
+}
+
 } // namespace
