Break off answers of engines to orders that have no end

What callers would see: an engine in trouble answers orders on memory, or a request for its report, with bytes without end. The host keeps up to 64 MiB of each such call for 400 ms, and with some of them at once it is past its memory; the requests of other callers end with it (LOST, processes that end by themselves). A body beyond 64 MiB was cut and handed over as a whole one.

Cause: the client for short calls has one limit, made for records of the store.

--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -11,7 +11,7 @@
 /* A connection that has been idle for this time is not reused: the other side
  * may have closed it without this side having noticed. */
 #define IDLE_MAX_US (8 * CQ_SECOND_US)
-/* Bytes of a response body beyond this are discarded. */
+/* Longest response body, unless the call states less. */
 #define BODY_BYTES_MAX (64 * 1024 * 1024)
 
 /* A connection, with the call that it carries while it is busy. */
@@ -22,6 +22,8 @@
     cq_sock_t *sock;
     cq_h1_t *reader;
     GByteArray *body;
+    gsize body_bytes_max;
+    gboolean too_long; /* the body is longer than that */
     gboolean busy;
     gboolean keep_alive;
     gboolean closed;
@@ -113,16 +115,18 @@
 on_body(void *data, const char *bytes, gsize len)
 {
     conn_t *conn = data;
-    if (conn->body->len + len <= BODY_BYTES_MAX) {
-        g_byte_array_append(conn->body, (const guint8 *)bytes, (guint)len);
+    if (conn->body->len + len > conn->body_bytes_max) {
+        conn->too_long = TRUE;
+        return;
     }
+    g_byte_array_append(conn->body, (const guint8 *)bytes, (guint)len);
 }
 
 static void
 on_done(void *data)
 {
     conn_t *conn = data;
-    finish_call(conn, conn->status);
+    finish_call(conn, conn->too_long ? 0 : conn->status);
 }
 
 static void
@@ -133,7 +137,8 @@
     cq_arrival_add(&conn->arrival, len, g_get_monotonic_time());
     gsize used = conn->busy ? cq_h1_feed(conn->reader, bytes, len) : 0;
     gboolean unusable = !conn->busy && !conn->keep_alive;
-    if (used < len || unusable || cq_h1_error(conn->reader) != CQ_H1_OK) {
+    if (used < len || unusable || conn->too_long ||
+        cq_h1_error(conn->reader) != CQ_H1_OK) {
         finish_call(conn, 0);
         conn_close(conn);
     }
@@ -263,6 +268,9 @@
     conn->data = call->data;
     conn->data_free = call->data_free;
     g_byte_array_set_size(conn->body, 0);
+    conn->body_bytes_max =
+        call->body_bytes_max > 0 ? call->body_bytes_max : BODY_BYTES_MAX;
+    conn->too_long = FALSE;
     conn->timer = g_timeout_add(call->timeout_ms, on_timeout, conn);
     conn->stall_ms = call->stall_ms;
     conn->ends_us = g_get_monotonic_time() + call->total_ms * CQ_MS_US;
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -34,6 +34,8 @@
  * @type: value of the Content-Type field, or NULL to send none
  * @body: the body, or NULL to send neither a body nor Content-Length
  * @body_len: its length in bytes
+ * @body_bytes_max: longest response body; with a longer one the call fails;
+ *   0: a limit that is large enough for the platform's store
  * @timeout_ms: time limit for the complete response
  * @stall_ms: the call goes on past that limit while less than this time has
  *   passed since the response was last arriving (http/arrival); 0: it doesn't
@@ -51,6 +53,7 @@
     const char *type;
     const void *body;
     gsize body_len;
+    gsize body_bytes_max;
     guint timeout_ms;
     guint stall_ms;
     guint total_ms;
--- a/tests/unit/reservations_test.cc
+++ b/tests/unit/reservations_test.cc
@@ -51,11 +51,14 @@
     void
     on_order(conn *from, const std::string &text);
     void
+    write_endless();
+    void
     run(int ms)
     {
         gint64 until_us = g_get_monotonic_time() + ms * 1000;
         while (g_get_monotonic_time() < until_us) {
             g_main_context_iteration(nullptr, FALSE);
+            write_endless();
             g_usleep(2 * 1000);
             gint64 now_us = g_get_monotonic_time();
             if (late_us != 0 && now_us >= late_us) {
@@ -81,6 +84,9 @@
     gint64 held_until_us = 0;
     gint64 last_held_us = 0;
     gint64 first_release_us = 0;
+    // The engine's answers never end; the bytes that it has sent of them.
+    bool endless = false;
+    size_t endless_bytes = 0;
     // What the engine reports of itself, and what was read of it.
     std::string report;
     std::vector<cq_ev_inspected_t> inspected;
@@ -90,6 +96,7 @@
     Reservations *engine;
     cq_sock_t *sock;
     bool ended = false;
+    bool endless = false; // writes bytes until the connection ends
     std::function<void(const std::string &)> order;
 };
 
@@ -97,7 +104,7 @@
 Reservations::on_accepted(int fd, void *data)
 {
     auto *engine = static_cast<Reservations *>(data);
-    auto *from = new conn{engine, nullptr, false, nullptr};
+    auto *from = new conn{engine, nullptr, false, false, nullptr};
     from->order = [engine, from](const std::string &text) {
         engine->on_order(from, text);
     };
@@ -119,6 +126,12 @@
 Reservations::on_order(conn *from, const std::string &text)
 {
     const std::string done = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    if (endless) {
+        const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+        cq_sock_write(from->sock, head.data(), head.size());
+        from->endless = true;
+        return;
+    }
     if (text.find("GET /v1/report ") == 0) {
         std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: " +
                              std::to_string(report.size()) + "\r\n\r\n" +
@@ -144,6 +157,19 @@
     cq_sock_write(from->sock, done.data(), done.size());
 }
 
+void
+Reservations::write_endless()
+{
+    static const std::string bytes(1 << 20, 'x');
+    for (conn *one : conns) {
+        if (one->endless && !one->ended &&
+            cq_sock_unwritten_bytes(one->sock) == 0) {
+            cq_sock_write(one->sock, bytes.data(), bytes.size());
+            endless_bytes += bytes.size();
+        }
+    }
+}
+
 void
 Reservations::TearDown()
 {
@@ -241,4 +267,21 @@
     EXPECT_EQ(inspected[0].report.use, CQ_MEMORY_UNKNOWN);
 }
 
+// The load: an engine in trouble answers with bytes without end. The host may
+// have hundreds of reservations.
+TEST_F(Reservations, AnAnswerWithoutEndIsBrokenOff)
+{
+    cq_upstream_view_t engine = {};
+    engine.addr = addr;
+    cq_reservations_add(reservations, &memory, &engine);
+    run(50);
+    endless = true;
+    cq_reservations_inspect(reservations, &memory);
+    run(350);
+    /* Besides, what the kernel holds of a connection. */
+    EXPECT_LE(endless_bytes, 8u << 20) << "bytes that the engine could send";
+    ASSERT_EQ(inspected.size(), 1u) << "the call goes on";
+    EXPECT_EQ(inspected[0].report.use, CQ_MEMORY_UNKNOWN);
+}
+
 } // namespace
