Bound what is kept of answers on the product's own interface

What callers would see: an upstream of a service that is called on the product's own interface sends bytes without end. The host keeps them, runs out of memory and ends, and the requests of all its callers with it.

Cause: an event of a stream and the answers of an engine to calls for its load, its reservations and its models had no limit, and plain answers one of 16 MiB each but none together. The path to the platform's upstreams has these limits; they were not brought over.

Change: the limits of plain answers, one and all together, and of an event are shared by both paths. Short calls state their longest answer and read up to it; before, libsoup collected whatever came in time.

--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -83,6 +83,13 @@
 /* Reading a response from its upstream pauses while more bytes than this wait
  * to be written to the caller. */
 #define CQ_CALLER_BUFFER_BYTES_MAX (256 * 1024)
+/* Longest answer that is not a stream; such an answer is buffered completely
+ * before it is forwarded. */
+#define CQ_ANSWER_BYTES_MAX (16 * 1024 * 1024)
+/* Bytes of all such answers together while they are received; the answer that
+ * exceeds it is broken off, which says nothing of its upstream or its request.
+ * Buffers grow to twice that, which the smallest host can hold. */
+#define CQ_ALL_ANSWERS_BYTES_MAX (48 * 1024 * 1024)
 /* Longest event of a stream; a longer one breaks its answer. */
 #define CQ_STREAM_EVENT_BYTES_MAX (256 * 1024)
 
--- a/packages/router/calls.c
+++ b/packages/router/calls.c
@@ -6,14 +6,21 @@
 
 #define READ_BYTES (16 * 1024)
 #define CONTROL_TIMEOUT_MS 2000
+/* Longest answer to a cancellation or a probe. */
+#define CONTROL_BYTES_MAX (64 * 1024)
 #define DATA_PREFIX "data: "
 #define EVENT_END "\n\n"
 #define DONE_EVENT "data: [DONE]"
 
+/*
+ * buffered: bytes of the answers of plain services that are being received or
+ *   have not been taken
+ */
 struct cq_calls {
     cq_app_t *app;
     SoupSession *session;
     GHashTable *by_request;
+    gsize buffered;
 };
 
 /*
@@ -22,6 +29,7 @@
  * received: bytes not yet split into stream events
  * pending: complete stream events not yet taken by cq_calls_take_events()
  * body: the complete answer of a plain service, or NULL
+ * buffered: its share of the calls' buffered bytes
  * older: an earlier attempt of the request that goes on beside it, or NULL
  */
 typedef struct call {
@@ -40,6 +48,7 @@
     GByteArray *received;
     GByteArray *pending;
     GBytes *body;
+    gsize buffered;
     guint refs;
     struct call *older;
 } call_t;
@@ -97,6 +106,7 @@
         call_t *older = call->older;
         call->older = NULL;
         cancel_call(call);
+        call->calls->buffered -= call->buffered;
         call_unref(call);
         call = older;
     }
@@ -185,6 +195,25 @@
     if (call->stream_complete) {
         post_done(call);
     }
+    else if (call->received->len > CQ_STREAM_EVENT_BYTES_MAX) {
+        post_failed(call, CQ_FAIL_BROKEN);
+    }
+}
+
+/* An answer that is too long, or has no end, is broken off. */
+static void
+on_plain_bytes(call_t *call, gsize len)
+{
+    cq_calls_t *calls = call->calls;
+    call->buffered += len;
+    calls->buffered += len;
+    if (call->buffered > CQ_ANSWER_BYTES_MAX) {
+        cq_app_count(calls->app, CQ_N_BODIES_TOO_LONG, 1);
+        post_failed(call, CQ_FAIL_BROKEN);
+    }
+    else if (calls->buffered > CQ_ALL_ANSWERS_BYTES_MAX) {
+        post_failed(call, CQ_FAIL_NO_ROOM);
+    }
 }
 
 static void
@@ -196,7 +225,8 @@
         post_failed(call, CQ_FAIL_BROKEN);
         return;
     }
-    call->body = g_bytes_new(call->received->data, call->received->len);
+    call->body = g_byte_array_free_to_bytes(call->received);
+    call->received = g_byte_array_new();
     post_done(call);
 }
 
@@ -207,7 +237,7 @@
     GInputStream *stream = G_INPUT_STREAM(source);
     GBytes *bytes = g_input_stream_read_bytes_finish(stream, result, NULL);
     call->reading = FALSE;
-    if (bytes == NULL) {
+    if (bytes == NULL || call->ended) {
         post_failed(call, CQ_FAIL_BROKEN);
     }
     else if (g_bytes_get_size(bytes) == 0) {
@@ -221,9 +251,8 @@
         if (model && soup_message_get_status(call->message) == 200) {
             on_model_bytes(call);
         }
-        else if (call->received->len > CQ_BODY_BYTES_MAX) {
-            cq_app_count(call->calls->app, CQ_N_BODIES_TOO_LONG, 1);
-            post_failed(call, CQ_FAIL_BROKEN);
+        else {
+            on_plain_bytes(call, len);
         }
     }
     g_clear_pointer(&bytes, g_bytes_unref);
@@ -412,8 +441,12 @@
                         "\"attempt\":%u}",
                         attempt->request, attempt->attempt);
     GBytes *body = g_bytes_new_take(text, strlen(text));
-    cq_http_call(calls->session, "POST", url, body, CONTROL_TIMEOUT_MS, NULL,
-                 NULL);
+    cq_http_call_t control = {.method = "POST",
+                              .url = url,
+                              .body = body,
+                              .answer_bytes_max = CONTROL_BYTES_MAX,
+                              .timeout_ms = CONTROL_TIMEOUT_MS};
+    cq_http_call(calls->session, &control);
     g_bytes_unref(body);
     g_free(url);
 }
@@ -467,8 +500,13 @@
     else {
         url = g_strdup_printf("http://%s/healthz", upstream->addr);
     }
-    cq_http_call(calls->session, "GET", url, NULL, CONTROL_TIMEOUT_MS,
-                 on_probed, probe);
+    cq_http_call_t control = {.method = "GET",
+                              .url = url,
+                              .answer_bytes_max = CONTROL_BYTES_MAX,
+                              .timeout_ms = CONTROL_TIMEOUT_MS,
+                              .done = on_probed,
+                              .data = probe};
+    cq_http_call(calls->session, &control);
     g_free(url);
 }
 
--- a/packages/router/engines.c
+++ b/packages/router/engines.c
@@ -6,6 +6,9 @@
 #include "router/http.h"
 
 #define CALL_TIMEOUT_MS 2000
+/* Longest answer of an engine: a load report with its reservations, or a page
+ * of cache events. */
+#define ANSWER_BYTES_MAX (1024 * 1024)
 /* Higher numbers in reports are reduced to this value. */
 #define REPORTED_MAX G_GINT64_CONSTANT(1000000000000)
 #define POLLED_ENGINES_MAX (CQ_SERVICES_MAX * CQ_UPSTREAM_SUBSET_MAX)
@@ -206,8 +209,13 @@
     call->engines = engines;
     call->upstream = upstream;
     engines->open_calls++;
-    cq_http_call(engines->session, "GET", url, NULL, CALL_TIMEOUT_MS, done,
-                 call);
+    cq_http_call_t http_call = {.method = "GET",
+                                .url = url,
+                                .answer_bytes_max = ANSWER_BYTES_MAX,
+                                .timeout_ms = CALL_TIMEOUT_MS,
+                                .done = done,
+                                .data = call};
+    cq_http_call(engines->session, &http_call);
 }
 
 static void
@@ -302,8 +310,14 @@
     char *url = g_strdup_printf("http://%s%s", view.addr, path);
     GBytes *body = g_bytes_new_take(text, strlen(text));
     engines->open_calls++;
-    cq_http_call(engines->session, "POST", url, body, CALL_TIMEOUT_MS, done,
-                 call);
+    cq_http_call_t http_call = {.method = "POST",
+                                .url = url,
+                                .body = body,
+                                .answer_bytes_max = ANSWER_BYTES_MAX,
+                                .timeout_ms = CALL_TIMEOUT_MS,
+                                .done = done,
+                                .data = call};
+    cq_http_call(engines->session, &http_call);
     g_bytes_unref(body);
     g_free(url);
 }
--- a/packages/router/http.c
+++ b/packages/router/http.c
@@ -5,36 +5,86 @@
 
 #define CONNECTIONS_MAX 4096
 
+/* Bytes of a body that are read at a time. */
+#define READ_BYTES (32 * 1024)
+
 typedef struct {
     SoupMessage *message;
     GCancellable *cancellable;
+    GInputStream *stream;
+    GByteArray *body;
+    gsize body_bytes_max;
     guint timer;
     cq_http_done_t done;
     void *data;
 } call_t;
 
+/* Ends @call; without @complete, it has no answer. */
 static void
-on_answer(GObject *source, GAsyncResult *result, gpointer data)
+end_call(call_t *call, gboolean complete)
 {
-    call_t *call = data;
-    SoupSession *session = SOUP_SESSION(source);
-    GBytes *body = soup_session_send_and_read_finish(session, result, NULL);
-    int status = 0;
-    if (body != NULL) {
-        status = (int)soup_message_get_status(call->message);
-    }
+    GBytes *body = g_byte_array_free_to_bytes(call->body);
     if (call->timer != 0) {
         g_source_remove(call->timer);
     }
-    if (call->done != NULL) {
+    if (call->done != NULL && complete) {
+        int status = (int)soup_message_get_status(call->message);
         call->done(status, body, call->data);
     }
-    g_clear_pointer(&body, g_bytes_unref);
+    else if (call->done != NULL) {
+        call->done(0, NULL, call->data);
+    }
+    g_bytes_unref(body);
+    g_clear_object(&call->stream);
     g_object_unref(call->message);
     g_object_unref(call->cancellable);
     g_free(call);
 }
 
+static void
+read_more(call_t *call);
+
+static void
+on_read(GObject *source, GAsyncResult *result, gpointer data)
+{
+    call_t *call = data;
+    GBytes *bytes =
+        g_input_stream_read_bytes_finish(G_INPUT_STREAM(source), result, NULL);
+    gsize len = bytes != NULL ? g_bytes_get_size(bytes) : 0;
+    gboolean fits = call->body->len + len <= call->body_bytes_max;
+    if (len > 0 && fits) {
+        g_byte_array_append(call->body, g_bytes_get_data(bytes, NULL),
+                            (guint)len);
+        read_more(call);
+    }
+    else {
+        end_call(call, bytes != NULL && fits);
+    }
+    g_clear_pointer(&bytes, g_bytes_unref);
+}
+
+static void
+read_more(call_t *call)
+{
+    g_input_stream_read_bytes_async(call->stream, READ_BYTES,
+                                    G_PRIORITY_DEFAULT, call->cancellable,
+                                    on_read, call);
+}
+
+static void
+on_head(GObject *source, GAsyncResult *result, gpointer data)
+{
+    call_t *call = data;
+    call->stream =
+        soup_session_send_finish(SOUP_SESSION(source), result, NULL);
+    if (call->stream != NULL) {
+        read_more(call);
+    }
+    else {
+        end_call(call, FALSE);
+    }
+}
+
 static gboolean
 on_timeout(gpointer data)
 {
@@ -96,26 +146,27 @@
 }
 
 void
-cq_http_call(SoupSession *session, const char *method, const char *url,
-             GBytes *body, guint timeout_ms, cq_http_done_t done, void *data)
+cq_http_call(SoupSession *session, const cq_http_call_t *spec)
 {
-    SoupMessage *message = soup_message_new(method, url);
+    SoupMessage *message = soup_message_new(spec->method, spec->url);
     if (message == NULL) {
-        if (done != NULL) {
-            done(0, NULL, data);
+        if (spec->done != NULL) {
+            spec->done(0, NULL, spec->data);
         }
         return;
     }
-    if (body != NULL) {
+    if (spec->body != NULL) {
         soup_message_set_request_body_from_bytes(message, "application/json",
-                                                 body);
+                                                 spec->body);
     }
     call_t *call = g_new0(call_t, 1);
     call->message = message;
     call->cancellable = g_cancellable_new();
-    call->timer = g_timeout_add(timeout_ms, on_timeout, call);
-    call->done = done;
-    call->data = data;
-    soup_session_send_and_read_async(session, message, G_PRIORITY_DEFAULT,
-                                     call->cancellable, on_answer, call);
+    call->body = g_byte_array_new();
+    call->body_bytes_max = spec->answer_bytes_max;
+    call->timer = g_timeout_add(spec->timeout_ms, on_timeout, call);
+    call->done = spec->done;
+    call->data = spec->data;
+    soup_session_send_async(session, message, G_PRIORITY_DEFAULT,
+                            call->cancellable, on_head, call);
 }
--- a/packages/router/http.h
+++ b/packages/router/http.h
@@ -35,19 +35,30 @@
 cq_http_new_session(void);
 
 /**
- * cq_http_call() - start a call
- * @session: the session
+ * struct cq_http_call_t - a call
  * @method: HTTP method
  * @url: the URL
  * @body: JSON body, or NULL; borrowed
+ * @answer_bytes_max: longest body of the answer; with a longer one there is
+ *   none
  * @timeout_ms: whole-call timeout in milliseconds
- * @done: called once, from the main loop or, if @url is invalid, before the
- *   return; may be NULL
+ * @done: called once, from the main loop or, if @url is invalid, before
+ *   cq_http_call() returns; may be NULL
  * @data: passed to @done
  */
+typedef struct {
+    const char *method;
+    const char *url;
+    GBytes *body;
+    gsize answer_bytes_max;
+    guint timeout_ms;
+    cq_http_done_t done;
+    void *data;
+} cq_http_call_t;
+
+/** cq_http_call() - start @call, whose strings are copied */
 void
-cq_http_call(SoupSession *session, const char *method, const char *url,
-             GBytes *body, guint timeout_ms, cq_http_done_t done, void *data);
+cq_http_call(SoupSession *session, const cq_http_call_t *call);
 
 G_END_DECLS
 
--- a/packages/router/log_client.c
+++ b/packages/router/log_client.c
@@ -279,8 +279,13 @@
                client->next, CQ_LOG_WAIT_MS);
     char *url = url_of(client, path);
     client->references++;
-    cq_http_call(client->session, "GET", url, NULL, READ_TIMEOUT_MS, on_page,
-                 client);
+    cq_http_call_t call = {.method = "GET",
+                           .url = url,
+                           .answer_bytes_max = CQ_JSON_BYTES_MAX,
+                           .timeout_ms = READ_TIMEOUT_MS,
+                           .done = on_page,
+                           .data = client};
+    cq_http_call(client->session, &call);
     g_free(url);
 }
 
@@ -355,8 +360,14 @@
     GBytes *body = g_bytes_new_take(text, strlen(text));
     char *url = url_of(client, "/append");
     client->references++;
-    cq_http_call(client->session, "POST", url, body, CALL_TIMEOUT_MS,
-                 on_appended, client);
+    cq_http_call_t call = {.method = "POST",
+                           .url = url,
+                           .body = body,
+                           .answer_bytes_max = CQ_JSON_BYTES_MAX,
+                           .timeout_ms = CALL_TIMEOUT_MS,
+                           .done = on_appended,
+                           .data = client};
+    cq_http_call(client->session, &call);
     g_free(url);
     g_bytes_unref(body);
     json_node_unref(root);
@@ -427,8 +438,13 @@
     const cq_settings_t *settings = cq_app_settings(client->app);
     char *url = g_strdup_printf("http://%s/hosts", settings->hosts);
     client->references++;
-    cq_http_call(client->session, "GET", url, NULL, CALL_TIMEOUT_MS, on_hosts,
-                 client);
+    cq_http_call_t call = {.method = "GET",
+                           .url = url,
+                           .answer_bytes_max = CQ_JSON_BYTES_MAX,
+                           .timeout_ms = CALL_TIMEOUT_MS,
+                           .done = on_hosts,
+                           .data = client};
+    cq_http_call(client->session, &call);
     g_free(url);
 }
 
--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -5,14 +5,6 @@
 #include "base/limits.h"
 #include "router/outboundstate.h"
 
-/* Longest body of an answer that is not a stream. Such an answer is buffered
- * completely before it is forwarded. */
-#define BODY_BYTES_MAX (16 * 1024 * 1024)
-/* Bytes of all such bodies together; the answer that exceeds it is broken off,
- * which says nothing of its upstream or its request. Buffers grow to twice
- * that, which the smallest host can hold. */
-#define ALL_BODIES_BYTES_MAX (48 * 1024 * 1024)
-
 /* HTTP status of a success that has no body, whatever type it states. */
 #define NO_CONTENT 204
 
@@ -211,11 +203,11 @@
         return;
     }
     cq_outbound_t *outbound = call->outbound;
-    if (call->events.whole->len + len > BODY_BYTES_MAX) {
+    if (call->events.whole->len + len > CQ_ANSWER_BYTES_MAX) {
         fail(call, CQ_FAIL_BROKEN);
         return;
     }
-    if (outbound->buffered + len > ALL_BODIES_BYTES_MAX) {
+    if (outbound->buffered + len > CQ_ALL_ANSWERS_BYTES_MAX) {
         fail(call, CQ_FAIL_NO_ROOM);
         return;
     }
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -73,7 +73,7 @@
 done
 wait
 for unit in $units; do record_unit "$unit"; done
-for script in ports demo fleetcheck badinput oddreports hangup operator drain holds giant orders retention \
+for script in ports demo fleetcheck badinput oddreports hangup apiendless operator drain holds giant orders retention \
     relay relaywake relaypeers relayreads relayreaders relayreadersback relaybulk relayleft relayendless relaydescriptors relaybodies relayslowreaders relayleaving relaymany \
     relayoutage relayremoved relaylostpoll relaylostconfig relayslowbytes relaypoison relaypoisonkept relaycells relayera relayerastart relaylimit relaycrashcall relaycrashkept relayidlechange relaystop relaystoplate \
     relayrefusalagain relayslowcall relaybrokenstream relaytornhead relayversion relayteams relaysmuggle \
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -8,7 +8,9 @@
  *   error_next  answers the next N with 500
  *   close_next  closes the connections of the next N without an answer
  *   stall_next  the next N send nothing from token "stall_at" on
- *   die_next    the next N close the connection at token "die_at" */
+ *   die_next    the next N close the connection at token "die_at"
+ *   endless_next  the next N send an event without an end in place of tokens
+ */
 #include <string.h>
 
 #include "standin.h"
@@ -17,16 +19,19 @@
 #define DEFAULT_OUTPUT_TOKENS 20
 #define BYTES_PER_TOKEN 4
 #define MODEL_LOAD_MS 300
+/* What a completion without an end sends in place of a token. */
+#define ENDLESS_PART_BYTES (64 * 1024)
 
 /* A completion in progress. */
 typedef struct {
     SoupServerMessage *message;
     char id[64]; /* REQUEST-ATTEMPT */
     char tag[TAG_BYTES_MAX];
-    int next;     /* index of the next token */
-    int end;      /* index after the last token */
-    int stall_at; /* sends nothing from this token on; 0: never */
-    int die_at;   /* closes the connection before this token; 0: never */
+    int next;         /* index of the next token */
+    int end;          /* index after the last token */
+    int stall_at;     /* sends nothing from this token on; 0: never */
+    int die_at;       /* closes the connection before this token; 0: never */
+    gboolean endless; /* sends an event that never ends */
     gint64 prefill_tokens;
     gboolean prefilled;
     guint timer;
@@ -88,6 +93,16 @@
     soup_message_body_append(body, SOUP_MEMORY_COPY, text, strlen(text));
 }
 
+static void
+append_endless(run_t *run)
+{
+    char part[ENDLESS_PART_BYTES];
+    memset(part, 'x', sizeof part - 1);
+    part[sizeof part - 1] = '\0';
+    append_text(run, part);
+    soup_server_message_unpause(run->message);
+}
+
 static gboolean
 on_step(gpointer data)
 {
@@ -100,6 +115,10 @@
         abort_run(run);
         return G_SOURCE_REMOVE;
     }
+    if (run->endless) {
+        append_endless(run);
+        return G_SOURCE_CONTINUE;
+    }
     char event[256];
     g_snprintf(event, sizeof event,
                "data: {\"choices\":[{\"index\":0,\"text\":\"%s:%d \","
@@ -180,6 +199,7 @@
     if (standin_fault_consume("stall_next")) {
         run->stall_at = MAX(standin_fault("stall_at"), 1);
     }
+    run->endless = standin_fault_consume("endless_next");
     if (standin_fault_consume("die_next")) {
         run->die_at = MAX(standin_fault("die_at"), 1);
     }
