Callers who read a few bytes again and again get their whole answer

Cause: the kernel counts the user timeout from the first probe of a closed window, and goes on while bytes get through only as probes are due. Our check took each acknowledged byte for a new beginning, set the user timeout back to 4 s and put it off as if it had begun to be counted just then. The kernel ended the connection 4 s after the window had first closed. (A trial with 10 ms between looks showed that neither a backoff of 0 nor bytes in flight mean that the kernel counts anew.) Class: a guess about another party's clock, renewed by an event that doesn't renew that clock.

Change: what is put off is measured from the first time that the window was found closed until everything is acknowledged; progress only renews our own limit of 30 s without a byte. As the kernel's limit may then be longer than needed, silence is looked for in the same check: a probe or retransmission that is unanswered, with no acknowledgement for 4 s, in two checks in a row.

--- a/packages/http/sock.c
+++ b/packages/http/sock.c
@@ -460,6 +460,11 @@
         cq_stall_state_t state =
             cq_stall_check(&sock->stall, sock->fd, patient);
         link = link->next;
+        if (state == CQ_STALL_SILENT) {
+            /* Its owner may free others, and the poller with them. */
+            sock_end(sock, CQ_SOCK_RESET);
+            return G_SOURCE_CONTINUE;
+        }
         if (state == CQ_STALL_CLOSED && patient) {
             held += unwritten;
         }
--- a/packages/http/stall.c
+++ b/packages/http/stall.c
@@ -50,16 +50,30 @@
     memset(stall, 0, sizeof *stall);
 }
 
-/* The kernel counts the user timeout from the first probe of the closed
- * window, some hundred milliseconds after it closed. */
+/* Whether the other side has answered neither a probe nor a retransmission for
+ * the whole time limit. One that is sent just now has no answer either, so two
+ * checks in a row must find it so. */
+static gboolean
+is_silent(cq_stall_t *stall, const struct tcp_info *info, gint64 ack_age_us)
+{
+    gboolean unanswered = info->tcpi_probes > 0 || info->tcpi_retransmits > 0;
+    gboolean was_unanswered = stall->unanswered;
+    stall->unanswered =
+        unanswered && ack_age_us > CQ_TCP_UNACKED_MS * CQ_MS_US;
+    return was_unanswered && stall->unanswered;
+}
+
+/* The kernel counts the user timeout from the first probe of a closed window.
+ * It goes on counting while the window opens by less than the next segment,
+ * and may do so until everything is acknowledged. */
 static void
 put_off(cq_stall_t *stall, int fd, gint64 now_us, gint64 ack_age_us)
 {
     const gint64 limit_us = CQ_TCP_UNACKED_MS * CQ_MS_US;
     gint64 end_us = now_us + MIN(PUT_OFF_US, limit_us - ack_age_us);
-    if (end_us - stall->since_us > limit_us) {
+    if (end_us - stall->counting_since_us > limit_us) {
         stall->put_off = TRUE;
-        set_user_timeout(fd, end_us - stall->since_us);
+        set_user_timeout(fd, end_us - stall->counting_since_us);
     }
 }
 
@@ -72,21 +86,27 @@
         return CQ_STALL_NONE;
     }
     struct tcp_info info;
-    if (!read_info(fd, &info) || !is_window_closed(&info)) {
+    if (!read_info(fd, &info)) {
         forget(stall, fd);
         return CQ_STALL_MOVING;
     }
+    gboolean closed = is_window_closed(&info);
     gint64 now_us = g_get_monotonic_time();
-    if (stall->since_us == 0 || info.tcpi_bytes_acked != stall->acked) {
-        forget(stall, fd);
+    gint64 ack_age_us = info.tcpi_last_ack_recv * CQ_MS_US;
+    if (is_silent(stall, &info, ack_age_us)) {
+        return CQ_STALL_SILENT;
+    }
+    if (closed && stall->counting_since_us == 0) {
+        stall->counting_since_us = now_us - CQ_STALL_CHECK_MS * CQ_MS_US;
+    }
+    if (info.tcpi_bytes_acked != stall->acked || stall->since_us == 0) {
         stall->since_us = now_us;
         stall->acked = info.tcpi_bytes_acked;
     }
-    gint64 ack_age_us = info.tcpi_last_ack_recv * CQ_MS_US;
     /* An age of 0 is also what a system without this figure shows. */
-    if (patient && ack_age_us > 0 &&
+    if (patient && ack_age_us > 0 && stall->counting_since_us != 0 &&
         now_us - stall->since_us < CQ_STALL_MAX_US) {
         put_off(stall, fd, now_us, ack_age_us);
     }
-    return CQ_STALL_CLOSED;
+    return closed ? CQ_STALL_CLOSED : CQ_STALL_MOVING;
 }
--- a/tests/unit/sock_test.cc
+++ b/tests/unit/sock_test.cc
@@ -101,6 +101,8 @@
 
 // More than the kernel's buffers hold.
 constexpr gsize kBytes = 14 * 1024 * 1024;
+// A long stream of small events.
+constexpr gsize kStream = 34 * 1024;
 // The longest time for which the other side may be silent: the user timeout of
 // 4 s, from the first probe or the last acknowledgement on, and the next
 // probe.
@@ -120,8 +122,13 @@
         ASSERT_EQ(bind(listener, (sockaddr *)&to, sizeof to), 0);
         ASSERT_EQ(listen(listener, 1), 0);
         ASSERT_EQ(getsockname(listener, (sockaddr *)&to, &len), 0);
+        connect_to(to);
+    }
+    void
+    connect_to(const sockaddr_in &to)
+    {
         fd = socket(AF_INET, SOCK_STREAM, 0);
-        ASSERT_EQ(connect(fd, (sockaddr *)&to, sizeof to), 0);
+        ASSERT_EQ(connect(fd, (const sockaddr *)&to, sizeof to), 0);
         cq_sock_ops_t ops = {};
         ops.ended = [](void *data, cq_sock_end_t) { *(bool *)data = true; };
         ops.data = &ended;
@@ -129,6 +136,20 @@
         other = accept(listener, nullptr, nullptr);
         ASSERT_GE(other, 0);
     }
+    // Replaces the connection by one whose other side has this receive buffer.
+    void
+    connect_with_window(int bytes)
+    {
+        ASSERT_EQ(
+            setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes),
+            0);
+        sockaddr_in to = {};
+        socklen_t len = sizeof to;
+        ASSERT_EQ(getsockname(listener, (sockaddr *)&to, &len), 0);
+        cq_sock_abort(sock);
+        close(other);
+        connect_to(to);
+    }
     void
     TearDown() override
     {
@@ -150,6 +171,22 @@
         }
         return ran_ms;
     }
+    // The other side reads 500 bytes each 120 ms, until it has read kStream
+    // bytes, the connection has ended or the time is over. Return: bytes read.
+    gsize
+    read_slowly(int max_ms)
+    {
+        constexpr int kSipMs = 120;
+        char bytes[500];
+        gsize received = 0;
+        for (int ms = 0; ms < max_ms && received < kStream && !ended;
+             ms += kSipMs) {
+            run_ms(kSipMs);
+            gssize n = recv(other, bytes, sizeof bytes, MSG_DONTWAIT);
+            received += n > 0 ? (gsize)n : 0;
+        }
+        return received;
+    }
     void
     write(gsize len)
     {
@@ -228,6 +265,28 @@
     EXPECT_EQ(received, kBytes);
 }
 
+// A caller on a thin link, or with little processor: it takes some bytes again
+// and again, fewer than the next segment has. The bytes are those of a long
+// stream, all of which has come at once.
+TEST_F(TcpOptions, AnotherSideThatReadsSlowlyGetsAll)
+{
+    connect_with_window(4096);
+    write(kStream);
+    EXPECT_EQ(read_slowly(14000), kStream);
+    EXPECT_FALSE(ended);
+}
+
+TEST_F(TcpOptions, AnotherSideThatReadsSlowlyAndFallsSilentIsFoundInTime)
+{
+    connect_with_window(4096);
+    write(kStream);
+    read_slowly(5000);
+    ASSERT_FALSE(ended);
+    silence_other();
+    EXPECT_LE(run_ms(20000), kSilentMaxMs);
+    EXPECT_TRUE(ended);
+}
+
 // The kernel probes a closed window ever more rarely, if it may.
 TEST_F(TcpOptions, AnotherSideThatFallsSilentAfterAWhileIsFoundInTime)
 {
