A stopped host leaves when its callers have their answers

A caller that read on 6.2 s after its request was reset within the answer, 6 of 6.

Cause: an answer counted as delivered once the kernel had taken it. The kernel goes on after the process has ended, but with the user timeout of 4 s, which only the living process puts off for callers that read slowly. Class: "written" taken for "received".

Change: what the caller has not acknowledged counts as unfinished: a connection with such bytes is shut down and kept, not closed, and the host waits for it until the limit of the stop. In relay mode nothing else bounds that wait now (2 s before). A connection that is closed all the same gets the longer user timeout, so that the kernel goes on for as long as the process would have.

A check changed: Inbound.AnAnswerThatIsWrittenOutlivesTheServer asked, before the server is freed, that the answer is not unfinished. That was the fault: the caller has read nothing of it. That the kernel has all of it is shown by what it asks after: with the server gone, the caller gets the whole answer; it now also asks for its length, as its neighbour does.

--- a/packages/http/sock.c
+++ b/packages/http/sock.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <glib-unix.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -528,6 +529,16 @@
     return sock->write_buffer->len - sock->written_len;
 }
 
+gsize
+cq_sock_undelivered_bytes(const cq_sock_t *sock)
+{
+    int unacked = 0;
+    if (!sock->closed) {
+        ioctl(sock->fd, SIOCOUTQ, &unacked);
+    }
+    return cq_sock_unwritten_bytes(sock) + (gsize)MAX(unacked, 0);
+}
+
 gboolean
 cq_sock_is_open(const cq_sock_t *sock)
 {
@@ -566,6 +577,7 @@
         return;
     }
     sock->close_when_written = TRUE;
+    cq_stall_leave(sock->fd);
     if (sock->write_buffer->len == sock->written_len || !sock->opened) {
         sock_close(sock);
         return;
--- a/packages/http/sock.h
+++ b/packages/http/sock.h
@@ -83,6 +83,11 @@
 void
 cq_sock_write(cq_sock_t *sock, const void *bytes, gsize len);
 
+/** cq_sock_undelivered_bytes() - Return: number of bytes given to
+ * cq_sock_write() that the other side has not acknowledged */
+gsize
+cq_sock_undelivered_bytes(const cq_sock_t *sock);
+
 /** cq_sock_unwritten_bytes() - Return: number of bytes not yet written */
 gsize
 cq_sock_unwritten_bytes(const cq_sock_t *sock);
--- a/packages/http/stall.c
+++ b/packages/http/stall.c
@@ -110,3 +110,12 @@
     }
     return closed ? CQ_STALL_CLOSED : CQ_STALL_MOVING;
 }
+
+void
+cq_stall_leave(int fd)
+{
+    int waiting = 0;
+    if (ioctl(fd, SIOCOUTQ, &waiting) == 0 && waiting > 0) {
+        set_user_timeout(fd, CQ_STALL_MAX_US);
+    }
+}
--- a/packages/http/stall.h
+++ b/packages/http/stall.h
@@ -59,6 +59,12 @@
 cq_stall_state_t
 cq_stall_check(cq_stall_t *stall, int fd, gboolean patient);
 
+/** cq_stall_leave() - the connection @fd is closed, and isn't checked any
+ * more; the kernel goes on with what is unacknowledged, for as long as a
+ * connection that is checked may be stalled */
+void
+cq_stall_leave(int fd);
+
 G_END_DECLS
 
 #endif
--- a/packages/router/app.c
+++ b/packages/router/app.c
@@ -13,7 +13,8 @@
 #include "router/reachprobe.h"
 #include "router/relay.h"
 
-/* Longest wait for the last answers and records: FLUSH_POLLS intervals. */
+/* Longest wait for the last answers and records, unless the limit of the stop
+ * bounds it: FLUSH_POLLS intervals. */
 #define FLUSH_POLL_MS 20
 #define FLUSH_POLLS 100
 /* Callers' idle connections are closed at this percentage of notice_ms. */
@@ -224,9 +225,9 @@
     guint unfinished = count_unfinished(app);
     guint pending =
         app->log_client != NULL ? cq_log_client_pending(app->log_client) : 0;
-    gboolean in_time =
-        app->flush_polls++ < FLUSH_POLLS &&
-        (app->mode == MODE_API || cq_app_now_us(app) < app->flush_until_us);
+    gboolean in_time = app->mode == MODE_API
+                           ? app->flush_polls++ < FLUSH_POLLS
+                           : cq_app_now_us(app) < app->flush_until_us;
     if ((unfinished > 0 || pending > 0) && in_time) {
         return G_SOURCE_CONTINUE;
     }
--- a/packages/router/inbound.c
+++ b/packages/router/inbound.c
@@ -110,7 +110,7 @@
 static void
 close_idle(cq_inbound_conn_t *conn)
 {
-    if (cq_sock_unwritten_bytes(conn->sock) > 0) {
+    if (cq_sock_undelivered_bytes(conn->sock) > 0) {
         start_closing(conn);
         return;
     }
@@ -437,7 +437,7 @@
         }
         break;
     case CQ_INBOUND_CLOSING:
-        if (cq_sock_unwritten_bytes(conn->sock) == 0 &&
+        if (cq_sock_undelivered_bytes(conn->sock) == 0 &&
             now_us - conn->state_since_us > CQ_CLOSING_TIMEOUT_US) {
             finish_closing(conn);
         }
@@ -471,7 +471,7 @@
             conn->state > CQ_INBOUND_IDLE && conn->state < CQ_INBOUND_CLOSING;
         gboolean waits =
             conn->state == CQ_INBOUND_IDLE && cq_sock_has_unread(conn->sock);
-        if (open || waits || cq_sock_unwritten_bytes(conn->sock) > 0) {
+        if (open || waits || cq_sock_undelivered_bytes(conn->sock) > 0) {
             unfinished++;
         }
     }
--- a/packages/router/inbound.h
+++ b/packages/router/inbound.h
@@ -76,7 +76,8 @@
 cq_inbound_check_timeouts(cq_inbound_t *inbound);
 
 /** cq_inbound_unfinished() - Return: number of connections on which a request
- * arrives, is unanswered, or has an answer that is not completely written */
+ * arrives, is unanswered, or has an answer that its caller has not got whole
+ */
 guint
 cq_inbound_unfinished(const cq_inbound_t *inbound);
 
--- a/packages/router/relay.h
+++ b/packages/router/relay.h
@@ -75,8 +75,8 @@
 cq_relay_close_idle_callers(cq_relay_t *relay);
 
 /** cq_relay_unfinished() - Return: number of callers' connections on which a
- * request arrives, is unanswered, or has an answer that is not written, plus
- * number of reservations not yet released */
+ * request arrives, is unanswered, or has an answer that its caller has not got
+ * whole, plus number of reservations not yet released */
 guint
 cq_relay_unfinished(const cq_relay_t *relay);
 
--- a/tests/unit/inbound_test.cc
+++ b/tests/unit/inbound_test.cc
@@ -23,6 +23,8 @@
 const std::string kLastGet =
     "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
 const std::string kReset = " (reset)";
+// Less than the kernel takes to send, and more than a slow caller's window.
+constexpr gsize kSlowAnswer = 64 * 1024;
 
 class Inbound : public ::testing::Test {
   protected:
@@ -77,6 +79,17 @@
         run();
         return fd;
     }
+    // Return: a caller whose kernel takes few bytes before they are read.
+    int
+    connect_slow_caller()
+    {
+        int fd = socket(AF_INET, SOCK_STREAM, 0);
+        int bytes = 4096;
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+        EXPECT_EQ(connect(fd, (sockaddr *)&address, sizeof address), 0);
+        run();
+        return fd;
+    }
     void
     limits(gint64 head_us, gint64 idle_us, gsize body_bytes)
     {
@@ -408,11 +421,42 @@
     EXPECT_TRUE(say(kGet));
     run();
     answer(body);
-    EXPECT_EQ(cq_inbound_unfinished(inbound), 0u);
     cq_inbound_free(inbound);
     inbound = nullptr;
     std::string heard = hear();
     EXPECT_TRUE(ends_with(heard, "xxx.")) << heard.size();
+    EXPECT_GT(heard.size(), body.size());
+}
+
+// A caller that reads slowly: the kernel has the rest of its answer, and the
+// caller's connection is kept or not.
+TEST_F(Inbound, AnAnswerIsUnfinishedUntilItsCallerHasIt)
+{
+    answers = false;
+    for (const std::string &request : {kGet, kLastGet}) {
+        close(caller);
+        caller = connect_slow_caller();
+        ASSERT_TRUE(say(request));
+        run();
+        const std::string body(kSlowAnswer, 'x');
+        answer(body);
+        run();
+        cq_inbound_drain(inbound);
+        EXPECT_EQ(cq_inbound_unfinished(inbound), 1u);
+        cq_inbound_close_idle(inbound);
+        run();
+        EXPECT_EQ(cq_inbound_unfinished(inbound), 1u)
+            << "the idle connection was closed";
+        std::string heard;
+        for (int i = 0; i < 300 && cq_inbound_unfinished(inbound) > 0; i++) {
+            heard += hear();
+            g_usleep(10 * 1000);
+            run();
+        }
+        heard += hear();
+        EXPECT_EQ(cq_inbound_unfinished(inbound), 0u);
+        EXPECT_NE(heard.find(body), std::string::npos) << heard.size();
+    }
 }
 
 // An answer that keeps the connection, and is written when a stop begins.
