Large answers that wait for slow callers take room from the next ones

The host was past 390 MB after 2.5 s, the platform killed it, and the streams of other callers were cut.

Cause: plain answers have a bound of 48 MiB together while they are received. A complete one gives that room back and is copied whole into the connection of its caller, where nobody counts it. Class: a bound that ends where the bytes move from one buffer to the next.

Change: what waits to be written counts with what is received, for answers beyond 64 KiB. One that finds no room is broken off as before, which says nothing of its upstream or its request. Small answers always find room, so that slow callers of large ones don't keep others from theirs. A large body is copied once on its way to the caller, not twice, and received into a buffer of its stated length. The TCP options moved to a file of their own.

What it costs: while three such answers wait for slow callers, further ones beyond 64 KiB get 502 until there is room.

--- a/packages/base/limits.h
+++ b/packages/base/limits.h
@@ -86,9 +86,10 @@
 /* Longest answer that is not a stream; such an answer is buffered completely
  * before it is forwarded. */
 #define CQ_ANSWER_BYTES_MAX (16 * 1024 * 1024)
-/* Bytes of all such answers together while they are received; the answer that
- * exceeds it is broken off, which says nothing of its upstream or its request.
- * Buffers grow to twice that, which the smallest host can hold. */
+/* Bytes of all such answers together, while they are received or wait for slow
+ * callers; the answer that exceeds it is broken off, which says nothing of its
+ * upstream or its request. Buffers grow to twice that, which the smallest host
+ * can hold. */
 #define CQ_ALL_ANSWERS_BYTES_MAX (48 * 1024 * 1024)
 /* Longest event of a stream; a longer one breaks its answer. */
 #define CQ_STREAM_EVENT_BYTES_MAX (256 * 1024)
--- a/packages/http/sock.c
+++ b/packages/http/sock.c
@@ -6,7 +6,6 @@
 #include <glib-unix.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/ioctl.h>
@@ -16,6 +15,7 @@
 #include "base/limits.h"
 #include "base/list.h"
 #include "http/stall.h"
+#include "http/tcpoptions.h"
 
 /* Per iteration of the main loop, a connection reads at most this number of
  * times into a buffer of this size, so that the others get their turn. */
@@ -33,6 +33,7 @@
  * A GSource for all connections of the main context. With a source for each of
  * them, each iteration of the main loop would poll every descriptor.
  * socks: number of connections; the source is destroyed with the last one
+ * unwritten: bytes in all write buffers
  * unacked: connections that may have unacknowledged bytes; while there are
  * any, check_timer is set
  */
@@ -41,6 +42,7 @@
     int epoll_fd;
     gpointer epoll_tag;
     guint socks;
+    gsize unwritten;
     cq_list_t unacked;
     guint check_timer;
     guint64 unopened;
@@ -101,6 +103,14 @@
     g_source_unref(&poller->source);
 }
 
+static void
+count_unwritten(cq_sock_t *sock, gssize change)
+{
+    if (sock->poller != NULL) {
+        sock->poller->unwritten += (gsize)change;
+    }
+}
+
 static void
 sock_close(cq_sock_t *sock)
 {
@@ -110,6 +120,7 @@
     sock->closed = TRUE;
     unregister(sock);
     cq_list_remove(&sock->unacked_link);
+    count_unwritten(sock, -(gssize)cq_sock_unwritten_bytes(sock));
     poller_remove(sock->poller);
     if (sock->fd >= 0) {
         close(sock->fd);
@@ -186,6 +197,7 @@
             return;
         }
         sock->written_len += (gsize)n;
+        count_unwritten(sock, -n);
     }
     gboolean had_bytes = sock->written_len > 0;
     drop_written(sock);
@@ -389,30 +401,11 @@
     return sock;
 }
 
-/* Keep-alive probes and the limit on unacknowledged data end a connection
- * whose network path or other side is gone. */
-static void
-set_options(int fd)
-{
-    int on = 1;
-    int idle_s = CQ_TCP_KEEPALIVE_IDLE_S;
-    int interval_s = CQ_TCP_KEEPALIVE_INTERVAL_S;
-    int probes = CQ_TCP_KEEPALIVE_PROBES;
-    unsigned int unacked_ms = CQ_TCP_UNACKED_MS;
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof interval_s);
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
-               sizeof unacked_ms);
-}
-
 cq_sock_t *
 cq_sock_from_fd(int fd, const cq_sock_ops_t *ops)
 {
     g_unix_set_fd_nonblocking(fd, TRUE, NULL);
-    set_options(fd);
+    cq_tcpoptions_set(fd);
     return sock_new(fd, ops, TRUE);
 }
 
@@ -436,7 +429,7 @@
     if (fd < 0) {
         return sock_new(fd, ops, FALSE);
     }
-    set_options(fd);
+    cq_tcpoptions_set(fd);
     if (ok) {
         int result = connect(fd, (struct sockaddr *)&to, sizeof to);
         ok = result == 0 || errno == EINPROGRESS;
@@ -504,6 +497,7 @@
     }
     gboolean waiting = sock->write_buffer->len > sock->written_len;
     g_byte_array_append(sock->write_buffer, bytes, (guint)len);
+    count_unwritten(sock, (gssize)len);
     check_later(sock);
     if (!sock->opened || waiting) {
         return;
@@ -512,6 +506,7 @@
                     sock->write_buffer->len - sock->written_len, MSG_NOSIGNAL);
     if (n > 0) {
         sock->written_len += (gsize)n;
+        count_unwritten(sock, -n);
     }
     drop_written(sock);
     if (sock->written_len == sock->write_buffer->len) {
@@ -529,6 +524,13 @@
     return sock->write_buffer->len - sock->written_len;
 }
 
+gsize
+cq_sock_all_unwritten_bytes(void)
+{
+    const poller_t *poller = find_poller();
+    return poller != NULL ? poller->unwritten : 0;
+}
+
 gsize
 cq_sock_undelivered_bytes(const cq_sock_t *sock)
 {
--- a/packages/http/sock.h
+++ b/packages/http/sock.h
@@ -92,6 +92,10 @@
 gsize
 cq_sock_unwritten_bytes(const cq_sock_t *sock);
 
+/** cq_sock_all_unwritten_bytes() - Return: the same of all connections */
+gsize
+cq_sock_all_unwritten_bytes(void);
+
 /** cq_sock_is_open() - Return: whether the connection is established */
 gboolean
 cq_sock_is_open(const cq_sock_t *sock);
--- a/packages/router/exchange.c
+++ b/packages/router/exchange.c
@@ -4,6 +4,10 @@
 #include "router/heads.h"
 #include "router/inboundstate.h"
 
+/* Longer bodies are written by themselves, so that they aren't copied twice.
+ */
+#define LARGE_BODY_BYTES (64 * 1024)
+
 /* Decides whether the connection is kept after the answer, whose head says so:
  * a stop that begins later changes nothing. Return: whether it is kept. */
 static gboolean
@@ -61,11 +65,15 @@
         g_string_append_printf(out, "Content-Length: %zu\r\n", len);
     }
     g_string_append(out, "\r\n");
-    if (!no_body) {
+    gboolean is_large = len > LARGE_BODY_BYTES;
+    if (!no_body && !is_large) {
         g_string_append_len(out, body, (gssize)len);
     }
     cq_sock_write(exchange->conn->sock, out->str, out->len);
     g_string_free(out, TRUE);
+    if (!no_body && is_large) {
+        cq_sock_write(exchange->conn->sock, body, len);
+    }
     cq_inbound_end_exchange(exchange);
 }
 
--- a/packages/router/outbound.c
+++ b/packages/router/outbound.c
@@ -5,6 +5,9 @@
 #include "base/limits.h"
 #include "router/outboundstate.h"
 
+/* From this length on an answer counts as large. */
+#define LARGE_ANSWER_BYTES (64 * 1024)
+
 /* HTTP status of a success that has no body, whatever type it states. */
 #define NO_CONTENT 204
 
@@ -135,6 +138,19 @@
     return strcmp(call->attempt_id, reply->attempt_id) == 0;
 }
 
+/* A buffer of the stated length isn't copied as it grows. */
+static void
+reserve_body(cq_outcall_t *call)
+{
+    const char *length = cq_h1_get_field(&call->head, "Content-Length");
+    gint64 len = length != NULL ? g_ascii_strtoll(length, NULL, 10) : 0;
+    if (len > LARGE_ANSWER_BYTES && len <= CQ_ANSWER_BYTES_MAX &&
+        !is_stream(call) && call->events.whole->len == 0) {
+        g_byte_array_unref(call->events.whole);
+        call->events.whole = g_byte_array_sized_new((guint)len);
+    }
+}
+
 static void
 on_head(void *data, const cq_h1_head_t *head)
 {
@@ -169,6 +185,7 @@
     call->head_received = TRUE;
     call->reply = reply;
     call->reply.attempt_id = NULL;
+    reserve_body(call);
 }
 
 /* Passes whole events on. */
@@ -188,6 +205,18 @@
     }
 }
 
+/* Whether @len more bytes of the answer can be held. Answers that wait for
+ * slow callers take room as well; small ones always find some. */
+static gboolean
+has_room(const cq_outcall_t *call, gsize len)
+{
+    gsize all_len = call->outbound->buffered + len;
+    if (call->events.whole->len + len > LARGE_ANSWER_BYTES) {
+        all_len += cq_sock_all_unwritten_bytes();
+    }
+    return all_len <= CQ_ALL_ANSWERS_BYTES_MAX;
+}
+
 static void
 on_body(void *data, const char *bytes, gsize len)
 {
@@ -207,7 +236,7 @@
         fail(call, CQ_FAIL_BROKEN);
         return;
     }
-    if (outbound->buffered + len > CQ_ALL_ANSWERS_BYTES_MAX) {
+    if (!has_room(call, len)) {
         fail(call, CQ_FAIL_NO_ROOM);
         return;
     }
--- a/tests/unit/outbound_test.cc
+++ b/tests/unit/outbound_test.cc
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "http/sock.h"
 #include "router/outbound.h"
 #include "loopback.h"
 
@@ -144,7 +145,8 @@
     outcome(guint64 request)
     {
         static const char *const names[] = {
-            "connect", "refused", "leaving", "broken", "fault", "misdirected"};
+            "connect", "refused",     "leaving", "broken",
+            "fault",   "misdirected", "no_room"};
         EXPECT_TRUE(run_until([&] {
             return last_event_of(request, CQ_EV_DONE) != nullptr ||
                    last_event_of(request, CQ_EV_FAILED) != nullptr;
@@ -443,6 +445,39 @@
     EXPECT_EQ(events[0].attempt.failure, CQ_FAIL_REFUSED);
 }
 
+// Answers that wait for callers who hardly read take the room of the next
+// large one; a small one always finds some.
+TEST_F(Outbound, ALargeAnswerFindsNoRoomBesideThoseOfSlowCallers)
+{
+    std::string slow_address;
+    int slow_listener = loopback::listen_at(&slow_address);
+    cq_sock_ops_t ops = {};
+    ops.ended = [](void *, cq_sock_end_t) {};
+    cq_sock_t *slow = cq_sock_connect(slow_address.c_str(), &ops);
+    ASSERT_TRUE(run_until([&] { return cq_sock_is_open(slow); }));
+    std::string held(CQ_ALL_ANSWERS_BYTES_MAX, 'x');
+    cq_sock_write(slow, held.data(), held.size());
+    const std::string large(8 << 20, 'x');
+    send(2, "a2");
+    int conn = next_request();
+    std::string bytes = answer("200", id_field("a2") + kSeal, large);
+    size_t sent = 0;
+    ASSERT_TRUE(run_until([&] {
+        gssize n = ::send(conn, bytes.data() + sent, bytes.size() - sent,
+                          MSG_DONTWAIT | MSG_NOSIGNAL);
+        sent += n > 0 ? (size_t)n : 0;
+        g_main_context_iteration(nullptr, FALSE);
+        return sent == bytes.size() || !events.empty();
+    }));
+    EXPECT_EQ(outcome(2), "no_room");
+    events.clear();
+    cq_outbound_remove(outbound, 2);
+    EXPECT_EQ(outcome_on_new(answer("200", id_field("a2") + kSeal, "small")),
+              "done");
+    cq_sock_abort(slow);
+    close(slow_listener);
+}
+
 // An upstream that stops in its answer's head, at each byte of it, and closes.
 class TornHead : public Outbound {
   protected:
