--- a/packages/core/memuse.c
+++ b/packages/core/memuse.c
@@ -53,9 +53,12 @@
 static void
 give_up(cq_core_t *core, cq_request_t *request)
 {
+    /* Only a request that may be repeated is tried at a peer beside the
+     * attempt that holds the memory. */
     if (request->phase == CQ_PHASE_HANDED) {
         cq_hedge_select(request, request->standby.attempt);
     }
+    g_assert(request->upstream != NULL);
     cq_counters_add(&core->counters, CQ_N_MEMORY_GIVEN_UP, 1);
     cq_table_log_event(core, request, "memory_given_up",
                        "upstream=%s reserved_ms=%" G_GINT64_FORMAT,
--- a/packages/core/memuse.h
+++ b/packages/core/memuse.h
@@ -7,9 +7,8 @@
  * while no token comes, the engines are asked what they hold for the request.
  * Memory that is not used is released, and the prompt placed on other engines.
  *
- * Load: prompts that need the memory of several engines, while some of these
- * engines are slow, take requests that they never begin, or have more prompts
- * to read than they can.
+ * Load: prompts that need the memory of several engines, some of which take
+ * requests that they never begin, or whose answers get lost.
  */
 #ifndef CQ_MEMUSE_H
 #define CQ_MEMUSE_H
--- a/packages/http/stall.c
+++ b/packages/http/stall.c
@@ -51,15 +51,17 @@
 }
 
 /* Whether the other side has answered neither a probe nor a retransmission for
- * the whole time limit. One that is sent just now has no answer either, so two
- * checks in a row must find it so. */
+ * the whole time limit, though bytes waited as long. One that is sent just now
+ * has no answer either, so two checks in a row must find it so. */
 static gboolean
-is_silent(cq_stall_t *stall, const struct tcp_info *info, gint64 ack_age_us)
+is_silent(cq_stall_t *stall, const struct tcp_info *info, gint64 now_us)
 {
+    const gint64 limit_us = CQ_TCP_UNACKED_MS * CQ_MS_US;
     gboolean unanswered = info->tcpi_probes > 0 || info->tcpi_retransmits > 0;
     gboolean was_unanswered = stall->unanswered;
-    stall->unanswered =
-        unanswered && ack_age_us > CQ_TCP_UNACKED_MS * CQ_MS_US;
+    stall->unanswered = unanswered &&
+                        info->tcpi_last_ack_recv * CQ_MS_US > limit_us &&
+                        now_us - stall->since_us > limit_us;
     return was_unanswered && stall->unanswered;
 }
 
@@ -92,10 +94,6 @@
     }
     gboolean closed = is_window_closed(&info);
     gint64 now_us = g_get_monotonic_time();
-    gint64 ack_age_us = info.tcpi_last_ack_recv * CQ_MS_US;
-    if (is_silent(stall, &info, ack_age_us)) {
-        return CQ_STALL_SILENT;
-    }
     if (closed && stall->counting_since_us == 0) {
         stall->counting_since_us = now_us - CQ_STALL_CHECK_MS * CQ_MS_US;
     }
@@ -103,6 +101,10 @@
         stall->since_us = now_us;
         stall->acked = info.tcpi_bytes_acked;
     }
+    if (is_silent(stall, &info, now_us)) {
+        return CQ_STALL_SILENT;
+    }
+    gint64 ack_age_us = info.tcpi_last_ack_recv * CQ_MS_US;
     /* An age of 0 is also what a system without this figure shows. */
     if (patient && ack_age_us > 0 && stall->counting_since_us != 0 &&
         now_us - stall->since_us < CQ_STALL_MAX_US) {
--- a/tests/unit/sock_test.cc
+++ b/tests/unit/sock_test.cc
@@ -316,6 +316,23 @@
     EXPECT_TRUE(ended);
 }
 
+// The last acknowledgement on a quiet connection is old.
+TEST_F(TcpOptions, ASilenceOfASecondOrSoAfterAQuietTimeEndsNothing)
+{
+    write(1);
+    run_ms(5000);
+    silence_other();
+    write(1);
+    run_ms(kSilenceMs);
+    int unused = 0;
+    ASSERT_EQ(setsockopt(other, SOL_SOCKET, SO_DETACH_FILTER, &unused,
+                         sizeof unused),
+              0);
+    run_ms(2000);
+    EXPECT_FALSE(ended);
+    EXPECT_EQ(cq_sock_undelivered_bytes(sock), 0u);
+}
+
 // What waits for callers that read nothing is bounded, all together: the
 // others end when they did before.
 TEST_F(TcpOptions, SidesThatReadNothingDontTakeMemoryWithoutEnd)
