Slow readers count among those for whom a host is patient

The bytes that wait for connections whose window is closed have a bound of 32 MiB together; beyond it their user timeout isn't put off. Since callers that read a few bytes at a time are put off as well, a look at one while its bytes are moving left it out of that sum. Now it counts from the first time that its window was found closed until everything is acknowledged.

--- a/packages/http/stall.c
+++ b/packages/http/stall.c
@@ -92,9 +92,8 @@
         forget(stall, fd);
         return CQ_STALL_MOVING;
     }
-    gboolean closed = is_window_closed(&info);
     gint64 now_us = g_get_monotonic_time();
-    if (closed && stall->counting_since_us == 0) {
+    if (stall->counting_since_us == 0 && is_window_closed(&info)) {
         stall->counting_since_us = now_us - CQ_STALL_CHECK_MS * CQ_MS_US;
     }
     if (info.tcpi_bytes_acked != stall->acked || stall->since_us == 0) {
@@ -110,7 +109,7 @@
         now_us - stall->since_us < CQ_STALL_MAX_US) {
         put_off(stall, fd, now_us, ack_age_us);
     }
-    return closed ? CQ_STALL_CLOSED : CQ_STALL_MOVING;
+    return stall->counting_since_us != 0 ? CQ_STALL_CLOSED : CQ_STALL_MOVING;
 }
 
 void
--- a/packages/http/stall.h
+++ b/packages/http/stall.h
@@ -43,7 +43,8 @@
  * enum cq_stall_state_t - what a check has found
  * @CQ_STALL_NONE: everything is acknowledged
  * @CQ_STALL_MOVING: bytes are on their way, or their state isn't known
- * @CQ_STALL_CLOSED: the window is closed, and acknowledgements arrive
+ * @CQ_STALL_CLOSED: the window was closed, acknowledgements arrive, and not
+ *   everything has been acknowledged since
  * @CQ_STALL_SILENT: nothing has been acknowledged for CQ_TCP_UNACKED_MS,
  * though the other side was asked
  */
