Review: stand-ins without what no case uses

The replica in C and a body that crashes replicas served a trial that became no case. No check or bound changes.

--- a/review/standin-3/lib3.py
+++ b/review/standin-3/lib3.py
@@ -20,7 +20,6 @@
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 STANDIN = os.path.join(ROOT, "target", "tests", "fleetstandin")
-FAST_REPLICA = os.path.join(ROOT, "target", "fast_replica")
 REPLICA = os.path.join(os.path.dirname(os.path.abspath(__file__)), "replica.py")
 HOST = "fleet.example"
 KEY = "key-of-team-1"
@@ -205,7 +204,7 @@
     with a later `born`, as a new incarnation under a new id."""
 
     def __init__(self, fleet, name, port, service, options=(), back_s=1.5,
-                 zone="a", fast=False):
+                 zone="a"):
         self.fleet = fleet
         self.name = name
         self.port = port
@@ -213,7 +212,6 @@
         self.options = list(options)
         self.back_s = back_s
         self.zone = zone
-        self.fast = fast
         self.starts = 0
         self.process = None
         self.log = os.path.join(fleet.dir, "replica-%s.jsonl" % name)
@@ -223,12 +221,10 @@
         self.starts += 1
         old = self.id
         self.id = "i-%s-%d" % (self.name, self.starts)
-        args = [sys.executable, REPLICA, "--listen",
-                "127.0.0.1:%d" % self.port, "--id", self.id, "--log", self.log]
-        if self.fast:
-            args = [FAST_REPLICA, str(self.port), self.id, self.log]
-        self.process = self.fleet.start(args + self.options,
-                                        "replica-%s" % self.name)
+        self.process = self.fleet.start(
+            [sys.executable, "-B", REPLICA, "--listen",
+             "127.0.0.1:%d" % self.port, "--id", self.id, "--log", self.log] +
+            self.options, "replica-%s" % self.name)
         end = time.time() + 10
         while True:
             try:
--- a/review/standin-3/replica.py
+++ b/review/standin-3/replica.py
@@ -4,10 +4,9 @@
 are answered after --work-ms; requests of a path with /stream/ get a stream of
 --events events, whose ids count from 1; with --wide-ids from the time in
 nanoseconds, shifted by four bits. With --crlf the lines of events end in CRLF.
---crash-body TEXT: the process ends at once when it begins to
-run a request whose body is TEXT. --crash-part ID: it ends when it begins to
-write an answer to a prompt that has this part, but not as the last one; with
---crash-after N once it has written N events.
+--crash-part ID: it ends when it begins to write an answer to a prompt that has
+this part, but not as the last one; with --crash-after N once it has written N
+events.
 """
 
 import argparse
@@ -79,7 +78,7 @@
 
 
 def crash(request, part):
-    """The process ends; the kernel resets its channels."""
+    """The process ends, and with it its channels."""
     for writer in channels:
         writer.transport.abort()
     listener.close()
@@ -140,8 +139,6 @@
                attempt=request.get("Cuminquay-Attempt-Id"),
                parts=request.get("Cuminquay-Prefix-Hash"),
                tenant=request.get("Cuminquay-Tenant"))
-    if options.crash_body and request.body == options.crash_body.encode():
-        crash(request, None)
     if "/stream/" in request.target:
         await serve_stream(request, writer)
         return
@@ -182,7 +179,6 @@
 parser.add_argument("--events", type=int, default=6)
 parser.add_argument("--wide-ids", action="store_true")
 parser.add_argument("--crlf", action="store_true")
-parser.add_argument("--crash-body")
 parser.add_argument("--crash-part")
 parser.add_argument("--crash-after", type=int, default=0)
 options = parser.parse_args()
